--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Every target sets up what it needs in $(VENV) first.
+VENV ?= .venv
+PY := $(VENV)/bin/python
+STAMP := $(VENV)/.stamp-$(shell cksum pyproject.toml | cut -d' ' -f1)
+SOURCES := oleanderdrift standins tests bench
+
+.PHONY: test demo bench binary check format lint types long
+
+$(STAMP):
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+test: $(STAMP)
+	$(PY) -m pytest
+
+lint: $(STAMP)
+	$(PY) -m ruff format --check $(SOURCES)
+	$(PY) -m flake8 $(SOURCES)
+
+types: $(STAMP)
+	$(PY) -m mypy $(SOURCES)
+
+format: $(STAMP)
+	$(PY) -m ruff format $(SOURCES)
+
+check: lint types test
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of the decisions and of the stream path."""
--- /dev/null
+++ b/oleanderdrift/messages.py
@@ -0,0 +1,346 @@
+"""The central list of typed messages: log records and peer messages.
+
+Every message is a frozen attrs class with a fixed kind number, listed in
+KINDS.  codec turns them into bytes and back.  Numbers are never reused.
+"""
+
+import typing
+
+import attrs
+
+from oleanderdrift import codes
+
+# --- Records of the `config` stream -------------------------------------
+
+ANY_VERSION: typing.Final = -1
+
+
+@attrs.frozen(kw_only=True)
+class ConfigChange:
+    """A change of one object that an operator asks for.
+
+    expected_version is the offset of the change this one replaces, 0 for
+    an object that must not exist, or ANY_VERSION.  body is the object as
+    JSON, or None to delete it.
+    """
+
+    change_id: str
+    kind: str
+    name: str
+    expected_version: int
+    body: bytes | None
+    author: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class ConfigSnapshot:
+    """The whole configuration as folded up to (not with) an offset."""
+
+    next_offset: int
+    objects: tuple['SnapshotObject', ...]
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotObject:
+    """One object of a snapshot; body None keeps a deletion's version."""
+
+    kind: str
+    name: str
+    version: int
+    body: bytes | None
+
+
+# --- Records of the `fleet` stream --------------------------------------
+
+
+@attrs.frozen(kw_only=True)
+class ShardOpened:
+    """An instance opens a new ownership shard under a lease."""
+
+    shard: str
+    instance: str
+    data_centre: str
+    lease_s: float
+
+
+@attrs.frozen(kw_only=True)
+class ShardsRenewed:
+    """The holder renews its lease on the shards it owns."""
+
+    instance: str
+    shards: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ShardTaken:
+    """Another instance takes a shard over from a lapsed epoch.
+
+    The offset of this record is the shard's new epoch and fencing token;
+    it is void where expected_epoch is no longer the shard's epoch.
+    """
+
+    shard: str
+    instance: str
+    data_centre: str
+    expected_epoch: int
+    lease_s: float
+
+
+@attrs.frozen(kw_only=True)
+class ShardReleased:
+    """The holder gives a shard up; anyone may take it at once."""
+
+    shard: str
+    instance: str
+    epoch: int
+
+
+# --- Records of the `programs.<data centre>` streams --------------------
+
+
+@attrs.frozen(kw_only=True)
+class ProgramCreated:
+    """A program begins."""
+
+    program: str
+    client_account: str
+    class_name: str
+    parent: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class CallIntended:
+    """A non-idempotent call is about to be dispatched."""
+
+    program: str
+    call: int
+    idempotency_key: str
+    body_digest: bytes
+
+
+@attrs.frozen(kw_only=True)
+class CallFinished:
+    """A call ended; history is the JSON of the messages it added."""
+
+    program: str
+    call: int
+    idempotency_key: str
+    body_digest: bytes
+    execution: codes.Execution
+    status: int
+    tokens: int
+    upstream: str
+    content_type: str
+    answer: bytes
+    history: bytes
+    history_digest: bytes
+
+
+@attrs.frozen(kw_only=True)
+class ProgramEnded:
+    """A program ended, with the code of the reason."""
+
+    program: str
+    code: int
+
+
+@attrs.frozen(kw_only=True)
+class Batch:
+    """Several encoded records of one group commit."""
+
+    records: tuple[bytes, ...]
+
+
+# --- Peer messages: programs --------------------------------------------
+
+
+@attrs.frozen(kw_only=True)
+class CreateProgram:
+    """Asks a shard's owner for a new program (a sub-agent has a parent)."""
+
+    client_account: str
+    class_name: str
+    parent: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class ProgramStarted:
+    """A new program's id."""
+
+    program: str
+
+
+@attrs.frozen(kw_only=True)
+class EndProgram:
+    """The caller declares a program finished."""
+
+    program: str
+    client_account: str
+
+
+@attrs.frozen(kw_only=True)
+class Done:
+    """An answer that carries nothing but success."""
+
+
+@attrs.frozen(kw_only=True)
+class Failed:
+    """An answer that carries a result code."""
+
+    code: int
+    detail: str
+    retry_after_s: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class BeginCall:
+    """Asks the owner to admit a call before it is dispatched.
+
+    call is the call's place in the program from 1, or 0 for the next
+    one.  prefix_digest is the digest of the history that the caller
+    sent, empty where it sent none.
+    """
+
+    program: str
+    client_account: str
+    call: int
+    idempotency_key: str
+    body_digest: bytes
+    idempotent: bool
+    prefix_digest: bytes = b''
+    estimated_tokens: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class CallGranted:
+    """The owner admits one attempt of a call.
+
+    slack_s is the time left to the program's target, attained_s the
+    service it has had; history holds the offsets of its history records
+    in the programs stream of data_centre.
+    """
+
+    program: str
+    call: int
+    attempt: int
+    fencing_token: int
+    class_name: str
+    slack_s: float
+    attained_s: float
+    remaining_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class CallReplayed:
+    """The call ran before; this is its recorded answer."""
+
+    program: str
+    call: int
+    attempt: int
+    status: int
+    content_type: str
+    answer: bytes
+
+
+@attrs.frozen(kw_only=True)
+class EndCall:
+    """Reports the outcome of an admitted attempt to the owner."""
+
+    program: str
+    call: int
+    attempt: int
+    execution: codes.Execution
+    status: int
+    tokens: int
+    upstream: str
+    service_s: float
+    content_type: str = ''
+    answer: bytes = b''
+    history: bytes = b''
+    history_digest: bytes = b''
+
+
+# --- Peer messages: slots on upstreams ----------------------------------
+
+
+@attrs.frozen(kw_only=True)
+class SlotRequest:
+    """Asks a dispatch group's home for a slot on one of its upstreams.
+
+    service is a model's or tool's name.  prefix holds chained digests of
+    the prompt's blocks, the longest last.
+    """
+
+    call_id: str
+    program: str
+    client_account: str
+    class_name: str
+    service: str
+    slack_s: float
+    attained_s: float
+    prompt_tokens: int
+    max_tokens: int
+    prefix: tuple[bytes, ...] = ()
+    excluded: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class SlotGranted:
+    """A slot on an upstream; it is held until released."""
+
+    call_id: str
+    upstream: str
+
+
+@attrs.frozen(kw_only=True)
+class SlotRefused:
+    """No slot can be given in time."""
+
+    call_id: str
+    code: int
+    retry_after_s: float
+
+
+@attrs.frozen(kw_only=True)
+class SlotReleased:
+    """Gives a slot back with what was seen on it.
+
+    failed means that the upstream, not the caller, broke the call off.
+    """
+
+    call_id: str
+    upstream: str
+    failed: bool
+    first_token_s: float
+    duration_s: float
+    tokens: int
+
+
+Message: typing.TypeAlias = typing.Any
+
+KINDS: typing.Final[dict[int, type]] = {
+    1: ConfigChange,
+    2: ConfigSnapshot,
+    10: ShardOpened,
+    11: ShardsRenewed,
+    12: ShardTaken,
+    13: ShardReleased,
+    20: ProgramCreated,
+    21: CallIntended,
+    22: CallFinished,
+    23: ProgramEnded,
+    24: Batch,
+    40: CreateProgram,
+    41: ProgramStarted,
+    42: EndProgram,
+    43: Done,
+    44: Failed,
+    45: BeginCall,
+    46: CallGranted,
+    47: CallReplayed,
+    48: EndCall,
+    60: SlotRequest,
+    61: SlotGranted,
+    62: SlotRefused,
+    63: SlotReleased,
+}
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems around oleanderdrift."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of oleanderdrift."""
