--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -268,7 +268,9 @@
     """Asks a dispatch group's home for a slot on one of its upstreams.
 
     service is a model's or tool's name.  prefix holds chained digests of
-    the prompt's blocks, the longest last.
+    the prompt's blocks, the longest last.  program_age_s is the time since
+    the program began: with it the deadline follows a changed class target;
+    without it slack_s is taken as it was sent.
     """
 
     call_id: str
@@ -282,6 +284,7 @@
     max_tokens: int
     prefix: tuple[bytes, ...] = ()
     excluded: tuple[str, ...] = ()
+    program_age_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -306,6 +309,8 @@
     """Gives a slot back with what was seen on it.
 
     failed means that the upstream, not the caller, broke the call off.
+    cached_tokens is what the engine said of the prompt's cached part, or
+    None where it said nothing.
     """
 
     call_id: str
@@ -314,6 +319,7 @@
     first_token_s: float
     duration_s: float
     tokens: int
+    cached_tokens: int | None = None
 
 
 Message: typing.TypeAlias = typing.Any
