--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -228,6 +228,13 @@
 SHUTTING_DOWN: typing.Final = _entry(
     6005, 'shutting-down', 503, _NOT, 'The instance is shutting down.'
 )
+APPEND_UNCONFIRMED: typing.Final = _entry(
+    6006,
+    'append-unconfirmed',
+    503,
+    _UNKNOWN,
+    'The record may be in the log; the answer to its append was lost.',
+)
 
 # 7000: settings and command line.
 SETTINGS_INVALID: typing.Final = _entry(
