Fold configuration records to one verdict for every reader

Cause: racing operators must get one true accept, repeated appends must not act twice, and all instances must agree without talking.

Change: apply compares versions, checks the body, the references both ways and repeated change ids. Deleted objects keep no version (it would grow for good, and 0 already says "must not exist").

--- /dev/null
+++ b/oleanderdrift/config_state.py
@@ -0,0 +1,318 @@
+"""Folds the records of the `config` stream into the configuration.
+
+Every reader calls apply with the same records in the same order and so
+reaches the same verdict on each, an operator's command line included.
+Nothing here does input or output or makes ids of its own.
+"""
+
+import hashlib
+import typing
+
+import msgspec
+
+from oleanderdrift import codes
+from oleanderdrift import config_checks
+from oleanderdrift import errors
+from oleanderdrift import messages
+from oleanderdrift import model
+
+MAX_RECENT_VERDICTS: typing.Final = 1024
+
+
+def objects(config: model.Config, kind: model.Kind) -> dict[str, typing.Any]:
+    """Returns the index that holds the objects of one kind."""
+    match kind:
+        case model.Kind.ACCOUNT:
+            return config.accounts
+        case model.Kind.KEY:
+            return config.keys
+        case model.Kind.CLASS:
+            return config.classes
+        case model.Kind.MODEL:
+            return config.models
+        case model.Kind.TOOL:
+            return config.tools
+        case model.Kind.ROUTE:
+            return config.routes
+        case model.Kind.UPSTREAM:
+            return config.upstreams
+
+
+def find(
+    config: model.Config, kind: model.Kind, name: str
+) -> model.ConfigObject | None:
+    """Returns the object of a kind and name, or None."""
+    if (kind, name) not in config.versions:
+        return None
+    if kind is not model.Kind.KEY:
+        found: model.ConfigObject = objects(config, kind)[name]
+        return found
+    return next(key for key in config.keys.values() if key.name == name)
+
+
+def apply(
+    config: model.Config, offset: int, message: messages.Message
+) -> model.Verdict:
+    """Folds the record at offset into config and returns the verdict.
+
+    A snapshot changes nothing here: a reader that has every record up to
+    it knows all that it holds (load takes one in).  Raises ResultError
+    INVARIANT_BROKEN for an offset that was folded before.
+    """
+    if offset < config.next_offset:
+        raise errors.ResultError(
+            codes.INVARIANT_BROKEN,
+            f'config offset {offset} is before {config.next_offset}',
+        )
+    config.next_offset = offset + 1
+    match message:
+        case messages.ConfigChange():
+            return _apply_change(config, offset, message)
+        case messages.ConfigSnapshot():
+            return _accepted(0)
+        case _:
+            return _refused(
+                codes.CONFIG_INVALID,
+                f'{type(message).__name__} is no configuration record',
+                0,
+            )
+
+
+def _apply_change(
+    config: model.Config, offset: int, change: messages.ConfigChange
+) -> model.Verdict:
+    repeated = config.recent.get(change.change_id)
+    if repeated is not None:
+        return repeated
+    verdict = _judge(config, offset, change)
+    for done in verdict.changes:
+        _put(config, done.kind, done.name, done.before, done.after, offset)
+    _remember(
+        config,
+        change.change_id,
+        model.Verdict(
+            accepted=verdict.accepted,
+            code=verdict.code,
+            detail=verdict.detail,
+            version=verdict.version,
+        ),
+    )
+    return verdict
+
+
+def _judge(
+    config: model.Config, offset: int, change: messages.ConfigChange
+) -> model.Verdict:
+    try:
+        kind = model.Kind(change.kind)
+    except ValueError:
+        return _refused(
+            codes.CONFIG_INVALID, f'{change.kind!r} is no kind of object', 0
+        )
+    version = config.versions.get((kind, change.name), 0)
+    if change.expected_version not in (messages.ANY_VERSION, version):
+        return _refused(
+            codes.CONFIG_CONFLICT,
+            f'{kind} {change.name} is at version {version}, the change '
+            f'expects {change.expected_version}',
+            version,
+        )
+    before = find(config, kind, change.name)
+    try:
+        after = config_checks.checked(config, kind, change, before)
+    except config_checks.InvalidChange as error:
+        return _refused(codes.CONFIG_INVALID, str(error), version)
+    done = model.ObjectChange(
+        offset=offset,
+        kind=kind,
+        name=change.name,
+        before=before,
+        after=after,
+    )
+    return _accepted(0 if after is None else offset, (done,))
+
+
+def _put(
+    config: model.Config,
+    kind: model.Kind,
+    name: str,
+    before: model.ConfigObject | None,
+    after: model.ConfigObject | None,
+    version: int,
+) -> None:
+    index = objects(config, kind)
+    if before is not None:
+        del index[_index_key(before)]
+        del config.versions[kind, name]
+    if after is not None:
+        index[_index_key(after)] = after
+        config.versions[kind, name] = version
+
+
+def _index_key(item: model.ConfigObject) -> str:
+    match item:
+        case model.ApiKey():
+            return item.sha256
+        case _:
+            return item.name
+
+
+def _remember(
+    config: model.Config, change_id: str, verdict: model.Verdict
+) -> None:
+    config.recent[change_id] = verdict
+    if len(config.recent) > MAX_RECENT_VERDICTS:
+        del config.recent[next(iter(config.recent))]
+
+
+def _accepted(
+    version: int, changes: tuple[model.ObjectChange, ...] = ()
+) -> model.Verdict:
+    return model.Verdict(
+        accepted=True,
+        code=codes.OK,
+        detail=codes.OK.help,
+        version=version,
+        changes=changes,
+    )
+
+
+def _refused(code: codes.Result, detail: str, version: int) -> model.Verdict:
+    return model.Verdict(
+        accepted=False, code=code, detail=detail, version=version
+    )
+
+
+def snapshot(config: model.Config) -> messages.ConfigSnapshot:
+    """Returns the configuration as one message, the inverse of load."""
+    parts = [
+        messages.SnapshotObject(
+            kind=kind,
+            name=item.name,
+            version=config.versions[kind, item.name],
+            body=msgspec.json.encode(item),
+        )
+        for kind in model.Kind
+        for item in objects(config, kind).values()
+    ]
+    recent = [
+        messages.SnapshotVerdict(
+            change_id=change_id,
+            code=verdict.code.number,
+            detail=verdict.detail,
+            version=verdict.version,
+        )
+        for change_id, verdict in config.recent.items()
+    ]
+    return messages.ConfigSnapshot(
+        next_offset=config.next_offset,
+        objects=tuple(parts),
+        recent=tuple(recent),
+    )
+
+
+def load(
+    config: model.Config, message: messages.ConfigSnapshot
+) -> tuple[model.ObjectChange, ...]:
+    """Puts a newer snapshot in place of config; returns what differs.
+
+    Never goes back: a snapshot that is not ahead of config is left
+    alone.  Raises ResultError CONFIG_INVALID, with config unchanged, for
+    one that cannot be read.
+    """
+    if message.next_offset <= config.next_offset:
+        return ()
+    loaded = _read_snapshot(message)
+    changes = _differences(config, loaded)
+    for kind in model.Kind:
+        index = objects(config, kind)
+        index.clear()
+        index.update(objects(loaded, kind))
+    config.versions.clear()
+    config.versions.update(loaded.versions)
+    config.recent = loaded.recent
+    config.next_offset = loaded.next_offset
+    return changes
+
+
+def _read_snapshot(message: messages.ConfigSnapshot) -> model.Config:
+    loaded = model.Config(next_offset=message.next_offset)
+    try:
+        for part in message.objects:
+            kind = model.Kind(part.kind)
+            item: model.ConfigObject = msgspec.json.decode(
+                part.body, type=model.TYPES[kind]
+            )
+            _put(loaded, kind, part.name, None, item, part.version)
+        for old in message.recent:
+            loaded.recent[old.change_id] = model.Verdict(
+                accepted=old.code == codes.OK.number,
+                code=codes.TABLE[old.code],
+                detail=old.detail,
+                version=old.version,
+            )
+    except (ValueError, KeyError) as error:
+        raise errors.ResultError(
+            codes.CONFIG_INVALID, f'unreadable snapshot: {error}'
+        ) from error
+    return loaded
+
+
+def _differences(
+    old: model.Config, new: model.Config
+) -> tuple[model.ObjectChange, ...]:
+    changed = [
+        place
+        for place in old.versions.keys() | new.versions.keys()
+        if old.versions.get(place) != new.versions.get(place)
+    ]
+    return tuple(
+        model.ObjectChange(
+            offset=new.versions.get((kind, name), new.next_offset - 1),
+            kind=kind,
+            name=name,
+            before=find(old, kind, name),
+            after=find(new, kind, name),
+        )
+        for kind, name in sorted(changed)
+    )
+
+
+def key_digest(bearer_key: str) -> str:
+    """Returns the SHA-256 by which a key is known, in hex."""
+    return hashlib.sha256(bearer_key.encode()).hexdigest()
+
+
+def authenticate(
+    config: model.Config,
+    bearer_key: str,
+    withdrawn: typing.Container[str] = (),
+) -> model.ApiKey:
+    """Returns the key's record; withdrawn holds digests to refuse.
+
+    The key is looked up by its digest: what the time taken may tell is
+    about the digest of a guess, which says nothing of any key.  Raises
+    ResultError MISSING_KEY or UNKNOWN_KEY.
+    """
+    if not bearer_key:
+        raise errors.ResultError(codes.MISSING_KEY)
+    digest = key_digest(bearer_key)
+    key = config.keys.get(digest)
+    if key is None or digest in withdrawn:
+        raise errors.ResultError(codes.UNKNOWN_KEY)
+    return key
+
+
+def find_route(config: model.Config, path: str) -> model.Route | None:
+    """Returns the route with the longest prefix of path, or None.
+
+    A prefix ends at a path segment: /desk leads to /desk and /desk/a,
+    not to /desks.
+    """
+    matching = [
+        route
+        for route in config.routes.values()
+        if path == route.prefix
+        or path.startswith(route.prefix.rstrip('/') + '/')
+    ]
+    return max(matching, key=lambda route: len(route.prefix), default=None)
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -34,20 +34,35 @@
 
 @attrs.frozen(kw_only=True)
 class ConfigSnapshot:
-    """The whole configuration as folded up to (not with) an offset."""
+    """The whole configuration as folded up to (not with) an offset.
+
+    recent carries the verdicts of the latest changes, oldest first, so
+    that a reader who starts here knows a repeated change as well.
+    """
 
     next_offset: int
     objects: tuple['SnapshotObject', ...]
+    recent: tuple['SnapshotVerdict', ...] = ()
 
 
 @attrs.frozen(kw_only=True)
 class SnapshotObject:
-    """One object of a snapshot; body None keeps a deletion's version."""
+    """One object of a snapshot."""
 
     kind: str
     name: str
     version: int
-    body: bytes | None
+    body: bytes
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotVerdict:
+    """The verdict of one recent change; code is a result code's number."""
+
+    change_id: str
+    code: int
+    detail: str
+    version: int
 
 
 # --- Records of the `fleet` stream --------------------------------------
@@ -100,17 +115,12 @@
 
 @attrs.frozen(kw_only=True)
 class ProgramCreated:
-    """A program begins, with its budget and its Unix time of creation."""
+    """A program begins."""
 
     program: str
     client_account: str
     class_name: str
     parent: str = ''
-    created_at: float = 0.0
-    target_s: float = 0.0
-    max_calls: int = 0
-    max_tokens: int = 0
-    max_duration_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -121,16 +131,11 @@
     call: int
     idempotency_key: str
     body_digest: bytes
-    attempt: int = 1
-    intended_at: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
 class CallFinished:
-    """A call ended; history is the JSON of the messages it added.
-
-    finished_at is Unix time.
-    """
+    """A call ended; history is the JSON of the messages it added."""
 
     program: str
     call: int
@@ -144,9 +149,6 @@
     answer: bytes
     history: bytes
     history_digest: bytes
-    attempt: int = 1
-    finished_at: float = 0.0
-    service_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -155,32 +157,6 @@
 
     program: str
     code: int
-    ended_at: float = 0.0
-
-
-@attrs.frozen(kw_only=True)
-class UpstreamUsed:
-    """A program's prefix may be held on an upstream from now on."""
-
-    program: str
-    upstream: str
-
-
-@attrs.frozen(kw_only=True)
-class ShardRecords:
-    """Encoded records of one shard, written by its holder of an epoch."""
-
-    shard: str
-    epoch: int
-    records: tuple[bytes, ...]
-
-
-@attrs.frozen(kw_only=True)
-class ShardFenced:
-    """Voids what older epochs of the shard append after this record."""
-
-    shard: str
-    epoch: int
 
 
 @attrs.frozen(kw_only=True)
@@ -283,15 +259,11 @@
 
 @attrs.frozen(kw_only=True)
 class EndCall:
-    """Reports the outcome of an admitted attempt to the owner.
-
-    fencing_token is the one that the attempt was granted with.
-    """
+    """Reports the outcome of an admitted attempt to the owner."""
 
     program: str
     call: int
     attempt: int
-    fencing_token: int
     execution: codes.Execution
     status: int
     tokens: int
@@ -303,17 +275,6 @@
     history_digest: bytes = b''
 
 
-@attrs.frozen(kw_only=True)
-class CallPlaced:
-    """Tells the owner which upstream an attempt is about to be sent to."""
-
-    program: str
-    call: int
-    attempt: int
-    fencing_token: int
-    upstream: str
-
-
 # --- Peer messages: slots on upstreams ----------------------------------
 
 
@@ -390,9 +351,6 @@
     22: CallFinished,
     23: ProgramEnded,
     24: Batch,
-    25: UpstreamUsed,
-    26: ShardRecords,
-    27: ShardFenced,
     40: CreateProgram,
     41: ProgramStarted,
     42: EndProgram,
@@ -402,7 +360,6 @@
     46: CallGranted,
     47: CallReplayed,
     48: EndCall,
-    49: CallPlaced,
     60: SlotRequest,
     61: SlotGranted,
     62: SlotRefused,
--- a/oleanderdrift/model.py
+++ b/oleanderdrift/model.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from oleanderdrift import codes
+
 
 class Kind(enum.StrEnum):
     """The kinds of configured object."""
@@ -115,13 +117,40 @@
 }
 
 
+@attrs.frozen(kw_only=True)
+class ObjectChange:
+    """One object before and after an accepted change, None for absent."""
+
+    offset: int
+    kind: Kind
+    name: str
+    before: ConfigObject | None
+    after: ConfigObject | None
+
+
+@attrs.frozen(kw_only=True)
+class Verdict:
+    """What every reader of the log makes of one record.
+
+    version is the offset of the change now in force for the object, 0
+    where there is none.  changes is empty for a repeated change.
+    """
+
+    accepted: bool
+    code: codes.Result
+    detail: str
+    version: int
+    changes: tuple[ObjectChange, ...] = ()
+
+
 @attrs.define(kw_only=True)
 class Config:
     """The configuration in force, as folded from the log.
 
     keys are indexed by SHA-256, everything else by name.  versions maps
-    (kind, name) to the offset of the change in force, for deleted
-    objects too.  next_offset is the first offset not yet folded.
+    (kind, name) to the offset of the change in force; deleted objects
+    have none.  recent maps the ids of the latest changes to their
+    verdicts.  next_offset is the first offset not yet folded.
     """
 
     accounts: dict[str, ClientAccount] = attrs.field(factory=dict)
@@ -132,4 +161,5 @@
     routes: dict[str, Route] = attrs.field(factory=dict)
     upstreams: dict[str, Upstream] = attrs.field(factory=dict)
     versions: dict[tuple[Kind, str], int] = attrs.field(factory=dict)
+    recent: dict[str, Verdict] = attrs.field(factory=dict)
     next_offset: int = 0
