--- /dev/null
+++ b/oleanderdrift/config_feed.py
@@ -0,0 +1,124 @@
+"""Keeps an instance's configuration up to date with the log.
+
+The follower reads with a bounded long poll, goes over to a new
+connection after silence (log_client does), and tells its listeners of
+each accepted change, so that streams of a withdrawn key can be ended.
+"""
+
+import asyncio
+import random
+import time
+import typing
+
+from absl import logging
+import attrs
+
+
+from oleanderdrift import config_reader
+from oleanderdrift import errors
+from oleanderdrift import log_client
+from oleanderdrift import messages
+from oleanderdrift import model
+
+BATCH_RECORDS: typing.Final = 500
+# Silence is noticed after WAIT_S and the client's timeout together.
+WAIT_S: typing.Final = 3.0
+RETRY_S: typing.Final = 0.5
+
+Listener: typing.TypeAlias = typing.Callable[[model.ObjectChange], None]
+
+
+@attrs.define(kw_only=True)
+class ConfigFeed:
+    """The follower of one instance.
+
+    last_contact is the monotonic time at which the configuration was
+    last known to be complete, in seconds, or None before the first time.
+    caught_up is set once everything that the log holds is folded.
+    """
+
+    client: log_client.LogClient
+    random: random.Random
+    reader: config_reader.ConfigReader = attrs.field(
+        factory=config_reader.ConfigReader
+    )
+    wait_s: float = WAIT_S
+    retry_s: float = RETRY_S
+    listeners: list[Listener] = attrs.field(factory=list)
+    last_contact: float | None = None
+    caught_up: asyncio.Event = attrs.field(factory=asyncio.Event)
+    failures: int = 0
+
+    @property
+    def config(self) -> model.Config:
+        """The configuration in force; one object for good."""
+        return self.reader.config
+
+    @property
+    def next_offset(self) -> int:
+        """The first offset not yet folded."""
+        return self.reader.config.next_offset
+
+
+async def follow(feed: ConfigFeed) -> typing.NoReturn:
+    """Reads for good; returns only by cancellation."""
+    while True:
+        try:
+            await poll(feed)
+        except errors.ResultError as error:
+            feed.failures += 1
+            logging.warning(
+                'event=config-read-failed code=%d next_offset=%d detail="%s"',
+                error.code.number,
+                feed.next_offset,
+                error.detail,
+            )
+            await asyncio.sleep(feed.random.uniform(0.5, 1) * feed.retry_s)
+
+
+async def poll(feed: ConfigFeed) -> list[config_reader.Judged]:
+    """Makes one bounded read and folds what it brings.
+
+    Raises ResultError LOG_UNAVAILABLE.
+    """
+    # The answer is at least as new as the question.
+    asked = time.monotonic()
+    wait_s = feed.wait_s if feed.caught_up.is_set() else 0.0
+    result = await feed.client.read(
+        config_reader.STREAM, feed.reader.read_offset, BATCH_RECORDS, wait_s
+    )
+    judged, changes = config_reader.take(feed.reader, result)
+    tell(feed, changes)
+    if (
+        feed.reader.gap_end is None
+        and feed.reader.read_offset >= result.end_offset
+    ):
+        note_contact(feed, asked)
+    return judged
+
+
+def note_contact(feed: ConfigFeed, asked: float) -> None:
+    """Notes that the configuration was complete at the time asked."""
+    feed.last_contact = max(asked, feed.last_contact or asked)
+    feed.caught_up.set()
+
+
+def load_snapshot(feed: ConfigFeed, snapshot: messages.ConfigSnapshot) -> None:
+    """Takes in a peer's snapshot and tells the listeners."""
+    tell(feed, config_reader.load_snapshot(feed.reader, snapshot))
+
+
+def tell(
+    feed: ConfigFeed, changes: typing.Iterable[model.ObjectChange]
+) -> None:
+    """Tells every listener of changes now in force."""
+    for change in changes:
+        logging.info(
+            'event=config-in-force kind=%s name=%s offset=%d removed=%s',
+            change.kind,
+            change.name,
+            change.offset,
+            change.after is None,
+        )
+        for listener in feed.listeners:
+            listener(change)
--- /dev/null
+++ b/oleanderdrift/config_reader.py
@@ -0,0 +1,173 @@
+"""Follows the `config` stream's records in order, wherever they come from.
+
+A reader takes batches of raw records, from the log or from a peer, and
+folds them.  Where the log has been trimmed past its place it waits for a
+snapshot that leaves no gap; until then the configuration stays as it is.
+It does no input or output.
+"""
+
+import collections
+import typing
+
+from absl import logging
+import attrs
+
+
+from oleanderdrift import codec
+from oleanderdrift import config_state
+from oleanderdrift import errors
+from oleanderdrift import log_client
+from oleanderdrift import messages
+from oleanderdrift import model
+
+STREAM: typing.Final = 'config'
+FIRST_OFFSET: typing.Final = 1
+# Enough for a peer that is two hours behind at 12,000 changes a day.
+MAX_TAIL_RECORDS: typing.Final = 1000
+
+
+@attrs.frozen(kw_only=True)
+class Judged:
+    """One record with the verdict that every reader reaches on it."""
+
+    record: log_client.LogRecord
+    message: messages.Message
+    verdict: model.Verdict
+
+
+@attrs.define(kw_only=True)
+class ConfigReader:
+    """The place of one reader in the stream and the state folded so far.
+
+    read_offset is the next record to read.  pending holds what was read
+    after a gap, while no snapshot has bridged it; gap_end is its first
+    offset.  tail holds the latest records folded, for peers.
+    """
+
+    config: model.Config = attrs.field(factory=model.Config)
+    read_offset: int = FIRST_OFFSET
+    gap_end: int | None = None
+    pending: list[tuple[log_client.LogRecord, messages.Message | None]] = (
+        attrs.field(factory=list)
+    )
+    tail: collections.deque[log_client.LogRecord] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_TAIL_RECORDS)
+    )
+    undecodable: int = 0
+    snapshot_offset: int = 0
+    snapshot_time_ms: int = 0
+
+
+def take(
+    reader: ConfigReader, result: log_client.ReadResult
+) -> tuple[list[Judged], list[model.ObjectChange]]:
+    """Folds a batch; returns its judged records and what they changed.
+
+    Records that were read before are passed over.
+    """
+    judged: list[Judged] = []
+    changes: list[model.ObjectChange] = []
+    if result.first > reader.read_offset:
+        _note_gap(reader, result.first)
+    for record in result.records:
+        if record.offset < reader.read_offset:
+            continue
+        if record.offset > reader.read_offset:
+            _note_gap(reader, record.offset)
+        reader.read_offset = record.offset + 1
+        message = _decode(reader, record)
+        if reader.gap_end is None:
+            _fold(reader, record, message, judged, changes)
+        else:
+            reader.pending.append((record, message))
+            _try_bridge(reader, message, judged, changes)
+    return judged, changes
+
+
+def load_snapshot(
+    reader: ConfigReader, snapshot: messages.ConfigSnapshot
+) -> list[model.ObjectChange]:
+    """Takes in a peer's snapshot if it is ahead; returns what changed.
+
+    Raises ResultError CONFIG_INVALID for one that cannot be read.
+    """
+    if snapshot.next_offset <= reader.config.next_offset:
+        return []
+    changes = list(config_state.load(reader.config, snapshot))
+    reader.tail.clear()
+    held = reader.pending
+    reader.pending = []
+    if reader.gap_end is None or snapshot.next_offset < reader.gap_end:
+        reader.read_offset = snapshot.next_offset
+        held = []
+    reader.gap_end = None
+    for record, message in held:
+        if record.offset >= snapshot.next_offset:
+            _fold(reader, record, message, [], changes)
+    reader.read_offset = max(reader.read_offset, reader.config.next_offset)
+    return changes
+
+
+def _note_gap(reader: ConfigReader, offset: int) -> None:
+    logging.warning(
+        'event=config-gap expected=%d found=%d', reader.read_offset, offset
+    )
+    reader.pending.clear()
+    reader.gap_end = offset
+    reader.read_offset = offset
+
+
+def _decode(
+    reader: ConfigReader, record: log_client.LogRecord
+) -> messages.Message | None:
+    try:
+        message = codec.decode(record.data)
+    except codec.CodecError as error:
+        reader.undecodable += 1
+        logging.error(
+            'event=config-undecodable offset=%d error="%s"',
+            record.offset,
+            error,
+        )
+        return None
+    if isinstance(message, messages.ConfigSnapshot):
+        reader.snapshot_offset = record.offset
+        reader.snapshot_time_ms = record.time_ms
+    return message
+
+
+def _fold(
+    reader: ConfigReader,
+    record: log_client.LogRecord,
+    message: messages.Message | None,
+    judged: list[Judged],
+    changes: list[model.ObjectChange],
+) -> None:
+    reader.tail.append(record)
+    if message is None:
+        reader.config.next_offset = record.offset + 1
+        return
+    verdict = config_state.apply(reader.config, record.offset, message)
+    judged.append(Judged(record=record, message=message, verdict=verdict))
+    changes += verdict.changes
+
+
+def _try_bridge(
+    reader: ConfigReader,
+    message: messages.Message | None,
+    judged: list[Judged],
+    changes: list[model.ObjectChange],
+) -> None:
+    if not isinstance(message, messages.ConfigSnapshot):
+        return
+    if reader.gap_end is None or message.next_offset < reader.gap_end:
+        return
+    try:
+        changes += config_state.load(reader.config, message)
+    except errors.ResultError as error:
+        logging.error('event=config-snapshot-unreadable error="%s"', error)
+        return
+    held, reader.pending, reader.gap_end = reader.pending, [], None
+    for record, kept in held:
+        if record.offset >= reader.config.next_offset:
+            _fold(reader, record, kept, judged, changes)
--- /dev/null
+++ b/tests/test_config_feed.py
@@ -0,0 +1,110 @@
+"""Tests of the follower of the log's configuration stream."""
+
+import asyncio
+import random
+import typing
+
+import msgspec
+
+from oleanderdrift import codec
+from oleanderdrift import config_feed
+from oleanderdrift import config_state
+from oleanderdrift import log_client
+from oleanderdrift import messages
+from oleanderdrift import model
+from tests import log_service as services
+
+log_service = services.log_service
+Work: typing.TypeAlias = typing.Callable[
+    [config_feed.ConfigFeed], typing.Coroutine[typing.Any, typing.Any, None]
+]
+
+
+def account(name: str, change_id: str, burst: int = 1) -> bytes:
+    """Returns the record of a change that sets an account."""
+    item = model.ClientAccount(name=name, rate_per_s=1, burst=burst)
+    return codec.encode(
+        messages.ConfigChange(
+            change_id=change_id,
+            kind=model.Kind.ACCOUNT,
+            name=name,
+            expected_version=messages.ANY_VERSION,
+            body=msgspec.json.encode(item),
+        )
+    )
+
+
+def run(url: str, work: Work) -> None:
+    """Runs work beside a follower of the log at url."""
+
+    async def whole() -> None:
+        client = log_client.LogClient(url, 0.2)
+        feed = config_feed.ConfigFeed(
+            client=client, random=random.Random(1), wait_s=0.1, retry_s=0.01
+        )
+        task = asyncio.create_task(config_feed.follow(feed))
+        try:
+            async with asyncio.timeout(8):
+                await feed.caught_up.wait()
+                await work(feed)
+        finally:
+            task.cancel()
+            client.close()
+
+    asyncio.run(whole())
+
+
+async def seen(feed: config_feed.ConfigFeed, name: str) -> None:
+    """Waits until an account is in force."""
+    event = asyncio.Event()
+    feed.listeners.append(
+        lambda change: event.set() if change.name == name else None
+    )
+    if name not in feed.config.accounts:
+        await event.wait()
+
+
+def test_follower_folds_and_skips_what_it_cannot_read(
+    log_service: services.LogService,
+) -> None:
+    log_service.append(account('a', '1'), b'\xff\xffnoise', account('b', '2'))
+
+    async def work(feed: config_feed.ConfigFeed) -> None:
+        assert sorted(feed.config.accounts) == ['a', 'b']
+        assert (feed.next_offset, feed.reader.undecodable) == (4, 1)
+        assert feed.last_contact is not None
+
+    run(log_service.url, work)
+
+
+def test_silent_connection_delays_a_change_for_a_bounded_time(
+    log_service: services.LogService,
+) -> None:
+    async def work(feed: config_feed.ConfigFeed) -> None:
+        log_service.throw(silent=True)
+        await asyncio.to_thread(log_service.append, account('a', '1'))
+        await seen(feed, 'a')
+        assert feed.failures >= 1
+
+    run(log_service.url, work)
+
+
+def test_fresh_reader_of_a_trimmed_log_starts_from_the_snapshot(
+    log_service: services.LogService,
+) -> None:
+    config = model.Config()
+    records = [account(name, name) for name in 'abc']
+    for offset, data in enumerate(records, 1):
+        config_state.apply(config, offset, codec.decode(data))
+    snapshot = codec.encode(config_state.snapshot(config))
+    stale = codec.encode(messages.ConfigSnapshot(next_offset=2, objects=()))
+    log_service.append(*records, account('a', 'd', 7), stale, snapshot)
+    log_service.throw(retention=3)
+
+    async def work(feed: config_feed.ConfigFeed) -> None:
+        # The reader begins at offset 4; the stale snapshot leaves a gap.
+        assert sorted(feed.config.accounts) == ['a', 'b', 'c']
+        assert feed.config.accounts['a'].burst == 7
+        assert feed.next_offset == 7
+
+    run(log_service.url, work)
