Add the operators' command line

Commands go straight to the log and report a change only after it was read back and judged by the instances' own fold.

--- /dev/null
+++ b/oleanderdrift/config_admin.py
@@ -0,0 +1,256 @@
+"""What operators do with the configuration, straight through the log.
+
+A change is said to be accepted only after it was read back and judged
+by the same fold that every instance uses.
+"""
+
+import asyncio
+import time
+import typing
+
+import attrs
+import msgspec
+
+from oleanderdrift import codec
+from oleanderdrift import codes
+from oleanderdrift import config_checks
+from oleanderdrift import config_reader
+from oleanderdrift import config_state
+from oleanderdrift import errors
+from oleanderdrift import log_client
+from oleanderdrift import messages
+from oleanderdrift import model
+
+BATCH_RECORDS: typing.Final = 500
+READ_WAIT_S: typing.Final = 1.0
+RETRY_S: typing.Final = 0.2
+
+# Objects come after what they refer to; deletions go the other way.
+PUBLISH_ORDER: typing.Final = (
+    model.Kind.ACCOUNT,
+    model.Kind.CLASS,
+    model.Kind.MODEL,
+    model.Kind.TOOL,
+    model.Kind.ROUTE,
+    model.Kind.UPSTREAM,
+    model.Kind.KEY,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """What became of one change: its offset and every reader's verdict."""
+
+    change: messages.ConfigChange
+    offset: int
+    verdict: model.Verdict
+
+
+@attrs.define(kw_only=True)
+class Session:
+    """One operator's view of the log; history holds what was judged.
+
+    timeout_s bounds each change, from its append to its reading back.
+    """
+
+    client: log_client.LogClient
+    author: str
+    timeout_s: float = 10.0
+    reader: config_reader.ConfigReader = attrs.field(
+        factory=config_reader.ConfigReader
+    )
+    history: list[config_reader.Judged] = attrs.field(factory=list)
+
+
+async def refresh(session: Session) -> None:
+    """Reads to the end of the log.
+
+    Raises ResultError LOG_UNAVAILABLE, also for a log whose beginning
+    has been trimmed and that holds no snapshot to start from.
+    """
+    while True:
+        result = await _read(session, 0.0)
+        if session.reader.read_offset >= result.end_offset:
+            break
+    if session.reader.gap_end is not None:
+        raise errors.ResultError(
+            codes.LOG_UNAVAILABLE,
+            f'the log begins at {result.first} and holds no snapshot',
+        )
+
+
+async def _read(session: Session, wait_s: float) -> log_client.ReadResult:
+    result = await session.client.read(
+        config_reader.STREAM,
+        session.reader.read_offset,
+        BATCH_RECORDS,
+        wait_s,
+    )
+    judged, _ = config_reader.take(session.reader, result)
+    session.history += judged
+    return result
+
+
+async def publish(session: Session, change: messages.ConfigChange) -> Outcome:
+    """Appends a change and reads it back.
+
+    An append whose answer was lost is looked for, and repeated under the
+    same change_id if it is not in the log.  Raises ResultError
+    LOG_UNAVAILABLE if the change is surely not in the log, or
+    CONFIG_UNCONFIRMED if it may be and was not read back in time.
+    """
+    deadline = time.monotonic() + session.timeout_s
+    start = len(session.history)
+    confirmed = maybe_taken = False
+    while True:
+        try:
+            if not confirmed:
+                await session.client.append(
+                    config_reader.STREAM, codec.encode(change)
+                )
+                confirmed = True
+        except errors.ResultError as error:
+            if error.code is codes.LOG_UNAVAILABLE and not maybe_taken:
+                raise
+        maybe_taken = True
+        await _read_or_pause(session, deadline - time.monotonic())
+        outcome = _outcome(session.history[start:], change)
+        if outcome is not None:
+            return outcome
+        if time.monotonic() >= deadline:
+            raise errors.ResultError(
+                codes.CONFIG_UNCONFIRMED,
+                f'change {change.change_id} of {change.kind} {change.name}',
+            )
+
+
+async def _read_or_pause(session: Session, left_s: float) -> None:
+    try:
+        await _read(session, min(READ_WAIT_S, max(0.0, left_s)))
+    except errors.ResultError:
+        await asyncio.sleep(RETRY_S)
+
+
+def _outcome(
+    history: typing.Iterable[config_reader.Judged],
+    change: messages.ConfigChange,
+) -> Outcome | None:
+    for judged in history:
+        message = judged.message
+        if (
+            isinstance(message, messages.ConfigChange)
+            and message.change_id == change.change_id
+        ):
+            return Outcome(
+                change=change,
+                offset=judged.record.offset,
+                verdict=judged.verdict,
+            )
+    return None
+
+
+def change_of(
+    session: Session,
+    change_id: str,
+    kind: model.Kind,
+    name: str,
+    item: model.ConfigObject | None,
+) -> messages.ConfigChange:
+    """Returns a change of the version that the session has seen."""
+    return messages.ConfigChange(
+        change_id=change_id,
+        kind=kind,
+        name=name,
+        expected_version=session.reader.config.versions.get((kind, name), 0),
+        body=None if item is None else msgspec.json.encode(item),
+        author=session.author,
+    )
+
+
+def parse_file(
+    tables: dict[str, typing.Any],
+) -> tuple[dict[tuple[model.Kind, str], model.ConfigObject], list[str]]:
+    """Returns the objects in a file's tables, and every fault found."""
+    found: dict[tuple[model.Kind, str], model.ConfigObject] = {}
+    faults: list[str] = []
+    for kind_name, table in tables.items():
+        if kind_name not in model.TYPES:
+            kinds = ', '.join(model.Kind)
+            faults.append(f'[{kind_name}]: no kind of object; kinds: {kinds}')
+            continue
+        kind = model.Kind(kind_name)
+        entries = table.items() if isinstance(table, dict) else ()
+        if not entries:
+            faults.append(f'[{kind}]: must hold tables [{kind}.NAME]')
+        for name, fields in entries:
+            try:
+                found[kind, name] = _parse_entry(kind, name, fields)
+            except config_checks.InvalidChange as error:
+                faults.append(f'[{kind}.{name}]: {error}')
+    return found, faults
+
+
+def _parse_entry(
+    kind: model.Kind, name: str, fields: typing.Any
+) -> model.ConfigObject:
+    if not isinstance(fields, dict):
+        raise config_checks.InvalidChange('must be a table of fields')
+    if 'name' in fields:
+        raise config_checks.InvalidChange('the name is in the table heading')
+    try:
+        body = msgspec.json.encode({'name': name, **fields})
+    except TypeError as error:
+        raise config_checks.InvalidChange(str(error))
+    return config_checks.parse(kind, name, body)
+
+
+def differences(
+    config: model.Config,
+    wanted: dict[tuple[model.Kind, str], model.ConfigObject],
+    remove_missing: bool,
+) -> list[tuple[model.Kind, str, model.ConfigObject | None]]:
+    """Returns what to change, in an order that keeps references whole.
+
+    Keys are never removed for being missing: they are withdrawn by name.
+    """
+    steps: list[tuple[model.Kind, str, model.ConfigObject | None]] = []
+    for kind in PUBLISH_ORDER:
+        steps += [
+            (kind, name, item)
+            for (its_kind, name), item in wanted.items()
+            if its_kind is kind
+            and config_state.find(config, kind, name) != item
+        ]
+    if not remove_missing:
+        return steps
+    for kind in reversed(PUBLISH_ORDER):
+        steps += [
+            (kind, name, None)
+            for its_kind, name in sorted(config.versions)
+            if its_kind is kind
+            and kind is not model.Kind.KEY
+            and (kind, name) not in wanted
+        ]
+    return steps
+
+
+def check(
+    config: model.Config,
+    steps: typing.Iterable[tuple[model.Kind, str, model.ConfigObject | None]],
+) -> list[str]:
+    """Returns the faults that the steps would meet, tried on a copy."""
+    trial = model.Config()
+    config_state.load(trial, config_state.snapshot(config))
+    faults = []
+    for number, (kind, name, item) in enumerate(steps):
+        change = messages.ConfigChange(
+            change_id=f'check-{number}',
+            kind=kind,
+            name=name,
+            expected_version=messages.ANY_VERSION,
+            body=None if item is None else msgspec.json.encode(item),
+        )
+        verdict = config_state.apply(trial, trial.next_offset, change)
+        if not verdict.accepted:
+            faults.append(f'[{kind}.{name}]: {verdict.detail}')
+    return faults
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,131 @@
+"""Tests of the operators' command line against the stand-in log."""
+
+import json
+import pathlib
+import typing
+
+import pytest
+from typer import testing
+
+from oleanderdrift import cli
+from oleanderdrift import config_state
+from tests import log_service as services
+
+log_service = services.log_service
+FILE: typing.Final = """
+[account.ward]
+rate_per_s = 5
+burst = 10
+[class.urgent]
+target_s = 10
+[model.m]
+[tool.page]
+idempotent = false
+[route.page]
+prefix = "/page"
+tool = "page"
+[upstream.u]
+data_centre = "dc"
+url = "http://10.0.0.1:80"
+models = ["m"]
+"""
+
+
+class Operator:
+    """Runs commands against one log."""
+
+    def __init__(self, url: str) -> None:
+        self.url = url
+
+    def run(self, *words: str, code: int = 0) -> str:
+        """Runs a command; returns what it printed."""
+        result = testing.CliRunner().invoke(
+            cli.app, words, env={'OLEANDERDRIFT_LOG': self.url}
+        )
+        assert result.exit_code == code, result.output
+        return result.output
+
+    def json(self, *words: str, code: int = 0) -> typing.Any:
+        """Runs a command with --json; returns its document."""
+        return json.loads(self.run(*words, '--json', code=code))
+
+
+@pytest.fixture
+def operator(log_service: services.LogService) -> Operator:
+    """An operator at the stand-in log."""
+    return Operator(log_service.url)
+
+
+@pytest.fixture
+def file(tmp_path: pathlib.Path) -> pathlib.Path:
+    """A configuration file."""
+    path = tmp_path / 'fleet.toml'
+    path.write_text(FILE)
+    return path
+
+
+def test_publish_sends_only_differences(
+    operator: Operator, file: pathlib.Path
+) -> None:
+    rows = operator.json('config', 'publish', str(file))
+    assert [row['verdict'] for row in rows] == ['accepted'] * 6
+    assert [row['offset'] for row in rows] == [1, 2, 3, 4, 5, 6]
+    file.write_text(FILE.replace('burst = 10', 'burst = 20'))
+    (row,) = operator.json('config', 'publish', str(file))
+    assert (row['name'], row['offset']) == ('ward', 7)
+    assert operator.json('config', 'check', str(file)) == []
+    file.write_text(FILE.replace('[class.urgent]\ntarget_s = 10\n', ''))
+    rows = operator.json('config', 'publish', '--remove-missing', str(file))
+    assert [row['change'] for row in rows] == ['set', 'removed']
+    assert len(operator.json('config', 'history')) == 9
+
+
+def test_file_faults_are_listed_in_one_go(
+    operator: Operator, file: pathlib.Path
+) -> None:
+    file.write_text('[account.a]\nburst = 1\n[thing.x]\n[model]\n')
+    output = operator.run('config', 'check', str(file), code=1)
+    assert output.count(str(file)) == 3
+    file.write_text(FILE.replace('tool = "page"', 'tool = "pag"'))
+    assert 'no tool pag' in operator.run(
+        'config', 'publish', str(file), code=1
+    )
+    assert operator.json('config', 'history') == []
+
+
+def test_key_is_shown_once_and_kept_as_hash(
+    operator: Operator, log_service: services.LogService
+) -> None:
+    operator.run('account', 'set', 'ward', '--rate', '5', '--burst', '9')
+    (row,) = operator.json('key', 'issue', 'ward')
+    (listed,) = operator.json('key', 'list')
+    digest = config_state.key_digest(row['key'])
+    assert listed['sha256_start'] == digest[:12]
+    stored = log_service.app.frame.requests
+    assert all(row['key'] not in one.body for one in stored)
+    refused = operator.json('account', 'remove', 'ward', code=1)
+    assert 'used by key' in refused[0]['detail']
+    operator.run('key', 'withdraw', row['name'])
+    assert operator.json('key', 'list') == []
+    assert operator.json('account', 'list')[0]['keys'] == 0
+
+
+def test_lost_answer_is_read_back(
+    operator: Operator, log_service: services.LogService
+) -> None:
+    log_service.throw(lose_answer=1)
+    words = ('account', 'set', 'ward', '--rate', '5', '--burst', '9')
+    (row,) = operator.json(*words)
+    assert (row['verdict'], row['offset']) == ('accepted', 1)
+    assert len(operator.json('config', 'history')) == 1
+
+
+def test_exit_codes(
+    operator: Operator, log_service: services.LogService
+) -> None:
+    operator.run('explain', '4006')
+    operator.run('explain', 'nonsense', code=1)
+    operator.run('key', code=2)
+    operator.run('key', 'issue', 'nobody', code=1)
+    log_service.throw(outage='refuse')
+    assert '6000' in operator.run('key', 'list', code=3)
