Add a fleet of real processes with a relay that can be cut

A relay gives each data centre its own links to the log, to its own instance list and to the other data centres' peers. Cutting holds bytes and delivers them when the link heals, which is how a partition looks to TCP; closing connections instead was ruled out, as it shows the cut at once and hides silent connections. Upstreams are not behind the relay: one URL serves all data centres, so a cut does not part them.

--- /dev/null
+++ b/standins/demo_table.py
@@ -0,0 +1,65 @@
+"""What the demonstration counts, and the table that it prints."""
+
+import collections
+
+import attrs
+from hdrh import histogram
+
+from standins import demo_config
+from standins import fleet_state
+from standins import processes
+
+
+@attrs.define(kw_only=True)
+class Totals:
+    """What the callers saw."""
+
+    programs: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    in_target: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    failed: list[str] = attrs.field(factory=list)
+    refusals: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    wrong_answers: int = 0
+    side_effects: list[str] = attrs.field(factory=list)
+    latency: dict[str, histogram.HdrHistogram] = attrs.field(factory=dict)
+
+
+def count_runs(running: fleet_state.Fleet) -> collections.Counter[str]:
+    """Returns the runs of each dispatch over all tool stand-ins."""
+    runs: collections.Counter[str] = collections.Counter()
+    for tool in running.of_kind('tool'):
+        for entry in processes.report(tool)['runs']:
+            if entry['path'].startswith(demo_config.DISPATCH_PATH):
+                runs[entry['key']] += entry['runs']
+    return runs
+
+
+def print_totals(totals: Totals, runs: collections.Counter[str]) -> bool:
+    """Prints the table; returns whether all went well."""
+    print(f'\n{"class":<12}{"target":>8}{"programs":>10}{"in target":>11}')
+    for name, target_s in demo_config.TARGETS_S.items():
+        print(
+            f'{name:<12}{target_s:>6.0f} s{totals.programs[name]:>10}'
+            f'{totals.in_target[name]:>11}'
+        )
+    print(f'\n{"account":<12}{"refused":>8}{"p50":>10}{"p95":>11}')
+    for account, taken in totals.latency.items():
+        p50, p95 = (taken.get_value_at_percentile(x) / 1000 for x in (50, 95))
+        print(
+            f'{account:<12}{totals.refusals[account]:>8}'
+            f'{p50:>8.2f} s{p95:>9.2f} s'
+        )
+    once = sum(runs[key] == 1 for key in totals.side_effects)
+    more = sum(count > 1 for count in runs.values())
+    print(f'\nside effects: {len(totals.side_effects)} answered,', end=' ')
+    print(f'{once} of them run once, {more} run more than once')
+    print(f'answers to the wrong question: {totals.wrong_answers}')
+    for failure in totals.failed[:10]:
+        print(f'failed: {failure}')
+    well = once == len(totals.side_effects) == len(runs) and not more
+    return well and not totals.wrong_answers and not totals.failed
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,183 @@
+"""Starts a whole fleet as processes: platform, upstreams and instances.
+
+Run as a script it serves until SIGINT.  Each data centre sees the
+platform and the other data centres' peers through links of one relay, so
+that it can be cut off.
+"""
+
+import argparse
+import contextlib
+import pathlib
+import signal
+import tempfile
+import typing
+
+from standins import fleet_config
+from standins import fleet_state
+from standins import processes
+
+HEALTH_PATH: typing.Final = '/healthz'
+RELAY_ADDRESS: typing.Final = '127.0.0.1'
+
+
+def start_standins(fleet: fleet_state.Fleet) -> None:
+    """Starts the platform and the upstreams and waits for them."""
+    modules = {'log': ['standins.log'], 'relay': ['standins.relay']}
+    tool_options = ['--check-fencing'] * fleet.plan.tools_check_fencing
+    for place in fleet.plan.data_centres:
+        modules[f'list-{place}'] = ['standins.instances']
+        modules[f'tool-{place}'] = ['standins.tool', *tool_options]
+        for number, speed in enumerate(fleet.plan.engine_speeds, start=1):
+            name = f'engine-{place}-{number}'
+            options = ['--name', name, '--speed', str(speed)]
+            modules[name] = ['standins.engine', *options]
+    for name, arguments in modules.items():
+        fleet.standins[name] = processes.start(
+            name, ['-m', *arguments], fleet.folder
+        )
+    for process in fleet.standins.values():
+        processes.await_listening(process)
+
+
+def open_link(
+    fleet: fleet_state.Fleet, name: str, address: str, port: int
+) -> int:
+    """Opens a link of the relay; returns its port."""
+    answer = processes.call(
+        'PUT',
+        f'{fleet.standins["relay"].url}/links/{name}',
+        {'address': address, 'port': port},
+    )
+    return int(answer['port'])
+
+
+def plan_nodes(fleet: fleet_state.Fleet) -> None:
+    """Gives every instance its addresses and settings."""
+    for row, place in enumerate(fleet.plan.data_centres, start=1):
+        platform = {}
+        for part, process in (
+            ('log', fleet.log),
+            ('list', fleet.standins[f'list-{place}']),
+        ):
+            port = open_link(
+                fleet, f'{place}/{part}', process.address, process.port
+            )
+            platform[f'{part}_url'] = f'http://{RELAY_ADDRESS}:{port}'
+        for number in range(1, fleet.plan.instances_each + 1):
+            name = f'{place}-{number}'
+            address = f'127.0.{row}.{number}'
+            node = fleet_state.Node(
+                name=name,
+                data_centre=place,
+                address=address,
+                http_port=processes.free_port(address),
+                peer_port=processes.free_port(address),
+                settings_path=fleet.folder / f'{name}.toml',
+            )
+            fleet.nodes[name] = node
+            fleet_config.write_settings(fleet, node, platform)
+
+
+def register(fleet: fleet_state.Fleet, node: fleet_state.Node) -> None:
+    """Lists a node in each data centre, elsewhere behind a link."""
+    for place in fleet.plan.data_centres:
+        address, port = node.address, node.peer_port
+        if place != node.data_centre:
+            link = f'{place}/{node.data_centre}/{node.name}'
+            port = open_link(fleet, link, address, port)
+            address = RELAY_ADDRESS
+        entry = {
+            'name': node.name,
+            'data_centre': node.data_centre,
+            'address': address,
+            'http_port': node.http_port,
+            'peer_port': port,
+            'state': 'live',
+        }
+        url = fleet.standins[f'list-{place}'].url
+        processes.call('PUT', f'{url}/v1/instances/{node.name}', entry)
+
+
+def start_node(fleet: fleet_state.Fleet, node: fleet_state.Node) -> None:
+    """Starts an instance without waiting for it."""
+    node.process = processes.start(
+        node.name,
+        [
+            '-m',
+            'oleanderdrift',
+            'serve',
+            '--settings',
+            str(node.settings_path),
+        ],
+        fleet.folder,
+        node.address,
+        node.http_port,
+    )
+
+
+def cut_off(fleet: fleet_state.Fleet, data_centre: str) -> None:
+    """Cuts a data centre from the others and from the platform."""
+    others = [
+        place for place in fleet.plan.data_centres if place != data_centre
+    ]
+    prefixes = [f'{data_centre}/']
+    prefixes += [f'{place}/{data_centre}/' for place in others]
+    set_cut(fleet, prefixes)
+
+
+def set_cut(fleet: fleet_state.Fleet, prefixes: list[str]) -> None:
+    """Cuts exactly the links that start so."""
+    processes.call('PUT', f'{fleet.standins["relay"].url}/cut', prefixes)
+
+
+@contextlib.contextmanager
+def running(
+    plan: fleet_state.Plan, config: typing.Callable[[fleet_state.Fleet], str]
+) -> typing.Iterator[fleet_state.Fleet]:
+    """Runs a fleet with a configuration until the block ends."""
+    with tempfile.TemporaryDirectory(prefix='fleet-') as folder:
+        fleet = fleet_state.Fleet(plan=plan, folder=pathlib.Path(folder))
+        try:
+            start_standins(fleet)
+            plan_nodes(fleet)
+            fleet_config.publish(fleet, config(fleet))
+            for node in fleet.nodes.values():
+                register(fleet, node)
+                start_node(fleet, node)
+            for node in fleet.nodes.values():
+                processes.await_health(node.running, HEALTH_PATH)
+            yield fleet
+        finally:
+            end(fleet)
+
+
+def end(fleet: fleet_state.Fleet) -> None:
+    """Ends the instances, then the stand-ins."""
+    nodes = [node.process for node in fleet.nodes.values()]
+    processes.end_all(process for process in nodes if process)
+    processes.end_all(fleet.standins.values())
+
+
+def main() -> None:
+    """Serves a fleet with the configuration file given, until SIGINT."""
+    arguments = argparse.ArgumentParser(description=__doc__)
+    arguments.add_argument('config', type=pathlib.Path)
+    options = arguments.parse_args()
+
+    def config(fleet: fleet_state.Fleet) -> str:
+        text: str = options.config.read_text()
+        return text + fleet_config.upstream_tables(
+            fleet, 'guide', ['desk', 'sheet']
+        )
+
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    with running(fleet_state.Plan(), config) as fleet:
+        print(f'log {fleet.log.url}')
+        for node in fleet.nodes.values():
+            print(f'instance {node.name} {node.url}', flush=True)
+        with contextlib.suppress(KeyboardInterrupt):
+            signal.pause()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/fleet_config.py
@@ -0,0 +1,86 @@
+"""Settings and configuration of a fleet, through the operators' command."""
+
+import json
+import subprocess  # nosec
+import sys
+import typing
+
+from standins import fleet_state
+from standins import processes
+
+
+def write_settings(
+    fleet: fleet_state.Fleet,
+    node: fleet_state.Node,
+    platform: dict[str, typing.Any],
+) -> None:
+    """Writes a node's settings file."""
+    sections: dict[str, dict[str, typing.Any]] = {
+        'instance': {
+            'name': node.name,
+            'data_centre': node.data_centre,
+            'address': node.address,
+            'http_port': node.http_port,
+            'peer_port': node.peer_port,
+        },
+        'platform': platform,
+    }
+    for section, values in fleet.plan.settings.items():
+        sections.setdefault(section, {}).update(values)
+    if fleet.plan.operator_token_sha256:
+        sections['operators'] = {
+            'token_sha256': fleet.plan.operator_token_sha256
+        }
+    lines = []
+    for section, values in sections.items():
+        lines.append(f'[{section}]')
+        lines += [
+            f'{key} = {json.dumps(value)}' for key, value in values.items()
+        ]
+    node.settings_path.write_text('\n'.join(lines) + '\n')
+
+
+def command(fleet: fleet_state.Fleet, *arguments: str) -> typing.Any:
+    """Runs an operator's command on the fleet's log; returns its JSON.
+
+    Raises RuntimeError where it exits with another code than 0.
+    """
+    done = subprocess.run(
+        [sys.executable, '-m', 'oleanderdrift', *arguments]
+        + ['--log', fleet.log.url, '--json'],
+        cwd=processes.ROOT,
+        capture_output=True,
+        text=True,
+    )
+    if done.returncode:
+        raise RuntimeError(f'exit {done.returncode}: {done.stderr}')
+    return json.loads(done.stdout)
+
+
+def publish(fleet: fleet_state.Fleet, text: str) -> typing.Any:
+    """Publishes a configuration file with the operators' command."""
+    path = fleet.folder / 'published.toml'
+    path.write_text(text)
+    return command(fleet, 'config', 'publish', str(path))
+
+
+def upstream_tables(
+    fleet: fleet_state.Fleet, model: str, tools: list[str]
+) -> str:
+    """Returns the fleet's upstreams as tables of a configuration file."""
+    tables = []
+    for process in fleet.of_kind('engine') + fleet.of_kind('tool'):
+        kind, place = process.name.split('-')[:2]
+        served = {'models': [model]} if kind == 'engine' else {'tools': tools}
+        values: dict[str, typing.Any] = {
+            'data_centre': place,
+            'url': process.url,
+            **served,
+        }
+        if kind == 'tool':
+            values['checks_fencing'] = fleet.plan.tools_check_fencing
+        tables.append(f'[upstream.{process.name}]')
+        tables += [
+            f'{key} = {json.dumps(value)}' for key, value in values.items()
+        ]
+    return '\n'.join(tables) + '\n'
--- /dev/null
+++ b/standins/processes.py
@@ -0,0 +1,176 @@
+"""Starts processes, waits until they are ready, and ends them by id."""
+
+import json
+import os
+import pathlib
+import selectors
+import signal
+import socket
+import subprocess  # nosec
+import sys
+import time
+import typing
+import urllib.error
+import urllib.request
+
+import attrs
+
+ROOT: typing.Final = pathlib.Path(__file__).parent.parent
+READY_TIMEOUT_S: typing.Final = 20.0
+END_TIMEOUT_S: typing.Final = 10.0
+HTTP_TIMEOUT_S: typing.Final = 10.0
+PROBE_INTERVAL_S: typing.Final = 0.05
+
+
+@attrs.define(kw_only=True)
+class Process:
+    """A process that serves HTTP on one address and port."""
+
+    name: str
+    child: subprocess.Popen[str]
+    address: str
+    port: int
+    log_path: pathlib.Path
+
+    @property
+    def url(self) -> str:
+        """The base URL that it serves."""
+        return f'http://{self.address}:{self.port}'
+
+    @property
+    def running(self) -> bool:
+        """Whether it has not ended."""
+        return self.child.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends it a signal."""
+        os.kill(self.child.pid, number)
+
+    def kill(self) -> None:
+        """Ends it at once and waits for the end."""
+        self.child.kill()
+        self.child.wait()
+
+    def freeze(self) -> None:
+        """Stops it until it is thawed."""
+        self.signal(signal.SIGSTOP)
+        os.waitid(
+            os.P_PID,
+            self.child.pid,
+            os.WSTOPPED | os.WNOWAIT,
+        )
+
+    def thaw(self) -> None:
+        """Lets it go on."""
+        self.signal(signal.SIGCONT)
+
+
+def start(
+    name: str,
+    arguments: list[str],
+    folder: pathlib.Path,
+    address: str = '',
+    port: int = 0,
+) -> Process:
+    """Starts `python ARGUMENTS`; its errors go to a file in the folder."""
+    log_path = folder / f'{name}.log'
+    with log_path.open('ab') as log:
+        child = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            stderr=log,
+            cwd=ROOT,
+            text=True,
+        )
+    return Process(
+        name=name, child=child, address=address, port=port, log_path=log_path
+    )
+
+
+def await_listening(process: Process) -> None:
+    """Waits for the line `listening ADDRESS PORT` and takes it in."""
+    stdout = process.child.stdout
+    assert stdout is not None
+    with selectors.DefaultSelector() as selector:
+        selector.register(stdout, selectors.EVENT_READ)
+        ready = selector.select(READY_TIMEOUT_S)
+    words = stdout.readline().split() if ready else []
+    if words[:1] != ['listening']:
+        raise RuntimeError(f'{process.name}: {tail(process)}')
+    process.address = words[1]
+    process.port = int(words[2])
+
+
+def await_health(process: Process, path: str) -> None:
+    """Waits until a GET of the path is answered with 200."""
+    deadline = time.monotonic() + READY_TIMEOUT_S
+    while time.monotonic() < deadline and process.running:
+        try:
+            call('GET', process.url + path)
+            return
+        except OSError:
+            time.sleep(PROBE_INTERVAL_S)
+    raise RuntimeError(f'{process.name} is not ready: {tail(process)}')
+
+
+def tail(process: Process) -> str:
+    """Returns the end of what a process logged."""
+    return process.log_path.read_text()[-2000:]
+
+
+def end_all(processes: typing.Iterable[Process]) -> list[str]:
+    """Ends processes; returns the names of those that had to be killed."""
+    ours = [process for process in processes if process.running]
+    for process in ours:
+        process.thaw()
+        process.signal(signal.SIGTERM)
+    deadline = time.monotonic() + END_TIMEOUT_S
+    killed = []
+    for process in ours:
+        try:
+            process.child.wait(max(0.0, deadline - time.monotonic()))
+        except subprocess.TimeoutExpired:
+            process.kill()
+            killed.append(process.name)
+    return killed
+
+
+def free_port(address: str) -> int:
+    """Returns a port of the address that is free now."""
+    with socket.socket() as probe:
+        probe.bind((address, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def call(
+    method: str,
+    url: str,
+    value: typing.Any = None,
+    headers: dict[str, str] | None = None,
+) -> typing.Any:
+    """Sends JSON and returns the answer's JSON, or None if it is empty.
+
+    Raises OSError where there is no answer or one of an error.
+    """
+    data = None if value is None else json.dumps(value).encode()
+    request = urllib.request.Request(
+        url, data=data, headers=headers or {}, method=method
+    )
+    with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S) as answer:
+        body = answer.read()
+    try:
+        return json.loads(body)
+    except ValueError:
+        return None
+
+
+def throw(process: Process, **switches: typing.Any) -> None:
+    """Sets fault switches of a stand-in."""
+    call('POST', f'{process.url}/control', switches)
+
+
+def report(process: Process) -> typing.Any:
+    """Returns what a stand-in counted."""
+    return call('GET', f'{process.url}/control')
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -12,6 +12,7 @@
 from standins import engine
 from standins import instances
 from standins import log
+from standins import relay
 from standins import serving
 from standins import tool
 
@@ -280,3 +281,23 @@
         cache.store(0.0, messages, 'p')
     held = [cache.cached_tokens(x) > 0 for x in (first, second, third)]
     assert held == [True, False, True]
+
+
+def test_relay_holds_bytes_while_cut() -> None:
+    async def body() -> None:
+        target = Service(log.make_app())
+        service = Service(relay.make_app())
+        port = int(target.url.rsplit(':', 1)[1])
+        link = {'address': '127.0.0.1', 'port': port}
+        answer = await service.json('PUT', '/links/a/log', link)
+        target.url = f'http://127.0.0.1:{answer["port"]}'
+        assert (await target.read('from=1'))['next'] == 1
+        cut = await service.json('PUT', '/cut', ['a/'])
+        assert cut == {'cut': ['a/log']}
+        reader = asyncio.ensure_future(target.read('from=1'))
+        await asyncio.wait([reader], timeout=0.2)
+        assert not reader.done()
+        await service.call('PUT', '/cut', [])
+        assert (await reader)['next'] == 1
+
+    asyncio.run(body())
