--- /dev/null
+++ b/oleanderdrift/call_queue.py
@@ -0,0 +1,271 @@
+"""The queue of a dispatch group: which waiting call goes next.
+
+Calls wait in lanes, one per client account and band.  A band holds the
+classes whose targets are alike; calls of a much shorter target always go
+before those of a longer one.  Inside a band accounts within their share go
+before those over it, then programs that can still meet their target before
+those that cannot, then the least slack.  Where a class has no target the
+program with the least attained service goes first (Autellix).  Every
+few grants the call that has waited longest goes first, whatever it is, so
+that nothing starves.
+"""
+
+import collections.abc
+import heapq
+import itertools
+import math
+import typing
+
+import attrs
+
+from oleanderdrift import fair_share
+from oleanderdrift import messages
+from oleanderdrift import policy
+
+BAND_RATIO: typing.Final = 2.0
+AGED_S: typing.Final = 30.0
+AGED_EVERY_GRANTS: typing.Final = 8
+
+Entry: typing.TypeAlias = tuple[float, float, int, str]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Waiting:
+    """A call that waits for a slot, and the instance that asked.
+
+    hold_until is the time up to which it may wait for a better replica
+    than is free, or None before that was weighed.
+    """
+
+    request: messages.SlotRequest
+    holder: str
+    submitted_at: float
+    sequence: int
+    deadline: float = math.inf
+    band: int = 0
+    hold_until: float | None = None
+
+
+@attrs.define(kw_only=True)
+class Lane:
+    """Waiting calls of one account and band.
+
+    hopeful and late are heaps by deadline; a call moves from the first to
+    the second when its program can no longer meet its target.
+    """
+
+    hopeful: list[Entry] = attrs.field(factory=list)
+    late: list[Entry] = attrs.field(factory=list)
+
+
+@attrs.define(kw_only=True)
+class CallQueue:
+    """All waiting calls of a group; waiting keeps the order of arrival.
+
+    targets and bands are by class; call_s is the expected service of one
+    call by class.
+    """
+
+    rules: policy.Policy = attrs.field(factory=policy.Policy)
+    ledger: fair_share.Ledger = attrs.field(factory=fair_share.Ledger)
+    targets: dict[str, float] = attrs.field(factory=dict)
+    bands: dict[str, int] = attrs.field(factory=dict)
+    call_s: dict[str, float] = attrs.field(factory=dict)
+    waiting: dict[str, Waiting] = attrs.field(factory=dict)
+    lanes: dict[tuple[int, str], Lane] = attrs.field(factory=dict)
+    sequences: typing.Iterator[int] = attrs.field(factory=itertools.count)
+    grants: int = 0
+
+
+def set_targets(queue: CallQueue, targets: dict[str, float]) -> None:
+    """Takes over the class targets, for queued calls as well."""
+    if targets == queue.targets:
+        return
+    queue.targets = dict(targets)
+    queue.bands = bands_of(targets)
+    queue.lanes.clear()
+    for waiting in queue.waiting.values():
+        place_in_lane(queue, waiting)
+
+
+def bands_of(targets: dict[str, float]) -> dict[str, int]:
+    """Groups classes whose targets are within BAND_RATIO of each other."""
+    bands: dict[str, int] = {}
+    band = -1
+    shortest_s = 0.0
+    for name in sorted(targets, key=lambda name: targets[name]):
+        if band < 0 or targets[name] >= BAND_RATIO * shortest_s:
+            band += 1
+            shortest_s = targets[name]
+        bands[name] = band
+    return bands
+
+
+def add(
+    queue: CallQueue, now: float, request: messages.SlotRequest, holder: str
+) -> Waiting:
+    """Queues a call."""
+    waiting = Waiting(
+        request=request,
+        holder=holder,
+        submitted_at=now,
+        sequence=next(queue.sequences),
+    )
+    queue.waiting[request.call_id] = waiting
+    place_in_lane(queue, waiting)
+    return waiting
+
+
+def deadline_of(queue: CallQueue, waiting: Waiting) -> float:
+    """Returns when the call's program has to be finished.
+
+    It follows from the class target in force and the program's age; a
+    call without an age keeps the slack it was sent with.
+    """
+    request = waiting.request
+    target_s = queue.targets.get(request.class_name)
+    if target_s is None:
+        return math.inf
+    if request.program_age_s is None:
+        return waiting.submitted_at + request.slack_s
+    return waiting.submitted_at - request.program_age_s + target_s
+
+
+def place_in_lane(queue: CallQueue, waiting: Waiting) -> None:
+    """Puts a call into the lane of its account and band."""
+    request = waiting.request
+    waiting.deadline = deadline_of(queue, waiting)
+    waiting.band = queue.bands.get(request.class_name, len(queue.bands))
+    if not queue.rules.bands:
+        waiting.band = 0
+    key = (waiting.band, request.client_account)
+    lane = queue.lanes.setdefault(key, Lane())
+    heapq.heappush(lane.hopeful, entry_of(queue, waiting))
+
+
+def entry_of(queue: CallQueue, waiting: Waiting) -> Entry:
+    """Returns the heap entry that orders a call inside its lane."""
+    request = waiting.request
+    order = waiting.deadline if queue.rules.slack else waiting.submitted_at
+    return (order, request.attained_s, waiting.sequence, request.call_id)
+
+
+def remove(queue: CallQueue, call_id: str) -> Waiting | None:
+    """Takes a call out; its heap entry is dropped when it comes up."""
+    return queue.waiting.pop(call_id, None)
+
+
+def is_current(queue: CallQueue, entry: Entry) -> bool:
+    """Tells whether an entry's call still waits."""
+    waiting = queue.waiting.get(entry[3])
+    return waiting is not None and waiting.sequence == entry[2]
+
+
+def drop_stale(queue: CallQueue, heap: list[Entry]) -> None:
+    """Removes the entries of calls that are gone from the head."""
+    while heap and not is_current(queue, heap[0]):
+        heapq.heappop(heap)
+
+
+def move_late(queue: CallQueue, now: float, lane: Lane) -> None:
+    """Moves the calls that can no longer meet their target aside."""
+    drop_stale(queue, lane.hopeful)
+    while queue.rules.yielding and lane.hopeful:
+        entry = lane.hopeful[0]
+        waiting = queue.waiting[entry[3]]
+        call_s = queue.call_s.get(waiting.request.class_name, 0.0)
+        if waiting.deadline >= now + call_s:
+            break
+        heapq.heappush(lane.late, heapq.heappop(lane.hopeful))
+        drop_stale(queue, lane.hopeful)
+    drop_stale(queue, lane.late)
+
+
+Order: typing.TypeAlias = tuple[int, bool, bool, Entry]
+
+
+def head_of(
+    queue: CallQueue, now: float, key: tuple[int, str]
+) -> tuple[Order, list[Entry]] | None:
+    """Returns the order and heap of a lane's next call, if it has one."""
+    lane = queue.lanes[key]
+    move_late(queue, now, lane)
+    heap = lane.hopeful or lane.late
+    if not heap:
+        return None
+    band, account = key
+    over = queue.rules.fairness and fair_share.is_over(
+        queue.ledger, now, account, band
+    )
+    return (band, over, heap is lane.late, heap[0]), heap
+
+
+def in_order(
+    queue: CallQueue, now: float
+) -> collections.abc.Generator[Waiting, None, None]:
+    """Yields the waiting calls, the next to be served first.
+
+    What was yielded and not removed from the queue when the iterator is
+    closed goes back to its lane.
+    """
+    yielded: list[Waiting] = []
+    heads: list[tuple[Order, tuple[int, str]]] = []
+    for key in list(queue.lanes):
+        head = head_of(queue, now, key)
+        if head is None:
+            del queue.lanes[key]
+        else:
+            heads.append((head[0], key))
+    heapq.heapify(heads)
+    aged = aged_call(queue, now)
+    try:
+        if aged is not None:
+            yield aged
+        while heads:
+            order, key = heapq.heappop(heads)
+            head = head_of(queue, now, key)
+            if head is None:
+                continue
+            if head[0] != order:
+                heapq.heappush(heads, (head[0], key))
+                continue
+            entry = heapq.heappop(head[1])
+            waiting = queue.waiting[entry[3]]
+            yielded.append(waiting)
+            following = head_of(queue, now, key)
+            if following is not None:
+                heapq.heappush(heads, (following[0], key))
+            if waiting is not aged:
+                yield waiting
+    finally:
+        for waiting in yielded:
+            if waiting.request.call_id in queue.waiting:
+                place_in_lane(queue, waiting)
+
+
+def aged_call(queue: CallQueue, now: float) -> Waiting | None:
+    """Returns the call that has waited longest where its turn is due."""
+    if not queue.rules.aging or queue.grants % AGED_EVERY_GRANTS:
+        return None
+    oldest = next(iter(queue.waiting.values()), None)
+    if oldest is None or now - oldest.submitted_at < AGED_S:
+        return None
+    return oldest
+
+
+def ahead(queue: CallQueue, now: float, request: messages.SlotRequest) -> int:
+    """Returns how many waiting calls would go before a new one."""
+    account = request.client_account
+    band = queue.bands.get(request.class_name, len(queue.bands))
+    over = fair_share.is_over(queue.ledger, now, account, band)
+    return sum(
+        len(lane.hopeful) + len(lane.late)
+        for (of_band, of_account), lane in queue.lanes.items()
+        if of_band < band
+        or of_band == band
+        and (
+            over
+            or of_account == account
+            or not fair_share.is_over(queue.ledger, now, of_account, band)
+        )
+    )
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -115,12 +115,17 @@
 
 @attrs.frozen(kw_only=True)
 class ProgramCreated:
-    """A program begins."""
+    """A program begins, with its budget and its Unix time of creation."""
 
     program: str
     client_account: str
     class_name: str
     parent: str = ''
+    created_at: float = 0.0
+    target_s: float = 0.0
+    max_calls: int = 0
+    max_tokens: int = 0
+    max_duration_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -131,11 +136,16 @@
     call: int
     idempotency_key: str
     body_digest: bytes
+    attempt: int = 1
+    intended_at: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
 class CallFinished:
-    """A call ended; history is the JSON of the messages it added."""
+    """A call ended; history is the JSON of the messages it added.
+
+    finished_at is Unix time.
+    """
 
     program: str
     call: int
@@ -149,6 +159,9 @@
     answer: bytes
     history: bytes
     history_digest: bytes
+    attempt: int = 1
+    finished_at: float = 0.0
+    service_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -157,6 +170,32 @@
 
     program: str
     code: int
+    ended_at: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamUsed:
+    """A program's prefix may be held on an upstream from now on."""
+
+    program: str
+    upstream: str
+
+
+@attrs.frozen(kw_only=True)
+class ShardRecords:
+    """Encoded records of one shard, written by its holder of an epoch."""
+
+    shard: str
+    epoch: int
+    records: tuple[bytes, ...]
+
+
+@attrs.frozen(kw_only=True)
+class ShardFenced:
+    """Voids what older epochs of the shard append after this record."""
+
+    shard: str
+    epoch: int
 
 
 @attrs.frozen(kw_only=True)
@@ -259,11 +298,15 @@
 
 @attrs.frozen(kw_only=True)
 class EndCall:
-    """Reports the outcome of an admitted attempt to the owner."""
+    """Reports the outcome of an admitted attempt to the owner.
+
+    fencing_token is the one that the attempt was granted with.
+    """
 
     program: str
     call: int
     attempt: int
+    fencing_token: int
     execution: codes.Execution
     status: int
     tokens: int
@@ -275,6 +318,17 @@
     history_digest: bytes = b''
 
 
+@attrs.frozen(kw_only=True)
+class CallPlaced:
+    """Tells the owner which upstream an attempt is about to be sent to."""
+
+    program: str
+    call: int
+    attempt: int
+    fencing_token: int
+    upstream: str
+
+
 # --- Peer messages: slots on upstreams ----------------------------------
 
 
@@ -351,6 +405,9 @@
     22: CallFinished,
     23: ProgramEnded,
     24: Batch,
+    25: UpstreamUsed,
+    26: ShardRecords,
+    27: ShardFenced,
     40: CreateProgram,
     41: ProgramStarted,
     42: EndProgram,
@@ -360,6 +417,7 @@
     46: CallGranted,
     47: CallReplayed,
     48: EndCall,
+    49: CallPlaced,
     60: SlotRequest,
     61: SlotGranted,
     62: SlotRefused,
--- /dev/null
+++ b/oleanderdrift/prefix_cache.py
@@ -0,0 +1,140 @@
+"""An estimate of which prompt prefixes a replica holds in its cache.
+
+Engines publish cache events late and with gaps, so this view is never
+taken as true.  It starts from what was sent to the replica, follows the
+events that do arrive, and heals by what the engine says of each call's
+cached part: a prefix that proves to be gone is dropped, and the assumed
+capacity shrinks to what was held then.
+"""
+
+import collections
+import typing
+
+import attrs
+
+DEFAULT_CAPACITY_BLOCKS: typing.Final = 100_000
+MIN_CAPACITY_BLOCKS: typing.Final = 16
+CAPACITY_SHRINK: typing.Final = 0.95
+CAPACITY_GROW: typing.Final = 1.01
+EVENT_LAG_S: typing.Final = 5.0
+DOUBT: typing.Final = 0.5
+
+
+@attrs.define(kw_only=True)
+class CacheView:
+    """The blocks believed cached, least recently used first.
+
+    blocks maps a block's chained digest to the time it was last sent or
+    reported.  What was last seen before doubted_before may be gone, since
+    an event after it was lost.
+    """
+
+    blocks: collections.OrderedDict[bytes, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    capacity_blocks: int = DEFAULT_CAPACITY_BLOCKS
+    next_sequence: int | None = None
+    doubted_before: float = float('-inf')
+
+
+def matched_blocks(view: CacheView, prefix: tuple[bytes, ...]) -> int:
+    """Returns how many leading blocks of the prefix are believed cached.
+
+    A chain loses its tail first, so it is searched by halves.
+    """
+    blocks = view.blocks
+    if not prefix or prefix[0] not in blocks:
+        return 0
+    low, high = 1, len(prefix)
+    while low < high:
+        middle = (low + high + 1) // 2
+        if prefix[middle - 1] in blocks:
+            low = middle
+        else:
+            high = middle - 1
+    return low
+
+
+def cached_tokens(
+    view: CacheView, prefix: tuple[bytes, ...], prompt_tokens: int
+) -> float:
+    """Returns how many prompt tokens are expected to be cached."""
+    matched = matched_blocks(view, prefix)
+    if not matched:
+        return 0.0
+    tokens = prompt_tokens * matched / len(prefix)
+    if view.blocks[prefix[matched - 1]] < view.doubted_before:
+        return tokens * DOUBT
+    return tokens
+
+
+def note_sent(view: CacheView, now: float, prefix: tuple[bytes, ...]) -> None:
+    """Records that the replica is about to hold a prefix.
+
+    The head of the chain becomes the most recently used, as in engines
+    that evict from the tail.
+    """
+    for digest in reversed(prefix):
+        view.blocks[digest] = now
+        view.blocks.move_to_end(digest)
+    while len(view.blocks) > view.capacity_blocks:
+        view.blocks.popitem(last=False)
+
+
+def note_reported(
+    view: CacheView,
+    prefix: tuple[bytes, ...],
+    expected_blocks: int,
+    reported_blocks: int,
+) -> None:
+    """Heals the view by what the engine said was cached for a call.
+
+    A prefix that was expected and proved to be gone lowers the capacity
+    assumed, a confirmed one raises it slowly.
+    """
+    if reported_blocks < expected_blocks:
+        held = min(len(view.blocks), view.capacity_blocks)
+        view.capacity_blocks = max(
+            MIN_CAPACITY_BLOCKS, len(prefix), int(held * CAPACITY_SHRINK)
+        )
+    elif expected_blocks:
+        view.capacity_blocks = min(
+            DEFAULT_CAPACITY_BLOCKS,
+            int(view.capacity_blocks * CAPACITY_GROW) + 1,
+        )
+
+
+def on_event(
+    view: CacheView,
+    now: float,
+    sequence: int,
+    stored: tuple[bytes, ...],
+    removed: tuple[bytes, ...],
+) -> None:
+    """Takes one cache event; a gap puts all that was seen before in doubt.
+
+    A block sent within the events' lag is kept: its removal is older than
+    its last use.
+    """
+    if view.next_sequence is not None and sequence < view.next_sequence:
+        return
+    if view.next_sequence is not None and sequence > view.next_sequence:
+        view.doubted_before = now - EVENT_LAG_S
+    view.next_sequence = sequence + 1
+    for digest in removed:
+        seen = view.blocks.get(digest)
+        if seen is not None and seen < now - EVENT_LAG_S:
+            del view.blocks[digest]
+    for digest in stored:
+        view.blocks[digest] = max(now, view.blocks.get(digest, now))
+
+
+def forget(view: CacheView, prefix: tuple[bytes, ...]) -> None:
+    """Drops a prefix, as when its program ended and it was let go."""
+    for digest in prefix:
+        view.blocks.pop(digest, None)
+
+
+def clear(view: CacheView) -> None:
+    """Forgets everything, as when the replica was restarted."""
+    view.blocks.clear()
--- /dev/null
+++ b/oleanderdrift/retries.py
@@ -0,0 +1,121 @@
+"""Decides whether a failed call is tried again, when, and what is hedged.
+
+Every first attempt earns a fraction of a token; every retry or hedge
+spends a whole one, from the upstream's budget and from the fleet's.  So
+retries can never add more than that fraction to the load, however many
+calls fail.  A call that may have run is repeated only if it is idempotent.
+"""
+
+import random
+import typing
+
+import attrs
+
+from oleanderdrift import codes
+
+EARNED_PER_CALL: typing.Final = 0.1
+MAX_TOKENS: typing.Final = 10.0
+MAX_ATTEMPTS: typing.Final = 3
+BASE_DELAY_S: typing.Final = 0.05
+MAX_DELAY_S: typing.Final = 2.0
+
+
+@attrs.define(kw_only=True)
+class Budget:
+    """Tokens for retries; starts full so that a rare failure is retried."""
+
+    tokens: float = MAX_TOKENS
+
+
+@attrs.define(kw_only=True)
+class Budgets:
+    """The budget of the fleet, as seen here, and one per upstream."""
+
+    fleet: Budget = attrs.field(factory=Budget)
+    upstreams: dict[str, Budget] = attrs.field(factory=dict)
+
+
+@attrs.frozen(kw_only=True)
+class Retry:
+    """Try again after delay_s, not on the upstream that failed."""
+
+    delay_s: float
+
+
+@attrs.frozen(kw_only=True)
+class GiveUp:
+    """Do not try again; reason is a word for the log."""
+
+    reason: str
+
+
+def on_attempt(budgets: Budgets, upstream: str) -> None:
+    """Earns for a first attempt at a call."""
+    for budget in (budgets.fleet, upstream_budget(budgets, upstream)):
+        budget.tokens = min(MAX_TOKENS, budget.tokens + EARNED_PER_CALL)
+
+
+def upstream_budget(budgets: Budgets, upstream: str) -> Budget:
+    """Returns the upstream's budget, made at need."""
+    return budgets.upstreams.setdefault(upstream, Budget())
+
+
+def decide(
+    budgets: Budgets,
+    *,
+    upstream: str,
+    execution: codes.Execution,
+    idempotent: bool,
+    attempt: int,
+    remaining_s: float,
+    rng: random.Random,
+) -> Retry | GiveUp:
+    """Returns what to do after attempt (from 1) failed on an upstream.
+
+    remaining_s is the time left until the caller gives up.
+    """
+    if execution is codes.Execution.RAN:
+        return GiveUp(reason='ran')
+    if execution is codes.Execution.UNKNOWN and not idempotent:
+        return GiveUp(reason='may-have-run')
+    if attempt >= MAX_ATTEMPTS:
+        return GiveUp(reason='attempts')
+    delay_s = backoff_s(attempt, rng)
+    if delay_s >= remaining_s:
+        return GiveUp(reason='deadline')
+    if not spend(budgets, upstream):
+        return GiveUp(reason='budget')
+    return Retry(delay_s=delay_s)
+
+
+def backoff_s(attempt: int, rng: random.Random) -> float:
+    """Returns a fully jittered exponential delay after an attempt."""
+    ceiling_s = min(MAX_DELAY_S, BASE_DELAY_S * 2.0**attempt)
+    return rng.uniform(0.0, ceiling_s)
+
+
+def spend(budgets: Budgets, upstream: str) -> bool:
+    """Takes one token from both budgets, or none and returns False."""
+    own = upstream_budget(budgets, upstream)
+    if budgets.fleet.tokens < 1.0 or own.tokens < 1.0:
+        return False
+    budgets.fleet.tokens -= 1.0
+    own.tokens -= 1.0
+    return True
+
+
+def may_hedge(
+    budgets: Budgets,
+    *,
+    upstream: str,
+    idempotent: bool,
+    waited_s: float,
+    usual_s: float,
+) -> bool:
+    """Tells whether to send a second copy of a call, and spends for it.
+
+    usual_s is the 95th percentile of the time to the first byte.
+    """
+    if not idempotent or waited_s < usual_s:
+        return False
+    return spend(budgets, upstream)
--- a/oleanderdrift/scheduler.py
+++ b/oleanderdrift/scheduler.py
@@ -3,57 +3,76 @@
 A dispatch group holds the replicas of one model or tool.  Its home
 instance keeps one DispatchGroup, feeds it slot requests, releases and load
 reports, and sends out what poll() returns.  Engines admit what comes, so
-each replica has a bounded window and the order is made here, before it.
+each replica has a bounded window (`window`) and the order is made before
+it: `call_queue` says which call is next, `placement` says where it goes.
 
 Everything is pure: the present time is an argument and no input or output
 is done.
 """
 
-import collections
 import collections.abc
+import contextlib
+import math
 import typing
 
 import attrs
 
+from oleanderdrift import call_queue
 from oleanderdrift import codes
+from oleanderdrift import fair_share
+from oleanderdrift import health
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import placement
+from oleanderdrift import policy
+from oleanderdrift import prefix_cache
+from oleanderdrift import speed
+from oleanderdrift import window
 
-WINDOW_SLOTS: typing.Final = 8
 NO_UPSTREAM_RETRY_S: typing.Final = 1.0
+MAX_WAITING: typing.Final = 20_000
+MAX_HELD_PER_POLL: typing.Final = 64
+RATE_DECAY_S: typing.Final = 20.0
+MIN_RATE_CALLS: typing.Final = 5.0
+DEFAULT_WAIT_LIMIT_S: typing.Final = 60.0
+SMOOTHING: typing.Final = 0.05
 
-
-@attrs.define(kw_only=True)
-class Replica:
-    """One upstream as the group sees it.
-
-    outstanding maps the calls granted and not yet released to the time of
-    their grant.
-    """
-
-    upstream: model.Upstream
-    window_slots: int = WINDOW_SLOTS
-    outstanding: dict[str, float] = attrs.field(factory=dict)
-    leaving: bool = False
+Decision: typing.TypeAlias = messages.SlotGranted | messages.SlotRefused
 
 
 @attrs.define(kw_only=True)
-class Waiting:
-    """A call that waits for a slot, and the instance that asked."""
+class ServiceRate:
+    """Decayed count of released calls, up to updated_at."""
 
-    request: messages.SlotRequest
-    submitted_at: float
-    holder: str
+    calls: float = 0.0
+    updated_at: float = 0.0
 
 
 @attrs.define(kw_only=True)
 class DispatchGroup:
-    """The state of one dispatch group at its home instance."""
+    """The state of one dispatch group at its home instance.
+
+    tokens is the expected output tokens of a call by class; refusals wait
+    for the next poll.
+    """
 
     name: str
-    replicas: dict[str, Replica] = attrs.field(factory=dict)
-    waiting: dict[str, Waiting] = attrs.field(factory=dict)
-    holders: dict[str, str] = attrs.field(factory=dict)
+    rules: policy.Policy = attrs.field(factory=policy.Policy)
+    replicas: dict[str, placement.Replica] = attrs.field(factory=dict)
+    queue: call_queue.CallQueue = attrs.field(
+        default=attrs.Factory(
+            lambda group: call_queue.CallQueue(rules=group.rules),
+            takes_self=True,
+        )
+    )
+    slots: dict[str, str] = attrs.field(factory=dict)
+    tokens: dict[str, float] = attrs.field(factory=dict)
+    rate: ServiceRate = attrs.field(factory=ServiceRate)
+    refusals: list[messages.SlotRefused] = attrs.field(factory=list)
+    wakeup_at: float | None = None
+
+
+# --- What the operators configure ---------------------------------------
 
 
 def set_upstreams(
@@ -64,28 +83,48 @@
     """Takes over the configured upstreams.
 
     One that is gone or leaving gets nothing new; it is forgotten when its
-    last call is released.
+    last call is released.  Calls that no upstream may serve any more are
+    refused with the next poll.
     """
     configured = {upstream.name: upstream for upstream in upstreams}
     for name, upstream in configured.items():
         replica = group.replicas.get(name)
         if replica is None:
-            group.replicas[name] = Replica(
-                upstream=upstream, leaving=upstream.leaving
-            )
-        else:
-            replica.upstream = upstream
-            replica.leaving = upstream.leaving
+            replica = placement.Replica(upstream=upstream)
+            group.replicas[name] = replica
+        replica.upstream = upstream
+        replica.leaving = upstream.leaving
     for name, replica in list(group.replicas.items()):
         if name not in configured:
             replica.leaving = True
             forget_if_idle(group, replica)
+    for waiting in list(group.queue.waiting.values()):
+        if not has_upstream(group, waiting.request):
+            call_queue.remove(group.queue, waiting.request.call_id)
+            refuse(group, waiting.request, NO_UPSTREAM_RETRY_S)
 
 
-def forget_if_idle(group: DispatchGroup, replica: Replica) -> None:
-    """Drops a leaving replica that serves no call."""
-    if replica.leaving and not replica.outstanding:
-        group.replicas.pop(replica.upstream.name, None)
+def set_classes(
+    group: DispatchGroup,
+    now: float,
+    classes: collections.abc.Iterable[model.ProgramClass],
+) -> None:
+    """Takes over the class targets; queued calls follow at once."""
+    targets = {each.name: each.target_s for each in classes}
+    call_queue.set_targets(group.queue, targets)
+
+
+def set_accounts(
+    group: DispatchGroup,
+    now: float,
+    accounts: collections.abc.Iterable[model.ClientAccount],
+) -> None:
+    """Takes over the client accounts' rates as their shares."""
+    weights = {each.name: each.rate_per_s for each in accounts}
+    fair_share.set_weights(group.queue.ledger, weights)
+
+
+# --- What the instances say ---------------------------------------------
 
 
 def submit(
@@ -94,136 +133,364 @@
     request: messages.SlotRequest,
     holder: str = '',
 ) -> None:
-    """Queues a call; a repeated call id changes nothing."""
-    if request.call_id in group.waiting or request.call_id in group.holders:
+    """Queues or refuses a call; a repeated call id changes nothing."""
+    if (
+        request.call_id in group.queue.waiting
+        or request.call_id in group.slots
+    ):
         return
-    group.waiting[request.call_id] = Waiting(
-        request=request, submitted_at=now, holder=holder
-    )
+    if not has_upstream(group, request):
+        refuse(group, request, NO_UPSTREAM_RETRY_S)
+        return
+    retry_after_s = overload_s(group, now, request)
+    if retry_after_s > 0.0:
+        refuse(group, request, retry_after_s)
+        return
+    call_queue.add(group.queue, now, request, holder)
 
 
 def release(
     group: DispatchGroup, now: float, released: messages.SlotReleased
 ) -> None:
-    """Frees a slot; one already freed is left as it is."""
-    group.holders.pop(released.call_id, None)
+    """Frees a slot and learns from the call; a repeat changes nothing."""
+    outstanding = free_slot(group, released.call_id)
     replica = group.replicas.get(released.upstream)
-    if replica is None:
+    if outstanding is None or replica is None:
         return
-    replica.outstanding.pop(released.call_id, None)
+    note_released(group.rate, now)
+    note_health(group, now, replica, released.failed)
+    if not released.failed:
+        learn(group, now, replica, outstanding, released)
     forget_if_idle(group, replica)
 
 
 def withdraw(group: DispatchGroup, now: float, call_id: str) -> None:
     """Takes a call whose caller is gone out of the queue or its slot."""
-    group.waiting.pop(call_id, None)
-    group.holders.pop(call_id, None)
-    for replica in list(group.replicas.values()):
-        if replica.outstanding.pop(call_id, None) is not None:
-            forget_if_idle(group, replica)
+    call_queue.remove(group.queue, call_id)
+    replica = group.replicas.get(group.slots.get(call_id, ''))
+    if free_slot(group, call_id) is not None and replica is not None:
+        forget_if_idle(group, replica)
 
 
 def withdraw_holder(group: DispatchGroup, now: float, holder: str) -> None:
     """Takes out all calls of an instance that has failed."""
     lost = [
         call_id
-        for call_id, waiting in group.waiting.items()
+        for call_id, waiting in group.queue.waiting.items()
         if waiting.holder == holder
     ]
-    lost += [
-        call_id for call_id, name in group.holders.items() if name == holder
-    ]
+    for replica in group.replicas.values():
+        lost += [
+            call_id
+            for call_id, outstanding in replica.outstanding.items()
+            if outstanding.holder == holder
+        ]
     for call_id in lost:
         withdraw(group, now, call_id)
 
 
-def poll(
-    group: DispatchGroup, now: float
-) -> list[messages.SlotGranted | messages.SlotRefused]:
-    """Returns the grants and refusals that are due."""
-    decisions: list[messages.SlotGranted | messages.SlotRefused] = []
-    for waiting in list(group.waiting.values()):
-        usable = usable_replicas(group, waiting.request)
-        if not usable:
-            decisions.append(refuse(group, waiting))
-            continue
-        replica = least_outstanding(usable)
-        if replica is not None:
-            decisions.append(grant(group, now, waiting, replica))
-    return decisions
+def on_load(
+    group: DispatchGroup,
+    now: float,
+    upstream: str,
+    running: int,
+    waiting: int,
+) -> None:
+    """Takes an engine's load report, which lags."""
+    replica = group.replicas.get(upstream)
+    if replica is not None:
+        window.on_report(replica.window_state, now, running, waiting)
 
 
-def usable_replicas(
-    group: DispatchGroup, request: messages.SlotRequest
-) -> list[Replica]:
-    """Returns the replicas that may serve the call, full ones included."""
-    return [
-        replica
-        for replica in group.replicas.values()
-        if not replica.leaving
-        and replica.upstream.name not in request.excluded
-    ]
+def on_cache_event(
+    group: DispatchGroup,
+    now: float,
+    upstream: str,
+    sequence: int,
+    stored: tuple[bytes, ...] = (),
+    removed: tuple[bytes, ...] = (),
+) -> None:
+    """Takes an engine's cache event, which comes late or not at all."""
+    replica = group.replicas.get(upstream)
+    if replica is not None:
+        prefix_cache.on_event(replica.cache, now, sequence, stored, removed)
 
 
-def least_outstanding(
-    replicas: collections.abc.Iterable[Replica],
-) -> Replica | None:
-    """Returns the least loaded replica with a free slot, if any."""
-    free = [
-        replica
-        for replica in replicas
-        if len(replica.outstanding) < replica.window_slots
-    ]
-    return min(
-        free, key=lambda replica: len(replica.outstanding), default=None
+# --- What is decided -----------------------------------------------------
+
+
+def poll(group: DispatchGroup, now: float) -> list[Decision]:
+    """Returns the grants and refusals that are due."""
+    decisions: list[Decision] = list(group.refusals)
+    group.refusals.clear()
+    group.wakeup_at = None
+    free = total_free(group, now)
+    if not free or not group.queue.waiting:
+        return decisions
+    claims: dict[str, int] = {}
+    held = 0
+    with contextlib.closing(call_queue.in_order(group.queue, now)) as order:
+        for waiting in order:
+            replica = place(group, now, waiting, claims)
+            if replica is None:
+                held += 1
+            else:
+                decisions.append(grant(group, now, waiting, replica))
+                free -= 1
+            if not free or held >= MAX_HELD_PER_POLL:
+                break
+    return decisions
+
+
+def place(
+    group: DispatchGroup,
+    now: float,
+    waiting: call_queue.Waiting,
+    claims: dict[str, int],
+) -> placement.Replica | None:
+    """Returns the replica that a call takes now, or None to wait on."""
+    request = waiting.request
+    rules = group.rules
+    if waiting.hold_until is not None and now >= waiting.hold_until:
+        rules = attrs.evolve(rules, holding=False)
+    choice = placement.choose(
+        rules,
+        now,
+        list(group.replicas.values()),
+        request,
+        expected_tokens(group, request),
+        claims,
     )
+    if choice is None:
+        return None
+    if choice.hold_s <= 0.0:
+        return choice.replica
+    name = choice.replica.upstream.name
+    claims[name] = claims.get(name, 0) + 1
+    if waiting.hold_until is None:
+        waiting.hold_until = now + choice.hold_s
+    if waiting.hold_until > now:
+        wake_at(group, waiting.hold_until)
+    return None
 
 
 def grant(
-    group: DispatchGroup, now: float, waiting: Waiting, replica: Replica
+    group: DispatchGroup,
+    now: float,
+    waiting: call_queue.Waiting,
+    replica: placement.Replica,
 ) -> messages.SlotGranted:
     """Moves a call from the queue into a replica's window."""
-    call_id = waiting.request.call_id
-    del group.waiting[call_id]
-    group.holders[call_id] = waiting.holder
-    replica.outstanding[call_id] = now
+    request = waiting.request
+    call_queue.remove(group.queue, request.call_id)
+    group.queue.grants += 1
+    tokens = expected_tokens(group, request)
+    computed = placement.computed_tokens(group.rules, replica, request)
+    outstanding = placement.Outstanding(
+        request=request,
+        holder=waiting.holder,
+        granted_at=now,
+        band=waiting.band,
+        expected_blocks=prefix_cache.matched_blocks(
+            replica.cache, request.prefix
+        ),
+        computed_tokens=computed,
+        expected_tokens=tokens,
+    )
+    replica.outstanding[request.call_id] = outstanding
+    group.slots[request.call_id] = replica.upstream.name
+    start = max(now, replica.prefill_until)
+    replica.prefill_until = start + computed * replica.measured.prefill_s
+    window.note_granted(replica.window_state, len(replica.outstanding))
+    prefix_cache.note_sent(replica.cache, now, request.prefix)
+    fair_share.charge(
+        group.queue.ledger,
+        now,
+        request.client_account,
+        waiting.band,
+        fair_share.charge_of(computed, tokens),
+    )
     return messages.SlotGranted(
-        call_id=call_id, upstream=replica.upstream.name
+        call_id=request.call_id, upstream=replica.upstream.name
     )
 
 
-def refuse(group: DispatchGroup, waiting: Waiting) -> messages.SlotRefused:
-    """Takes a call that no replica may serve out of the queue."""
-    call_id = waiting.request.call_id
-    del group.waiting[call_id]
-    return messages.SlotRefused(
-        call_id=call_id,
-        code=codes.OVERLOADED.number,
-        retry_after_s=NO_UPSTREAM_RETRY_S,
+def next_wakeup(group: DispatchGroup, now: float) -> float | None:
+    """Returns when poll() next decides without a new event, or None."""
+    if group.refusals:
+        return now
+    wakeup_at = group.wakeup_at
+    if group.queue.waiting:
+        for replica in group.replicas.values():
+            ejected_until = replica.health_state.ejected_until
+            if ejected_until > now:
+                wakeup_at = min(ejected_until, wakeup_at or math.inf)
+    return wakeup_at
+
+
+def wake_at(group: DispatchGroup, at: float) -> None:
+    """Asks for a poll at a time, if none comes earlier."""
+    if group.wakeup_at is None or at < group.wakeup_at:
+        group.wakeup_at = at
+
+
+# --- Helpers --------------------------------------------------------------
+
+
+def has_upstream(group: DispatchGroup, request: messages.SlotRequest) -> bool:
+    """Tells whether any upstream may serve a call, now or later."""
+    return any(
+        not replica.leaving and name not in request.excluded
+        for name, replica in group.replicas.items()
     )
 
 
-def next_wakeup(group: DispatchGroup, now: float) -> float | None:
-    """Returns when poll() next decides without a new event, or None."""
-    return None
+def total_free(group: DispatchGroup, now: float) -> int:
+    """Returns the free slots of the group."""
+    return sum(
+        placement.free_slots(replica, now)
+        for replica in group.replicas.values()
+    )
 
 
-def on_load(
+def expected_tokens(
+    group: DispatchGroup, request: messages.SlotRequest
+) -> float:
+    """Returns the output tokens that a call is expected to need."""
+    tokens = group.tokens.get(request.class_name, placement.DEFAULT_TOKENS)
+    return min(tokens, float(request.max_tokens))
+
+
+def refuse(
+    group: DispatchGroup, request: messages.SlotRequest, retry_after_s: float
+) -> None:
+    """Refuses a call that was never granted, so it is truly not run."""
+    group.refusals.append(
+        messages.SlotRefused(
+            call_id=request.call_id,
+            code=codes.OVERLOADED.number,
+            retry_after_s=retry_after_s,
+        )
+    )
+
+
+def overload_s(
+    group: DispatchGroup, now: float, request: messages.SlotRequest
+) -> float:
+    """Returns how long to stay away, in seconds, or 0 to queue the call.
+
+    Refused are first calls of programs that could not start within their
+    whole target, and anything beyond the queue's bound.
+    """
+    queue = group.queue
+    if len(queue.waiting) >= MAX_WAITING:
+        return DEFAULT_WAIT_LIMIT_S
+    if not group.rules.refusing or request.attained_s > 0.0:
+        return 0.0
+    rate = service_rate(group.rate, now)
+    if rate <= 0.0:
+        return 0.0
+    limit_s = queue.targets.get(request.class_name, DEFAULT_WAIT_LIMIT_S)
+    if len(queue.waiting) / rate <= limit_s:
+        return 0.0
+    wait_s = call_queue.ahead(queue, now, request) / rate
+    return max(0.0, wait_s - limit_s)
+
+
+def note_released(rate: ServiceRate, now: float) -> None:
+    """Counts a released call."""
+    decay = math.exp((rate.updated_at - now) / RATE_DECAY_S)
+    rate.calls = rate.calls * decay + 1.0
+    rate.updated_at = now
+
+
+def service_rate(rate: ServiceRate, now: float) -> float:
+    """Returns released calls per second, or 0 while too few are known."""
+    calls = rate.calls * math.exp((rate.updated_at - now) / RATE_DECAY_S)
+    return calls / RATE_DECAY_S if calls >= MIN_RATE_CALLS else 0.0
+
+
+def note_health(
     group: DispatchGroup,
     now: float,
-    upstream: str,
-    running: int,
-    waiting: int,
+    replica: placement.Replica,
+    failed: bool,
 ) -> None:
-    """Takes an engine's load report, which lags.
+    """Records an outcome; a replica that fails in a row is ejected."""
+    present = [each for each in group.replicas.values() if not each.leaving]
+    ejected = sum(
+        health.is_ejected(each.health_state, now) for each in present
+    )
+    health.on_outcome(
+        replica.health_state,
+        now,
+        failed,
+        health.may_eject(ejected, len(present)),
+    )
 
-    A replica that holds more calls than it was granted, or queues some,
-    gets a smaller window.
-    """
-    replica = group.replicas.get(upstream)
+
+def learn(
+    group: DispatchGroup,
+    now: float,
+    replica: placement.Replica,
+    outstanding: placement.Outstanding,
+    released: messages.SlotReleased,
+) -> None:
+    """Takes what a finished call showed into the estimates."""
+    request = outstanding.request
+    computed = outstanding.computed_tokens
+    if released.cached_tokens is not None and request.prefix:
+        computed = float(request.prompt_tokens - released.cached_tokens)
+        blocks = len(request.prefix)
+        reported = int(
+            blocks * released.cached_tokens / max(1, request.prompt_tokens)
+        )
+        prefix_cache.note_reported(
+            replica.cache,
+            request.prefix,
+            outstanding.expected_blocks,
+            reported,
+        )
+    window.on_release(replica.window_state, now, released.first_token_s)
+    speed.on_release(
+        replica.measured,
+        computed_tokens=int(computed),
+        tokens=released.tokens,
+        first_token_s=released.first_token_s,
+        duration_s=released.duration_s,
+    )
+    smooth(group.tokens, request.class_name, float(released.tokens))
+    smooth(group.queue.call_s, request.class_name, released.duration_s)
+    fair_share.correct(
+        group.queue.ledger,
+        now,
+        request.client_account,
+        outstanding.band,
+        fair_share.charge_of(computed, released.tokens)
+        - fair_share.charge_of(
+            outstanding.computed_tokens, outstanding.expected_tokens
+        ),
+    )
+
+
+def smooth(averages: dict[str, float], key: str, value: float) -> None:
+    """Moves an average towards a value; the first value starts it."""
+    old = averages.get(key, value)
+    averages[key] = old + SMOOTHING * (value - old)
+
+
+def free_slot(
+    group: DispatchGroup, call_id: str
+) -> placement.Outstanding | None:
+    """Empties a slot, or returns None if the call holds none."""
+    name = group.slots.pop(call_id, None)
+    replica = group.replicas.get(name) if name is not None else None
     if replica is None:
-        return
-    if waiting > 0:
-        replica.window_slots = max(1, replica.window_slots - 1)
-    elif running >= replica.window_slots:
-        replica.window_slots += 1
+        return None
+    return replica.outstanding.pop(call_id, None)
+
+
+def forget_if_idle(group: DispatchGroup, replica: placement.Replica) -> None:
+    """Drops a leaving replica that serves no call."""
+    if replica.leaving and not replica.outstanding:
+        group.replicas.pop(replica.upstream.name, None)
--- /dev/null
+++ b/tests/test_programs.py
@@ -0,0 +1,284 @@
+"""Tests of the decisions on programs: order, repeats, budget, history."""
+
+import typing
+
+import attrs
+import pytest
+
+from oleanderdrift import codec
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import invariants
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import programs
+
+NOW: typing.Final = 1_000.0
+EPOCH: typing.Final = 7
+CLASS: typing.Final = model.ProgramClass(
+    name='plan', target_s=60.0, max_calls=4, max_tokens=100
+)
+CREATE: typing.Final = messages.CreateProgram(
+    client_account='acme', class_name='plan'
+)
+BEGIN: typing.Final = messages.BeginCall(
+    program='s.1',
+    client_account='acme',
+    call=0,
+    idempotency_key='k1',
+    body_digest=b'b1',
+    idempotent=True,
+)
+END: typing.Final = messages.EndCall(
+    program='s.1',
+    call=1,
+    attempt=1,
+    fencing_token=EPOCH,
+    execution=codes.Execution.RAN,
+    status=200,
+    tokens=10,
+    upstream='u1',
+    service_s=0.5,
+    answer=b'{}',
+    history_digest=b'd1',
+)
+TOOL: typing.Final = attrs.evolve(BEGIN, idempotent=False)
+LOST: typing.Final = attrs.evolve(END, execution=codes.Execution.UNKNOWN)
+END_2: typing.Final = attrs.evolve(END, call=2)
+NOT_RUN: typing.Final = attrs.evolve(END, execution=codes.Execution.NOT_RUN)
+FINISH: typing.Final = messages.EndProgram(
+    program='s.1', client_account='acme'
+)
+
+Step: typing.TypeAlias = (
+    messages.CreateProgram
+    | messages.BeginCall
+    | messages.EndCall
+    | messages.EndProgram
+)
+
+
+@pytest.fixture
+def ledger() -> programs.Ledger:
+    ledger = programs.Ledger()
+    programs.hold_shard(ledger, 's', EPOCH)
+    programs.create(ledger, NOW, 's', CREATE, CLASS)
+    return ledger
+
+
+def run(
+    ledger: programs.Ledger, *steps: Step, now: float = NOW
+) -> programs.Decision:
+    """Gives the messages to the ledger and returns the last decision."""
+    for step in steps:
+        match step:
+            case messages.CreateProgram():
+                decision = programs.create(ledger, now, 's', step, CLASS)
+            case messages.BeginCall():
+                decision = programs.begin(ledger, now, EPOCH, step)
+            case messages.EndCall():
+                decision = programs.end(ledger, now, step)
+            case messages.EndProgram():
+                decision = programs.finish(ledger, now, step)
+    return decision
+
+
+def begin(**changes: typing.Any) -> messages.BeginCall:
+    return attrs.evolve(BEGIN, **changes)
+
+
+SECOND: typing.Final = begin(call=2, idempotency_key='k2')
+
+
+@pytest.mark.parametrize(
+    ('steps', 'code'),
+    [
+        ([begin(program='s.2')], codes.UNKNOWN_PROGRAM),
+        ([begin(client_account='other')], codes.UNKNOWN_PROGRAM),
+        ([begin(program='t.1')], codes.OWNER_UNAVAILABLE),
+        ([begin(call=2)], codes.OUT_OF_ORDER),
+        ([BEGIN, begin(idempotency_key='k2')], codes.OUT_OF_ORDER),
+        ([BEGIN, END, begin(call=1, idempotency_key='x')], codes.OUT_OF_ORDER),
+        ([BEGIN, BEGIN], codes.CALL_IN_PROGRESS),
+        ([BEGIN, begin(body_digest=b'b2')], codes.BODY_MISMATCH),
+        ([BEGIN, END, begin(body_digest=b'b2')], codes.BODY_MISMATCH),
+        ([BEGIN, END, begin(call=2)], codes.BODY_MISMATCH),
+        ([TOOL, LOST, TOOL], codes.OUTCOME_UNKNOWN),
+        (
+            [BEGIN, LOST, begin(idempotency_key='x'), BEGIN],
+            codes.OUTCOME_UNKNOWN,
+        ),
+        ([BEGIN, END, SECOND, END_2, BEGIN], codes.ALREADY_RAN),
+        ([BEGIN, END, FINISH, BEGIN], codes.ALREADY_RAN),
+        ([BEGIN, END, FINISH, SECOND], codes.PROGRAM_ENDED),
+        (
+            [BEGIN, attrs.evolve(END, answer=bytes(20_000)), BEGIN],
+            codes.ALREADY_RAN,
+        ),
+        (
+            [BEGIN, END, attrs.evolve(SECOND, prefix_digest=b'other')],
+            codes.HISTORY_MISMATCH,
+        ),
+        ([begin(estimated_tokens=101)], codes.BUDGET_EXHAUSTED),
+        (
+            [BEGIN, END, attrs.evolve(SECOND, estimated_tokens=91)],
+            codes.BUDGET_EXHAUSTED,
+        ),
+    ],
+)
+def test_refusals(
+    ledger: programs.Ledger, steps: list[Step], code: codes.Result
+) -> None:
+    reply = run(ledger, *steps).reply
+    assert isinstance(reply, messages.Failed)
+    assert reply.code == code.number
+
+
+@pytest.mark.parametrize(
+    ('steps', 'call', 'attempt'),
+    [
+        ([BEGIN], 1, 1),
+        ([BEGIN, LOST, BEGIN], 1, 2),
+        ([BEGIN, LOST, begin(idempotency_key='k2')], 1, 2),
+        ([TOOL, NOT_RUN, TOOL], 1, 2),
+        ([TOOL, LOST, SECOND], 2, 1),
+        ([BEGIN, END, attrs.evolve(SECOND, prefix_digest=b'd1')], 2, 1),
+        ([BEGIN, END, begin(call=0, idempotency_key='')], 2, 1),
+    ],
+)
+def test_grants(
+    ledger: programs.Ledger, steps: list[Step], call: int, attempt: int
+) -> None:
+    reply = run(ledger, *steps).reply
+    assert isinstance(reply, messages.CallGranted)
+    assert (reply.call, reply.attempt) == (call, attempt)
+    assert reply.fencing_token == EPOCH
+
+
+def test_repeat_gets_the_held_answer(ledger: programs.Ledger) -> None:
+    reply = run(ledger, TOOL, END, TOOL).reply
+    assert isinstance(reply, messages.CallReplayed)
+    assert (reply.status, reply.answer) == (200, b'{}')
+
+
+def test_intent_of_a_published_shard_commits_first(
+    ledger: programs.Ledger,
+) -> None:
+    decision = run(ledger, TOOL)
+    assert decision.commit_first
+    assert isinstance(decision.records[0], messages.CallIntended)
+    private = programs.Ledger()
+    programs.hold_shard(private, 's')
+    programs.create(private, NOW, 's', CREATE, CLASS)
+    assert not programs.begin(private, NOW, 0, TOOL).commit_first
+    programs.publish_shard(private, 's')
+    programs.end(private, NOW, attrs.evolve(END, fencing_token=0))
+    second = attrs.evolve(SECOND, idempotent=False)
+    assert programs.begin(private, NOW, 0, second).commit_first
+
+
+@pytest.mark.parametrize(('attempt', 'token'), [(1, EPOCH), (2, EPOCH - 1)])
+def test_late_end_is_dropped(
+    ledger: programs.Ledger, attempt: int, token: int
+) -> None:
+    run(ledger, BEGIN, LOST, BEGIN)
+    late = attrs.evolve(
+        END, attempt=attempt, fencing_token=token, upstream='u2'
+    )
+    decision = run(ledger, late)
+    assert decision.records == (
+        messages.UpstreamUsed(program='s.1', upstream='u2'),
+    )
+    reply = run(ledger, BEGIN).reply
+    assert reply.code == codes.CALL_IN_PROGRESS.number
+
+
+def test_sub_agents_share_the_budget_and_end_with_the_root(
+    ledger: programs.Ledger,
+) -> None:
+    sub = attrs.evolve(CREATE, parent='s.1')
+    assert run(ledger, sub).reply == messages.ProgramStarted(program='s.2')
+    run(ledger, begin(estimated_tokens=60))
+    reply = run(ledger, begin(program='s.2', estimated_tokens=60)).reply
+    assert reply.code == codes.BUDGET_EXHAUSTED.number
+    run(ledger, begin(program='s.2', estimated_tokens=40))
+    run(ledger, END, attrs.evolve(END, program='s.2', upstream='u2'))
+    decision = run(ledger, FINISH)
+    assert decision.releases == (
+        programs.Release(program='s.1', upstream='u1'),
+        programs.Release(program='s.2', upstream='u2'),
+    )
+    reply = run(ledger, attrs.evolve(SECOND, program='s.2')).reply
+    assert reply.code == codes.PROGRAM_ENDED.number
+
+
+def test_late_end_of_an_ended_program_is_released(
+    ledger: programs.Ledger,
+) -> None:
+    release = programs.Release(program='s.1', upstream='u1')
+    assert run(ledger, BEGIN, FINISH, END).releases == (release,)
+
+
+@pytest.mark.parametrize('after_s', [CLASS.max_duration_s, 14_400.0])
+def test_expiry_ends_and_forgets(
+    ledger: programs.Ledger, after_s: float
+) -> None:
+    run(ledger, TOOL, END)
+    assert not programs.expire(ledger, NOW + 1).records
+    decision = programs.expire(ledger, NOW + after_s)
+    assert len(decision.releases) == 1
+    programs.expire(ledger, NOW + after_s + programs.ENDED_KEEP_S)
+    reply = run(ledger, TOOL).reply
+    assert reply.code == codes.OUTCOME_UNKNOWN.number
+
+
+def test_takeover_settles_an_open_intent_as_unknown(
+    ledger: programs.Ledger,
+) -> None:
+    records = [
+        messages.ProgramCreated(
+            program='s.1',
+            client_account='acme',
+            class_name='plan',
+            max_calls=4,
+            max_duration_s=60.0,
+            created_at=NOW,
+        )
+    ]
+    records += run(ledger, TOOL).records
+    late = messages.CallIntended(
+        program='s.1', call=2, idempotency_key='k2', body_digest=b''
+    )
+    encoded = tuple(codec.encode(record) for record in records)
+    stream = [
+        messages.ShardRecords(shard='s', epoch=EPOCH, records=encoded),
+        messages.ShardFenced(shard='s', epoch=9),
+        messages.ShardRecords(
+            shard='s', epoch=EPOCH, records=(codec.encode(late),)
+        ),
+    ]
+    taker = programs.Ledger()
+    found = programs.replay(stream, {'s'})
+    decision = programs.take_shard(taker, NOW, 's', 9, found)
+    assert len(decision.records) == 1
+    reply = programs.begin(taker, NOW, 9, TOOL).reply
+    assert reply.code == codes.OUTCOME_UNKNOWN.number
+    reply = programs.begin(taker, NOW, 9, SECOND).reply
+    assert reply.fencing_token == 9
+    started = programs.create(taker, NOW, 's', CREATE, CLASS).reply
+    assert started == messages.ProgramStarted(program='s.9-1')
+
+
+def test_history_digest_chains() -> None:
+    whole = programs.history_digest([b'a', b'b', b'c'])
+    first = programs.history_digest([b'a'])
+    assert programs.history_digest([b'b', b'c'], first) == whole
+    assert programs.history_digest([b'ab', b'c']) != whole
+
+
+def test_a_broken_invariant_counts_and_raises() -> None:
+    invariants.check(True, 'test-holds')
+    with pytest.raises(errors.ResultError) as caught:
+        invariants.check(False, 'test-broken', 'detail')
+    assert caught.value.code is codes.INVARIANT_BROKEN
+    assert invariants.BREACHES['test-broken'] == 1
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -6,6 +6,7 @@
 from oleanderdrift import messages
 from oleanderdrift import model
 from oleanderdrift import scheduler
+from oleanderdrift import window
 
 
 def upstream(name: str, *, leaving: bool = False) -> model.Upstream:
@@ -62,7 +63,7 @@
 def test_window_bounds_grants_and_release_frees(
     group: scheduler.DispatchGroup,
 ) -> None:
-    total = 2 * scheduler.WINDOW_SLOTS
+    total = 2 * window.INITIAL_SLOTS
     for number in range(total + 1):
         scheduler.submit(group, 0.0, request(f'c{number}'))
     grants = granted(scheduler.poll(group, 0.0))
