Own shards under leases folded from the fleet stream

Cause: nothing yet said who owns a program, nor when an instance has to stop.

Change: `ownership` folds the fleet stream. The holder counts its lease from before it sent the renewal, a successor from after it read it. A takeover names the renewal it saw as well as the epoch, since a renewal that lands between reading and claiming would otherwise leave two holders. Renewals carry what their sender had read (as_of), and only the five best homes known by then may take the shard: so the holder knows every possible successor, also of renewals whose fate is open, and goes on past its lease while each of them promises to wait. Where all have promised since the last renewal was sent, a non-idempotent call may run without the log; a taker that promised says so in its claim, and then answers outcome-unknown for what it cannot know. Shards are freed by an operator's record where a whole data centre is down.

Not proved yet: the whole under interleavings.

--- a/oleanderdrift/ledger.py
+++ b/oleanderdrift/ledger.py
@@ -106,11 +106,13 @@
     serial_prefix keeps ids minted after a takeover apart from ids that
     an earlier holder may have minted unrecorded; minted holds the
     highest serial known for each prefix.  An unpublished shard cannot be
-    taken over by anyone.
+    taken over by anyone.  In an unrecorded one, calls may have run under
+    an earlier holder without a durable intent.
     """
 
     epoch: int = 0
     published: bool = False
+    unrecorded: bool = False
     serial_prefix: str = ''
     minted: dict[str, int] = attrs.field(factory=dict)
     programs: dict[str, Program] = attrs.field(factory=dict)
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -70,28 +70,43 @@
 
 @attrs.frozen(kw_only=True)
 class ShardOpened:
-    """An instance opens a new ownership shard under a lease."""
+    """An instance opens a new ownership shard under a lease.
+
+    as_of is the next offset of this stream that the writer had to read.
+    """
 
     shard: str
     instance: str
     data_centre: str
     lease_s: float
+    as_of: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class ShardsRenewed:
-    """The holder renews its lease on the shards it owns."""
+    """The holder renews its lease on the shards it owns.
+
+    number grows with each renewal of an instance, over restarts too.
+    checkpoint is the offset in the programs stream from which a successor
+    has to read.
+    """
 
     instance: str
     shards: tuple[str, ...]
+    number: int = 0
+    as_of: int = 0
+    checkpoint: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class ShardTaken:
     """Another instance takes a shard over from a lapsed epoch.
 
-    The offset of this record is the shard's new epoch and fencing token;
-    it is void where expected_epoch is no longer the shard's epoch.
+    The offset of this record is the shard's new epoch and fencing token.
+    It is void where expected_epoch or expected_renewal (the offset that
+    last extended the lease) is no longer the shard's.  home is the shard
+    that the taker opened itself.  promised says that the taker promised
+    the former holder more time, so that calls may have run unrecorded.
     """
 
     shard: str
@@ -99,6 +114,11 @@
     data_centre: str
     expected_epoch: int
     lease_s: float
+    expected_renewal: int = 0
+    home: str = ''
+    as_of: int = 0
+    number: int = 0
+    promised: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -110,6 +130,26 @@
     epoch: int
 
 
+@attrs.frozen(kw_only=True)
+class ShardClosed:
+    """The holder of a shard without programs ends it for good."""
+
+    shard: str
+    instance: str
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class DataCentreDown:
+    """An operator states that no instance of a data centre runs.
+
+    Its shards may then be taken over from anywhere.
+    """
+
+    data_centre: str
+    author: str
+
+
 # --- Records of the `programs.<data centre>` streams --------------------
 
 
@@ -329,6 +369,30 @@
     upstream: str
 
 
+@attrs.frozen(kw_only=True)
+class PromiseRequest:
+    """Asks a possible successor not to take a shard for some time.
+
+    home is the shard by which the peer could take it.  Renewals after
+    last_renewal are sent only once every record is durable.
+    """
+
+    shard: str
+    home: str
+    number: int
+    last_renewal: int
+
+
+@attrs.frozen(kw_only=True)
+class LeasePromise:
+    """The peer does not take the shard for promise_s from now on."""
+
+    shard: str
+    home: str
+    number: int
+    promise_s: float
+
+
 # --- Peer messages: slots on upstreams ----------------------------------
 
 
@@ -400,6 +464,8 @@
     11: ShardsRenewed,
     12: ShardTaken,
     13: ShardReleased,
+    14: ShardClosed,
+    15: DataCentreDown,
     20: ProgramCreated,
     21: CallIntended,
     22: CallFinished,
@@ -418,6 +484,8 @@
     47: CallReplayed,
     48: EndCall,
     49: CallPlaced,
+    50: PromiseRequest,
+    51: LeasePromise,
     60: SlotRequest,
     61: SlotGranted,
     62: SlotRefused,
--- a/oleanderdrift/programs.py
+++ b/oleanderdrift/programs.py
@@ -92,16 +92,24 @@
 
 
 def take_shard(
-    ledger: Ledger, now: float, shard: str, epoch: int, found: Ledger
+    ledger: Ledger,
+    now: float,
+    shard: str,
+    epoch: int,
+    found: Ledger,
+    *,
+    unrecorded: bool = False,
 ) -> Decision:
     """Moves a shard that was folded up to its fence into the ledger.
 
     A non-idempotent call whose end was not found may have run; it is
-    settled as such.
+    settled as such.  unrecorded says that the former holder may have
+    dispatched calls whose intent is not in the log.
     """
     state = found.shards.get(shard, ledger_lib.Shard())
     state.epoch = epoch
     state.published = True
+    state.unrecorded = state.unrecorded or unrecorded
     state.serial_prefix = f'{epoch}-'
     ledger.shards[shard] = state
     records = [
@@ -237,6 +245,7 @@
     repeat = _repeat(program, message)
     if repeat is not None:
         return repeat
+    _check_unrecorded(ledger, program, message)
     if program.ended_code is not None:
         raise errors.ResultError(codes.PROGRAM_ENDED)
     _check_order(program, message)
@@ -255,14 +264,28 @@
 def _program_of_call(
     ledger: Ledger, message: messages.BeginCall
 ) -> ledger_lib.Program:
+    shard = _held_shard(ledger, ledger_lib.shard_of(message.program))
     known = ledger_lib.find(ledger, message.program) is not None
     minted = ledger_lib.was_minted(ledger, message.program)
-    if minted and not known and not message.idempotent:
-        # The program's calls are forgotten, so this may be a repeat.
+    forgotten = minted or shard.unrecorded
+    if forgotten and not known and not message.idempotent:
+        # The program's calls are not known, so this may be a repeat.
         raise errors.ResultError(codes.OUTCOME_UNKNOWN)
     return _program(ledger, message.program, message.client_account)
 
 
+def _check_unrecorded(
+    ledger: Ledger,
+    program: ledger_lib.Program,
+    message: messages.BeginCall,
+) -> None:
+    shard = ledger.shards[ledger_lib.shard_of(program.program)]
+    prefix, _ = ledger_lib.split_serial(program.program)
+    earlier = prefix != shard.serial_prefix
+    if shard.unrecorded and earlier and not message.idempotent:
+        raise errors.ResultError(codes.OUTCOME_UNKNOWN)
+
+
 def _repeat(
     program: ledger_lib.Program, message: messages.BeginCall
 ) -> Decision | None:
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,202 @@
+"""Tests of the fold of the fleet stream and of leases."""
+
+import typing
+
+import attrs
+import pytest
+
+from oleanderdrift import errors
+from oleanderdrift import messages
+from oleanderdrift import ownership
+
+LEASE_S: typing.Final = 30.0
+LAPSED_S: typing.Final = LEASE_S * 1.1 + 2 * ownership.TAKEOVER_STAGGER_S
+
+
+@attrs.define(kw_only=True)
+class Log:
+    """A fleet stream that every instance reads at once."""
+
+    fleets: dict[str, ownership.Fleet]
+    next_offset: int = 1
+
+    def append(self, now: float, record: messages.Message) -> int:
+        for fleet in self.fleets.values():
+            ownership.apply(fleet, now, self.next_offset, record)
+        self.next_offset += 1
+        return self.next_offset - 1
+
+
+@pytest.fixture
+def log() -> Log:
+    """Three instances of one data centre with an opened shard each."""
+    fleets = {
+        name: ownership.Fleet(
+            instance=name, data_centre='dc', lease_s=LEASE_S, last_number=0
+        )
+        for name in 'xyz'
+    }
+    log = Log(fleets=fleets)
+    for name, fleet in fleets.items():
+        ownership.open_private(fleet, f's{name}')
+    for name, fleet in fleets.items():
+        log.append(0.0, ownership.opening(fleet, 0.0, f's{name}'))
+    for fleet in fleets.values():
+        log.append(0.0, ownership.renewal(fleet, 0.0))
+    return log
+
+
+def give_promises(log: Log, now: float) -> None:
+    x = log.fleets['x']
+    for name, request in ownership.promise_requests(x, now, 'sx'):
+        promise = ownership.promise(log.fleets[name], now, request)
+        if promise is not None:
+            ownership.accept_promise(x, promise)
+
+
+def test_a_private_shard_serves_for_ever(log: Log) -> None:
+    x = log.fleets['x']
+    ownership.open_private(x, 'p')
+    assert ownership.may_serve(x, 1e9, 'p')
+    assert ownership.may_go_unrecorded(x, 1e9, 'p')
+    ownership.opening(x, 10.0, 'p')
+    assert ownership.may_serve(x, 39.0, 'p')
+    assert not ownership.may_serve(x, 40.0, 'p')
+
+
+def test_a_renewal_counts_from_when_it_was_sent(log: Log) -> None:
+    x = log.fleets['x']
+    assert ownership.renewal_due(x, 10.0)
+    record = ownership.renewal(x, 10.0)
+    assert not ownership.may_serve(x, 30.0, 'sx')
+    log.append(35.0, record)
+    assert ownership.may_serve(x, 39.0, 'sx')
+    assert not ownership.may_serve(x, 40.0, 'sx')
+
+
+def test_a_lapsed_shard_is_taken_once(log: Log) -> None:
+    y, z = log.fleets['y'], log.fleets['z']
+    assert 'sx' not in ownership.takeover_candidates(y, LEASE_S)
+    assert 'sx' in ownership.takeover_candidates(y, LAPSED_S)
+    late_renewal = ownership.renewal(log.fleets['x'], 0.0)
+    claims = [ownership.takeover(f, LAPSED_S, 'sx') for f in (y, z)]
+    offset = log.append(LAPSED_S, claims[0])
+    log.append(LAPSED_S, claims[1])
+    held = ownership.Holder(instance='y', data_centre='dc', epoch=offset)
+    assert ownership.holder(z, 'sx') == held
+    assert ownership.may_serve(y, LAPSED_S, 'sx')
+    assert not ownership.may_serve(z, LAPSED_S, 'sx')
+    log.append(LAPSED_S, late_renewal)
+    assert ownership.holder(z, 'sx') == held
+    assert z.shards['sx'].renewal == offset
+
+
+def test_a_claim_is_void_after_a_renewal_that_it_did_not_see(
+    log: Log,
+) -> None:
+    x, y = log.fleets['x'], log.fleets['y']
+    claim = ownership.takeover(y, LAPSED_S, 'sx')
+    log.append(LAPSED_S, ownership.renewal(x, LAPSED_S))
+    log.append(LAPSED_S, claim)
+    assert ownership.may_serve(x, LAPSED_S, 'sx')
+    assert not ownership.may_serve(y, LAPSED_S, 'sx')
+
+
+def test_a_released_shard_can_be_taken_at_once(log: Log) -> None:
+    x, y = log.fleets['x'], log.fleets['y']
+    record = ownership.release(x, 'sx')
+    assert not ownership.may_serve(x, 1.0, 'sx')
+    log.append(1.0, record)
+    assert ownership.holder(y, 'sx') is None
+    assert ownership.takeover_candidates(y, 1.0) == ['sx']
+
+
+def test_promises_carry_past_the_lease_and_bind(log: Log) -> None:
+    x, y = log.fleets['x'], log.fleets['y']
+    give_promises(log, 20.0)
+    until = 20.0 + ownership.PROMISE_S
+    assert ownership.may_serve(x, until - 1, 'sx')
+    assert not ownership.may_serve(x, until, 'sx')
+    give_promises(log, 30.0)
+    assert 'sx' not in ownership.takeover_candidates(y, LAPSED_S)
+    with pytest.raises(errors.ResultError):
+        ownership.takeover(y, LAPSED_S, 'sx')
+
+
+def test_one_silent_successor_ends_the_extension(log: Log) -> None:
+    x = log.fleets['x']
+    requests = ownership.promise_requests(x, 20.0, 'sx')
+    assert [name for name, _ in requests] == ['y', 'z']
+    promise = ownership.promise(log.fleets['y'], 20.0, requests[0][1])
+    assert promise is not None
+    ownership.accept_promise(x, promise)
+    assert not ownership.may_serve(x, 30.0, 'sx')
+
+
+def test_no_promise_while_a_claim_may_succeed(log: Log) -> None:
+    x, y = log.fleets['x'], log.fleets['y']
+    ownership.takeover(y, LAPSED_S, 'sx')
+    _, request = ownership.promise_requests(x, LAPSED_S, 'sx')[0]
+    assert ownership.promise(y, LAPSED_S, request) is None
+    log.append(LAPSED_S, ownership.renewal(x, LAPSED_S))
+    assert ownership.promise(y, LAPSED_S, request) is not None
+
+
+def test_unrecorded_calls_taint_a_takeover(log: Log) -> None:
+    x, y = log.fleets['x'], log.fleets['y']
+    assert not ownership.may_go_unrecorded(x, 20.0, 'sx')
+    give_promises(log, 20.0)
+    assert ownership.may_go_unrecorded(x, 20.0, 'sx')
+    ownership.note_unrecorded(x)
+    assert not ownership.renewal_due(x, 30.0)
+    claim = ownership.takeover(y, 100.0, 'sx')
+    assert claim.promised
+    log.append(100.0, claim)
+    assert y.shards['sx'].unrecorded
+
+
+def test_a_renewal_sent_after_the_promise_ends_unrecorded_calls(
+    log: Log,
+) -> None:
+    x = log.fleets['x']
+    give_promises(log, 20.0)
+    record = ownership.renewal(x, 21.0)
+    assert not ownership.may_go_unrecorded(x, 22.0, 'sx')
+    log.append(22.0, record)
+    assert not ownership.takeover(log.fleets['y'], 100.0, 'sx').promised
+
+
+def test_a_data_centre_down_frees_its_shards(log: Log) -> None:
+    far = ownership.Fleet(
+        instance='f', data_centre='far', lease_s=LEASE_S, last_number=0
+    )
+    log.fleets['f'] = far
+    ownership.open_private(far, 'sf')
+    for record in [
+        *(
+            messages.ShardOpened(
+                shard=f's{name}',
+                instance=name,
+                data_centre='dc',
+                lease_s=LEASE_S,
+            )
+            for name in 'xyz'
+        ),
+        ownership.opening(far, 0.0, 'sf'),
+    ]:
+        log.append(0.0, record)
+    assert ownership.takeover_candidates(far, 1e6) == []
+    down = messages.DataCentreDown(data_centre='dc', author='op')
+    log.append(1.0, down)
+    assert 'sx' in ownership.takeover_candidates(far, 1.0)
+    assert not ownership.may_serve(log.fleets['x'], 1.0, 'sx')
+    claim = ownership.takeover(far, 1.0, 'sx')
+    log.append(1.0, claim)
+    assert ownership.may_serve(far, 1.0, 'sx')
+
+
+def test_a_closed_shard_is_gone(log: Log) -> None:
+    x, y = log.fleets['x'], log.fleets['y']
+    log.append(1.0, ownership.close(x, 'sx'))
+    assert ownership.holder(y, 'sx') is None
+    assert ownership.takeover_candidates(y, 1e6) == ['sz']
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -269,6 +269,28 @@
     assert started == messages.ProgramStarted(program='s.9-1')
 
 
+@pytest.mark.parametrize(
+    ('program', 'unrecorded', 'code'),
+    [
+        ('s.1', False, codes.UNKNOWN_PROGRAM),
+        ('s.1', True, codes.OUTCOME_UNKNOWN),
+        ('s.9', True, codes.OUTCOME_UNKNOWN),
+    ],
+)
+def test_takeover_where_calls_may_be_unrecorded(
+    ledger: programs.Ledger,
+    program: str,
+    unrecorded: bool,
+    code: codes.Result,
+) -> None:
+    taker = programs.Ledger()
+    found = ledger if unrecorded else programs.Ledger()
+    programs.take_shard(taker, NOW, 's', 9, found, unrecorded=unrecorded)
+    message = attrs.evolve(TOOL, program=program)
+    reply = programs.begin(taker, NOW, 9, message).reply
+    assert reply.code == code.number
+
+
 def test_history_digest_chains() -> None:
     whole = programs.history_digest([b'a', b'b', b'c'])
     first = programs.history_digest([b'a'])
