--- a/oleanderdrift/config_reader.py
+++ b/oleanderdrift/config_reader.py
@@ -42,6 +42,8 @@
     read_offset is the next record to read.  pending holds what was read
     after a gap, while no snapshot has bridged it; gap_end is its first
     offset.  tail holds the latest records folded, for peers.
+    snapshot_offset and snapshot_time_ms are those of the latest snapshot
+    seen, or 0 and the time of the first record seen.
     """
 
     config: model.Config = attrs.field(factory=model.Config)
@@ -95,19 +97,44 @@
         return []
     changes = list(config_state.load(reader.config, snapshot))
     reader.tail.clear()
-    held = reader.pending
-    reader.pending = []
-    if reader.gap_end is None or snapshot.next_offset < reader.gap_end:
-        reader.read_offset = snapshot.next_offset
-        held = []
-    reader.gap_end = None
-    for record, message in held:
-        if record.offset >= snapshot.next_offset:
+    reader.snapshot_offset = max(
+        reader.snapshot_offset, snapshot.next_offset - 1
+    )
+    _close_gap(reader, [], changes)
+    return changes
+
+
+def take_relayed(
+    reader: ConfigReader, records: typing.Iterable[log_client.LogRecord]
+) -> list[model.ObjectChange]:
+    """Folds records that a peer relays; returns what they changed.
+
+    Only the very next record is folded; any other is passed over.
+    """
+    changes: list[model.ObjectChange] = []
+    for record in records:
+        if record.offset == max(reader.config.next_offset, FIRST_OFFSET):
+            message = _decode(reader, record)
             _fold(reader, record, message, [], changes)
-    reader.read_offset = max(reader.read_offset, reader.config.next_offset)
+    _close_gap(reader, [], changes)
     return changes
 
 
+def _close_gap(
+    reader: ConfigReader,
+    judged: list[Judged],
+    changes: list[model.ObjectChange],
+) -> None:
+    """Folds what was held back, once nothing is missing before it."""
+    next_offset = reader.config.next_offset
+    if reader.gap_end is not None and next_offset >= reader.gap_end:
+        held, reader.pending, reader.gap_end = reader.pending, [], None
+        for record, message in held:
+            if record.offset >= next_offset:
+                _fold(reader, record, message, judged, changes)
+    reader.read_offset = max(reader.read_offset, reader.config.next_offset)
+
+
 def _note_gap(reader: ConfigReader, offset: int) -> None:
     logging.warning(
         'event=config-gap expected=%d found=%d', reader.read_offset, offset
@@ -130,9 +157,11 @@
             error,
         )
         return None
+    first = reader.snapshot_time_ms == 0
+    if first or isinstance(message, messages.ConfigSnapshot):
+        reader.snapshot_time_ms = record.time_ms
     if isinstance(message, messages.ConfigSnapshot):
         reader.snapshot_offset = record.offset
-        reader.snapshot_time_ms = record.time_ms
     return message
 
 
@@ -167,7 +196,4 @@
     except errors.ResultError as error:
         logging.error('event=config-snapshot-unreadable error="%s"', error)
         return
-    held, reader.pending, reader.gap_end = reader.pending, [], None
-    for record, kept in held:
-        if record.offset >= reader.config.next_offset:
-            _fold(reader, record, kept, judged, changes)
+    _close_gap(reader, judged, changes)
