Relay configuration among peers, and withdraw keys without the log

Cause: a data centre may be cut from the platform while some peer is not, a fresh instance may start during an outage, and a leaked key has to stop working then too.

Change: an instance that cannot tell from the log that it is up to date asks a random peer each 2 s and gets the log's own records with their offsets, or the folded state when it is too far behind. The answer's age counts from the asker's question, so clocks need not agree. Keys go on working for the grace period after the last proof. Keys withdrawn directly travel with every exchange; each instance in contact asks the log for the withdrawal under one change_id, so the log accepts one.

Failed first, each with one mechanism off: the answer's age ignored, a peer's missing contact ignored, the change_id made unique, the drawn moment left out (tests/test_config_peers.py), older state taken in (tests/test_config_state.py).

--- a/oleanderdrift/config_feed.py
+++ b/oleanderdrift/config_feed.py
@@ -14,10 +14,14 @@
 import attrs
 
 
+from oleanderdrift import codec
+from oleanderdrift import config_peers
 from oleanderdrift import config_reader
+from oleanderdrift import config_snapshots
+from oleanderdrift import config_state
 from oleanderdrift import errors
+from oleanderdrift import key_trust
 from oleanderdrift import log_client
-from oleanderdrift import messages
 from oleanderdrift import model
 
 BATCH_RECORDS: typing.Final = 500
@@ -35,6 +39,7 @@
     last_contact is the monotonic time at which the configuration was
     last known to be complete, in seconds, or None before the first time.
     caught_up is set once everything that the log holds is folded.
+    upkeep, where set, says when to append snapshots.
     """
 
     client: log_client.LogClient
@@ -46,6 +51,8 @@
     retry_s: float = RETRY_S
     listeners: list[Listener] = attrs.field(factory=list)
     last_contact: float | None = None
+    trust: key_trust.KeyTrust = attrs.field(factory=key_trust.KeyTrust)
+    upkeep: config_snapshots.Upkeep | None = None
     caught_up: asyncio.Event = attrs.field(factory=asyncio.Event)
     failures: int = 0
 
@@ -65,6 +72,7 @@
     while True:
         try:
             await poll(feed)
+            await keep_up(feed)
         except errors.ResultError as error:
             feed.failures += 1
             logging.warning(
@@ -97,15 +105,48 @@
     return judged
 
 
+async def keep_up(feed: ConfigFeed) -> None:
+    """Appends what is due: withdrawals made directly, and a snapshot.
+
+    Raises ResultError LOG_UNAVAILABLE or APPEND_UNCONFIRMED; both are
+    safe to be repeated.
+    """
+    if not feed.caught_up.is_set():
+        return
+    for change in key_trust.due_changes(
+        feed.trust, feed.config, time.monotonic()
+    ):
+        await feed.client.append(config_reader.STREAM, codec.encode(change))
+    upkeep = feed.upkeep
+    if upkeep is None or not config_snapshots.due(
+        upkeep, feed.reader, time.time(), feed.random
+    ):
+        return
+    snapshot = config_state.snapshot(feed.config)
+    data = codec.encode(snapshot)
+    offset = await feed.client.append(config_reader.STREAM, data)
+    logging.info(
+        'event=config-snapshot offset=%d next_offset=%d bytes=%d',
+        offset,
+        snapshot.next_offset,
+        len(data),
+    )
+
+
 def note_contact(feed: ConfigFeed, asked: float) -> None:
     """Notes that the configuration was complete at the time asked."""
     feed.last_contact = max(asked, feed.last_contact or asked)
     feed.caught_up.set()
 
 
-def load_snapshot(feed: ConfigFeed, snapshot: messages.ConfigSnapshot) -> None:
-    """Takes in a peer's snapshot and tells the listeners."""
-    tell(feed, config_reader.load_snapshot(feed.reader, snapshot))
+def take_answer(
+    feed: ConfigFeed, asked: float, answer: config_peers.Answer
+) -> None:
+    """Takes in a peer's answer to what was asked at a monotonic time."""
+    news = config_peers.take(feed.reader, answer, asked)
+    tell(feed, news.changes)
+    if news.complete_at is not None:
+        note_contact(feed, news.complete_at)
 
 
 def tell(
@@ -113,6 +154,7 @@
 ) -> None:
     """Tells every listener of changes now in force."""
     for change in changes:
+        key_trust.note_change(feed.trust, change)
         logging.info(
             'event=config-in-force kind=%s name=%s offset=%d removed=%s',
             change.kind,
--- /dev/null
+++ b/oleanderdrift/config_peers.py
@@ -0,0 +1,130 @@
+"""Decides how instances pass the configuration on among themselves.
+
+The log stays the one source: peers relay its records with their offsets
+or, to who is too far behind, their folded state with its offset.  An
+instance asks while it cannot tell from the log that it is up to date,
+and while it knows of keys withdrawn directly.
+"""
+
+import typing
+
+import attrs
+
+from oleanderdrift import config_reader
+from oleanderdrift import config_state
+from oleanderdrift import key_trust
+from oleanderdrift import log_client
+from oleanderdrift import messages
+from oleanderdrift import model
+
+ASK_INTERVAL_S: typing.Final = 2.0
+# Above the log's bounded silence, so a reader in contact never asks.
+STALE_AFTER_S: typing.Final = 6.0
+MAX_RELAYED_RECORDS: typing.Final = 200
+
+Answer: typing.TypeAlias = messages.ConfigRecords | messages.ConfigState
+
+
+@attrs.frozen(kw_only=True)
+class News:
+    """What a peer's answer brought.
+
+    complete_at is a time, on the asker's clock, at which the asker's
+    configuration was complete; None if the answer does not show one.
+    """
+
+    changes: tuple[model.ObjectChange, ...]
+    complete_at: float | None
+
+
+def question(
+    reader: config_reader.ConfigReader,
+    trust: key_trust.KeyTrust,
+    last_contact: float | None,
+    now: float,
+) -> messages.ReadConfig | None:
+    """Returns what to ask a peer now, or None where there is no need.
+
+    To be sent to a live peer drawn at random, each ASK_INTERVAL_S.
+    """
+    in_contact = (
+        last_contact is not None
+        and now - last_contact < STALE_AFTER_S
+        and reader.gap_end is None
+    )
+    if in_contact and not trust.withdrawn:
+        return None
+    return messages.ReadConfig(
+        next_offset=reader.config.next_offset,
+        withdrawn=tuple(sorted(trust.withdrawn)),
+    )
+
+
+def answer(
+    reader: config_reader.ConfigReader,
+    trust: key_trust.KeyTrust,
+    asked: messages.ReadConfig,
+    last_contact: float | None,
+    now: float,
+) -> Answer:
+    """Returns the answer to a peer's question."""
+    age_s = None if last_contact is None else max(0.0, now - last_contact)
+    withdrawn = tuple(sorted(trust.withdrawn))
+    next_offset = reader.config.next_offset
+    start = max(asked.next_offset, config_reader.FIRST_OFFSET)
+    if next_offset > start and not _in_tail(reader, start):
+        return messages.ConfigState(
+            snapshot=config_state.snapshot(reader.config),
+            age_s=age_s,
+            withdrawn=withdrawn,
+        )
+    records = [
+        messages.ConfigRecord(
+            offset=record.offset, time_ms=record.time_ms, data=record.data
+        )
+        for record in reader.tail
+        if record.offset >= start
+    ]
+    return messages.ConfigRecords(
+        next_offset=next_offset,
+        records=tuple(records[:MAX_RELAYED_RECORDS]),
+        age_s=age_s,
+        withdrawn=withdrawn,
+    )
+
+
+def _in_tail(reader: config_reader.ConfigReader, offset: int) -> bool:
+    return bool(reader.tail) and reader.tail[0].offset <= offset
+
+
+def take(
+    reader: config_reader.ConfigReader, answer: Answer, asked: float
+) -> News:
+    """Folds a peer's answer to what was asked at the time asked.
+
+    The peer was complete age_s before it answered, which was after the
+    question: both times are read on one clock each.  Raises ResultError
+    CONFIG_INVALID for a snapshot that cannot be read.
+    """
+    match answer:
+        case messages.ConfigState():
+            changes = config_reader.load_snapshot(reader, answer.snapshot)
+            reached = answer.snapshot.next_offset
+        case messages.ConfigRecords():
+            relayed = (
+                log_client.LogRecord(
+                    offset=one.offset, time_ms=one.time_ms, data=one.data
+                )
+                for one in answer.records
+            )
+            changes = config_reader.take_relayed(reader, relayed)
+            reached = answer.next_offset
+    complete = (
+        answer.age_s is not None
+        and reader.config.next_offset >= reached
+        and reader.gap_end is None
+    )
+    return News(
+        changes=tuple(changes),
+        complete_at=asked - (answer.age_s or 0.0) if complete else None,
+    )
--- /dev/null
+++ b/oleanderdrift/config_snapshots.py
@@ -0,0 +1,70 @@
+"""Decides when an instance appends a snapshot of the configuration.
+
+The log trims its beginning, so the whole state has to be appended again
+in time.  Any instance may do it.  Each draws its own moment after the
+latest snapshot that it has seen, so that of many instances few act; one
+snapshot too many does no harm.
+"""
+
+import random
+import typing
+
+import attrs
+
+from oleanderdrift import config_reader
+
+# Shares of the retention time between which the moment is drawn.
+EARLIEST_SHARE: typing.Final = 0.25
+LATEST_SHARE: typing.Final = 0.5
+# Bounds what a fresh reader folds beyond the snapshot.
+MAX_RECORDS_BETWEEN: typing.Final = 5000
+RETRY_S: typing.Final = 10.0
+
+
+@attrs.define(kw_only=True)
+class Upkeep:
+    """How long the log keeps records, and the moment drawn.
+
+    share, in [0, 1), was drawn for the snapshot at drawn_for.
+    """
+
+    retention_s: float
+    drawn_for: int = -1
+    share: float = 0.0
+    not_before: float = 0.0
+
+
+def due(
+    upkeep: Upkeep,
+    reader: config_reader.ConfigReader,
+    now: float,
+    rng: random.Random,
+) -> bool:
+    """Returns whether to append a snapshot now, in seconds since 1970.
+
+    After a yes the next is at least RETRY_S away.
+    """
+    if reader.gap_end is not None or reader.config.next_offset == 0:
+        return False
+    if reader.snapshot_time_ms == 0:
+        # The state came from a peer; nothing is known of the log's.
+        reader.snapshot_time_ms = int(now * 1000)
+    if upkeep.drawn_for != reader.snapshot_offset:
+        upkeep.drawn_for = reader.snapshot_offset
+        upkeep.share = rng.random()
+    if now < upkeep.not_before or not _is_time(upkeep, reader, now):
+        return False
+    upkeep.not_before = now + RETRY_S
+    return True
+
+
+def _is_time(
+    upkeep: Upkeep, reader: config_reader.ConfigReader, now: float
+) -> bool:
+    age_s = now - reader.snapshot_time_ms / 1000
+    span = LATEST_SHARE - EARLIEST_SHARE
+    limit_s = upkeep.retention_s * (EARLIEST_SHARE + span * upkeep.share)
+    records = reader.config.next_offset - 1 - reader.snapshot_offset
+    return age_s >= limit_s or records >= MAX_RECORDS_BETWEEN * (
+        1 + upkeep.share
+    )
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -455,6 +455,59 @@
     cached_tokens: int | None = None
 
 
+# --- Peer messages: configuration ---------------------------------------
+
+
+@attrs.frozen(kw_only=True)
+class ReadConfig:
+    """Asks a peer for the configuration records from an offset on.
+
+    withdrawn holds the SHA-256 of the keys that operators withdrew
+    directly at an instance; every exchange carries them both ways.
+    """
+
+    next_offset: int
+    withdrawn: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ConfigRecord:
+    """A record of the `config` stream as the log holds it."""
+
+    offset: int
+    time_ms: int
+    data: bytes
+
+
+@attrs.frozen(kw_only=True)
+class ConfigRecords:
+    """The records asked for, up to the answering peer's next_offset.
+
+    age_s is the time since the peer knew itself complete, None if never.
+    """
+
+    next_offset: int
+    records: tuple[ConfigRecord, ...]
+    age_s: float | None
+    withdrawn: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class ConfigState:
+    """The whole configuration, for who is too far behind for records."""
+
+    snapshot: ConfigSnapshot
+    age_s: float | None
+    withdrawn: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class KeysWithdrawn:
+    """Tells a peer at once of keys withdrawn directly."""
+
+    withdrawn: tuple[str, ...]
+
+
 Message: typing.TypeAlias = typing.Any
 
 KINDS: typing.Final[dict[int, type]] = {
@@ -490,4 +543,8 @@
     61: SlotGranted,
     62: SlotRefused,
     63: SlotReleased,
+    100: ReadConfig,
+    101: ConfigRecords,
+    102: ConfigState,
+    103: KeysWithdrawn,
 }
