--- a/tests/test_config_race.py
+++ b/tests/test_config_race.py
@@ -3,8 +3,7 @@
 import asyncio
 import typing
 
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies
 
 from oleanderdrift import config_admin
@@ -17,7 +16,7 @@
 from tests import log_service as services
 
 log_service = services.log_service
-SEEDED: typing.Final = settings(
+SEEDED: typing.Final = hypothesis.settings(
     derandomize=True, deadline=None, max_examples=150
 )
 NAMES: typing.Final = ('a', 'b')
@@ -75,7 +74,7 @@
 
 
 @SEEDED
-@given(logs(), strategies.data())
+@hypothesis.given(logs(), strategies.data())
 def test_readers_agree_wherever_they_begin(
     log: list[messages.Message], data: strategies.DataObject
 ) -> None:
@@ -99,7 +98,7 @@
 
 
 @SEEDED
-@given(logs())
+@hypothesis.given(logs())
 def test_one_true_accept_for_each_version(
     log: list[messages.Message],
 ) -> None:
