--- /dev/null
+++ b/bench/config_cost.py
@@ -0,0 +1,253 @@
+"""Measures the configuration's cost and the time to be in force.
+
+Prints one JSON line for each figure.  Costs are taken at three sizes, so
+that docs/CAPACITY.md can give slopes.  The time to be in force runs from
+the call that appends a change to the last of nine followers having it.
+"""
+
+import asyncio
+import random
+import statistics
+import threading
+import time
+import tracemalloc
+import typing
+
+import attrs
+import msgspec
+
+from oleanderdrift import codec
+from oleanderdrift import config_feed
+from oleanderdrift import config_state
+from oleanderdrift import log_client
+from oleanderdrift import messages
+from oleanderdrift import model
+from standins import log
+from standins import serving
+
+ACCOUNTS: typing.Final = (425, 850, 1700)
+UPSTREAMS_PER_ACCOUNT: typing.Final = 2
+CHANGES: typing.Final = 500
+READERS: typing.Final = 9
+PUBLISHES: typing.Final = 20
+IN_FORCE_BOUND_S: typing.Final = 9.0
+
+
+@attrs.frozen(kw_only=True)
+class Figure:
+    """One figure; bound is the most allowed, None where none is set."""
+
+    name: str
+    unit: str
+    value: float
+    bound: float | None = None
+
+    @property
+    def ok(self) -> bool:
+        """Whether the value keeps its bound."""
+        return self.bound is None or self.value <= self.bound
+
+
+def show(figure: Figure) -> None:
+    """Prints a figure as a line of JSON."""
+    line = msgspec.to_builtins(figure) | {'ok': figure.ok}
+    print(msgspec.json.encode(line).decode(), flush=True)
+
+
+def change_of(
+    kind: model.Kind, item: model.ConfigObject, serial: int
+) -> messages.ConfigChange:
+    """Returns a change that sets an object."""
+    return messages.ConfigChange(
+        change_id=f'{serial:032x}',
+        kind=kind,
+        name=item.name,
+        expected_version=messages.ANY_VERSION,
+        body=msgspec.json.encode(item),
+        author='operator',
+    )
+
+
+def key_of(name: str, account: str) -> model.ApiKey:
+    """Returns a key whose secret is its name."""
+    return model.ApiKey(
+        name=name,
+        client_account=account,
+        sha256=config_state.key_digest(name),
+    )
+
+
+def records_of(accounts: int) -> list[bytes]:
+    """Returns the log of a fleet of so many accounts, as bytes."""
+    items: list[tuple[model.Kind, model.ConfigObject]] = [
+        (model.Kind.MODEL, model.Model(name='m'))
+    ]
+    for number in range(accounts):
+        account = model.ClientAccount(
+            name=f'account-{number}', rate_per_s=10, burst=20
+        )
+        items.append((model.Kind.ACCOUNT, account))
+        items.append((model.Kind.KEY, key_of(f'key-{number}', account.name)))
+    for number in range(accounts * UPSTREAMS_PER_ACCOUNT):
+        upstream = model.Upstream(
+            name=f'upstream-{number}',
+            data_centre=f'dc-{number % 7}',
+            url=f'http://10.0.{number // 250}.{number % 250}:8000',
+            models=('m',),
+        )
+        items.append((model.Kind.UPSTREAM, upstream))
+    return [
+        codec.encode(change_of(kind, item, serial))
+        for serial, (kind, item) in enumerate(items)
+    ]
+
+
+def fold(records: list[bytes]) -> model.Config:
+    """Returns the configuration that the records give."""
+    config = model.Config()
+    for offset, data in enumerate(records, 1):
+        verdict = config_state.apply(config, offset, codec.decode(data))
+        assert verdict.accepted, verdict.detail
+    return config
+
+
+def key_changes() -> list[bytes]:
+    """Returns changes that issue and withdraw keys in turn."""
+    changes = []
+    for number in range(CHANGES):
+        key = key_of(f'new-{number}', 'account-0')
+        issued = change_of(model.Kind.KEY, key, 10**9 + 2 * number)
+        removed = attrs.evolve(
+            issued, change_id=f'{10**9 + 2 * number + 1:032x}', body=None
+        )
+        changes += [codec.encode(issued), codec.encode(removed)]
+    return changes
+
+
+def measure_cost(accounts: int) -> None:
+    """Shows the costs at one size."""
+    records = records_of(accounts)
+    tracemalloc.start()
+    config = fold(records)
+    memory, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    began = time.perf_counter()
+    fold(records)
+    whole_s = time.perf_counter() - began
+    changes = key_changes()
+    began = time.perf_counter()
+    for offset, data in enumerate(changes, config.next_offset):
+        config_state.apply(config, offset, codec.decode(data))
+    each_s = (time.perf_counter() - began) / len(changes)
+    began = time.perf_counter()
+    snapshot = codec.encode(config_state.snapshot(config))
+    encode_s = time.perf_counter() - began
+    began = time.perf_counter()
+    config_state.load(model.Config(), codec.decode(snapshot))
+    load_s = time.perf_counter() - began
+    for name, unit, value in (
+        ('memory', 'KiB', memory / 1024),
+        ('fold_all', 'ms', whole_s * 1e3),
+        ('fold_key_change', 'us', each_s * 1e6),
+        ('snapshot_size', 'KiB', len(snapshot) / 1024),
+        ('snapshot_encode', 'ms', encode_s * 1e3),
+        ('snapshot_load', 'ms', load_s * 1e3),
+    ):
+        show(
+            Figure(
+                name=f'config.{name}.accounts_{accounts}',
+                unit=unit,
+                value=round(value, 2),
+            )
+        )
+
+
+class LogThread:
+    """The stand-in log in a thread of its own."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.ready = threading.Event()
+        self.url = ''
+        self.thread = threading.Thread(target=self.serve, daemon=True)
+        self.thread.start()
+        self.ready.wait()
+
+    def serve(self) -> None:
+        """Serves until stopped."""
+        asyncio.set_event_loop(self.loop)
+        _, port = serving.listen(log.make_app(), '127.0.0.1', 0)
+        self.url = f'http://127.0.0.1:{port}'
+        self.loop.call_soon(self.ready.set)
+        self.loop.run_forever()
+
+    def stop(self) -> None:
+        """Stops serving."""
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+
+
+def notifier(event: asyncio.Event) -> config_feed.Listener:
+    """Returns a listener that sets the event."""
+
+    def listen(_: model.ObjectChange) -> None:
+        event.set()
+
+    return listen
+
+
+async def measure_in_force(url: str) -> list[float]:
+    """Returns the seconds until the slowest reader had each change."""
+    clients = [log_client.LogClient(url) for _ in range(READERS + 1)]
+    feeds = [
+        config_feed.ConfigFeed(client=client, random=random.Random(number))
+        for number, client in enumerate(clients[1:])
+    ]
+    tasks = [asyncio.create_task(config_feed.follow(feed)) for feed in feeds]
+    for feed in feeds:
+        await feed.caught_up.wait()
+    times = []
+    for number in range(PUBLISHES):
+        seen = [asyncio.Event() for _ in feeds]
+        for feed, event in zip(feeds, seen):
+            feed.listeners[:] = [notifier(event)]
+        account = model.ClientAccount(name='a', rate_per_s=1, burst=number + 1)
+        change = change_of(model.Kind.ACCOUNT, account, number)
+        began = time.perf_counter()
+        await clients[0].append('config', codec.encode(change))
+        for event in seen:
+            await event.wait()
+        times.append(time.perf_counter() - began)
+    for task in tasks:
+        task.cancel()
+    for client in clients:
+        client.close()
+    return times
+
+
+def main() -> int:
+    """Shows all figures; returns 1 if one is over its bound."""
+    for accounts in ACCOUNTS:
+        measure_cost(accounts)
+    service = LogThread()
+    times = asyncio.run(measure_in_force(service.url))
+    service.stop()
+    slowest = Figure(
+        name=f'config.in_force.slowest_of_{PUBLISHES}.readers_{READERS}',
+        unit='s',
+        value=round(max(times), 4),
+        bound=IN_FORCE_BOUND_S,
+    )
+    show(slowest)
+    show(
+        Figure(
+            name=f'config.in_force.median_of_{PUBLISHES}.readers_{READERS}',
+            unit='s',
+            value=round(statistics.median(times), 4),
+        )
+    )
+    return 0 if slowest.ok else 1
+
+
+if __name__ == '__main__':
+    raise SystemExit(main())
--- a/oleanderdrift/config_state.py
+++ b/oleanderdrift/config_state.py
@@ -17,6 +17,9 @@
 from oleanderdrift import model
 
 MAX_RECENT_VERDICTS: typing.Final = 1024
+_DECODERS: typing.Final[
+    dict[model.Kind, msgspec.json.Decoder[model.ConfigObject]]
+] = {kind: msgspec.json.Decoder(type_) for kind, type_ in model.TYPES.items()}
 
 
 def objects(config: model.Config, kind: model.Kind) -> dict[str, typing.Any]:
@@ -240,9 +243,7 @@
     try:
         for part in message.objects:
             kind = model.Kind(part.kind)
-            item: model.ConfigObject = msgspec.json.decode(
-                part.body, type=model.TYPES[kind]
-            )
+            item = _DECODERS[kind].decode(part.body)
             _put(loaded, kind, part.name, None, item, part.version)
         for old in message.recent:
             loaded.recent[old.change_id] = model.Verdict(
@@ -261,23 +262,30 @@
 def _differences(
     old: model.Config, new: model.Config
 ) -> tuple[model.ObjectChange, ...]:
-    changed = [
-        place
-        for place in old.versions.keys() | new.versions.keys()
-        if old.versions.get(place) != new.versions.get(place)
-    ]
+    before, after = _by_place(old), _by_place(new)
     return tuple(
         model.ObjectChange(
             offset=new.versions.get((kind, name), new.next_offset - 1),
             kind=kind,
             name=name,
-            before=find(old, kind, name),
-            after=find(new, kind, name),
+            before=before.get((kind, name)),
+            after=after.get((kind, name)),
         )
-        for kind, name in sorted(changed)
+        for kind, name in sorted(before.keys() | after.keys())
+        if old.versions.get((kind, name)) != new.versions.get((kind, name))
     )
 
 
+def _by_place(
+    config: model.Config,
+) -> dict[tuple[model.Kind, str], model.ConfigObject]:
+    return {
+        (kind, item.name): item
+        for kind in model.Kind
+        for item in objects(config, kind).values()
+    }
+
+
 def key_digest(bearer_key: str) -> str:
     """Returns the SHA-256 by which a key is known, in hex."""
     return hashlib.sha256(bearer_key.encode()).hexdigest()
