--- a/oleanderdrift/cli.py
+++ b/oleanderdrift/cli.py
@@ -554,24 +554,33 @@
 
 @app.command()
 def explain(
-    code: typing.Annotated[str, typer.Argument(help='Number or name.')],
+    code: typing.Annotated[
+        str, typer.Argument(help='Number or name; all codes if left out.')
+    ] = '',
     as_json: JsonOption = False,
+    as_markdown: typing.Annotated[
+        bool, typer.Option('--markdown', help='Print as docs/CODES.md does.')
+    ] = False,
 ) -> None:
-    """Says what a result code means and whether the request was run."""
-    for entry in codes.TABLE.values():
-        if code in (str(entry.number), entry.name):
-            row = (
-                entry.number,
-                entry.name,
-                entry.status,
-                entry.execution,
-                entry.help,
-            )
-            headings = ('code', 'name', 'http_status', 'execution', 'meaning')
-            print_table(headings, [row], as_json)
-            return
-    typer.echo(f'There is no code {code}; see docs/CODES.md.', err=True)
-    raise typer.Exit(EXIT_REFUSED)
+    """Says what a result code means and whether the request was run.
+
+    Execution not-run: no effect, safe to send again.  unknown: it may
+    have had its effect.  ran: it had.
+    """
+    rows = [
+        (one.number, one.name, one.status, one.execution, one.help)
+        for one in sorted(codes.TABLE.values(), key=lambda one: one.number)
+        if code in ('', str(one.number), one.name)
+    ]
+    if not rows:
+        typer.echo(f'There is no code {code}; see docs/CODES.md.', err=True)
+        raise typer.Exit(EXIT_REFUSED)
+    headings = ('code', 'name', 'http_status', 'execution', 'meaning')
+    if as_markdown:
+        for cells in (headings, ('---',) * len(headings), *rows):
+            typer.echo('| ' + ' | '.join(map(str, cells)) + ' |')
+        return
+    print_table(headings, rows, as_json)
 
 
 @app.command()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -129,3 +129,10 @@
     operator.run('key', 'issue', 'nobody', code=1)
     log_service.throw(outage='refuse')
     assert '6000' in operator.run('key', 'list', code=3)
+
+
+def test_codes_page_is_up_to_date(operator: Operator) -> None:
+    page = pathlib.Path(__file__).parent.parent / 'docs' / 'CODES.md'
+    rows = [line for line in page.read_text().splitlines() if line[:1] == '|']
+    printed = operator.run('explain', '--markdown').splitlines()
+    assert rows == printed, 'renew it by `oleanderdrift explain --markdown`'
--- a/tests/test_config_feed.py
+++ b/tests/test_config_feed.py
@@ -4,14 +4,15 @@
 import random
 import typing
 
-import msgspec
-
 from oleanderdrift import codec
 from oleanderdrift import config_feed
+from oleanderdrift import config_snapshots
 from oleanderdrift import config_state
+from oleanderdrift import key_trust
 from oleanderdrift import log_client
 from oleanderdrift import messages
 from oleanderdrift import model
+from tests import config_records
 from tests import log_service as services
 
 log_service = services.log_service
@@ -22,16 +23,8 @@
 
 def account(name: str, change_id: str, burst: int = 1) -> bytes:
     """Returns the record of a change that sets an account."""
-    item = model.ClientAccount(name=name, rate_per_s=1, burst=burst)
-    return codec.encode(
-        messages.ConfigChange(
-            change_id=change_id,
-            kind=model.Kind.ACCOUNT,
-            name=name,
-            expected_version=messages.ANY_VERSION,
-            body=msgspec.json.encode(item),
-        )
-    )
+    change = config_records.set_account(name, change_id, burst=burst)
+    return codec.encode(change)
 
 
 def run(url: str, work: Work) -> None:
@@ -108,3 +101,40 @@
         assert feed.next_offset == 7
 
     run(log_service.url, work)
+
+
+def test_snapshot_is_appended_before_the_log_trims(
+    log_service: services.LogService,
+) -> None:
+    log_service.append(account('a', '1'))
+
+    async def keep(feed: config_feed.ConfigFeed) -> None:
+        feed.upkeep = config_snapshots.Upkeep(retention_s=0.1)
+        result = await feed.client.read('config', 2, 1, 5.0)
+        message = codec.decode(result.records[0].data)
+        assert isinstance(message, messages.ConfigSnapshot)
+
+    async def start_late(feed: config_feed.ConfigFeed) -> None:
+        assert list(feed.config.accounts) == ['a']
+        assert feed.next_offset == 3
+
+    run(log_service.url, keep)
+    log_service.throw(retention=1)
+    run(log_service.url, start_late)
+
+
+def test_direct_withdrawal_reaches_the_log(
+    log_service: services.LogService,
+) -> None:
+    key = model.ApiKey(name='k', client_account='a', sha256='0' * 64)
+    issued = codec.encode(config_records.set_object(key, '2'))
+    log_service.append(account('a', '1'), issued)
+
+    async def work(feed: config_feed.ConfigFeed) -> None:
+        key_trust.withdraw_name(feed.trust, feed.config, 'k', 0.0)
+        gone = asyncio.Event()
+        feed.listeners.append(lambda change: gone.set())
+        await gone.wait()
+        assert (feed.config.keys, feed.trust.withdrawn) == ({}, {})
+
+    run(log_service.url, work)
