Move shards between instances through the log

Cause: ownership and the ledger were pure; nothing joined them, opened a shard, renewed it or read the records of one that was taken.

A shard is published only when all its records are durable; where its opening is in doubt past the lease, new programs start in a fresh private shard. A takeover appends a fence, folds the stream up to it, and only then serves. An attempt keeps the fencing token that it was granted with, since the epoch of a shard changes from 0 when its opening is read and ends of earlier attempts would have been dropped. Promises and staggers are parts of the lease instead of constants. `unanswered` turns "not run" into "unknown" for a non-idempotent call whose owner cannot be asked.

Ruled out: taking shards over into another data centre (its records would have to move to another stream; a taker that dies between would leave them split): an operator's DataCentreDown frees them to instances that start in the same data centre.

--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -179,6 +179,14 @@
     'The call ran to its end; its answer is no longer held.',
 )
 
+OUTCOME_UNAVAILABLE: typing.Final = _entry(
+    4010,
+    'outcome-unavailable',
+    503,
+    _UNKNOWN,
+    'The owner cannot be asked now; an earlier attempt may have run.',
+)
+
 # 5000: upstreams.
 UPSTREAM_UNREACHABLE: typing.Final = _entry(
     5000, 'upstream-unreachable', 502, _NOT, 'No connection was made.'
--- a/oleanderdrift/ledger.py
+++ b/oleanderdrift/ledger.py
@@ -53,6 +53,7 @@
     body_digest: bytes
     idempotent: bool
     estimated_tokens: int = 0
+    fencing_token: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -328,35 +329,28 @@
         program.held = None
 
 
-def replay(
-    records: typing.Iterable[messages.Message], shards: typing.Container[str]
-) -> Ledger:
-    """Folds the wanted shards out of the records of a programs stream.
+@attrs.define(kw_only=True)
+class Replay:
+    """Folds the wanted shards out of the records of a programs stream."""
+
+    shards: frozenset[str]
+    ledger: Ledger = attrs.field(factory=Ledger)
+    fences: dict[str, int] = attrs.field(factory=dict)
+
 
-    Takes what the stream holds (Batch, ShardRecords, ShardFenced), in
-    order.  Records of an epoch older than a fence before them are void.
+def replay_record(replay: Replay, record: messages.Message) -> None:
+    """Folds the stream's next record: Batch, ShardRecords, ShardFenced.
+
+    Records of an epoch older than a fence before them are void.
     """
-    ledger = Ledger()
-    fences: dict[str, int] = {}
-    for record in records:
-        _replay_one(ledger, fences, record, shards)
-    return ledger
-
-
-def _replay_one(
-    ledger: Ledger,
-    fences: dict[str, int],
-    record: messages.Message,
-    shards: typing.Container[str],
-) -> None:
     match record:
         case messages.Batch():
             for data in record.records:
-                _replay_one(ledger, fences, codec.decode(data), shards)
+                replay_record(replay, codec.decode(data))
         case messages.ShardFenced():
-            newest = max(fences.get(record.shard, 0), record.epoch)
-            fences[record.shard] = newest
-        case messages.ShardRecords() if record.shard in shards:
-            if record.epoch >= fences.get(record.shard, 0):
+            newest = max(replay.fences.get(record.shard, 0), record.epoch)
+            replay.fences[record.shard] = newest
+        case messages.ShardRecords() if record.shard in replay.shards:
+            if record.epoch >= replay.fences.get(record.shard, 0):
                 for data in record.records:
-                    apply(ledger, codec.decode(data))
+                    apply(replay.ledger, codec.decode(data))
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -143,7 +143,7 @@
 class DataCentreDown:
     """An operator states that no instance of a data centre runs.
 
-    Its shards may then be taken over from anywhere.
+    Its shards may then be taken over at once by whoever starts there.
     """
 
     data_centre: str
--- a/oleanderdrift/ownership.py
+++ b/oleanderdrift/ownership.py
@@ -24,8 +24,8 @@
 SUCCESSORS: typing.Final = 5
 RENEWALS_PER_LEASE: typing.Final = 3
 TAKEOVER_MARGIN: typing.Final = 0.1
-TAKEOVER_STAGGER_S: typing.Final = 1.0
-PROMISE_S: typing.Final = 15.0
+TAKEOVER_STAGGER: typing.Final = 0.05
+PROMISE_PART: typing.Final = 0.5
 MAX_ASKED: typing.Final = 64
 PRUNE_AFTER_RECORDS: typing.Final = 10_000
 
@@ -45,15 +45,14 @@
 
     renewal is the offset that last extended the lease, and number its
     number; read_at is when this reader read it.  left_at is the offset
-    at which the opener lost or left the shard.  stream_data_centre names
-    the programs stream that holds its records.  unrecorded says that
-    calls may have run without a durable intent before a takeover.
+    at which the opener lost or left the shard.  unrecorded
+    says that calls may have run without a durable intent before a
+    takeover.
     """
 
     shard: str
     opener: str
-    stream_data_centre: str
-    home_data_centre: str
+    data_centre: str
     opened_at: int
     holder: Holder
     lease_s: float
@@ -64,7 +63,6 @@
     checkpoint: int = 0
     left_at: int | None = None
     released: bool = False
-    free_to_all: bool = False
     unrecorded: bool = False
     closed: bool = False
 
@@ -107,6 +105,7 @@
     sent: Sent | None = None
     lease_until: float = -math.inf
     number: int = -1
+    asked_at: float = -math.inf
     promises: dict[str, HeardPromise] = attrs.field(factory=dict)
 
 
@@ -337,7 +336,7 @@
     homes = [
         state.shard
         for state in fleet.shards.values()
-        if state.home_data_centre == data_centre
+        if state.data_centre == data_centre
         and state.opener != instance
         and state.opened_at < as_of
         and (state.left_at is None or state.left_at >= as_of)
@@ -350,10 +349,22 @@
     return hashlib.blake2b(f'{shard}/{home}'.encode()).digest()
 
 
+def promises_due(fleet: Fleet, now: float, shard: str) -> bool:
+    """Tells whether successors should be asked, as renewals fail."""
+    own = fleet.own.get(shard)
+    if own is None or own.sent is None:
+        return False
+    interval_s = fleet.lease_s * PROMISE_PART / RENEWALS_PER_LEASE
+    late = now >= own.lease_until - interval_s
+    return late and now >= own.asked_at + interval_s
+
+
 def promise_requests(
     fleet: Fleet, now: float, shard: str
 ) -> list[tuple[str, messages.PromiseRequest]]:
     """Returns what to ask of which instance to go on past the lease."""
+    if shard in fleet.own:
+        fleet.own[shard].asked_at = now
     fleet.last_asked += 1
     fleet.asked[fleet.last_asked] = _sent(fleet, now)
     fleet.asked.pop(fleet.last_asked - MAX_ASKED, None)
@@ -380,15 +391,16 @@
         return None
     if claim is not None and _may_succeed(fleet, claim):
         return None
+    promise_s = fleet.lease_s * PROMISE_PART
     fleet.given[request.shard] = GivenPromise(
-        until=now + PROMISE_S * (1 + TAKEOVER_MARGIN),
+        until=now + promise_s * (1 + TAKEOVER_MARGIN),
         last_renewal=request.last_renewal,
     )
     return messages.LeasePromise(
         shard=request.shard,
         home=request.home,
         number=request.number,
-        promise_s=PROMISE_S,
+        promise_s=promise_s,
     )
 
 
@@ -444,15 +456,15 @@
         return True
     homes = _state_successors(fleet, state)
     rank = homes.index(fleet.home) if fleet.home in homes else 0
-    lease_s = state.lease_s * (1 + TAKEOVER_MARGIN)
-    return now >= state.read_at + lease_s + rank * TAKEOVER_STAGGER_S
+    wait_s = state.lease_s * (1 + TAKEOVER_MARGIN + rank * TAKEOVER_STAGGER)
+    return now >= state.read_at + wait_s
 
 
 def _state_successors(fleet: Fleet, state: ShardState) -> list[str]:
     return successors(
         fleet,
         state.shard,
-        state.home_data_centre,
+        state.data_centre,
         state.holder.instance,
         state.as_of,
     )
@@ -461,9 +473,7 @@
 def _is_entitled(
     fleet: Fleet, state: ShardState, home: str, data_centre: str
 ) -> bool:
-    if state.free_to_all:
-        return True
-    if data_centre != state.home_data_centre:
+    if data_centre != state.data_centre:
         return False
     homes = _state_successors(fleet, state)
     return state.released or home in homes or not homes
@@ -525,8 +535,7 @@
     fleet.shards[record.shard] = ShardState(
         shard=record.shard,
         opener=record.instance,
-        stream_data_centre=record.data_centre,
-        home_data_centre=record.data_centre,
+        data_centre=record.data_centre,
         opened_at=offset,
         holder=Holder(
             instance=record.instance,
@@ -602,14 +611,12 @@
         data_centre=record.data_centre,
         epoch=offset,
     )
-    state.home_data_centre = record.data_centre
     state.lease_s = record.lease_s
     state.renewal = offset
     state.as_of = record.as_of
     state.number = record.number
     state.read_at = now
     state.released = False
-    state.free_to_all = False
     state.unrecorded = state.unrecorded or record.promised
     _drop_own(fleet, record.shard)
     if fleet.claims.get(record.shard) == record:
@@ -667,8 +674,7 @@
     fleet: Fleet, offset: int, record: messages.DataCentreDown
 ) -> None:
     for state in fleet.shards.values():
-        if state.holder.data_centre == record.data_centre:
+        if state.data_centre == record.data_centre:
             _note_left(state, offset)
             state.released = True
-            state.free_to_all = True
             _drop_own(fleet, state.shard)
--- a/oleanderdrift/programs.py
+++ b/oleanderdrift/programs.py
@@ -391,6 +391,7 @@
             body_digest=body,
             idempotent=True,
             estimated_tokens=message.estimated_tokens,
+            fencing_token=epoch,
         )
         ledger_lib.open_call(program, attempt, call)
         budget.active_at = now
@@ -404,6 +405,8 @@
             intended_at=now,
         )
         ledger_lib.apply(ledger, intent)
+        if program.open is not None:
+            program.open.fencing_token = epoch
         records = (intent,)
     reply = messages.CallGranted(
         program=program.program,
@@ -423,14 +426,15 @@
 
 
 def _is_current(
-    ledger: Ledger,
     program: ledger_lib.Program,
     message: messages.CallPlaced | messages.EndCall,
 ) -> bool:
-    epoch = ledger.shards[ledger_lib.shard_of(program.program)].epoch
-    newest = (program.next_call, program.attempt, epoch)
+    if program.open is None:
+        return False
+    token = program.open.fencing_token
+    newest = (program.next_call, program.attempt, token)
     named = (message.call, message.attempt, message.fencing_token)
-    return program.open is not None and named == newest
+    return named == newest
 
 
 def place(
@@ -443,7 +447,7 @@
         return _refuse(codes.UNKNOWN_PROGRAM)
     if program.ended_code is not None:
         return _refuse(codes.PROGRAM_ENDED)
-    if not _is_current(ledger, program, message):
+    if not _is_current(program, message):
         return _refuse(codes.OUT_OF_ORDER, 'the attempt is not under way')
     return _use_upstream(ledger, program, message.upstream)
 
@@ -467,7 +471,7 @@
     program = ledger_lib.find(ledger, message.program)
     if program is None:
         return _released(message.program, (message.upstream,))
-    if not _is_current(ledger, program, message):
+    if not _is_current(program, message):
         if program.ended_code is None:
             return _use_upstream(ledger, program, message.upstream)
         return _released(message.program, (message.upstream,))
@@ -571,11 +575,18 @@
     )
 
 
-def expire(ledger: Ledger, now: float) -> Decision:
-    """Ends programs out of time or idle, and forgets those long ended."""
+def expire(
+    ledger: Ledger, now: float, served: typing.Container[str] | None = None
+) -> Decision:
+    """Ends programs out of time or idle, and forgets those long ended.
+
+    served names the shards that may be served now, None for all.
+    """
     records: list[messages.Message] = []
     releases: list[Release] = []
-    for shard in ledger.shards.values():
+    for name, shard in ledger.shards.items():
+        if served is not None and name not in served:
+            continue
         _forget_ended(shard, now)
         for program in list(shard.programs.values()):
             if program.ended_code is None and _is_over(program, now):
@@ -606,8 +617,28 @@
         del shard.programs[name]
 
 
+def unanswered(
+    message: messages.Message, error: errors.ResultError
+) -> errors.ResultError:
+    """Returns what to answer where the owner of a program cannot be asked.
+
+    A non-idempotent call may be the repeat of one that ran.
+    """
+    repeat = isinstance(message, messages.BeginCall) and not message.idempotent
+    if error.code is codes.OWNER_UNAVAILABLE and repeat:
+        return errors.ResultError(
+            codes.OUTCOME_UNAVAILABLE,
+            error.detail,
+            retry_after_s=error.retry_after_s,
+        )
+    return error
+
+
 def replay(
-    records: typing.Iterable[messages.Message], shards: typing.Container[str]
+    records: typing.Iterable[messages.Message], shards: typing.Iterable[str]
 ) -> Ledger:
     """Folds the wanted shards out of a programs stream, for a takeover."""
-    return ledger_lib.replay(records, shards)
+    replay = ledger_lib.Replay(shards=frozenset(shards))
+    for record in records:
+        ledger_lib.replay_record(replay, record)
+    return replay.ledger
--- /dev/null
+++ b/oleanderdrift/shard_keeper.py
@@ -0,0 +1,343 @@
+"""Keeps the shards of one instance: which it serves, what it does next.
+
+Joins `ownership` (leases, monotonic time) and `programs` (the ledger).
+`step` says what the adapter has to do; the adapter feeds what it read
+and heard back in.  A shard that was taken over is served once its
+records have been folded up to the fence.
+"""
+
+import math
+import random
+import typing
+
+import attrs
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import messages
+from oleanderdrift import ownership
+from oleanderdrift import programs
+
+RESEND_S: typing.Final = 1.0
+RETRY_AFTER_S: typing.Final = 1.0
+SHARD_BITS: typing.Final = 32
+MS_PER_S: typing.Final = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class AppendFleet:
+    """Append a record to the fleet stream."""
+
+    record: messages.Message
+
+
+@attrs.frozen(kw_only=True)
+class AskPromise:
+    """Ask an instance to wait, and feed a LeasePromise to on_promise."""
+
+    instance: str
+    request: messages.PromiseRequest
+
+
+@attrs.frozen(kw_only=True)
+class TakeOver:
+    """Append the fence, read up to it, and call finish_takeover.
+
+    The reading starts at the checkpoint, an offset in the programs
+    stream of the data centre; 0 stands for the oldest record held.
+    """
+
+    shard: str
+    fence: messages.ShardFenced
+    checkpoint: int
+
+
+Action: typing.TypeAlias = AppendFleet | AskPromise | TakeOver
+
+
+@attrs.define(kw_only=True)
+class Keeper:
+    """The shards of one instance.
+
+    current is the shard in which new programs start.  taking holds the
+    epochs of shards that are held but not folded yet.
+    """
+
+    fleet: ownership.Fleet
+    ledger: programs.Ledger
+    random: random.Random
+    current: str = ''
+    taking: dict[str, int] = attrs.field(factory=dict)
+    started: set[str] = attrs.field(factory=set)
+    sent_at: dict[str, float] = attrs.field(factory=dict)
+
+
+def make(
+    *,
+    instance: str,
+    data_centre: str,
+    lease_s: float,
+    unix_s: float,
+    rng: random.Random,
+    ledger: programs.Ledger,
+) -> Keeper:
+    """Returns a keeper with a private shard; unix_s is Unix time."""
+    fleet = ownership.Fleet(
+        instance=instance,
+        data_centre=data_centre,
+        lease_s=lease_s,
+        last_number=int(unix_s * MS_PER_S),
+    )
+    keeper = Keeper(fleet=fleet, ledger=ledger, random=rng)
+    _mint_shard(keeper)
+    return keeper
+
+
+def _mint_shard(keeper: Keeper) -> None:
+    name = f'{keeper.random.getrandbits(SHARD_BITS):08x}'
+    keeper.current = f'{keeper.fleet.instance}-{name}'
+    ownership.open_private(keeper.fleet, keeper.current)
+    programs.hold_shard(keeper.ledger, keeper.current)
+
+
+def shard_for_new(keeper: Keeper, now: float) -> str:
+    """Returns the shard for a new program.
+
+    When the lease of the present one is in doubt, it is a new private
+    shard, so new programs can start all through an outage.
+    """
+    if not ownership.may_serve(keeper.fleet, now, keeper.current):
+        _mint_shard(keeper)
+    return keeper.current
+
+
+def holder_of(keeper: Keeper, shard: str) -> str:
+    """Returns the instance to ask about a shard.
+
+    A shard that the log does not name is held by the instance that it is
+    named after.  Raises ResultError(OWNER_UNAVAILABLE) where nobody
+    holds it now.
+    """
+    fleet = keeper.fleet
+    if shard in fleet.own:
+        return fleet.instance
+    if shard not in fleet.shards:
+        return shard.rpartition('-')[0]
+    holder = ownership.holder(fleet, shard)
+    if holder is None:
+        raise _unavailable('nobody holds the shard')
+    return holder.instance
+
+
+def epoch_of(keeper: Keeper, now: float, shard: str) -> int:
+    """Returns the epoch under which a shard may be served now.
+
+    Raises ResultError(OWNER_UNAVAILABLE).
+    """
+    if shard in keeper.taking:
+        raise _unavailable('the shard is being taken over')
+    if shard not in keeper.ledger.shards:
+        raise _unavailable('the shard is not held here')
+    if not ownership.may_serve(keeper.fleet, now, shard):
+        raise _unavailable('the lease has lapsed')
+    return keeper.ledger.shards[shard].epoch
+
+
+def _unavailable(detail: str) -> errors.ResultError:
+    return errors.ResultError(
+        codes.OWNER_UNAVAILABLE, detail, retry_after_s=RETRY_AFTER_S
+    )
+
+
+def served(keeper: Keeper, now: float) -> set[str]:
+    """Returns the shards that may be served now."""
+    return {
+        shard
+        for shard in keeper.ledger.shards
+        if shard not in keeper.taking
+        and ownership.may_serve(keeper.fleet, now, shard)
+    }
+
+
+def on_fleet_record(
+    keeper: Keeper, now: float, offset: int, record: messages.Message
+) -> None:
+    """Folds a record of the fleet stream and follows what it changes."""
+    fleet = keeper.fleet
+    ownership.apply(fleet, now, offset, record)
+    for shard in list(keeper.ledger.shards):
+        if shard not in fleet.own:
+            programs.drop_shard(keeper.ledger, shard)
+    for shard in list(keeper.taking):
+        if shard not in fleet.own:
+            _stop_taking(keeper, shard)
+    for shard in fleet.own:
+        epoch = ownership.epoch(fleet, shard)
+        if shard in keeper.ledger.shards:
+            programs.hold_shard(keeper.ledger, shard, epoch)
+        elif keeper.taking.get(shard) != epoch:
+            _stop_taking(keeper, shard)
+            keeper.taking[shard] = epoch
+
+
+def _stop_taking(keeper: Keeper, shard: str) -> None:
+    keeper.taking.pop(shard, None)
+    keeper.started.discard(shard)
+
+
+def step(
+    keeper: Keeper, now: float, *, log_answers: bool, durable: bool
+) -> list[Action]:
+    """Returns what is to be done now; call it a few times a second.
+
+    log_answers says that the log answered within the last moments,
+    durable that every record of the ledger so far is in the log.
+    """
+    fleet = keeper.fleet
+    if durable:
+        ownership.note_recorded(fleet)
+    if not fleet.home:
+        _mint_shard(keeper)
+    actions: list[Action] = []
+    if log_answers:
+        actions += _openings(keeper, now, durable=durable)
+        if durable:
+            actions += _closings(keeper, now)
+        actions += _claims(keeper, now)
+        actions += _takeovers(keeper)
+    if ownership.renewal_due(fleet, now):
+        actions.append(AppendFleet(record=ownership.renewal(fleet, now)))
+    for shard in list(fleet.own):
+        if ownership.promises_due(fleet, now, shard):
+            actions += [
+                AskPromise(instance=instance, request=request)
+                for instance, request in ownership.promise_requests(
+                    fleet, now, shard
+                )
+            ]
+    return actions
+
+
+def _is_time(keeper: Keeper, now: float, name: str) -> bool:
+    if now < keeper.sent_at.get(name, -math.inf) + RESEND_S:
+        return False
+    keeper.sent_at[name] = now
+    return True
+
+
+def _openings(
+    keeper: Keeper, now: float, *, durable: bool
+) -> list[AppendFleet]:
+    actions = []
+    for shard in keeper.fleet.own:
+        unread = shard not in keeper.fleet.shards
+        private = ownership.is_private(keeper.fleet, shard)
+        if not unread or (private and not durable):
+            continue
+        if _is_time(keeper, now, f'open {shard}'):
+            programs.publish_shard(keeper.ledger, shard)
+            record = ownership.opening(keeper.fleet, now, shard)
+            actions.append(AppendFleet(record=record))
+    return actions
+
+
+def _closings(keeper: Keeper, now: float) -> list[AppendFleet]:
+    actions = []
+    for shard in sorted(served(keeper, now)):
+        kept = shard in (keeper.current, keeper.fleet.home)
+        if kept or keeper.ledger.shards[shard].programs:
+            continue
+        record = ownership.close(keeper.fleet, shard)
+        programs.drop_shard(keeper.ledger, shard)
+        if record is not None:
+            actions.append(AppendFleet(record=record))
+    return actions
+
+
+def _claims(keeper: Keeper, now: float) -> list[AppendFleet]:
+    return [
+        AppendFleet(record=ownership.takeover(keeper.fleet, now, shard))
+        for shard in ownership.takeover_candidates(keeper.fleet, now)
+        if _is_time(keeper, now, f'take {shard}')
+    ]
+
+
+def _takeovers(keeper: Keeper) -> list[TakeOver]:
+    actions = []
+    for shard, epoch in keeper.taking.items():
+        if shard in keeper.started:
+            continue
+        keeper.started.add(shard)
+        actions.append(
+            TakeOver(
+                shard=shard,
+                fence=messages.ShardFenced(shard=shard, epoch=epoch),
+                checkpoint=keeper.fleet.shards[shard].checkpoint,
+            )
+        )
+    return actions
+
+
+def on_promise_request(
+    keeper: Keeper, now: float, request: messages.PromiseRequest
+) -> messages.Message:
+    """Answers a peer that asks this instance to wait."""
+    promise = ownership.promise(keeper.fleet, now, request)
+    if promise is None:
+        raise _unavailable('no promise')
+    return promise
+
+
+def on_promise(keeper: Keeper, message: messages.LeasePromise) -> None:
+    """Takes in a peer's promise."""
+    ownership.accept_promise(keeper.fleet, message)
+
+
+def takeover_failed(keeper: Keeper, action: TakeOver) -> None:
+    """Lets a takeover that could not be read be started again."""
+    if keeper.taking.get(action.shard) == action.fence.epoch:
+        keeper.started.discard(action.shard)
+
+
+def finish_takeover(
+    keeper: Keeper, unix_s: float, action: TakeOver, found: programs.Ledger
+) -> programs.Decision | None:
+    """Serves a shard that was folded up to its fence.
+
+    Returns what has to be recorded for it, or None where the shard was
+    lost meanwhile.
+    """
+    shard, epoch = action.shard, action.fence.epoch
+    if keeper.taking.get(shard) != epoch:
+        return None
+    _stop_taking(keeper, shard)
+    return programs.take_shard(
+        keeper.ledger,
+        unix_s,
+        shard,
+        epoch,
+        found,
+        unrecorded=keeper.fleet.shards[shard].unrecorded,
+    )
+
+
+def release_all(keeper: Keeper) -> list[messages.Message]:
+    """Stops serving every shard, for a shutdown.
+
+    Every record must be durable before.  Returns the records that let
+    peers take the shards at once.
+    """
+    records: list[messages.Message] = []
+    for shard in list(keeper.fleet.own):
+        record = ownership.release(keeper.fleet, shard)
+        programs.drop_shard(keeper.ledger, shard)
+        _stop_taking(keeper, shard)
+        if record is not None:
+            records.append(record)
+    return records
+
+
+def is_closed(keeper: Keeper, shard: str) -> bool:
+    """Tells whether the shard ended with all its programs."""
+    state = keeper.fleet.shards.get(shard)
+    return state is not None and state.closed
--- /dev/null
+++ b/tests/test_shard_feed.py
@@ -0,0 +1,158 @@
+"""Tests of shards that move between instances through the log."""
+
+import asyncio
+import random
+import time
+import typing
+
+import attrs
+
+from oleanderdrift import codec
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import log_client
+from oleanderdrift import messages
+from oleanderdrift import programs
+from oleanderdrift import shard_feed
+from oleanderdrift import shard_keeper
+from tests import log_service as services
+from tests import test_programs
+
+log_service = services.log_service
+LEASE_S: typing.Final = 0.4
+BOUND_S: typing.Final = 8.0
+
+
+@attrs.define(kw_only=True)
+class Node:
+    """An instance with its feed; written is set by a takeover."""
+
+    feed: shard_feed.ShardFeed
+    written: asyncio.Event
+    tasks: list[asyncio.Task[None]]
+
+    @property
+    def keeper(self) -> shard_keeper.Keeper:
+        return self.feed.keeper
+
+
+async def _no_peer(
+    instance: str, message: messages.Message
+) -> messages.Message:
+    raise errors.ResultError(codes.PEER_UNREACHABLE, instance)
+
+
+def start(name: str, client: log_client.LogClient) -> Node:
+    written = asyncio.Event()
+    keeper = shard_keeper.make(
+        instance=name,
+        data_centre='dc',
+        lease_s=LEASE_S,
+        unix_s=time.time(),
+        rng=random.Random(name),
+        ledger=programs.Ledger(),
+    )
+    feed = shard_feed.ShardFeed(
+        keeper=keeper,
+        client=client,
+        random=random.Random(name),
+        ask=_no_peer,
+        write=lambda decision: written.set(),
+        is_durable=lambda: True,
+    )
+    works: list[typing.Any] = [shard_feed.follow(feed), shard_feed.run(feed)]
+    loop = asyncio.get_running_loop()
+    tasks = [loop.create_task(work) for work in works]
+    return Node(feed=feed, written=written, tasks=tasks)
+
+
+async def until(condition: typing.Callable[[], bool]) -> None:
+    deadline = time.monotonic() + BOUND_S
+    while not condition():
+        assert time.monotonic() < deadline
+        await asyncio.sleep(0.005)
+
+
+def held(node: Node) -> bool:
+    shard = node.keeper.current
+    return node.keeper.ledger.shards[shard].epoch > 0
+
+
+async def append(
+    client: log_client.LogClient, shard: str, decision: programs.Decision
+) -> None:
+    records = messages.ShardRecords(
+        shard=shard,
+        epoch=decision.reply.fencing_token
+        if isinstance(decision.reply, messages.CallGranted)
+        else 0,
+        records=tuple(codec.encode(one) for one in decision.records),
+    )
+    await client.append('programs.dc', codec.encode(records))
+
+
+def test_a_successor_knows_the_intents_of_a_killed_owner(
+    log_service: services.LogService,
+) -> None:
+    async def whole() -> None:
+        client = log_client.LogClient(log_service.url, 1.0)
+        killed, successor = start('x', client), start('y', client)
+        await until(lambda: held(killed) and held(successor))
+        keeper = killed.keeper
+        shard = keeper.current
+        # The successor must have been known when the lease was renewed.
+        number = keeper.fleet.own[shard].number
+        await until(lambda: keeper.fleet.own[shard].number > number + 1)
+        epoch = shard_keeper.epoch_of(keeper, time.monotonic(), shard)
+        created = programs.create(
+            keeper.ledger,
+            time.time(),
+            shard,
+            test_programs.CREATE,
+            test_programs.CLASS,
+        )
+        call = attrs.evolve(test_programs.TOOL, program=f'{shard}.1')
+        begun = programs.begin(keeper.ledger, time.time(), epoch, call)
+        await append(client, shard, created)
+        await append(client, shard, begun)
+        for task in killed.tasks:
+            task.cancel()
+        await asyncio.wait_for(successor.written.wait(), BOUND_S)
+        epoch = shard_keeper.epoch_of(
+            successor.keeper, time.monotonic(), shard
+        )
+        assert shard_keeper.holder_of(successor.keeper, shard) == 'y'
+        reply = programs.begin(
+            successor.keeper.ledger, time.time(), epoch, call
+        ).reply
+        assert reply.code == codes.OUTCOME_UNKNOWN.number
+        for task in successor.tasks:
+            task.cancel()
+        client.close()
+
+    asyncio.run(whole())
+
+
+def test_an_outage_leaves_private_shards() -> None:
+    keeper = shard_keeper.make(
+        instance='x',
+        data_centre='dc',
+        lease_s=LEASE_S,
+        unix_s=0.0,
+        rng=random.Random(1),
+        ledger=programs.Ledger(),
+    )
+    first = shard_keeper.shard_for_new(keeper, 0.0)
+    actions = shard_keeper.step(keeper, 0.0, log_answers=True, durable=True)
+    assert isinstance(actions[0], shard_keeper.AppendFleet)
+    assert shard_keeper.shard_for_new(keeper, LEASE_S - 0.1) == first
+    second = shard_keeper.shard_for_new(keeper, LEASE_S)
+    assert second != first
+    assert shard_keeper.served(keeper, 1e6) == {second}
+
+
+def test_a_non_idempotent_call_without_owner_may_have_run() -> None:
+    error = errors.ResultError(codes.OWNER_UNAVAILABLE)
+    told = programs.unanswered(test_programs.TOOL, error)
+    assert told.code is codes.OUTCOME_UNAVAILABLE
+    assert programs.unanswered(test_programs.BEGIN, error) is error
