Settings, peers, upstream client, group commit, conversations

Cause: the thin path needs its adapters. curl repeats a request by itself when a kept-open connection turns out to be closed, so a request that may run only once gets a connection of its own (http_out.once).

--- /dev/null
+++ b/oleanderdrift/conversation.py
@@ -0,0 +1,225 @@
+"""Reads chat completion requests and answers of the usual API.
+
+Only what the scheduler needs is read: the model, the messages in a
+canonical form for the history's digest, the size, and from an answer the
+assistant's message and the tokens used.
+"""
+
+import typing
+
+import attrs
+import msgspec
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+
+BYTES_PER_TOKEN: typing.Final = 4
+DEFAULT_MAX_TOKENS: typing.Final = 1_024
+DONE_EVENT: typing.Final = b'data: [DONE]'
+_DATA: typing.Final = b'data: '
+_CANONICAL_KEYS: typing.Final = (
+    'role',
+    'name',
+    'content',
+    'tool_calls',
+    'tool_call_id',
+)
+
+_Json: typing.TypeAlias = dict[str, typing.Any]
+
+
+@attrs.frozen(kw_only=True)
+class ChatRequest:
+    """A chat completion request.
+
+    messages holds each message's canonical JSON; recorded counts those
+    up to and with the last one of the assistant, which a program that
+    goes on has been given before.
+    """
+
+    model: str
+    stream: bool
+    messages: tuple[bytes, ...]
+    recorded: int
+    prompt_tokens: int
+    max_tokens: int
+    fields: _Json
+
+
+@attrs.frozen(kw_only=True)
+class ChatAnswer:
+    """The assistant's message as canonical JSON and the tokens used."""
+
+    message: bytes
+    tokens: int
+
+
+@attrs.define(kw_only=True)
+class _ToolCall:
+    id: str = ''
+    name: str = ''
+    arguments: list[str] = attrs.field(factory=list)
+
+
+def parse_request(body: bytes) -> ChatRequest:
+    """Reads a request's body; raises ResultError(MALFORMED_JSON)."""
+    try:
+        fields = msgspec.json.decode(body, type=_Json)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise errors.ResultError(codes.MALFORMED_JSON, str(error)) from error
+    model = fields.get('model')
+    if not isinstance(model, str):
+        raise errors.ResultError(codes.MALFORMED_JSON, 'model must be text')
+    messages = _messages(fields)
+    encoded = tuple(canonical(message) for message in messages)
+    return ChatRequest(
+        model=model,
+        stream=fields.get('stream') is True,
+        messages=encoded,
+        recorded=_recorded(messages),
+        prompt_tokens=sum(map(len, encoded)) // BYTES_PER_TOKEN,
+        max_tokens=_max_tokens(fields),
+        fields=fields,
+    )
+
+
+def _messages(fields: _Json) -> list[_Json]:
+    found = fields.get('messages')
+    if not isinstance(found, list) or not found:
+        raise errors.ResultError(
+            codes.MALFORMED_JSON, 'messages must be a list, not empty'
+        )
+    for message in found:
+        if not isinstance(message, dict) or 'role' not in message:
+            raise errors.ResultError(
+                codes.MALFORMED_JSON, 'each message must have a role'
+            )
+    return found
+
+
+def _recorded(messages: list[_Json]) -> int:
+    for index in range(len(messages), 0, -1):
+        if messages[index - 1]['role'] == 'assistant':
+            return index
+    return 0
+
+
+def _max_tokens(fields: _Json) -> int:
+    for key in ('max_completion_tokens', 'max_tokens'):
+        value = fields.get(key)
+        if value is None:
+            continue
+        if not isinstance(value, int) or value < 1:
+            raise errors.ResultError(
+                codes.MALFORMED_JSON, f'{key} must be a whole number above 0'
+            )
+        return value
+    return DEFAULT_MAX_TOKENS
+
+
+def canonical(message: _Json) -> bytes:
+    """Returns the JSON of what identifies a message, in a fixed order."""
+    kept = {
+        key: message[key]
+        for key in _CANONICAL_KEYS
+        if message.get(key) is not None
+    }
+    return msgspec.json.encode(kept, order='deterministic')
+
+
+def upstream_body(request: ChatRequest, remaining_tokens: int) -> bytes:
+    """Returns the body for the engine.
+
+    It asks for the usage that budgets are settled by, and for no more
+    tokens than the program's budget has left.
+    """
+    fields = dict(request.fields)
+    if request.stream:
+        options = fields.get('stream_options') or {}
+        fields['stream_options'] = {**options, 'include_usage': True}
+    fields.pop('max_completion_tokens', None)
+    fields['max_tokens'] = min(request.max_tokens, remaining_tokens)
+    return msgspec.json.encode(fields)
+
+
+def parse_answer(body: bytes) -> ChatAnswer:
+    """Reads a whole answer; raises ResultError(UPSTREAM_FAILED)."""
+    try:
+        answer = msgspec.json.decode(body, type=_Json)
+        message = answer['choices'][0]['message']
+        tokens = int(answer.get('usage', {}).get('total_tokens', 0))
+        return ChatAnswer(message=canonical(message), tokens=tokens)
+    except (
+        msgspec.MsgspecError,
+        LookupError,
+        TypeError,
+        AttributeError,
+    ) as error:
+        raise _broken(error) from error
+
+
+def parse_stream(body: bytes) -> ChatAnswer:
+    """Reads a whole event stream; raises ResultError(UPSTREAM_FAILED)."""
+    if DONE_EVENT not in body:
+        raise _broken('no [DONE] event')
+    text: list[str] = []
+    calls: dict[int, _ToolCall] = {}
+    tokens = 0
+    try:
+        for event in _events(body):
+            usage = event.get('usage')
+            tokens = int(usage['total_tokens']) if usage else tokens
+            for choice in event.get('choices', ()):
+                _take_delta(choice['delta'], text, calls)
+    except (
+        msgspec.MsgspecError,
+        LookupError,
+        TypeError,
+        AttributeError,
+    ) as error:
+        raise _broken(error) from error
+    message: _Json = {'role': 'assistant', 'content': ''.join(text) or None}
+    if calls:
+        message['tool_calls'] = [_tool_call(calls[i]) for i in sorted(calls)]
+    return ChatAnswer(message=canonical(message), tokens=tokens)
+
+
+def _events(body: bytes) -> typing.Iterator[_Json]:
+    for line in body.splitlines():
+        if line.startswith(_DATA) and not line.startswith(DONE_EVENT):
+            yield msgspec.json.decode(line[len(_DATA) :], type=_Json)
+
+
+def _take_delta(
+    delta: _Json, text: list[str], calls: dict[int, _ToolCall]
+) -> None:
+    if delta.get('content'):
+        text.append(delta['content'])
+    for part in delta.get('tool_calls') or ():
+        call = calls.setdefault(part['index'], _ToolCall())
+        function = part.get('function') or {}
+        call.id = part.get('id') or call.id
+        call.name = function.get('name') or call.name
+        call.arguments.append(function.get('arguments') or '')
+
+
+def _tool_call(call: _ToolCall) -> _Json:
+    return {
+        'id': call.id,
+        'type': 'function',
+        'function': {
+            'name': call.name,
+            'arguments': ''.join(call.arguments),
+        },
+    }
+
+
+def _broken(reason: object) -> errors.ResultError:
+    return errors.ResultError(
+        codes.UPSTREAM_FAILED, f'the answer cannot be read: {reason}'
+    )
+
+
+def find_done(data: bytes) -> int:
+    """Returns where the event that ends a stream begins, or -1."""
+    return data.find(DONE_EVENT)
--- /dev/null
+++ b/oleanderdrift/group_commit.py
@@ -0,0 +1,106 @@
+"""Group commit: many records of one instance in one append.
+
+Records that come within an interval go to the log in one Batch.  An
+append that failed is tried again with the same records; folds drop the
+copy when both took effect, because each batch carries the same records
+in the same order and every record is idempotent in its fold.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+import attrs
+
+from oleanderdrift import codec
+from oleanderdrift import errors
+from oleanderdrift import logs
+from oleanderdrift import messages
+
+RETRY_S: typing.Final = 0.5
+MAX_BATCH_BYTES: typing.Final = 1_000_000
+
+Append: typing.TypeAlias = collections.abc.Callable[
+    [bytes], collections.abc.Awaitable[int]
+]
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """A record that waits for the log, and who waits for it."""
+
+    data: bytes
+    durable: asyncio.Future[int]
+
+
+class GroupCommit:
+    """Batches the records of one stream and appends them in order."""
+
+    def __init__(self, *, append: Append, interval_s: float) -> None:
+        self.append = append
+        self.interval_s = interval_s
+        self.entries: list[Entry] = []
+        self.ready = asyncio.Event()
+        self.appends = 0
+        self.failing = False
+
+    def add(self, record: messages.Message) -> asyncio.Future[int]:
+        """Queues a record; the future gets the offset of its batch."""
+        durable: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+        entry = Entry(data=codec.encode(record), durable=durable)
+        self.entries.append(entry)
+        self.ready.set()
+        return durable
+
+    async def run(self) -> None:
+        """Appends batches for ever; cancelled by the daemon."""
+        while True:
+            await self.ready.wait()
+            await asyncio.sleep(self.interval_s)
+            self.ready.clear()
+            await self._append_all()
+
+    async def _append_all(self) -> None:
+        while self.entries:
+            batch = _first_batch(self.entries)
+            offset = await self._append_until_taken(batch)
+            del self.entries[: len(batch)]
+            for entry in batch:
+                if not entry.durable.done():
+                    entry.durable.set_result(offset)
+
+    async def _append_until_taken(self, batch: list[Entry]) -> int:
+        records = tuple(entry.data for entry in batch)
+        data = codec.encode(messages.Batch(records=records))
+        while True:
+            try:
+                offset = await self.append(data)
+            except errors.ResultError as error:
+                self._note_failing(error)
+                await asyncio.sleep(RETRY_S)
+                continue
+            self.failing = False
+            self.appends += 1
+            return offset
+
+    def _note_failing(self, error: errors.ResultError) -> None:
+        if not self.failing:
+            logs.warning(
+                'log-append-failing',
+                code=error.code.number,
+                waiting=len(self.entries),
+            )
+        self.failing = True
+
+
+def _first_batch(entries: list[Entry]) -> list[Entry]:
+    size = 0
+    batch: list[Entry] = []
+    for entry in entries:
+        size += len(entry.data)
+        if batch and size > MAX_BATCH_BYTES:
+            break
+        batch.append(entry)
+    return batch
--- /dev/null
+++ b/oleanderdrift/http_out.py
@@ -0,0 +1,207 @@
+"""Requests to upstreams, through Tornado's curl client.
+
+A Stream hands on the answer's bytes as they come.  How a failed exchange
+ended is told apart by what the upstream can have seen: a request whose
+connection was never made was not run; anything later may have run.
+"""
+
+import asyncio
+import typing
+
+import attrs
+import pycurl
+from tornado import curl_httpclient
+from tornado import httpclient
+from tornado import httputil
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+
+BUFFER_BYTES: typing.Final = 1_048_576
+LOW_SPEED_BYTES_PER_S: typing.Final = 1
+_NO_TIMEOUT_S: typing.Final = 0.0
+_CLOSED: typing.Final = None
+_NOT_SENT: typing.Final = frozenset(
+    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
+)
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamRequest:
+    """A request to an upstream.
+
+    once marks a request that must not be sent twice: it gets a
+    connection of its own, since curl silently repeats a request whose
+    kept-open connection turns out to be closed.
+    """
+
+    method: str
+    url: str
+    headers: dict[str, str]
+    body: bytes
+    once: bool
+    connect_timeout_s: float
+    silence_s: float
+
+
+class Stream:
+    """One exchange with an upstream and the bytes it has brought."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = httputil.HTTPHeaders()
+        self.chunks: list[bytes] = []
+        self.buffered = 0
+        self.ended = False
+        self.cancelled = False
+        self.error: errors.ResultError | None = None
+        self.changed = asyncio.Event()
+        self.curl: pycurl.Curl | None = None
+        self.paused = False
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Waits for the status line; raises ResultError if none came."""
+        while not self.status and not self.ended:
+            await self._wait()
+        if self.error is not None and not self.status:
+            raise self.error
+
+    async def read(self) -> bytes:
+        """Returns the bytes that have come, b'' at the whole answer's end.
+
+        Raises ResultError when the answer was cut short.
+        """
+        while not self.chunks and not self.ended:
+            await self._wait()
+        if self.chunks:
+            return self._take()
+        if self.error is not None:
+            raise self.error
+        return b''
+
+    def cancel(self) -> None:
+        """Breaks the exchange off; its connection is closed."""
+        self.cancelled = True
+        self._resume()
+
+    async def _wait(self) -> None:
+        self.changed.clear()
+        await self.changed.wait()
+
+    def _take(self) -> bytes:
+        data = b''.join(self.chunks)
+        self.chunks.clear()
+        self.buffered = 0
+        self._resume()
+        return data
+
+    def _resume(self) -> None:
+        if self.paused and self.curl is not None:
+            self.paused = False
+            self.curl.pause(pycurl.PAUSE_CONT)
+
+    def on_header(self, line: bytes) -> None:
+        """Takes a header line from curl."""
+        text = line.decode('latin-1').rstrip('\r\n')
+        if text.startswith('HTTP/'):
+            status = int(text.split(' ', 2)[1])
+            self.headers = httputil.HTTPHeaders()
+            # An informational response is not the answer.
+            self.status = status if status >= 200 else 0
+        elif text:
+            self.headers.parse_line(text)
+        elif self.status:
+            self.changed.set()
+
+    def on_body(self, data: bytes) -> int:
+        """Takes body bytes from curl, or makes it pause or stop."""
+        if self.cancelled:
+            return 0
+        if self.buffered >= BUFFER_BYTES:
+            self.paused = True
+            return pycurl.WRITEFUNC_PAUSE
+        self.chunks.append(data)
+        self.buffered += len(data)
+        self.changed.set()
+        return len(data)
+
+    def on_progress(self, *_counts: int) -> int:
+        """Tells curl whether to abort (any number but 0)."""
+        return int(self.cancelled)
+
+
+class Upstreams:
+    """The adapter that speaks HTTP to upstreams."""
+
+    def __init__(self, *, max_streams: int) -> None:
+        self.client = curl_httpclient.CurlAsyncHTTPClient(
+            force_instance=True, max_clients=max_streams
+        )
+
+    def close(self) -> None:
+        """Closes the client and its connections."""
+        self.client.close()
+
+    def open(self, request: UpstreamRequest) -> Stream:
+        """Starts an exchange and returns it at once."""
+        stream = Stream()
+        stream.task = asyncio.get_running_loop().create_task(
+            self._exchange(stream, request)
+        )
+        return stream
+
+    async def _exchange(
+        self, stream: Stream, request: UpstreamRequest
+    ) -> None:
+        def prepare(curl: pycurl.Curl) -> None:
+            _prepare(curl, stream, request)
+
+        response = await self.client.fetch(
+            httpclient.HTTPRequest(
+                request.url,
+                method=request.method,
+                headers=httputil.HTTPHeaders(request.headers),
+                body=request.body if request.method != 'GET' else None,
+                connect_timeout=request.connect_timeout_s,
+                request_timeout=_NO_TIMEOUT_S,
+                follow_redirects=False,
+                decompress_response=False,
+                allow_nonstandard_methods=True,
+                prepare_curl_callback=prepare,
+            ),
+            raise_error=False,
+        )
+        stream.curl = None
+        stream.error = _failure(response)
+        stream.ended = True
+        stream.changed.set()
+
+
+def _prepare(
+    curl: pycurl.Curl, stream: Stream, request: UpstreamRequest
+) -> None:
+    stream.curl = curl
+    curl.setopt(pycurl.HEADERFUNCTION, stream.on_header)
+    curl.setopt(pycurl.WRITEFUNCTION, stream.on_body)
+    curl.setopt(pycurl.NOPROGRESS, 0)
+    curl.setopt(pycurl.XFERINFOFUNCTION, stream.on_progress)
+    curl.setopt(pycurl.LOW_SPEED_LIMIT, LOW_SPEED_BYTES_PER_S)
+    curl.setopt(pycurl.LOW_SPEED_TIME, max(1, round(request.silence_s)))
+    curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.FRESH_CONNECT, int(request.once))
+    curl.setopt(pycurl.FORBID_REUSE, int(request.once))
+    curl.setopt(pycurl.NOPROXY, '*')
+
+
+def _failure(response: httpclient.HTTPResponse) -> errors.ResultError | None:
+    error = response.error
+    if not isinstance(error, curl_httpclient.CurlError):
+        return None
+    if error.errno in _NOT_SENT:
+        return errors.ResultError(codes.UPSTREAM_UNREACHABLE, str(error))
+    if error.errno == pycurl.E_OPERATION_TIMEDOUT:
+        if not response.time_info.get('connect'):
+            return errors.ResultError(codes.UPSTREAM_UNREACHABLE, str(error))
+        return errors.ResultError(codes.UPSTREAM_TIMEOUT, str(error))
+    return errors.ResultError(codes.UPSTREAM_FAILED, str(error))
--- /dev/null
+++ b/oleanderdrift/peers.py
@@ -0,0 +1,212 @@
+"""Typed messages between instances over ZeroMQ.
+
+One ROUTER socket takes what peers send; one DEALER socket for each peer
+sends and gets the replies.  Requests carry a correlation id; a reply to
+a request that has timed out goes to on_late, so that what it granted can
+be given back.  Every link has heartbeats, and a link that went silent is
+closed and replaced by a new connection.
+"""
+
+import asyncio
+import collections.abc
+import itertools
+import typing
+
+import attrs
+import zmq
+from zmq.eventloop import zmqstream
+
+from oleanderdrift import codec
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import logs
+from oleanderdrift import messages
+
+HEARTBEAT_INTERVAL_MS: typing.Final = 1_000
+HEARTBEAT_TIMEOUT_MS: typing.Final = 3_000
+HIGH_WATER_MARK: typing.Final = 10_000
+_ID_BYTES: typing.Final = 8
+_ONE_WAY: typing.Final = bytes(_ID_BYTES)
+
+Handler: typing.TypeAlias = collections.abc.Callable[
+    [messages.Message],
+    collections.abc.Awaitable[messages.Message | None],
+]
+LateHandler: typing.TypeAlias = collections.abc.Callable[
+    [str, messages.Message], None
+]
+
+
+@attrs.define(kw_only=True)
+class Link:
+    """The connection to one peer and the requests that await replies."""
+
+    address: str
+    stream: typing.Any
+    waiting: dict[bytes, asyncio.Future[messages.Message]] = attrs.field(
+        factory=dict
+    )
+
+
+
+class Peers:
+    """The peer adapter of one instance."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        handler: Handler,
+        on_late: LateHandler,
+    ) -> None:
+        self.handler = handler
+        self.on_late = on_late
+        self.links: dict[str, Link] = {}
+        self.sent_bytes = 0
+        self.context = zmq.Context()
+        self.correlation = itertools.count(1)
+        self.tasks: set[asyncio.Task[None]] = set()
+        router = self.context.socket(zmq.ROUTER)
+        _set_options(router)
+        self.port = port or router.bind_to_random_port(f'tcp://{address}')
+        if port:
+            router.bind(f'tcp://{address}:{port}')
+        self.router = zmqstream.ZMQStream(router)
+        self.router.on_recv(self._on_request)
+
+    def close(self) -> None:
+        """Closes every socket without waiting for what is unsent."""
+        self.router.close(linger=0)
+        for link in self.links.values():
+            link.stream.close(linger=0)
+        self.links.clear()
+        self.context.destroy(linger=0)
+
+    async def request(
+        self, address: str, message: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        """Sends a request to a peer's address (IP:port) and awaits the reply.
+
+        Raises ResultError(PEER_UNREACHABLE) when none comes in time, and
+        the peer's own ResultError where it answered with Failed.
+        """
+        link = self._link(address)
+        correlation = next(self.correlation).to_bytes(_ID_BYTES, 'big')
+        future: asyncio.Future[messages.Message] = (
+            asyncio.get_running_loop().create_future()
+        )
+        link.waiting[correlation] = future
+        try:
+            self._send(link, correlation, message)
+            reply = await asyncio.wait_for(future, timeout_s)
+        except TimeoutError as error:
+            self._drop_silent(link)
+            raise errors.ResultError(
+                codes.PEER_UNREACHABLE, f'no reply from {address}'
+            ) from error
+        finally:
+            link.waiting.pop(correlation, None)
+
+        if isinstance(reply, messages.Failed):
+            raise _error(reply)
+        return reply
+
+    def send(self, address: str, message: messages.Message) -> None:
+        """Sends a message that wants no reply; it may be lost."""
+        try:
+            self._send(self._link(address), _ONE_WAY, message)
+        except errors.ResultError:
+            logs.info('peer-send-dropped', peer=address)
+
+    def _send(
+        self, link: Link, correlation: bytes, message: messages.Message
+    ) -> None:
+        frames = [correlation, codec.encode(message)]
+        try:
+            link.stream.socket.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.Again as error:
+            raise errors.ResultError(
+                codes.PEER_UNREACHABLE, f'{link.address} is not connected'
+            ) from error
+        self.sent_bytes += sum(len(frame) for frame in frames)
+
+    def _link(self, address: str) -> Link:
+        link = self.links.get(address)
+        if link is None:
+            socket = self.context.socket(zmq.DEALER)
+            _set_options(socket)
+            socket.connect(f'tcp://{address}')
+            stream = zmqstream.ZMQStream(socket)
+            link = Link(address=address, stream=stream)
+            stream.on_recv(lambda frames: self._on_reply(link, frames))
+            self.links[address] = link
+        return link
+
+    def _drop_silent(self, link: Link) -> None:
+        # What lies between may have lost track of the connection: the
+        # next request goes over a new one.
+        if self.links.get(link.address) is not link or link.waiting:
+            return
+        del self.links[link.address]
+        link.stream.close(linger=0)
+
+    def _on_reply(self, link: Link, frames: list[bytes]) -> None:
+        correlation, data = frames
+        message = codec.decode(data)
+        future = link.waiting.get(correlation)
+        if future is None or future.done():
+            self.on_late(link.address, message)
+            return
+        future.set_result(message)
+
+    def _on_request(self, frames: list[bytes]) -> None:
+        task = asyncio.get_running_loop().create_task(self._answer(frames))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _answer(self, frames: list[bytes]) -> None:
+        identity, correlation, data = frames
+        try:
+            reply = await self.handler(codec.decode(data))
+        except errors.ResultError as error:
+            reply = failed(error)
+        except codec.CodecError as error:
+            logs.warning('peer-message-undecodable', detail=error)
+            return
+        if correlation == _ONE_WAY or reply is None:
+            return
+        encoded = codec.encode(reply)
+        self.sent_bytes += len(encoded)
+        try:
+            self.router.socket.send_multipart(
+                [identity, correlation, encoded], zmq.NOBLOCK
+            )
+        except zmq.ZMQError as error:
+            logs.info('peer-reply-dropped', detail=error)
+
+
+def failed(error: errors.ResultError) -> messages.Failed:
+    """Returns the message that carries an error to a peer."""
+    return messages.Failed(
+        code=error.code.number,
+        detail=error.detail,
+        retry_after_s=error.retry_after_s,
+    )
+
+
+def _error(message: messages.Failed) -> errors.ResultError:
+    return errors.ResultError(
+        codes.TABLE[message.code],
+        message.detail,
+        retry_after_s=message.retry_after_s,
+    )
+
+
+def _set_options(socket: zmq.Socket[bytes]) -> None:
+    socket.setsockopt(zmq.LINGER, 0)
+    socket.setsockopt(zmq.SNDHWM, HIGH_WATER_MARK)
+    socket.setsockopt(zmq.RCVHWM, HIGH_WATER_MARK)
+    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+    socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
--- /dev/null
+++ b/oleanderdrift/settings.py
@@ -0,0 +1,227 @@
+"""Settings of one instance, read from TOML and checked whole.
+
+load() lists every fault in one go: the key, what was found and what is
+allowed.  Unknown keys are faults, with the nearest known name.
+"""
+
+import difflib
+import ipaddress
+import pathlib
+import re
+import tomllib
+import typing
+
+import attrs
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+
+_NAME: typing.Final = re.compile(r'[a-z0-9][a-z0-9-]{0,62}')
+MAX_PORT: typing.Final = 65_535
+
+
+@attrs.frozen(kw_only=True)
+class Allowed:
+    """What a setting may be: a pattern for text, bounds for numbers."""
+
+    text: str
+    low: float = 0
+    high: float = float('inf')
+    pattern: re.Pattern[str] | None = None
+    is_address: bool = False
+
+
+def _setting(allowed: Allowed, **default: typing.Any) -> typing.Any:
+    return attrs.field(metadata={'allowed': allowed}, **default)
+
+
+def _name() -> typing.Any:
+    return _setting(
+        Allowed(
+            text='lower-case letters, digits and hyphens, up to 63',
+            pattern=_NAME,
+        )
+    )
+
+
+def _url() -> typing.Any:
+    return _setting(
+        Allowed(
+            text='an http:// or https:// address',
+            pattern=re.compile(r'https?://[^\s/]+(/\S*)?'),
+        )
+    )
+
+
+def _port() -> typing.Any:
+    return _setting(Allowed(text='0 to 65535', low=0, high=MAX_PORT))
+
+
+def _number(default: float, low: float, high: float) -> typing.Any:
+    text = f'{low:g} to {high:g}'
+    return _setting(Allowed(text=text, low=low, high=high), default=default)
+
+
+@attrs.frozen(kw_only=True)
+class Instance:
+    """Who this process is and where it listens."""
+
+    name: str = _name()
+    data_centre: str = _name()
+    address: str = _setting(Allowed(text='an IP number', is_address=True))
+    http_port: int = _port()
+    peer_port: int = _port()
+
+
+@attrs.frozen(kw_only=True)
+class Platform:
+    """Where the platform's log service and instance list are."""
+
+    log_url: str = _url()
+    list_url: str = _url()
+    timeout_s: float = _number(2.0, 0.1, 30)
+    list_interval_s: float = _number(1.0, 0.1, 60)
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """Bounds on what one caller or one upstream may take."""
+
+    body_bytes: int = _number(8_388_608, 1_024, 1_073_741_824)
+    receive_timeout_s: float = _number(20.0, 0.5, 600)
+    queue_timeout_s: float = _number(30.0, 0.1, 3_600)
+    connect_timeout_s: float = _number(1.0, 0.05, 30)
+    upstream_silence_s: float = _number(30.0, 0.5, 3_600)
+    shutdown_s: float = _number(120.0, 0, 3_600)
+    client_streams: int = _number(2_000, 1, 100_000)
+
+
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """Times of the agreements between instances."""
+
+    lease_s: float = _number(20.0, 1, 600)
+    share_lease_s: float = _number(7_200.0, 2, 86_400)
+    key_grace_s: float = _number(3_600.0, 1, 86_400)
+    commit_interval_s: float = _number(0.02, 0, 5)
+    peer_timeout_s: float = _number(2.0, 0.1, 60)
+
+
+@attrs.frozen(kw_only=True)
+class Operators:
+    """Who may read status and withdraw keys directly."""
+
+    token_sha256: str = _setting(
+        Allowed(
+            text='the SHA-256 of the operator token, 64 hex digits, or empty',
+            pattern=re.compile(r'([0-9a-f]{64})?'),
+        ),
+        default='',
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    """All settings of one instance."""
+
+    instance: Instance
+    platform: Platform
+    limits: Limits = attrs.field(factory=Limits)
+    fleet: Fleet = attrs.field(factory=Fleet)
+    operators: Operators = attrs.field(factory=Operators)
+
+
+_Table: typing.TypeAlias = dict[str, typing.Any]
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Reads and checks a settings file.
+
+    Raises ResultError(SETTINGS_INVALID) whose detail has one line for
+    each fault.
+    """
+    try:
+        table = tomllib.loads(path.read_text('utf-8'))
+    except OSError as error:
+        raise _invalid(path, [f'cannot be read: {error.strerror}']) from error
+    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise _invalid(path, [f'is not TOML: {error}']) from error
+    faults: list[str] = []
+    sections = _sections(table, faults)
+    if faults:
+        raise _invalid(path, faults)
+    return Settings(**sections)
+
+
+def _invalid(path: pathlib.Path, faults: list[str]) -> errors.ResultError:
+    lines = [f'{path}: {fault}' for fault in faults]
+    return errors.ResultError(codes.SETTINGS_INVALID, '\n'.join(lines))
+
+
+def _sections(table: _Table, faults: list[str]) -> _Table:
+    kinds: dict[str, typing.Any] = {
+        field.name: field.type for field in attrs.fields(Settings)
+    }
+    _check_unknown('', table, list(kinds), faults)
+    sections = {}
+    for name, kind in kinds.items():
+        found = table.get(name, {})
+        if not isinstance(found, dict):
+            faults.append(f'{name}: found {found!r}; allowed: a table')
+            continue
+        values = _values(name, kind, found, faults)
+        if not faults:
+            sections[name] = kind(**values)
+    return sections
+
+
+def _check_unknown(
+    section: str, table: _Table, known: list[str], faults: list[str]
+) -> None:
+    for key in table:
+        if key in known:
+            continue
+        near = difflib.get_close_matches(key, known, n=1, cutoff=0)
+        hint = f'; nearest is {near[0]}' if near else ''
+        faults.append(f'{section}{key}: unknown setting{hint}')
+
+
+def _values(
+    section: str, kind: typing.Any, table: _Table, faults: list[str]
+) -> _Table:
+    fields = attrs.fields(kind)
+    known = [field.name for field in fields]
+    _check_unknown(f'{section}.', table, known, faults)
+    values = {}
+    for field in fields:
+        allowed: Allowed = field.metadata['allowed']
+        key = f'{section}.{field.name}'
+        if field.name not in table:
+            if field.default is attrs.NOTHING:
+                faults.append(f'{key}: missing; allowed: {allowed.text}')
+            continue
+        found = table[field.name]
+        if not _is_allowed(found, field.type, allowed):
+            faults.append(f'{key}: found {found!r}; allowed: {allowed.text}')
+        values[field.name] = found
+    return values
+
+
+def _is_allowed(found: object, kind: object, allowed: Allowed) -> bool:
+    if kind is str:
+        return isinstance(found, str) and _is_allowed_text(found, allowed)
+    if isinstance(found, bool) or not isinstance(found, int | float):
+        return False
+    if kind is int and not isinstance(found, int):
+        return False
+    return allowed.low <= found <= allowed.high
+
+
+def _is_allowed_text(found: str, allowed: Allowed) -> bool:
+    if allowed.is_address:
+        try:
+            ipaddress.ip_address(found)
+        except ValueError:
+            return False
+        return True
+    return allowed.pattern is None or bool(allowed.pattern.fullmatch(found))
