--- /dev/null
+++ b/oleanderdrift/blackboard.py
@@ -0,0 +1,47 @@
+"""The blackboard: all that one instance knows.
+
+Adapters write what they hear, controllers read and write the rest.  Each
+part belongs to the module that defines its type.
+"""
+
+import collections.abc
+
+import attrs
+
+from oleanderdrift import membership
+from oleanderdrift import model
+from oleanderdrift import programs
+from oleanderdrift import scheduler
+from oleanderdrift import settings as settings_lib
+from oleanderdrift import shares
+
+
+@attrs.define(kw_only=True)
+class OpenCall:
+    """A call that a caller of this instance has open.
+
+    abort ends it, with the reason as a result code.
+    """
+
+    client_account: str
+    key_sha256: str
+    abort: collections.abc.Callable[[], None]
+
+
+@attrs.define(kw_only=True)
+class Board:
+    """The state of one instance.
+
+    shard is the name of the ownership shard opened by this incarnation;
+    open_calls is indexed by call id.
+    """
+
+    settings: settings_lib.Settings
+    shard: str
+    members: membership.Members
+    shares: shares.Shares
+    config: model.Config = attrs.field(factory=model.Config)
+    ledger: programs.Ledger = attrs.field(factory=programs.Ledger)
+    groups: dict[str, scheduler.DispatchGroup] = attrs.field(factory=dict)
+    open_calls: dict[str, OpenCall] = attrs.field(factory=dict)
+    draining: bool = False
--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -78,6 +78,13 @@
 SLOW_SENDER: typing.Final = _entry(
     1007, 'slow-sender', 408, _NOT, 'The request did not arrive in time.'
 )
+KEY_IN_REQUEST: typing.Final = _entry(
+    1008,
+    'key-in-request',
+    400,
+    _NOT,
+    'The key stands outside the Authorization header.',
+)
 
 # 2000: who asks.
 MISSING_KEY: typing.Final = _entry(
--- /dev/null
+++ b/oleanderdrift/daemon.py
@@ -0,0 +1,394 @@
+"""One instance: builds the adapters and controllers and runs them."""
+
+import asyncio
+import collections.abc
+import pathlib
+import random
+import signal
+import time
+import typing
+import uuid
+
+import attrs
+import msgspec
+from tornado import httpserver
+from tornado import netutil
+
+from oleanderdrift import blackboard
+from oleanderdrift import calls as calls_lib
+from oleanderdrift import codes
+from oleanderdrift import config_feed
+from oleanderdrift import dispatch as dispatch_lib
+from oleanderdrift import errors
+from oleanderdrift import group_commit
+from oleanderdrift import http_in
+from oleanderdrift import http_out
+from oleanderdrift import list_client
+from oleanderdrift import log_client
+from oleanderdrift import logs
+from oleanderdrift import membership
+from oleanderdrift import messages
+from oleanderdrift import metrics as metrics_lib
+from oleanderdrift import model
+from oleanderdrift import owner as owner_lib
+from oleanderdrift import owner_client as owner_client_lib
+from oleanderdrift import peers as peers_lib
+from oleanderdrift import programs
+from oleanderdrift import releases as releases_lib
+from oleanderdrift import settings as settings_lib
+from oleanderdrift import shares
+
+DRAIN_POLL_S: typing.Final = 0.05
+SHARD_BYTES: typing.Final = 4
+
+
+@attrs.define(kw_only=True)
+class Daemon:
+    """Everything that one instance runs."""
+
+    board: blackboard.Board
+    log: log_client.LogClient
+    feed: config_feed.ConfigFeed
+    listing: list_client.ListClient
+    peers: peers_lib.Peers
+    upstreams: http_out.Upstreams
+    dispatch: dispatch_lib.Dispatch
+    owner: owner_lib.Owner
+    commit: group_commit.GroupCommit
+    releases: releases_lib.Releases
+    front: http_in.Front
+    server: httpserver.HTTPServer
+    tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+
+
+def run(path: pathlib.Path) -> None:
+    """Serves until SIGTERM; raises ResultError(SETTINGS_INVALID)."""
+    settings = settings_lib.load(path)
+    asyncio.run(serve(settings))
+
+
+async def serve(settings: settings_lib.Settings) -> None:
+    """Runs an instance until SIGTERM or SIGINT, then drains it."""
+    daemon = build(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    start(daemon)
+    await daemon.feed.caught_up.wait()
+    logs.info(
+        'ready',
+        instance=settings.instance.name,
+        data_centre=settings.instance.data_centre,
+        http_port=settings.instance.http_port,
+        peer_port=daemon.peers.port,
+    )
+    await stop.wait()
+    await drain(daemon)
+    close(daemon)
+
+
+def build(settings: settings_lib.Settings) -> Daemon:
+    """Builds an instance whose sockets are bound but not served yet."""
+    board = _board(settings)
+    log = log_client.LogClient(
+        settings.platform.log_url, settings.platform.timeout_s
+    )
+    feed = config_feed.ConfigFeed(client=log, random=random.Random())
+    board.config = feed.config
+    upstreams = http_out.Upstreams(
+        max_streams=settings.limits.client_streams
+    )
+    releases = releases_lib.Releases(board=board, upstreams=upstreams)
+    commit = _commit(settings, log)
+    owner = owner_lib.Owner(
+        board=board,
+        commit=commit,
+        release=lambda release: releases_lib.submit(releases, release),
+        epoch_of=lambda shard: _epoch_of(board, shard),
+    )
+    peers = peers_lib.Peers(
+        name=settings.instance.name,
+        address=settings.instance.address,
+        port=settings.instance.peer_port,
+        handler=lambda sender, message: _on_peer(daemon, sender, message),
+        on_late=lambda peer, message: _on_late(daemon, peer, message),
+    )
+    dispatch = dispatch_lib.Dispatch(board=board, peers=peers)
+    owners = owner_client_lib.OwnerClient(
+        board=board, owner=owner, peers=peers, holder_of=_holder_of
+    )
+    calls = calls_lib.Calls(
+        board=board, owners=owners, dispatch=dispatch, upstreams=upstreams
+    )
+    front = http_in.Front(
+        board=board,
+        calls=calls,
+        owners=owners,
+        metrics=metrics_lib.Metrics(),
+        status=lambda: _status(daemon),
+        is_ready=feed.caught_up.is_set,
+        key_age_s=lambda: _key_age_s(feed),
+    )
+    daemon = Daemon(
+        board=board,
+        log=log,
+        feed=feed,
+        listing=list_client.ListClient(
+            base_url=settings.platform.list_url,
+            timeout_s=settings.platform.timeout_s,
+        ),
+        peers=peers,
+        upstreams=upstreams,
+        dispatch=dispatch,
+        owner=owner,
+        commit=commit,
+        releases=releases,
+        front=front,
+        server=_server(settings, front),
+    )
+    feed.listeners.append(lambda change: _on_change(daemon, change))
+    return daemon
+
+
+def _board(settings: settings_lib.Settings) -> blackboard.Board:
+    this = membership.Member(
+        name=settings.instance.name,
+        data_centre=settings.instance.data_centre,
+        address=settings.instance.address,
+        http_port=settings.instance.http_port,
+        peer_port=settings.instance.peer_port,
+    )
+    shard = f'{settings.instance.name}-{uuid.uuid4().hex[: SHARD_BYTES * 2]}'
+    board = blackboard.Board(
+        settings=settings,
+        shard=shard,
+        members=membership.Members(this=this),
+        shares=shares.Shares(instance=this.name, fraction=1.0),
+    )
+    programs.hold_shard(board.ledger, shard)
+    return board
+
+
+def _commit(
+    settings: settings_lib.Settings, log: log_client.LogClient
+) -> group_commit.GroupCommit:
+    stream = f'programs.{settings.instance.data_centre}'
+    return group_commit.GroupCommit(
+        append=lambda data: log.append(stream, data),
+        interval_s=settings.fleet.commit_interval_s,
+    )
+
+
+def _server(
+    settings: settings_lib.Settings, front: http_in.Front
+) -> httpserver.HTTPServer:
+    limits = settings.limits
+    server = httpserver.HTTPServer(
+        http_in.make_app(front),
+        idle_connection_timeout=limits.receive_timeout_s,
+        body_timeout=limits.receive_timeout_s,
+        # Handlers refuse a longer body with a code before this bound.
+        max_body_size=limits.body_bytes * 16,
+    )
+    sockets = netutil.bind_sockets(
+        settings.instance.http_port, settings.instance.address
+    )
+    server.add_sockets(sockets)
+    return server
+
+
+def start(daemon: Daemon) -> None:
+    """Starts the instance's background work."""
+    works: list[collections.abc.Coroutine[typing.Any, typing.Any, None]] = [
+        config_feed.follow(daemon.feed),
+        daemon.commit.run(),
+        _follow_list(daemon),
+        dispatch_lib.run(daemon.dispatch),
+        owner_lib.run(daemon.owner),
+    ]
+    loop = asyncio.get_running_loop()
+    daemon.tasks = [loop.create_task(work) for work in works]
+
+
+async def drain(daemon: Daemon) -> None:
+    """Leaves the balancer's check and lets every open call end."""
+    daemon.board.draining = True
+    logs.info('draining', open_calls=len(daemon.board.open_calls))
+    deadline = time.monotonic() + daemon.board.settings.limits.shutdown_s
+    while daemon.board.open_calls and time.monotonic() < deadline:
+        await asyncio.sleep(DRAIN_POLL_S)
+    while daemon.commit.entries and time.monotonic() < deadline:
+        await asyncio.sleep(DRAIN_POLL_S)
+    daemon.server.stop()
+    await daemon.server.close_all_connections()
+
+
+def close(daemon: Daemon) -> None:
+    """Closes every socket."""
+    for task in daemon.tasks:
+        task.cancel()
+    daemon.peers.close()
+    daemon.upstreams.close()
+    daemon.listing.close()
+    daemon.log.close()
+    logs.info('stopped', instance=daemon.board.settings.instance.name)
+
+
+async def _follow_list(daemon: Daemon) -> None:
+    interval_s = daemon.board.settings.platform.list_interval_s
+    while True:
+        try:
+            listed = await daemon.listing.read()
+            _on_list(daemon, listed)
+        except errors.ResultError as error:
+            logs.info('list-read-failed', code=error.code.number)
+        await asyncio.sleep(interval_s)
+
+
+def _on_list(
+    daemon: Daemon, listed: list[list_client.ListedInstance]
+) -> None:
+    now = time.monotonic()
+    members = daemon.board.members
+    before = {member.name for member in membership.alive(members, now)}
+    fresh = [
+        membership.Member(
+            name=entry.name,
+            data_centre=entry.data_centre,
+            address=entry.address,
+            http_port=entry.http_port,
+            peer_port=entry.peer_port,
+            leaving=entry.state == 'leaving',
+        )
+        for entry in listed
+    ]
+    membership.update(members, now, fresh)
+    gone = before - set(members.listed) - {members.this.name}
+    if gone:
+        dispatch_lib.on_members(daemon.dispatch, gone)
+        owner_lib.on_members(daemon.owner, gone)
+
+
+async def _on_peer(
+    daemon: Daemon, sender: str, message: messages.Message
+) -> messages.Message | None:
+    match message:
+        case messages.SlotRequest():
+            return await dispatch_lib.wait_for_slot(
+                daemon.dispatch, sender, message
+            )
+        case messages.SlotReleased():
+            dispatch_lib.on_release(daemon.dispatch, message)
+            return None
+        case _:
+            return await owner_lib.handle(daemon.owner, sender, message)
+
+
+def _on_late(daemon: Daemon, peer: str, message: messages.Message) -> None:
+    match message:
+        case messages.CallGranted():
+            daemon.peers.send(
+                peer,
+                messages.EndCall(
+                    program=message.program,
+                    call=message.call,
+                    attempt=message.attempt,
+                    fencing_token=message.fencing_token,
+                    execution=codes.Execution.NOT_RUN,
+                    status=codes.OWNER_UNAVAILABLE.status,
+                    tokens=0,
+                    upstream='',
+                    service_s=0.0,
+                ),
+            )
+        case messages.SlotGranted():
+            daemon.peers.send(
+                peer,
+                messages.SlotReleased(
+                    call_id=message.call_id,
+                    upstream=message.upstream,
+                    failed=False,
+                    first_token_s=0.0,
+                    duration_s=0.0,
+                    tokens=0,
+                ),
+            )
+
+
+def _on_change(daemon: Daemon, change: model.ObjectChange) -> None:
+    if change.kind is model.Kind.UPSTREAM:
+        dispatch_lib.on_config(daemon.dispatch)
+    if change.kind is model.Kind.KEY:
+        _end_withdrawn(daemon)
+
+
+def _end_withdrawn(daemon: Daemon) -> None:
+    keys = daemon.board.config.keys
+    for call in list(daemon.board.open_calls.values()):
+        if call.key_sha256 and call.key_sha256 not in keys:
+            call.abort()
+
+
+def _epoch_of(board: blackboard.Board, shard: str) -> int:
+    state = board.ledger.shards.get(shard)
+    if state is None:
+        raise errors.ResultError(codes.OWNER_UNAVAILABLE, retry_after_s=1.0)
+    return state.epoch
+
+
+def _holder_of(shard: str) -> str:
+    # A shard that is not in the log is held by the instance that it is
+    # named after.
+    return shard.rpartition('-')[0]
+
+
+def _key_age_s(feed: config_feed.ConfigFeed) -> float:
+    if feed.last_contact is None:
+        return float('inf')
+    return time.monotonic() - feed.last_contact
+
+
+@attrs.frozen(kw_only=True)
+class Status:
+    """What GET /v1/status answers."""
+
+    instance: str
+    data_centre: str
+    ready: bool
+    draining: bool
+    config_offset: int
+    config_age_s: float
+    members: tuple[membership.Member, ...]
+    upstreams: tuple[model.Upstream, ...]
+    classes: tuple[model.ProgramClass, ...]
+    share: float
+    open_calls: int
+    programs: int
+    log_failing: bool
+    log_appends: int
+
+
+def _status(daemon: Daemon) -> bytes:
+    board = daemon.board
+    now = time.monotonic()
+    return msgspec.json.encode(
+        Status(
+            instance=board.settings.instance.name,
+            data_centre=board.settings.instance.data_centre,
+            ready=daemon.feed.caught_up.is_set(),
+            draining=board.draining,
+            config_offset=daemon.feed.next_offset - 1,
+            config_age_s=min(_key_age_s(daemon.feed), 1e9),
+            members=tuple(membership.alive(board.members, now)),
+            upstreams=tuple(board.config.upstreams.values()),
+            classes=tuple(board.config.classes.values()),
+            share=board.shares.fraction,
+            open_calls=len(board.open_calls),
+            programs=sum(
+                len(shard.programs) for shard in board.ledger.shards.values()
+            ),
+            log_failing=daemon.commit.failing,
+            log_appends=daemon.commit.appends,
+        )
+    )
--- /dev/null
+++ b/oleanderdrift/dispatch.py
@@ -0,0 +1,191 @@
+"""Slots on upstreams: asks a dispatch group's home, or is that home.
+
+The home of a group is found by rendezvous hashing over the live
+instances.  A caller's instance that loses the home while it waits asks
+the next home; nothing was dispatched yet, so nothing can run twice.
+"""
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+import attrs
+
+from oleanderdrift import blackboard
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import membership
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import peers
+from oleanderdrift import scheduler
+
+HOME_TRIES: typing.Final = 3
+POLL_S: typing.Final = 0.25
+
+_Decision: typing.TypeAlias = messages.SlotGranted | messages.SlotRefused
+
+
+@attrs.define(kw_only=True)
+class Dispatch:
+    """The dispatch controller of one instance."""
+
+    board: blackboard.Board
+    peers: peers.Peers
+    pending: dict[str, asyncio.Future[_Decision]] = attrs.field(factory=dict)
+
+
+def group_of(dispatch: Dispatch, service: str) -> scheduler.DispatchGroup:
+    """Returns the group of a model or tool, with its upstreams current."""
+    board = dispatch.board
+    group = board.groups.get(service)
+    if group is None:
+        group = scheduler.DispatchGroup(name=service)
+        board.groups[service] = group
+    scheduler.set_upstreams(
+        group, time.monotonic(), upstreams_of(board.config, service)
+    )
+    return group
+
+
+def upstreams_of(config: model.Config, service: str) -> list[model.Upstream]:
+    """Returns the upstreams that serve a model or tool."""
+    return [
+        upstream
+        for upstream in config.upstreams.values()
+        if service in upstream.models or service in upstream.tools
+    ]
+
+
+async def acquire(
+    dispatch: Dispatch, request: messages.SlotRequest
+) -> messages.SlotGranted:
+    """Waits for a slot; raises ResultError(OVERLOADED) if refused."""
+    timeout_s = dispatch.board.settings.limits.queue_timeout_s
+    for _attempt in range(HOME_TRIES):
+        home = _home(dispatch, request.service)
+        try:
+            decision = await _ask(dispatch, home, request, timeout_s)
+        except errors.ResultError as error:
+            if error.code is not codes.PEER_UNREACHABLE:
+                raise
+            await asyncio.sleep(POLL_S)
+            continue
+        if isinstance(decision, messages.SlotGranted):
+            return decision
+        raise errors.ResultError(
+            codes.TABLE[decision.code], retry_after_s=decision.retry_after_s
+        )
+    raise errors.ResultError(
+        codes.OVERLOADED, 'no home of the dispatch group', retry_after_s=1.0
+    )
+
+
+def _home(dispatch: Dispatch, service: str) -> membership.Member:
+    members = dispatch.board.members
+    return membership.home(members, time.monotonic(), f'group {service}')
+
+
+async def _ask(
+    dispatch: Dispatch,
+    home: membership.Member,
+    request: messages.SlotRequest,
+    timeout_s: float,
+) -> _Decision:
+    this = dispatch.board.settings.instance.name
+    if home.name == this:
+        return await wait_for_slot(dispatch, this, request)
+    reply = await dispatch.peers.request(
+        peer_address(home), request, timeout_s + 1.0
+    )
+    if isinstance(reply, messages.SlotGranted | messages.SlotRefused):
+        return reply
+    raise errors.ResultError(codes.PEER_UNREACHABLE, 'unexpected reply')
+
+
+def peer_address(member: membership.Member) -> str:
+    """Returns where a member's peer socket listens."""
+    return f'{member.address}:{member.peer_port}'
+
+
+def give_back(
+    dispatch: Dispatch, service: str, released: messages.SlotReleased
+) -> None:
+    """Releases a slot at the group's home, which may have moved."""
+    home = _home(dispatch, service)
+    if home.name == dispatch.board.settings.instance.name:
+        on_release(dispatch, released)
+    else:
+        dispatch.peers.send(peer_address(home), released)
+
+
+async def wait_for_slot(
+    dispatch: Dispatch, holder: str, request: messages.SlotRequest
+) -> _Decision:
+    """Queues a call here, at the group's home, until it is decided."""
+    group = group_of(dispatch, request.service)
+    future: asyncio.Future[_Decision] = (
+        asyncio.get_running_loop().create_future()
+    )
+    dispatch.pending[request.call_id] = future
+    scheduler.submit(group, time.monotonic(), request, holder)
+    settle(dispatch, group)
+    limits = dispatch.board.settings.limits
+    try:
+        return await asyncio.wait_for(future, limits.queue_timeout_s)
+    except TimeoutError:
+        return messages.SlotRefused(
+            call_id=request.call_id,
+            code=codes.OVERLOADED.number,
+            retry_after_s=1.0,
+        )
+    finally:
+        dispatch.pending.pop(request.call_id, None)
+        if not future.done() or future.cancelled():
+            scheduler.withdraw(group, time.monotonic(), request.call_id)
+            settle(dispatch, group)
+
+
+def settle(dispatch: Dispatch, group: scheduler.DispatchGroup) -> None:
+    """Hands out the decisions that are due in a group."""
+    for decision in scheduler.poll(group, time.monotonic()):
+        future = dispatch.pending.get(decision.call_id)
+        if future is not None and not future.done():
+            future.set_result(decision)
+        elif isinstance(decision, messages.SlotGranted):
+            scheduler.withdraw(group, time.monotonic(), decision.call_id)
+
+
+def on_release(dispatch: Dispatch, released: messages.SlotReleased) -> None:
+    """Takes a slot back at the group's home."""
+    now = time.monotonic()
+    for group in dispatch.board.groups.values():
+        if released.upstream in group.replicas:
+            scheduler.release(group, now, released)
+            settle(dispatch, group)
+
+
+def on_members(
+    dispatch: Dispatch, gone: collections.abc.Iterable[str]
+) -> None:
+    """Takes back the slots of instances that are gone."""
+    now = time.monotonic()
+    for name in gone:
+        for group in dispatch.board.groups.values():
+            scheduler.withdraw_holder(group, now, name)
+            settle(dispatch, group)
+
+
+def on_config(dispatch: Dispatch) -> None:
+    """Brings every group's upstreams up to the configuration."""
+    for service in list(dispatch.board.groups):
+        settle(dispatch, group_of(dispatch, service))
+
+
+async def run(dispatch: Dispatch) -> None:
+    """Polls the groups at the times that they ask for."""
+    while True:
+        await asyncio.sleep(POLL_S)
+        for group in dispatch.board.groups.values():
+            settle(dispatch, group)
--- /dev/null
+++ b/oleanderdrift/owner.py
@@ -0,0 +1,205 @@
+"""The owner's part: decides on calls of the programs in its shards.
+
+Asks `programs` for each decision, commits the records it names, and only
+then lets the reply out.  Owner is told of instances that are gone, so
+that their attempts do not stay open.
+"""
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+import attrs
+
+from oleanderdrift import blackboard
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import group_commit
+from oleanderdrift import ledger as ledger_lib
+from oleanderdrift import logs
+from oleanderdrift import messages
+from oleanderdrift import programs
+
+EXPIRE_INTERVAL_S: typing.Final = 1.0
+
+Releaser: typing.TypeAlias = collections.abc.Callable[
+    [programs.Release], None
+]
+Epochs: typing.TypeAlias = collections.abc.Callable[[str], int]
+
+
+@attrs.frozen(kw_only=True)
+class Attempt:
+    """An attempt of a call that some instance has under way."""
+
+    program: str
+    call: int
+    attempt: int
+    fencing_token: int
+
+
+@attrs.define(kw_only=True)
+class Owner:
+    """The owner controller of one instance.
+
+    epoch_of returns the epoch under which a shard may be served now, or
+    raises ResultError(OWNER_UNAVAILABLE).  attempts maps those under way
+    to the instance that has them.
+    """
+
+    board: blackboard.Board
+    commit: group_commit.GroupCommit
+    release: Releaser
+    epoch_of: Epochs
+    attempts: dict[Attempt, str] = attrs.field(factory=dict)
+
+
+async def handle(
+    owner: Owner, sender: str, message: messages.Message
+) -> messages.Message:
+    """Answers one message on a program that this instance owns.
+
+    Raises ResultError where the answer is a refusal.
+    """
+    now = time.time()
+    ledger = owner.board.ledger
+    match message:
+        case messages.CreateProgram():
+            decision = _create(owner, now, message)
+        case messages.BeginCall():
+            epoch = owner.epoch_of(ledger_lib.shard_of(message.program))
+            decision = programs.begin(ledger, now, epoch, message)
+        case messages.CallPlaced():
+            owner.epoch_of(ledger_lib.shard_of(message.program))
+            decision = programs.place(ledger, now, message)
+        case messages.EndCall():
+            owner.attempts.pop(_attempt(message), None)
+            decision = programs.end(ledger, now, message)
+        case messages.EndProgram():
+            owner.epoch_of(ledger_lib.shard_of(message.program))
+            decision = programs.finish(ledger, now, message)
+        case _:
+            raise errors.ResultError(codes.BAD_REQUEST, 'unexpected message')
+    return await _settle(owner, sender, decision)
+
+
+def _create(
+    owner: Owner, now: float, message: messages.CreateProgram
+) -> programs.Decision:
+    program_class = owner.board.config.classes.get(message.class_name)
+    if program_class is None:
+        raise errors.ResultError(codes.UNKNOWN_CLASS, message.class_name)
+    shard = owner.board.shard
+    if message.parent:
+        shard = ledger_lib.shard_of(message.parent)
+    owner.epoch_of(shard)
+    return programs.create(
+        owner.board.ledger, now, shard, message, program_class
+    )
+
+
+def _attempt(
+    message: messages.CallGranted | messages.EndCall,
+) -> Attempt:
+    return Attempt(
+        program=message.program,
+        call=message.call,
+        attempt=message.attempt,
+        fencing_token=message.fencing_token,
+    )
+
+
+async def _settle(
+    owner: Owner, sender: str, decision: programs.Decision
+) -> messages.Message:
+    reply = decision.reply
+    durable = [owner.commit.add(record) for record in decision.records]
+    for release in decision.releases:
+        owner.release(release)
+    if isinstance(reply, messages.Failed):
+        raise errors.ResultError(codes.TABLE[reply.code], reply.detail)
+    if isinstance(reply, messages.CallGranted):
+        owner.attempts[_attempt(reply)] = sender
+    if decision.commit_first:
+        await _commit_first(owner, decision, durable)
+    elif decision.commit_soon and durable and not owner.commit.failing:
+        await _wait(durable, owner.board.settings.platform.timeout_s)
+    return reply
+
+
+async def _commit_first(
+    owner: Owner,
+    decision: programs.Decision,
+    durable: list[asyncio.Future[int]],
+) -> None:
+    reply = decision.reply
+    timeout_s = owner.board.settings.platform.timeout_s
+    if await _wait(durable, timeout_s):
+        # The lease may have lapsed while the commit was under way.
+        if isinstance(reply, messages.CallGranted):
+            owner.epoch_of(ledger_lib.shard_of(reply.program))
+        return
+    if isinstance(reply, messages.CallGranted):
+        give_up(owner, _attempt(reply), codes.Execution.NOT_RUN)
+    raise errors.ResultError(
+        codes.LOG_UNAVAILABLE,
+        'a non-idempotent call waits for the log',
+        retry_after_s=timeout_s,
+    )
+
+
+async def _wait(durable: list[asyncio.Future[int]], timeout_s: float) -> bool:
+    _done, waiting = await asyncio.wait(durable, timeout=timeout_s)
+    return not waiting
+
+
+def give_up(
+    owner: Owner, attempt: Attempt, execution: codes.Execution
+) -> None:
+    """Ends an attempt that nobody will report on."""
+    owner.attempts.pop(attempt, None)
+    decision = programs.end(
+        owner.board.ledger,
+        time.time(),
+        messages.EndCall(
+            program=attempt.program,
+            call=attempt.call,
+            attempt=attempt.attempt,
+            fencing_token=attempt.fencing_token,
+            execution=execution,
+            status=0,
+            tokens=0,
+            upstream='',
+            service_s=0.0,
+        ),
+    )
+    _write(owner, decision)
+
+
+def _write(owner: Owner, decision: programs.Decision) -> None:
+    for record in decision.records:
+        owner.commit.add(record)
+    for release in decision.releases:
+        owner.release(release)
+
+
+def on_members(owner: Owner, gone: collections.abc.Iterable[str]) -> None:
+    """Settles the attempts of instances that are gone as unknown."""
+    lost = set(gone)
+    for attempt, holder in list(owner.attempts.items()):
+        if holder in lost:
+            logs.warning(
+                'attempt-lost',
+                program=attempt.program,
+                call=attempt.call,
+                instance=holder,
+            )
+            give_up(owner, attempt, codes.Execution.UNKNOWN)
+
+
+async def run(owner: Owner) -> None:
+    """Ends programs that are out of time, for ever."""
+    while True:
+        await asyncio.sleep(EXPIRE_INTERVAL_S)
+        _write(owner, programs.expire(owner.board.ledger, time.time()))
--- a/oleanderdrift/peers.py
+++ b/oleanderdrift/peers.py
@@ -1,7 +1,7 @@
 """Typed messages between instances over ZeroMQ.
 
 One ROUTER socket takes what peers send; one DEALER socket for each peer
-sends and gets the replies.  Requests carry a correlation id; a reply to
+sends and gets the replies.  A message names its sender.  Requests carry a correlation id; a reply to
 a request that has timed out goes to on_late, so that what it granted can
 be given back.  Every link has heartbeats, and a link that went silent is
 closed and replaced by a new connection.
@@ -29,7 +29,7 @@
 _ONE_WAY: typing.Final = bytes(_ID_BYTES)
 
 Handler: typing.TypeAlias = collections.abc.Callable[
-    [messages.Message],
+    [str, messages.Message],
     collections.abc.Awaitable[messages.Message | None],
 ]
 LateHandler: typing.TypeAlias = collections.abc.Callable[
@@ -55,11 +55,13 @@
     def __init__(
         self,
         *,
+        name: str,
         address: str,
         port: int,
         handler: Handler,
         on_late: LateHandler,
     ) -> None:
+        self.name = name.encode()
         self.handler = handler
         self.on_late = on_late
         self.links: dict[str, Link] = {}
@@ -122,7 +124,7 @@
     def _send(
         self, link: Link, correlation: bytes, message: messages.Message
     ) -> None:
-        frames = [correlation, codec.encode(message)]
+        frames = [correlation, self.name, codec.encode(message)]
         try:
             link.stream.socket.send_multipart(frames, zmq.NOBLOCK)
         except zmq.Again as error:
@@ -166,9 +168,9 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _answer(self, frames: list[bytes]) -> None:
-        identity, correlation, data = frames
+        identity, correlation, sender, data = frames
         try:
-            reply = await self.handler(codec.decode(data))
+            reply = await self.handler(sender.decode(), codec.decode(data))
         except errors.ResultError as error:
             reply = failed(error)
         except codec.CodecError as error:
--- /dev/null
+++ b/oleanderdrift/releases.py
@@ -0,0 +1,79 @@
+"""Tells engines to let go of the memory of programs that have ended."""
+
+import asyncio
+import typing
+
+import attrs
+import msgspec
+
+from oleanderdrift import blackboard
+from oleanderdrift import errors
+from oleanderdrift import http_out
+from oleanderdrift import logs
+from oleanderdrift import programs
+
+RELEASE_PATH: typing.Final = '/v1/release'
+TRIES: typing.Final = 6
+FIRST_RETRY_S: typing.Final = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class ReleaseBody:
+    """The JSON body of a release."""
+
+    program: str
+
+
+@attrs.define(kw_only=True)
+class Releases:
+    """The controller that sends releases until they are taken."""
+
+    board: blackboard.Board
+    upstreams: http_out.Upstreams
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    failed: int = 0
+
+
+def submit(releases: Releases, release: programs.Release) -> None:
+    """Sends one release in the background."""
+    task = asyncio.get_running_loop().create_task(_deliver(releases, release))
+    releases.tasks.add(task)
+    task.add_done_callback(releases.tasks.discard)
+
+
+async def _deliver(releases: Releases, release: programs.Release) -> None:
+    delay_s = FIRST_RETRY_S
+    for _attempt in range(TRIES):
+        upstream = releases.board.config.upstreams.get(release.upstream)
+        if upstream is None or not upstream.models:
+            return
+        if await _send(releases, upstream.url, release.program):
+            return
+        await asyncio.sleep(delay_s)
+        delay_s *= 2
+    releases.failed += 1
+    logs.warning(
+        'release-failed', program=release.program, upstream=release.upstream
+    )
+
+
+async def _send(releases: Releases, url: str, program: str) -> bool:
+    limits = releases.board.settings.limits
+    stream = releases.upstreams.open(
+        http_out.UpstreamRequest(
+            method='POST',
+            url=url.rstrip('/') + RELEASE_PATH,
+            headers={'Content-Type': 'application/json'},
+            body=msgspec.json.encode(ReleaseBody(program=program)),
+            once=False,
+            connect_timeout_s=limits.connect_timeout_s,
+            silence_s=limits.connect_timeout_s,
+        )
+    )
+    try:
+        await stream.start()
+        while await stream.read():
+            pass
+    except errors.ResultError:
+        return False
+    return stream.status < 300
