--- a/oleanderdrift/calls.py
+++ b/oleanderdrift/calls.py
@@ -199,7 +199,8 @@
 
 
 def _estimated_tokens(service: Service) -> int:
-    return service.chat.prompt_tokens if service.chat else 0
+    chat = service.chat
+    return chat.prompt_tokens + chat.max_tokens if chat else 0
 
 
 async def _attempts(calls: Calls, call: Call, answer: Answer) -> Result:
@@ -221,7 +222,9 @@
 _TASKS: typing.Final[set[asyncio.Task[None]]] = set()
 
 
-def _spawn(work: collections.abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+def _spawn(
+    work: collections.abc.Coroutine[typing.Any, typing.Any, None],
+) -> None:
     task = asyncio.get_running_loop().create_task(work)
     _TASKS.add(task)
     task.add_done_callback(_TASKS.discard)
@@ -328,8 +331,7 @@
         headers['Idempotency-Key'] = key or f'{grant.program}/{grant.call}'
     body = service.body
     if service.chat is not None:
-        remaining = grant.remaining_tokens or service.chat.max_tokens
-        body = conversation.upstream_body(service.chat, remaining)
+        body = conversation.upstream_body(service.chat)
     return http_out.UpstreamRequest(
         method=service.method,
         url=upstream.url.rstrip('/') + service.path,
@@ -473,9 +475,7 @@
     if chat is not None and chat_answer is not None:
         added = (*chat.messages[chat.recorded :], chat_answer.message)
         history = b'[' + b','.join(added) + b']'
-        digest = programs.history_digest(
-            (*chat.messages, chat_answer.message)
-        )
+        digest = programs.history_digest((*chat.messages, chat_answer.message))
         tokens = chat_answer.tokens
     await _end(
         calls,
--- a/oleanderdrift/conversation.py
+++ b/oleanderdrift/conversation.py
@@ -14,7 +14,7 @@
 from oleanderdrift import errors
 
 BYTES_PER_TOKEN: typing.Final = 4
-DEFAULT_MAX_TOKENS: typing.Final = 1_024
+DEFAULT_MAX_TOKENS: typing.Final = 16_384
 DONE_EVENT: typing.Final = b'data: [DONE]'
 _DATA: typing.Final = b'data: '
 _CANONICAL_KEYS: typing.Final = (
@@ -127,18 +127,18 @@
     return msgspec.json.encode(kept, order='deterministic')
 
 
-def upstream_body(request: ChatRequest, remaining_tokens: int) -> bytes:
+def upstream_body(request: ChatRequest) -> bytes:
     """Returns the body for the engine.
 
     It asks for the usage that budgets are settled by, and for no more
-    tokens than the program's budget has left.
+    tokens than the program's budget has reserved for the call.
     """
     fields = dict(request.fields)
     if request.stream:
         options = fields.get('stream_options') or {}
         fields['stream_options'] = {**options, 'include_usage': True}
     fields.pop('max_completion_tokens', None)
-    fields['max_tokens'] = min(request.max_tokens, remaining_tokens)
+    fields['max_tokens'] = request.max_tokens
     return msgspec.json.encode(fields)
 
 
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -96,9 +96,7 @@
     )
     feed = config_feed.ConfigFeed(client=log, random=random.Random())
     board.config = feed.config
-    upstreams = http_out.Upstreams(
-        max_streams=settings.limits.client_streams
-    )
+    upstreams = http_out.Upstreams(max_streams=settings.limits.client_streams)
     releases = releases_lib.Releases(board=board, upstreams=upstreams)
     commit = _commit(settings, log)
     owner = owner_lib.Owner(
@@ -246,9 +244,7 @@
         await asyncio.sleep(interval_s)
 
 
-def _on_list(
-    daemon: Daemon, listed: list[list_client.ListedInstance]
-) -> None:
+def _on_list(daemon: Daemon, listed: list[list_client.ListedInstance]) -> None:
     now = time.monotonic()
     members = daemon.board.members
     before = {member.name for member in membership.alive(members, now)}
--- a/oleanderdrift/group_commit.py
+++ b/oleanderdrift/group_commit.py
@@ -1,9 +1,8 @@
 """Group commit: many records of one instance in one append.
 
 Records that come within an interval go to the log in one Batch.  An
-append that failed is tried again with the same records; folds drop the
-copy when both took effect, because each batch carries the same records
-in the same order and every record is idempotent in its fold.
+append that failed is tried again with the same records; the fold drops
+the copy when both took effect, since every record is idempotent there.
 """
 
 import asyncio
@@ -29,6 +28,8 @@
 class Entry:
     """A record that waits for the log, and who waits for it."""
 
+    shard: str
+    epoch: int
     data: bytes
     durable: asyncio.Future[int]
 
@@ -44,12 +45,15 @@
         self.appends = 0
         self.failing = False
 
-    def add(self, record: messages.Message) -> asyncio.Future[int]:
-        """Queues a record; the future gets the offset of its batch."""
+    def add(
+        self, shard: str, epoch: int, record: messages.Message
+    ) -> asyncio.Future[int]:
+        """Queues a shard's record; the future gets its batch's offset."""
         durable: asyncio.Future[int] = (
             asyncio.get_running_loop().create_future()
         )
-        entry = Entry(data=codec.encode(record), durable=durable)
+        data = codec.encode(record)
+        entry = Entry(shard=shard, epoch=epoch, data=data, durable=durable)
         self.entries.append(entry)
         self.ready.set()
         return durable
@@ -72,8 +76,7 @@
                     entry.durable.set_result(offset)
 
     async def _append_until_taken(self, batch: list[Entry]) -> int:
-        records = tuple(entry.data for entry in batch)
-        data = codec.encode(messages.Batch(records=records))
+        data = codec.encode(messages.Batch(records=_by_shard(batch)))
         while True:
             try:
                 offset = await self.append(data)
@@ -95,6 +98,20 @@
         self.failing = True
 
 
+def _by_shard(batch: list[Entry]) -> tuple[bytes, ...]:
+    grouped: dict[tuple[str, int], list[bytes]] = {}
+    for entry in batch:
+        grouped.setdefault((entry.shard, entry.epoch), []).append(entry.data)
+    return tuple(
+        codec.encode(
+            messages.ShardRecords(
+                shard=shard, epoch=epoch, records=tuple(records)
+            )
+        )
+        for (shard, epoch), records in grouped.items()
+    )
+
+
 def _first_batch(entries: list[Entry]) -> list[Entry]:
     size = 0
     batch: list[Entry] = []
--- a/oleanderdrift/http_in.py
+++ b/oleanderdrift/http_in.py
@@ -207,7 +207,7 @@
 
     async def guard(self, work: collections.abc.Awaitable[None]) -> None:
         """Runs the work of a request and answers what it raises."""
-        self.task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        self.task = asyncio.ensure_future(work)
         try:
             await self.task
         except errors.ResultError as error:
--- a/oleanderdrift/owner.py
+++ b/oleanderdrift/owner.py
@@ -23,9 +23,7 @@
 
 EXPIRE_INTERVAL_S: typing.Final = 1.0
 
-Releaser: typing.TypeAlias = collections.abc.Callable[
-    [programs.Release], None
-]
+Releaser: typing.TypeAlias = collections.abc.Callable[[programs.Release], None]
 Epochs: typing.TypeAlias = collections.abc.Callable[[str], int]
 
 
@@ -114,7 +112,7 @@
     owner: Owner, sender: str, decision: programs.Decision
 ) -> messages.Message:
     reply = decision.reply
-    durable = [owner.commit.add(record) for record in decision.records]
+    durable = [_add(owner, record) for record in decision.records]
     for release in decision.releases:
         owner.release(release)
     if isinstance(reply, messages.Failed):
@@ -128,6 +126,12 @@
     return reply
 
 
+def _add(owner: Owner, record: messages.Message) -> asyncio.Future[int]:
+    shard = ledger_lib.shard_of(record.program)
+    epoch = owner.board.ledger.shards[shard].epoch
+    return owner.commit.add(shard, epoch, record)
+
+
 async def _commit_first(
     owner: Owner,
     decision: programs.Decision,
@@ -179,7 +183,7 @@
 
 def _write(owner: Owner, decision: programs.Decision) -> None:
     for record in decision.records:
-        owner.commit.add(record)
+        _add(owner, record)
     for release in decision.releases:
         owner.release(release)
 
--- a/oleanderdrift/peers.py
+++ b/oleanderdrift/peers.py
@@ -48,7 +48,6 @@
     )
 
 
-
 class Peers:
     """The peer adapter of one instance."""
 
