--- a/oleanderdrift/http_in.py
+++ b/oleanderdrift/http_in.py
@@ -19,9 +19,9 @@
 import typing
 import urllib.parse
 
+from absl import logging
 import attrs
 import msgspec
-from absl import logging
 from tornado import httputil
 from tornado import iostream
 from tornado import web
--- a/oleanderdrift/metrics.py
+++ b/oleanderdrift/metrics.py
@@ -4,8 +4,8 @@
 import typing
 
 import attrs
-import prometheus_client
 from hdrh import histogram
+import prometheus_client
 from prometheus_client import core
 from prometheus_client import registry
 
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,221 @@
+"""A real client's program through real processes, end to end."""
+
+import collections.abc
+import json
+import typing
+import urllib.error
+import urllib.request
+
+import openai
+import pytest
+
+from standins import fleet
+from standins import fleet_config
+from standins import fleet_state
+
+CONFIG = """
+[account.escola]
+rate_per_s = 100.0
+burst = 200
+[account.ponte]
+rate_per_s = 100.0
+burst = 200
+[class.planning]
+target_s = 60.0
+[model.guide]
+[tool.desk]
+idempotent = false
+[tool.sheet]
+idempotent = true
+[route.desk]
+prefix = "/desk"
+tool = "desk"
+[route.sheet]
+prefix = "/sheet"
+tool = "sheet"
+open_to_all = true
+"""
+
+
+def config_text(running: fleet_state.Fleet) -> str:
+    """Returns the fleet's configuration with its upstreams."""
+    return CONFIG + fleet_config.upstream_tables(
+        running, 'guide', ['desk', 'sheet']
+    )
+
+
+@pytest.fixture(scope='module')
+def running() -> collections.abc.Iterator[fleet_state.Fleet]:
+    """A small fleet: one instance in each of three data centres."""
+    plan = fleet_state.Plan(instances_each=1)
+    with fleet.running(plan, config_text) as started:
+        yield started
+
+
+@pytest.fixture(scope='module')
+def keys(running: fleet_state.Fleet) -> dict[str, str]:
+    """A key for each client account, in force at every instance."""
+    issued = {}
+    for account in ('escola', 'ponte'):
+        answer = fleet_config.command(running, 'key', 'issue', account)
+        issued[account] = answer[0]['key']
+    offset = answer[0]['offset']
+    for node in running.nodes.values():
+        while status(node.url)['config_offset'] < offset:
+            pass
+    return issued
+
+
+def status(url: str) -> typing.Any:
+    """Returns an instance's status."""
+    with urllib.request.urlopen(f'{url}/v1/status') as answer:
+        return json.load(answer)
+
+
+def request(
+    url: str, key: str, body: bytes = b'{}', **headers: str
+) -> tuple[int, dict[str, str], typing.Any]:
+    """Posts JSON and returns status, headers and the JSON answer."""
+    named = {name.replace('_', '-'): value for name, value in headers.items()}
+    if key:
+        named['Authorization'] = f'Bearer {key}'
+    asked = urllib.request.Request(url, data=body, headers=named)
+    try:
+        with urllib.request.urlopen(asked) as answer:
+            return answer.status, dict(answer.headers), json.load(answer)
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), json.load(error)
+
+
+def chat(
+    url: str, key: str, program: str, messages: list[typing.Any]
+) -> tuple[str, str]:
+    """Streams one call; returns the program and the text."""
+    client = openai.OpenAI(api_key=key, base_url=f'{url}/v1', max_retries=0)
+    headers = {'Oleander-Program': program, 'Oleander-Class': 'planning'}
+    raw = client.chat.completions.with_raw_response.create(
+        model='guide',
+        messages=messages,
+        stream=True,
+        max_tokens=8,
+        extra_headers=headers,
+    )
+    text = ''.join(
+        chunk.choices[0].delta.content or ''
+        for chunk in raw.parse()
+        if chunk.choices
+    )
+    return raw.headers['Oleander-Program'], text
+
+
+def test_program_over_three_instances(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    urls = [node.url for node in running.nodes.values()]
+    program = 'new'
+    messages: list[typing.Any] = []
+    for url in urls:
+        messages.append({'role': 'user', 'content': f'ask {url}'})
+        program, text = chat(url, keys['escola'], program, messages)
+        assert text
+        messages.append({'role': 'assistant', 'content': text})
+    code, headers, _answer = request(
+        f'{urls[0]}/desk/page',
+        keys['escola'],
+        Oleander_Program=program,
+        Idempotency_Key='publish',
+    )
+    assert (code, headers['Oleander-Call']) == (200, '4')
+
+
+def test_repeat_of_a_non_idempotent_call_runs_once(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    urls = [node.url for node in running.nodes.values()]
+    _code, _headers, answer = request(
+        f'{urls[0]}/v1/programs', keys['escola'], b'{"class_name":"planning"}'
+    )
+    runs = [
+        request(
+            f'{url}/desk/once',
+            keys['escola'],
+            Oleander_Program=answer['program'],
+            Idempotency_Key='k',
+        )[2]['run']
+        for url in urls
+    ]
+    assert runs == [1, 1, 1]
+
+
+def test_no_upstream_sees_a_key(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    url = next(iter(running.nodes.values())).url
+    chat(url, keys['escola'], 'new', [{'role': 'user', 'content': 'x'}])
+    for process in running.of_kind('engine') + running.of_kind('tool'):
+        with urllib.request.urlopen(f'{process.url}/control') as answer:
+            seen = answer.read().decode()
+        assert keys['escola'] not in seen
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'body', 'key', 'code'),
+    [
+        ('/desk/x', {}, b'{}', 'wrong', 2001),
+        ('/desk/x', {}, b'{}', '', 2000),
+        ('/desk/x', {}, b'{}', 'escola', 4000),
+        ('/nowhere', {}, b'{}', 'escola', 1005),
+        ('/v1/programs', {}, b'{"class_name":"none"}', 'escola', 1004),
+        ('/v1/programs', {}, b'{', 'escola', 1002),
+        ('/v1/chat/completions', {}, b'{"model":1}', 'escola', 1002),
+        (
+            '/v1/chat/completions',
+            {},
+            b'{"model":"no","messages":[{"role":"user"}]}',
+            'escola',
+            1003,
+        ),
+        ('/desk/x', {'Oleander_Call': 'x'}, b'{}', 'escola', 4000),
+        ('/desk/x?k=KEY', {}, b'{}', 'escola', 1008),
+        ('/desk/x', {}, b'"KEY"', 'escola', 1008),
+        ('/desk/x', {'Oleander_Program': 'a.1'}, b'{}', 'escola', 4008),
+    ],
+)
+def test_refusals_have_codes(
+    running: fleet_state.Fleet,
+    keys: dict[str, str],
+    path: str,
+    headers: dict[str, str],
+    body: bytes,
+    key: str,
+    code: int,
+) -> None:
+    url = next(iter(running.nodes.values())).url
+    secret = keys.get(key, key)
+    _status, answered, answer = request(
+        url + path.replace('KEY', secret),
+        secret,
+        body.replace(b'KEY', secret.encode()),
+        **headers,
+    )
+    assert answer['error']['code'] == code
+    assert answered['Oleander-Execution'] == 'not-run'
+
+
+def test_another_accounts_program_is_unknown(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    url = next(iter(running.nodes.values())).url
+    _code, _headers, made = request(
+        f'{url}/v1/programs', keys['escola'], b'{"class_name":"planning"}'
+    )
+    _code, _headers, answer = request(
+        f'{url}/desk/x', keys['ponte'], Oleander_Program=made['program']
+    )
+    assert answer['error']['code'] == 4001
+
+
+def test_open_route_needs_no_key(running: fleet_state.Fleet) -> None:
+    url = next(iter(running.nodes.values())).url
+    code, _headers, answer = request(f'{url}/sheet/read', '')
+    assert (code, answer['path']) == (200, '/sheet/read')
