--- a/oleanderdrift/peers.py
+++ b/oleanderdrift/peers.py
@@ -1,10 +1,11 @@
 """Typed messages between instances over ZeroMQ.
 
 One ROUTER socket takes what peers send; one DEALER socket for each peer
-sends and gets the replies.  A message names its sender, a request has a
-correlation id.  A reply to a request that has timed out goes to on_late, so that what it granted can
-be given back.  Every link has heartbeats, and a link that went silent is
-closed and replaced by a new connection.
+sends and gets the replies.  A message names its sender and a request has
+a correlation id.  A reply to a request that has timed out goes to
+on_late, so that what it granted can be given back.  Every link has
+heartbeats, and a link that went silent is closed and replaced by a new
+connection.
 """
 
 import asyncio
