--- a/oleanderdrift/cli.py
+++ b/oleanderdrift/cli.py
@@ -169,7 +169,7 @@
     return (
         outcome.change.kind,
         outcome.change.name,
-        'removed' if outcome.change.body is None else 'set',
+        'remove' if outcome.change.body is None else 'set',
         'accepted' if verdict.accepted else 'refused',
         outcome.offset,
         verdict.code.number,
@@ -344,7 +344,7 @@
     """Returns an object's fields as key=value, without its name."""
     values = msgspec.to_builtins(item)
     return ' '.join(
-        f'{field}={value}'
+        f'{field}={msgspec.json.encode(value).decode()}'
         for field, value in values.items()
         if field != 'name'
     )
