Carry configuration and direct withdrawals between peers

config_exchange asks a random live peer while there is need to, answers peers, and passes a direct withdrawal on to four at once. It is wired by three functions of the daemon: request, send, and the live addresses.

Log lines of the feed go through logs, which quotes values.

--- /dev/null
+++ b/oleanderdrift/config_exchange.py
@@ -0,0 +1,146 @@
+"""Carries the configuration's peer messages for one instance.
+
+config_peers and key_trust decide; this module asks and answers through
+functions that the daemon gives it.
+"""
+
+import asyncio
+import collections.abc
+import time
+import typing
+
+from oleanderdrift import codec
+from oleanderdrift import config_feed
+from oleanderdrift import config_peers
+from oleanderdrift import errors
+from oleanderdrift import key_trust
+from oleanderdrift import logs
+from oleanderdrift import messages
+from oleanderdrift import model
+
+ANSWER_TIMEOUT_S: typing.Final = 1.5
+
+Request: typing.TypeAlias = collections.abc.Callable[
+    [str, messages.Message, float],
+    collections.abc.Awaitable[messages.Message],
+]
+Send: typing.TypeAlias = collections.abc.Callable[
+    [str, messages.Message], None
+]
+Addresses: typing.TypeAlias = collections.abc.Callable[
+    [], collections.abc.Sequence[str]
+]
+
+
+async def run(
+    feed: config_feed.ConfigFeed,
+    request: Request,
+    send: Send,
+    addresses: Addresses,
+) -> typing.NoReturn:
+    """Asks live peers for as long as there is need to.
+
+    addresses gives the live peers, without this instance.  Returns only
+    by cancellation.
+    """
+    while True:
+        await ask(feed, request, send, addresses())
+        await asyncio.sleep(config_peers.ASK_INTERVAL_S)
+
+
+async def ask(
+    feed: config_feed.ConfigFeed,
+    request: Request,
+    send: Send,
+    addresses: collections.abc.Sequence[str],
+) -> None:
+    """Asks one peer drawn at random, if there is need to."""
+    asked = time.monotonic()
+    question = config_peers.question(
+        feed.reader, feed.trust, feed.last_contact, asked
+    )
+    if question is None or not addresses:
+        return
+    address = feed.random.choice(addresses)
+    try:
+        answer = await request(address, question, ANSWER_TIMEOUT_S)
+        config_feed.take_answer(feed, asked, answer)
+    except (errors.ResultError, codec.CodecError) as error:
+        logs.info('config-ask-failed', peer=address, detail=error)
+        return
+    take_withdrawn(feed, answer.withdrawn, send, addresses)
+
+
+def handle(
+    feed: config_feed.ConfigFeed,
+    message: messages.ReadConfig | messages.KeysWithdrawn,
+    send: Send,
+    addresses: collections.abc.Sequence[str],
+) -> messages.Message | None:
+    """Returns the answer to a peer's message, None where it wants none."""
+    take_withdrawn(feed, message.withdrawn, send, addresses)
+    match message:
+        case messages.ReadConfig():
+            return config_peers.answer(
+                feed.reader,
+                feed.trust,
+                message,
+                feed.last_contact,
+                time.monotonic(),
+            )
+        case messages.KeysWithdrawn():
+            return None
+
+
+def withdraw(
+    feed: config_feed.ConfigFeed,
+    name: str,
+    send: Send,
+    addresses: collections.abc.Sequence[str],
+) -> model.ApiKey:
+    """Withdraws a key directly, without the log, and tells peers.
+
+    Raises ResultError CONFIG_INVALID if there is no such key.
+    """
+    key = key_trust.withdraw_name(
+        feed.trust, feed.config, name, time.monotonic()
+    )
+    _spread(feed, (key,), send, addresses)
+    return key
+
+
+def take_withdrawn(
+    feed: config_feed.ConfigFeed,
+    digests: tuple[str, ...],
+    send: Send,
+    addresses: collections.abc.Sequence[str],
+) -> None:
+    """Takes in withdrawals heard of, and passes on what is new."""
+    new = key_trust.take_withdrawn(
+        feed.trust, feed.config, digests, time.monotonic(), feed.random
+    )
+    _spread(feed, new, send, addresses)
+
+
+def _spread(
+    feed: config_feed.ConfigFeed,
+    keys: tuple[model.ApiKey, ...],
+    send: Send,
+    addresses: collections.abc.Sequence[str],
+) -> None:
+    if not keys:
+        return
+    for key in keys:
+        logs.info(
+            'key-withdrawn-directly',
+            key=key.name,
+            client_account=key.client_account,
+        )
+        for listener in feed.withdrawal_listeners:
+            listener(key)
+    message = messages.KeysWithdrawn(
+        withdrawn=tuple(key.sha256 for key in keys)
+    )
+    count = min(key_trust.SPREAD_FANOUT, len(addresses))
+    for address in feed.random.sample(addresses, count):
+        send(address, message)
--- a/oleanderdrift/config_feed.py
+++ b/oleanderdrift/config_feed.py
@@ -10,7 +10,6 @@
 import time
 import typing
 
-from absl import logging
 import attrs
 
 
@@ -22,6 +21,7 @@
 from oleanderdrift import errors
 from oleanderdrift import key_trust
 from oleanderdrift import log_client
+from oleanderdrift import logs
 from oleanderdrift import model
 
 BATCH_RECORDS: typing.Final = 500
@@ -30,6 +30,7 @@
 RETRY_S: typing.Final = 0.5
 
 Listener: typing.TypeAlias = typing.Callable[[model.ObjectChange], None]
+WithdrawalListener: typing.TypeAlias = typing.Callable[[model.ApiKey], None]
 
 
 @attrs.define(kw_only=True)
@@ -39,7 +40,8 @@
     last_contact is the monotonic time at which the configuration was
     last known to be complete, in seconds, or None before the first time.
     caught_up is set once everything that the log holds is folded.
-    upkeep, where set, says when to append snapshots.
+    upkeep, where set, says when to append snapshots.  The withdrawal
+    listeners hear of keys withdrawn directly, which config still has.
     """
 
     client: log_client.LogClient
@@ -50,6 +52,7 @@
     wait_s: float = WAIT_S
     retry_s: float = RETRY_S
     listeners: list[Listener] = attrs.field(factory=list)
+    withdrawal_listeners: list[WithdrawalListener] = attrs.field(factory=list)
     last_contact: float | None = None
     trust: key_trust.KeyTrust = attrs.field(factory=key_trust.KeyTrust)
     upkeep: config_snapshots.Upkeep | None = None
@@ -75,11 +78,11 @@
             await keep_up(feed)
         except errors.ResultError as error:
             feed.failures += 1
-            logging.warning(
-                'event=config-read-failed code=%d next_offset=%d detail="%s"',
-                error.code.number,
-                feed.next_offset,
-                error.detail,
+            logs.warning(
+                'config-log-failed',
+                code=error.code.number,
+                next_offset=feed.next_offset,
+                detail=error.detail,
             )
             await asyncio.sleep(feed.random.uniform(0.5, 1) * feed.retry_s)
 
@@ -125,11 +128,11 @@
     snapshot = config_state.snapshot(feed.config)
     data = codec.encode(snapshot)
     offset = await feed.client.append(config_reader.STREAM, data)
-    logging.info(
-        'event=config-snapshot offset=%d next_offset=%d bytes=%d',
-        offset,
-        snapshot.next_offset,
-        len(data),
+    logs.info(
+        'config-snapshot',
+        offset=offset,
+        next_offset=snapshot.next_offset,
+        bytes=len(data),
     )
 
 
@@ -155,12 +158,12 @@
     """Tells every listener of changes now in force."""
     for change in changes:
         key_trust.note_change(feed.trust, change)
-        logging.info(
-            'event=config-in-force kind=%s name=%s offset=%d removed=%s',
-            change.kind,
-            change.name,
-            change.offset,
-            change.after is None,
+        logs.info(
+            'config-in-force',
+            kind=change.kind,
+            name=change.name,
+            offset=change.offset,
+            removed=change.after is None,
         )
         for listener in feed.listeners:
             listener(change)
--- a/oleanderdrift/config_reader.py
+++ b/oleanderdrift/config_reader.py
@@ -9,7 +9,6 @@
 import collections
 import typing
 
-from absl import logging
 import attrs
 
 
@@ -17,6 +16,7 @@
 from oleanderdrift import config_state
 from oleanderdrift import errors
 from oleanderdrift import log_client
+from oleanderdrift import logs
 from oleanderdrift import messages
 from oleanderdrift import model
 
@@ -136,9 +136,7 @@
 
 
 def _note_gap(reader: ConfigReader, offset: int) -> None:
-    logging.warning(
-        'event=config-gap expected=%d found=%d', reader.read_offset, offset
-    )
+    logs.warning('config-gap', expected=reader.read_offset, found=offset)
     reader.pending.clear()
     reader.gap_end = offset
     reader.read_offset = offset
@@ -151,11 +149,7 @@
         message = codec.decode(record.data)
     except codec.CodecError as error:
         reader.undecodable += 1
-        logging.error(
-            'event=config-undecodable offset=%d error="%s"',
-            record.offset,
-            error,
-        )
+        logs.warning('config-undecodable', offset=record.offset, detail=error)
         return None
     first = reader.snapshot_time_ms == 0
     if first or isinstance(message, messages.ConfigSnapshot):
@@ -194,6 +188,6 @@
     try:
         changes += config_state.load(reader.config, message)
     except errors.ResultError as error:
-        logging.error('event=config-snapshot-unreadable error="%s"', error)
+        logs.warning('config-snapshot-unreadable', detail=error)
         return
     _close_gap(reader, judged, changes)
--- a/tests/test_config_feed.py
+++ b/tests/test_config_feed.py
@@ -5,6 +5,7 @@
 import typing
 
 from oleanderdrift import codec
+from oleanderdrift import config_exchange
 from oleanderdrift import config_feed
 from oleanderdrift import config_snapshots
 from oleanderdrift import key_trust
@@ -116,3 +117,34 @@
         assert (feed.config.keys, feed.trust.withdrawn) == ({}, {})
 
     run(log_service.url, work)
+
+
+def test_cut_off_instance_lives_on_its_peers(
+    log_service: services.LogService,
+) -> None:
+    key = model.ApiKey(name='k', client_account='a', sha256='0' * 64)
+    issued = codec.encode(config_records.set_object(key, '2'))
+    log_service.append(account('a', '1'), issued)
+    closed = log_client.LogClient('http://127.0.0.1:9')
+    cut = config_feed.ConfigFeed(client=closed, random=random.Random(1))
+    ended: list[model.ApiKey] = []
+    cut.withdrawal_listeners.append(ended.append)
+
+    async def work(feed: config_feed.ConfigFeed) -> None:
+        async def request(
+            _: str, message: typing.Any, __: float
+        ) -> messages.Message:
+            return config_exchange.handle(feed, message, sent, ['cut'])
+
+        def sent(_: str, message: typing.Any) -> None:
+            config_exchange.handle(cut, message, sent, [])
+
+        assert cut.last_contact is None
+        await config_exchange.ask(cut, request, sent, ['peer'])
+        assert cut.config == feed.config
+        assert cut.last_contact is not None
+        config_exchange.withdraw(feed, 'k', sent, ['cut'])
+        assert ended == [key]
+
+    run(log_service.url, work)
+    closed.close()
