Feed the dispatch groups: classes, accounts, load, prefixes, retry budgets

Cause: the groups knew upstreams alone, so slack, fairness and cached prefixes had nothing to decide from.

--- a/oleanderdrift/calls.py
+++ b/oleanderdrift/calls.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import random
 import time
 import typing
 import uuid
@@ -25,13 +26,18 @@
 from oleanderdrift import model
 from oleanderdrift import owner_client as owner_client_lib
 from oleanderdrift import programs
+from oleanderdrift import retries
 
-MAX_ATTEMPTS: typing.Final = 3
 END_TRIES: typing.Final = 4
 END_RETRY_S: typing.Final = 0.5
 ANSWER_LIMIT_BYTES: typing.Final = 67_108_864
 SUCCESS: typing.Final = range(200, 300)
 FENCED_STATUS: typing.Final = 409
+_RETRIED: typing.Final = (
+    codes.UPSTREAM_UNREACHABLE,
+    codes.UPSTREAM_FAILED,
+    codes.UPSTREAM_TIMEOUT,
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -84,6 +90,7 @@
     slot: messages.SlotGranted
     started: float
     first_token_s: float = 0.0
+    answer: conversation.ChatAnswer | None = None
     stream: http_out.Stream | None = None
 
 
@@ -106,6 +113,8 @@
     owners: owner_client_lib.OwnerClient
     dispatch: dispatch_lib.Dispatch
     upstreams: http_out.Upstreams
+    random: random.Random
+    budgets: retries.Budgets = attrs.field(factory=retries.Budgets)
 
 
 @attrs.define(kw_only=True)
@@ -204,13 +213,15 @@
 
 
 async def _attempts(calls: Calls, call: Call, answer: Answer) -> Result:
-    for tries_left in range(MAX_ATTEMPTS - 1, -1, -1):
+    for number in range(1, retries.MAX_ATTEMPTS + 1):
         try:
             return await _attempt(calls, call, answer)
         except errors.ResultError as error:
-            if not tries_left or not _may_retry(call, error):
+            verdict = _retry(calls, call, error, number)
+            if isinstance(verdict, retries.GiveUp):
                 await _end_failed(calls, call, error)
                 raise
+            await asyncio.sleep(verdict.delay_s)
         except asyncio.CancelledError:
             gone = errors.ResultError(codes.UPSTREAM_FAILED, 'caller gone')
             # The task is being cancelled: the end is reported beside it.
@@ -230,12 +241,22 @@
     task.add_done_callback(_TASKS.discard)
 
 
-def _may_retry(call: Call, error: errors.ResultError) -> bool:
+def _retry(
+    calls: Calls, call: Call, error: errors.ResultError, number: int
+) -> retries.Retry | retries.GiveUp:
     if call.aborted is not None or call.begun or call.attempt is None:
-        return False
-    not_run = error.code is codes.UPSTREAM_UNREACHABLE
-    lost = error.code in (codes.UPSTREAM_FAILED, codes.UPSTREAM_TIMEOUT)
-    return not_run or (lost and call.service.idempotent)
+        return retries.GiveUp(reason='begun')
+    if error.code not in _RETRIED:
+        return retries.GiveUp(reason='refused')
+    return retries.decide(
+        calls.budgets,
+        upstream=call.attempt.upstream.name,
+        execution=error.code.execution,
+        idempotent=call.service.idempotent,
+        attempt=number,
+        remaining_s=calls.board.settings.limits.queue_timeout_s,
+        rng=calls.random,
+    )
 
 
 async def _attempt(calls: Calls, call: Call, answer: Answer) -> Result:
@@ -246,6 +267,7 @@
         _give_back(calls, call, slot, time.monotonic(), failed=False)
         raise errors.ResultError(codes.OVERLOADED, 'the upstream has left')
     call.excluded += (upstream.name,)
+    retries.on_attempt(calls.budgets, upstream.name)
     attempt = Attempt(upstream=upstream, slot=slot, started=time.monotonic())
     call.attempt = attempt
     failed = False
@@ -273,6 +295,7 @@
         attained_s=call.grant.attained_s,
         prompt_tokens=chat.prompt_tokens if chat else 0,
         max_tokens=chat.max_tokens if chat else 0,
+        prefix=conversation.prefix_blocks(chat) if chat else (),
         excluded=call.excluded,
     )
 
@@ -286,6 +309,7 @@
     failed: bool,
 ) -> None:
     attempt = call.attempt
+    answer = attempt.answer if attempt else None
     dispatch_lib.give_back(
         calls.dispatch,
         call.service.name,
@@ -295,7 +319,8 @@
             failed=failed,
             first_token_s=attempt.first_token_s if attempt else 0.0,
             duration_s=time.monotonic() - started,
-            tokens=0,
+            tokens=answer.completion_tokens if answer else 0,
+            cached_tokens=answer.cached_tokens if answer else None,
         ),
     )
 
@@ -468,6 +493,7 @@
     body: bytes,
     chat_answer: conversation.ChatAnswer | None,
 ) -> None:
+    attempt.answer = chat_answer
     chat = call.service.chat
     history = b''
     digest = b''
--- a/oleanderdrift/conversation.py
+++ b/oleanderdrift/conversation.py
@@ -5,6 +5,7 @@
 assistant's message and the tokens used.
 """
 
+import hashlib
 import typing
 
 import attrs
@@ -14,8 +15,10 @@
 from oleanderdrift import errors
 
 BYTES_PER_TOKEN: typing.Final = 4
+BLOCK_BYTES: typing.Final = 2_048
 DEFAULT_MAX_TOKENS: typing.Final = 16_384
 DONE_EVENT: typing.Final = b'data: [DONE]'
+_BLOCK_DIGEST_BYTES: typing.Final = 8
 _DATA: typing.Final = b'data: '
 _CANONICAL_KEYS: typing.Final = (
     'role',
@@ -48,10 +51,16 @@
 
 @attrs.frozen(kw_only=True)
 class ChatAnswer:
-    """The assistant's message as canonical JSON and the tokens used."""
+    """The assistant's message as canonical JSON and the tokens used.
+
+    cached_tokens is the part of the prompt that the engine had cached,
+    or None where it said nothing.
+    """
 
     message: bytes
     tokens: int
+    completion_tokens: int
+    cached_tokens: int | None
 
 
 @attrs.define(kw_only=True)
@@ -127,6 +136,20 @@
     return msgspec.json.encode(kept, order='deterministic')
 
 
+def prefix_blocks(request: ChatRequest) -> tuple[bytes, ...]:
+    """Returns the chained digests of the prompt's whole blocks."""
+    data = b''.join(request.messages)
+    digest = b''
+    blocks = []
+    for end in range(BLOCK_BYTES, len(data) + 1, BLOCK_BYTES):
+        block = data[end - BLOCK_BYTES : end]
+        digest = hashlib.blake2b(
+            digest + block, digest_size=_BLOCK_DIGEST_BYTES
+        ).digest()
+        blocks.append(digest)
+    return tuple(blocks)
+
+
 def upstream_body(request: ChatRequest) -> bytes:
     """Returns the body for the engine.
 
@@ -147,8 +170,7 @@
     try:
         answer = msgspec.json.decode(body, type=_Json)
         message = answer['choices'][0]['message']
-        tokens = int(answer.get('usage', {}).get('total_tokens', 0))
-        return ChatAnswer(message=canonical(message), tokens=tokens)
+        return _answer(message, answer.get('usage') or {})
     except (
         msgspec.MsgspecError,
         LookupError,
@@ -164,11 +186,10 @@
         raise _broken('no [DONE] event')
     text: list[str] = []
     calls: dict[int, _ToolCall] = {}
-    tokens = 0
+    usage: _Json = {}
     try:
         for event in _events(body):
-            usage = event.get('usage')
-            tokens = int(usage['total_tokens']) if usage else tokens
+            usage = event.get('usage') or usage
             for choice in event.get('choices', ()):
                 _take_delta(choice['delta'], text, calls)
     except (
@@ -181,7 +202,17 @@
     message: _Json = {'role': 'assistant', 'content': ''.join(text) or None}
     if calls:
         message['tool_calls'] = [_tool_call(calls[i]) for i in sorted(calls)]
-    return ChatAnswer(message=canonical(message), tokens=tokens)
+    return _answer(message, usage)
+
+
+def _answer(message: _Json, usage: _Json) -> ChatAnswer:
+    details = usage.get('prompt_tokens_details') or {}
+    return ChatAnswer(
+        message=canonical(message),
+        tokens=int(usage.get('total_tokens', 0)),
+        completion_tokens=int(usage.get('completion_tokens', 0)),
+        cached_tokens=details.get('cached_tokens'),
+    )
 
 
 def _events(body: bytes) -> typing.Iterator[_Json]:
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -40,6 +40,11 @@
 
 DRAIN_POLL_S: typing.Final = 0.05
 SHARD_BYTES: typing.Final = 4
+_DISPATCH_KINDS: typing.Final = (
+    model.Kind.UPSTREAM,
+    model.Kind.CLASS,
+    model.Kind.ACCOUNT,
+)
 
 
 @attrs.define(kw_only=True)
@@ -112,12 +117,18 @@
         handler=lambda sender, message: _on_peer(daemon, sender, message),
         on_late=lambda peer, message: _on_late(daemon, peer, message),
     )
-    dispatch = dispatch_lib.Dispatch(board=board, peers=peers)
+    dispatch = dispatch_lib.Dispatch(
+        board=board, peers=peers, upstreams=upstreams
+    )
     owners = owner_client_lib.OwnerClient(
         board=board, owner=owner, peers=peers, holder_of=_holder_of
     )
     calls = calls_lib.Calls(
-        board=board, owners=owners, dispatch=dispatch, upstreams=upstreams
+        board=board,
+        owners=owners,
+        dispatch=dispatch,
+        upstreams=upstreams,
+        random=random.Random(),
     )
     front = http_in.Front(
         board=board,
@@ -202,7 +213,7 @@
         config_feed.follow(daemon.feed),
         daemon.commit.run(),
         _follow_list(daemon),
-        dispatch_lib.run(daemon.dispatch),
+        dispatch_lib.poll_load(daemon.dispatch),
         owner_lib.run(daemon.owner),
     ]
     loop = asyncio.get_running_loop()
@@ -313,7 +324,7 @@
 
 
 def _on_change(daemon: Daemon, change: model.ObjectChange) -> None:
-    if change.kind is model.Kind.UPSTREAM:
+    if change.kind in _DISPATCH_KINDS:
         dispatch_lib.on_config(daemon.dispatch)
     if change.kind is model.Kind.KEY:
         _end_withdrawn(daemon)
--- a/oleanderdrift/dispatch.py
+++ b/oleanderdrift/dispatch.py
@@ -11,10 +11,12 @@
 import typing
 
 import attrs
+import msgspec
 
 from oleanderdrift import blackboard
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift import http_out
 from oleanderdrift import membership
 from oleanderdrift import messages
 from oleanderdrift import model
@@ -22,7 +24,10 @@
 from oleanderdrift import scheduler
 
 HOME_TRIES: typing.Final = 3
-POLL_S: typing.Final = 0.25
+RETRY_S: typing.Final = 0.25
+MIN_WAKEUP_S: typing.Final = 0.001
+LOAD_INTERVAL_S: typing.Final = 1.0
+LOAD_PATH: typing.Final = '/v1/load'
 
 _Decision: typing.TypeAlias = messages.SlotGranted | messages.SlotRefused
 
@@ -33,6 +38,8 @@
 
     board: blackboard.Board
     peers: peers.Peers
+    upstreams: http_out.Upstreams
+    timers: dict[str, asyncio.TimerHandle] = attrs.field(factory=dict)
     pending: dict[str, asyncio.Future[_Decision]] = attrs.field(factory=dict)
 
 
@@ -43,12 +50,18 @@
     if group is None:
         group = scheduler.DispatchGroup(name=service)
         board.groups[service] = group
-    scheduler.set_upstreams(
-        group, time.monotonic(), upstreams_of(board.config, service)
-    )
+        configure(board.config, group)
     return group
 
 
+def configure(config: model.Config, group: scheduler.DispatchGroup) -> None:
+    """Brings a group up to the configuration in force."""
+    now = time.monotonic()
+    scheduler.set_upstreams(group, now, upstreams_of(config, group.name))
+    scheduler.set_classes(group, now, config.classes.values())
+    scheduler.set_accounts(group, now, config.accounts.values())
+
+
 def upstreams_of(config: model.Config, service: str) -> list[model.Upstream]:
     """Returns the upstreams that serve a model or tool."""
     return [
@@ -70,7 +83,7 @@
         except errors.ResultError as error:
             if error.code is not codes.PEER_UNREACHABLE:
                 raise
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(RETRY_S)
             continue
         if isinstance(decision, messages.SlotGranted):
             return decision
@@ -149,12 +162,27 @@
 
 def settle(dispatch: Dispatch, group: scheduler.DispatchGroup) -> None:
     """Hands out the decisions that are due in a group."""
-    for decision in scheduler.poll(group, time.monotonic()):
+    now = time.monotonic()
+    for decision in scheduler.poll(group, now):
         future = dispatch.pending.get(decision.call_id)
         if future is not None and not future.done():
             future.set_result(decision)
         elif isinstance(decision, messages.SlotGranted):
-            scheduler.withdraw(group, time.monotonic(), decision.call_id)
+            scheduler.withdraw(group, now, decision.call_id)
+    wakeup_at = scheduler.next_wakeup(group, now)
+    if wakeup_at is not None:
+        _wake(dispatch, group, max(MIN_WAKEUP_S, wakeup_at - now))
+
+
+def _wake(
+    dispatch: Dispatch, group: scheduler.DispatchGroup, delay_s: float
+) -> None:
+    timer = dispatch.timers.pop(group.name, None)
+    if timer is not None:
+        timer.cancel()
+    dispatch.timers[group.name] = asyncio.get_running_loop().call_later(
+        delay_s, settle, dispatch, group
+    )
 
 
 def on_release(dispatch: Dispatch, released: messages.SlotReleased) -> None:
@@ -178,14 +206,56 @@
 
 
 def on_config(dispatch: Dispatch) -> None:
-    """Brings every group's upstreams up to the configuration."""
-    for service in list(dispatch.board.groups):
-        settle(dispatch, group_of(dispatch, service))
+    """Brings every group up to the configuration."""
+    for group in dispatch.board.groups.values():
+        configure(dispatch.board.config, group)
+        settle(dispatch, group)
 
 
-async def run(dispatch: Dispatch) -> None:
-    """Polls the groups at the times that they ask for."""
+async def poll_load(dispatch: Dispatch) -> None:
+    """Reads the load of the engines in the groups held here, for ever."""
     while True:
-        await asyncio.sleep(POLL_S)
-        for group in dispatch.board.groups.values():
-            settle(dispatch, group)
+        await asyncio.sleep(LOAD_INTERVAL_S)
+        groups = [
+            group
+            for group in dispatch.board.groups.values()
+            if _is_home(dispatch, group.name)
+        ]
+        await asyncio.gather(
+            *(
+                _read_load(dispatch, group, upstream)
+                for group in groups
+                for upstream in upstreams_of(dispatch.board.config, group.name)
+                if upstream.models
+            )
+        )
+
+
+def _is_home(dispatch: Dispatch, service: str) -> bool:
+    this = dispatch.board.settings.instance.name
+    return _home(dispatch, service).name == this
+
+
+@attrs.frozen(kw_only=True)
+class _Load:
+    running: int
+    waiting: int
+
+
+async def _read_load(
+    dispatch: Dispatch,
+    group: scheduler.DispatchGroup,
+    upstream: model.Upstream,
+) -> None:
+    try:
+        body = await http_out.get(
+            dispatch.upstreams,
+            upstream.url.rstrip('/') + LOAD_PATH,
+            dispatch.board.settings.limits.connect_timeout_s,
+        )
+        load = msgspec.json.decode(body, type=_Load)
+    except (errors.ResultError, msgspec.MsgspecError):
+        return
+    now = time.monotonic()
+    scheduler.on_load(group, now, upstream.name, load.running, load.waiting)
+    settle(dispatch, group)
--- a/oleanderdrift/http_out.py
+++ b/oleanderdrift/http_out.py
@@ -178,6 +178,36 @@
         stream.changed.set()
 
 
+async def get(upstreams: Upstreams, url: str, timeout_s: float) -> bytes:
+    """Returns the whole body of a GET; raises ResultError."""
+    stream = upstreams.open(
+        UpstreamRequest(
+            method='GET',
+            url=url,
+            headers={},
+            body=b'',
+            once=False,
+            connect_timeout_s=timeout_s,
+            silence_s=timeout_s,
+        )
+    )
+    try:
+        await stream.start()
+        parts = [data async for data in _chunks(stream)]
+    finally:
+        stream.cancel()
+    if stream.status >= 300:
+        raise errors.ResultError(
+            codes.UPSTREAM_FAILED, f'{url}: HTTP {stream.status}'
+        )
+    return b''.join(parts)
+
+
+async def _chunks(stream: Stream) -> typing.AsyncIterator[bytes]:
+    while data := await stream.read():
+        yield data
+
+
 def _prepare(
     curl: pycurl.Curl, stream: Stream, request: UpstreamRequest
 ) -> None:
