Keep, renew and take over shards in the daemon

Cause: programs lived and died with their instance.

Change: the keeper's actions run against the log and the peers; the owner asks it for the epoch before each decision and after each commit.

Measured: tests/test_whole_path.py, 17 passed in 7.3 s; takeovers are not measured yet.

--- a/oleanderdrift/blackboard.py
+++ b/oleanderdrift/blackboard.py
@@ -32,12 +32,10 @@
 class Board:
     """The state of one instance.
 
-    shard is the name of the ownership shard opened by this incarnation;
     open_calls is indexed by call id.
     """
 
     settings: settings_lib.Settings
-    shard: str
     members: membership.Members
     shares: shares.Shares
     config: model.Config = attrs.field(factory=model.Config)
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -7,7 +7,6 @@
 import signal
 import time
 import typing
-import uuid
 
 import attrs
 import msgspec
@@ -16,6 +15,7 @@
 
 from oleanderdrift import blackboard
 from oleanderdrift import calls as calls_lib
+from oleanderdrift import codec
 from oleanderdrift import codes
 from oleanderdrift import config_feed
 from oleanderdrift import dispatch as dispatch_lib
@@ -33,13 +33,13 @@
 from oleanderdrift import owner as owner_lib
 from oleanderdrift import owner_client as owner_client_lib
 from oleanderdrift import peers as peers_lib
-from oleanderdrift import programs
 from oleanderdrift import releases as releases_lib
 from oleanderdrift import settings as settings_lib
+from oleanderdrift import shard_feed
+from oleanderdrift import shard_keeper
 from oleanderdrift import shares
 
 DRAIN_POLL_S: typing.Final = 0.05
-SHARD_BYTES: typing.Final = 4
 _DISPATCH_KINDS: typing.Final = (
     model.Kind.UPSTREAM,
     model.Kind.CLASS,
@@ -52,6 +52,8 @@
     """Everything that one instance runs."""
 
     board: blackboard.Board
+    keeper: shard_keeper.Keeper
+    shards: shard_feed.ShardFeed
     log: log_client.LogClient
     feed: config_feed.ConfigFeed
     listing: list_client.ListClient
@@ -104,11 +106,12 @@
     upstreams = http_out.Upstreams(max_streams=settings.limits.client_streams)
     releases = releases_lib.Releases(board=board, upstreams=upstreams)
     commit = _commit(settings, log)
+    keeper = _keeper(board)
     owner = owner_lib.Owner(
         board=board,
         commit=commit,
         release=lambda release: releases_lib.submit(releases, release),
-        epoch_of=lambda shard: _epoch_of(board, shard),
+        keeper=keeper,
     )
     peers = peers_lib.Peers(
         name=settings.instance.name,
@@ -121,7 +124,7 @@
         board=board, peers=peers, upstreams=upstreams
     )
     owners = owner_client_lib.OwnerClient(
-        board=board, owner=owner, peers=peers, holder_of=_holder_of
+        board=board, owner=owner, peers=peers, keeper=keeper
     )
     calls = calls_lib.Calls(
         board=board,
@@ -139,8 +142,20 @@
         is_ready=feed.caught_up.is_set,
         key_age_s=lambda: _key_age_s(feed),
     )
+    shards = shard_feed.ShardFeed(
+        keeper=keeper,
+        client=log,
+        random=random.Random(),
+        ask=lambda name, message: owner_client_lib.ask_instance(
+            owners, name, message
+        ),
+        write=lambda decision: owner_lib.write(owner, decision),
+        is_durable=lambda: not commit.entries,
+    )
     daemon = Daemon(
         board=board,
+        keeper=keeper,
+        shards=shards,
         log=log,
         feed=feed,
         listing=list_client.ListClient(
@@ -168,21 +183,29 @@
         http_port=settings.instance.http_port,
         peer_port=settings.instance.peer_port,
     )
-    shard = f'{settings.instance.name}-{uuid.uuid4().hex[: SHARD_BYTES * 2]}'
-    board = blackboard.Board(
+    return blackboard.Board(
         settings=settings,
-        shard=shard,
         members=membership.Members(this=this),
         shares=shares.Shares(instance=this.name, fraction=1.0),
     )
-    programs.hold_shard(board.ledger, shard)
-    return board
+
+
+def _keeper(board: blackboard.Board) -> shard_keeper.Keeper:
+    instance = board.settings.instance
+    return shard_keeper.make(
+        instance=instance.name,
+        data_centre=instance.data_centre,
+        lease_s=board.settings.fleet.lease_s,
+        unix_s=time.time(),
+        rng=random.Random(),
+        ledger=board.ledger,
+    )
 
 
 def _commit(
     settings: settings_lib.Settings, log: log_client.LogClient
 ) -> group_commit.GroupCommit:
-    stream = f'programs.{settings.instance.data_centre}'
+    stream = shard_feed.programs_stream(settings.instance.data_centre)
     return group_commit.GroupCommit(
         append=lambda data: log.append(stream, data),
         interval_s=settings.fleet.commit_interval_s,
@@ -215,6 +238,8 @@
         _follow_list(daemon),
         dispatch_lib.poll_load(daemon.dispatch),
         owner_lib.run(daemon.owner),
+        shard_feed.follow(daemon.shards),
+        shard_feed.run(daemon.shards),
     ]
     loop = asyncio.get_running_loop()
     daemon.tasks = [loop.create_task(work) for work in works]
@@ -229,10 +254,22 @@
         await asyncio.sleep(DRAIN_POLL_S)
     while daemon.commit.entries and time.monotonic() < deadline:
         await asyncio.sleep(DRAIN_POLL_S)
+    if not daemon.commit.entries:
+        await _release_shards(daemon)
     daemon.server.stop()
     await daemon.server.close_all_connections()
 
 
+async def _release_shards(daemon: Daemon) -> None:
+    for record in shard_keeper.release_all(daemon.keeper):
+        try:
+            await daemon.log.append(
+                shard_feed.FLEET_STREAM, codec.encode(record)
+            )
+        except errors.ResultError as error:
+            logs.warning('shard-release-failed', code=error.code.number)
+
+
 def close(daemon: Daemon) -> None:
     """Closes every socket."""
     for task in daemon.tasks:
@@ -285,6 +322,10 @@
             return await dispatch_lib.wait_for_slot(
                 daemon.dispatch, sender, message
             )
+        case messages.PromiseRequest():
+            return shard_keeper.on_promise_request(
+                daemon.keeper, time.monotonic(), message
+            )
         case messages.SlotReleased():
             dispatch_lib.on_release(daemon.dispatch, message)
             return None
@@ -337,19 +378,6 @@
             call.abort()
 
 
-def _epoch_of(board: blackboard.Board, shard: str) -> int:
-    state = board.ledger.shards.get(shard)
-    if state is None:
-        raise errors.ResultError(codes.OWNER_UNAVAILABLE, retry_after_s=1.0)
-    return state.epoch
-
-
-def _holder_of(shard: str) -> str:
-    # A shard that is not in the log is held by the instance that it is
-    # named after.
-    return shard.rpartition('-')[0]
-
-
 def _key_age_s(feed: config_feed.ConfigFeed) -> float:
     if feed.last_contact is None:
         return float('inf')
--- a/oleanderdrift/owner.py
+++ b/oleanderdrift/owner.py
@@ -19,12 +19,13 @@
 from oleanderdrift import ledger as ledger_lib
 from oleanderdrift import logs
 from oleanderdrift import messages
+from oleanderdrift import ownership
 from oleanderdrift import programs
+from oleanderdrift import shard_keeper
 
 EXPIRE_INTERVAL_S: typing.Final = 1.0
 
 Releaser: typing.TypeAlias = collections.abc.Callable[[programs.Release], None]
-Epochs: typing.TypeAlias = collections.abc.Callable[[str], int]
 
 
 @attrs.frozen(kw_only=True)
@@ -41,15 +42,14 @@
 class Owner:
     """The owner controller of one instance.
 
-    epoch_of returns the epoch under which a shard may be served now, or
-    raises ResultError(OWNER_UNAVAILABLE).  attempts maps those under way
-    to the instance that has them.
+    keeper says which shards are served here and under which epoch.
+    attempts maps those under way to the instance that has them.
     """
 
     board: blackboard.Board
     commit: group_commit.GroupCommit
     release: Releaser
-    epoch_of: Epochs
+    keeper: shard_keeper.Keeper
     attempts: dict[Attempt, str] = attrs.field(factory=dict)
 
 
@@ -66,16 +66,16 @@
         case messages.CreateProgram():
             decision = _create(owner, now, message)
         case messages.BeginCall():
-            epoch = owner.epoch_of(ledger_lib.shard_of(message.program))
+            epoch = epoch_of(owner, message.program)
             decision = programs.begin(ledger, now, epoch, message)
         case messages.CallPlaced():
-            owner.epoch_of(ledger_lib.shard_of(message.program))
+            epoch_of(owner, message.program)
             decision = programs.place(ledger, now, message)
         case messages.EndCall():
             owner.attempts.pop(_attempt(message), None)
             decision = programs.end(ledger, now, message)
         case messages.EndProgram():
-            owner.epoch_of(ledger_lib.shard_of(message.program))
+            epoch_of(owner, message.program)
             decision = programs.finish(ledger, now, message)
         case _:
             raise errors.ResultError(codes.BAD_REQUEST, 'unexpected message')
@@ -88,15 +88,23 @@
     program_class = owner.board.config.classes.get(message.class_name)
     if program_class is None:
         raise errors.ResultError(codes.UNKNOWN_CLASS, message.class_name)
-    shard = owner.board.shard
+    shard = shard_keeper.shard_for_new(owner.keeper, time.monotonic())
     if message.parent:
-        shard = ledger_lib.shard_of(message.parent)
-    owner.epoch_of(shard)
+        epoch_of(owner, message.parent)
     return programs.create(
         owner.board.ledger, now, shard, message, program_class
     )
 
 
+def epoch_of(owner: Owner, program: str) -> int:
+    """Returns the epoch under which a program may be served now.
+
+    Raises ResultError(OWNER_UNAVAILABLE) where the lease is not certain.
+    """
+    shard = ledger_lib.shard_of(program)
+    return shard_keeper.epoch_of(owner.keeper, time.monotonic(), shard)
+
+
 def _attempt(
     message: messages.CallGranted | messages.EndCall,
 ) -> Attempt:
@@ -128,7 +136,10 @@
 
 def _add(owner: Owner, record: messages.Message) -> asyncio.Future[int]:
     shard = ledger_lib.shard_of(record.program)
-    epoch = owner.board.ledger.shards[shard].epoch
+    state = owner.board.ledger.shards.get(shard)
+    if state is None:
+        raise errors.ResultError(codes.OWNER_UNAVAILABLE)
+    epoch = state.epoch
     return owner.commit.add(shard, epoch, record)
 
 
@@ -139,17 +150,36 @@
 ) -> None:
     reply = decision.reply
     timeout_s = owner.board.settings.platform.timeout_s
-    if await _wait(durable, timeout_s):
+    if not isinstance(reply, messages.CallGranted):
+        await _wait(durable, timeout_s)
+        return
+    attempt = _attempt(reply)
+    if not await _wait(durable, timeout_s):
+        _go_unrecorded(owner, attempt)
+    try:
         # The lease may have lapsed while the commit was under way.
-        if isinstance(reply, messages.CallGranted):
-            owner.epoch_of(ledger_lib.shard_of(reply.program))
+        epoch_of(owner, reply.program)
+    except errors.ResultError:
+        give_up(owner, attempt, codes.Execution.NOT_RUN)
+        raise
+
+
+def _go_unrecorded(owner: Owner, attempt: Attempt) -> None:
+    """Lets a call go without its intent in the log, or gives it up.
+
+    It may go where every possible successor has promised to take the
+    shard for one with unrecorded calls.
+    """
+    fleet = owner.keeper.fleet
+    shard = ledger_lib.shard_of(attempt.program)
+    if ownership.may_go_unrecorded(fleet, time.monotonic(), shard):
+        ownership.note_unrecorded(fleet)
         return
-    if isinstance(reply, messages.CallGranted):
-        give_up(owner, _attempt(reply), codes.Execution.NOT_RUN)
+    give_up(owner, attempt, codes.Execution.NOT_RUN)
     raise errors.ResultError(
         codes.LOG_UNAVAILABLE,
         'a non-idempotent call waits for the log',
-        retry_after_s=timeout_s,
+        retry_after_s=owner.board.settings.platform.timeout_s,
     )
 
 
@@ -178,10 +208,11 @@
             service_s=0.0,
         ),
     )
-    _write(owner, decision)
+    write(owner, decision)
 
 
-def _write(owner: Owner, decision: programs.Decision) -> None:
+def write(owner: Owner, decision: programs.Decision) -> None:
+    """Records a decision that nobody waits for."""
     for record in decision.records:
         _add(owner, record)
     for release in decision.releases:
@@ -206,4 +237,4 @@
     """Ends programs that are out of time, for ever."""
     while True:
         await asyncio.sleep(EXPIRE_INTERVAL_S)
-        _write(owner, programs.expire(owner.board.ledger, time.time()))
+        write(owner, programs.expire(owner.board.ledger, time.time()))
--- a/oleanderdrift/owner_client.py
+++ b/oleanderdrift/owner_client.py
@@ -1,6 +1,5 @@
 """Sends messages on a program to the instance that owns its shard."""
 
-import collections.abc
 import time
 import typing
 
@@ -15,20 +14,19 @@
 from oleanderdrift import messages
 from oleanderdrift import owner as owner_lib
 from oleanderdrift import peers
+from oleanderdrift import shard_keeper
 
 RETRY_AFTER_S: typing.Final = 1.0
 
-Holders: typing.TypeAlias = collections.abc.Callable[[str], str]
-
 
 @attrs.define(kw_only=True)
 class OwnerClient:
-    """Finds owners; holder_of names the instance that holds a shard."""
+    """Finds owners through the keeper."""
 
     board: blackboard.Board
     owner: owner_lib.Owner
     peers: peers.Peers
-    holder_of: Holders
+    keeper: shard_keeper.Keeper
 
 
 async def ask(
@@ -39,17 +37,14 @@
     Raises ResultError(OWNER_UNAVAILABLE) when the owner does not answer.
     """
     this = client.board.settings.instance.name
-    shard = ledger_lib.shard_of(program) if program else client.board.shard
-    holder = client.holder_of(shard)
+    holder = this
+    if program:
+        shard = ledger_lib.shard_of(program)
+        holder = shard_keeper.holder_of(client.keeper, shard)
     if holder == this:
         return await owner_lib.handle(client.owner, this, message)
-    member = _member(client.board.members, holder)
-    timeout_s = client.board.settings.fleet.peer_timeout_s
-    timeout_s += client.board.settings.platform.timeout_s
     try:
-        return await client.peers.request(
-            dispatch.peer_address(member), message, timeout_s
-        )
+        return await ask_instance(client, holder, message)
     except errors.ResultError as error:
         if error.code is not codes.PEER_UNREACHABLE:
             raise
@@ -60,6 +55,18 @@
         ) from error
 
 
+async def ask_instance(
+    client: OwnerClient, name: str, message: messages.Message
+) -> messages.Message:
+    """Asks an instance by name; raises ResultError."""
+    member = _member(client.board.members, name)
+    timeout_s = client.board.settings.fleet.peer_timeout_s
+    timeout_s += client.board.settings.platform.timeout_s
+    return await client.peers.request(
+        dispatch.peer_address(member), message, timeout_s
+    )
+
+
 def _member(members: membership.Members, name: str) -> membership.Member:
     for member in membership.alive(members, time.monotonic()):
         if member.name == name:
