Keep the follower alive, gentle to a slow log, and wary of a short one

Cause: a listener's exception ended the follower for good; 600 instances retried a failing log about three times a second each; a lagging copy of the log passed for a log that is fully read; a fresh instance asked a peer for the whole state before the log had a chance to answer.

Retries begin at 0.1 s, since a new connection may work, and double to 2 s. A read answered from a log that ends before the offset asked for fails. The first question to a peer comes after one interval.

Failed first: test_follower_outlives_a_listener_that_fails with the guard off, test_append_then_read with the check of the end off.

--- a/oleanderdrift/config_exchange.py
+++ b/oleanderdrift/config_exchange.py
@@ -40,12 +40,13 @@
 ) -> typing.NoReturn:
     """Asks live peers for as long as there is need to.
 
-    addresses gives the live peers, without this instance.  Returns only
+    addresses gives the live peers, without this instance.  The log comes
+    first: a fresh instance asks after one interval only.  Returns only
     by cancellation.
     """
     while True:
-        await ask(feed, request, send, addresses())
         await asyncio.sleep(config_peers.ASK_INTERVAL_S)
+        await ask(feed, request, send, addresses())
 
 
 async def ask(
--- a/oleanderdrift/config_feed.py
+++ b/oleanderdrift/config_feed.py
@@ -14,6 +14,7 @@
 
 
 from oleanderdrift import codec
+from oleanderdrift import codes
 from oleanderdrift import config_peers
 from oleanderdrift import config_reader
 from oleanderdrift import config_snapshots
@@ -27,7 +28,8 @@
 BATCH_RECORDS: typing.Final = 500
 # Silence is noticed after WAIT_S and the client's timeout together.
 WAIT_S: typing.Final = 3.0
-RETRY_S: typing.Final = 0.5
+RETRY_S: typing.Final = 0.1
+MAX_RETRY_S: typing.Final = 2.0
 
 Listener: typing.TypeAlias = typing.Callable[[model.ObjectChange], None]
 WithdrawalListener: typing.TypeAlias = typing.Callable[[model.ApiKey], None]
@@ -72,10 +74,12 @@
 
 async def follow(feed: ConfigFeed) -> typing.NoReturn:
     """Reads for good; returns only by cancellation."""
+    in_a_row = 0
     while True:
         try:
             await poll(feed)
             await keep_up(feed)
+            in_a_row = 0
         except errors.ResultError as error:
             feed.failures += 1
             logs.warning(
@@ -84,7 +88,18 @@
                 next_offset=feed.next_offset,
                 detail=error.detail,
             )
-            await asyncio.sleep(feed.random.uniform(0.5, 1) * feed.retry_s)
+            in_a_row += 1
+            await asyncio.sleep(retry_delay_s(feed, in_a_row))
+
+
+def retry_delay_s(feed: ConfigFeed, in_a_row: int) -> float:
+    """Returns the time to the next try after some failures in a row.
+
+    The first is soon, since a new connection may work; then it doubles
+    up to MAX_RETRY_S, so that a fleet leaves a slow log alone.
+    """
+    delay_s = min(MAX_RETRY_S, feed.retry_s * 2.0 ** min(in_a_row - 1, 10))
+    return feed.random.uniform(0.5, 1.0) * delay_s
 
 
 async def poll(feed: ConfigFeed) -> list[config_reader.Judged]:
@@ -166,4 +181,20 @@
             removed=change.after is None,
         )
         for listener in feed.listeners:
-            listener(change)
+            _call(feed, listener, change)
+
+
+def _call(
+    feed: ConfigFeed, listener: Listener, change: model.ObjectChange
+) -> None:
+    # The follower must outlive a fault in what listens to it.
+    try:
+        listener(change)
+    except Exception as error:
+        feed.failures += 1
+        logs.warning(
+            'config-listener-failed',
+            code=codes.INVARIANT_BROKEN.number,
+            offset=change.offset,
+            detail=repr(error),
+        )
--- a/oleanderdrift/log_client.py
+++ b/oleanderdrift/log_client.py
@@ -137,7 +137,8 @@
         """Reads up to limit records, waiting up to wait_s for the first.
 
         Starts at the oldest record held if from_offset is older.  Raises
-        ResultError LOG_UNAVAILABLE.
+        ResultError LOG_UNAVAILABLE, also for a log that ends before
+        from_offset.
         """
         query = urllib.parse.urlencode(
             {
@@ -162,6 +163,13 @@
             raise errors.ResultError(
                 codes.LOG_UNAVAILABLE, f'malformed answer: {error}'
             ) from error
+        if answer.next < from_offset:
+            # A lagging copy of the log: what it lacks must not pass as read.
+            self.note_failure()
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE,
+                f'{stream} ends at {answer.next}, before {from_offset}',
+            )
         next_offset = max(from_offset, answer.first)
         if answer.records:
             next_offset = answer.records[-1].offset + 1
--- a/tests/test_config_feed.py
+++ b/tests/test_config_feed.py
@@ -119,6 +119,31 @@
     run(log_service.url, work)
 
 
+def test_retries_begin_soon_and_slow_down() -> None:
+    feed = config_feed.ConfigFeed(
+        client=log_client.LogClient('http://127.0.0.1:9'),
+        random=random.Random(1),
+    )
+    delays = [config_feed.retry_delay_s(feed, count) for count in (1, 3, 99)]
+    assert delays[0] <= config_feed.RETRY_S < delays[1] < delays[2]
+    assert delays[2] <= config_feed.MAX_RETRY_S
+
+
+def test_follower_outlives_a_listener_that_fails(
+    log_service: services.LogService,
+) -> None:
+    async def work(feed: config_feed.ConfigFeed) -> None:
+        def fail(_: model.ObjectChange) -> None:
+            raise KeyError('fault')
+
+        feed.listeners.append(fail)
+        for name in 'cd':
+            await asyncio.to_thread(log_service.append, account(name, name))
+            await seen(feed, name)
+
+    run(log_service.url, work)
+
+
 def test_cut_off_instance_lives_on_its_peers(
     log_service: services.LogService,
 ) -> None:
--- a/tests/test_log_client.py
+++ b/tests/test_log_client.py
@@ -43,6 +43,8 @@
         )
         empty = await client.read('s', 3, 10, 0.01)
         assert (empty.records, empty.next_offset) == ((), 3)
+        with pytest.raises(errors.ResultError):
+            await client.read('s', 4, 10, 0)
 
     run(log_service.url, calls)
 
