--- a/oleanderdrift/cli.py
+++ b/oleanderdrift/cli.py
@@ -23,6 +23,7 @@
 from oleanderdrift import config_admin
 from oleanderdrift import config_state
 from oleanderdrift import errors
+from oleanderdrift import instance_client
 from oleanderdrift import log_client
 from oleanderdrift import messages
 from oleanderdrift import model
@@ -34,7 +35,8 @@
 
 EXIT_CODES: typing.Final = """
 Exit codes: 0 done or accepted; 1 refused, or the file has faults;
-2 wrong use of the command; 3 the log does not answer, nothing changed;
+2 wrong use of the command; 3 no answer from the log, nothing changed, or
+from the instance;
 4 unconfirmed: the change may be in the log, see `config history`.
 """
 
@@ -70,6 +72,14 @@
         help='Base URL of the log service, as http://10.0.0.9:7000.',
     ),
 ]
+OptionalLogOption = typing.Annotated[
+    str,
+    typer.Option(
+        '--log',
+        envvar='OLEANDERDRIFT_LOG',
+        help='Base URL of the log service, if it is to be asked.',
+    ),
+]
 JsonOption = typing.Annotated[
     bool, typer.Option('--json', help='Print JSON, one document.')
 ]
@@ -127,7 +137,7 @@
     """Prints an error and returns the exit that fits it."""
     typer.echo(f'error {error}', err=True)
     typer.echo(f'Try `oleanderdrift explain {error.code.number}`.', err=True)
-    if error.code is codes.LOG_UNAVAILABLE:
+    if error.code in (codes.LOG_UNAVAILABLE, codes.PEER_UNREACHABLE):
         return typer.Exit(EXIT_UNAVAILABLE)
     if error.code is codes.CONFIG_UNCONFIRMED:
         return typer.Exit(EXIT_UNCONFIRMED)
@@ -246,17 +256,13 @@
 @config_app.command('check')
 def config_check(
     file: FileArgument,
-    log: typing.Annotated[
-        str,
-        typer.Option(
-            '--log',
-            envvar='OLEANDERDRIFT_LOG',
-            help='Also check against the configuration in this log.',
-        ),
-    ] = '',
+    log: OptionalLogOption = '',
     as_json: JsonOption = False,
 ) -> None:
-    """Says whether a file could be published; changes nothing."""
+    """Says whether a file could be published; changes nothing.
+
+    With a log, the file is checked against what is in force there.
+    """
     wanted = read_file(file)
 
     async def work(session: config_admin.Session) -> model.Config:
@@ -513,12 +519,32 @@
 @key_app.command('withdraw')
 def key_withdraw(
     name: NameArgument,
-    log: LogOption,
+    log: OptionalLogOption = '',
+    instance: typing.Annotated[
+        str,
+        typer.Option(
+            help='Withdraw directly at the instance with this base URL; for '
+            'when the log is away. Repeat without it later.'
+        ),
+    ] = '',
+    token: typing.Annotated[
+        str,
+        typer.Option(
+            envvar='OLEANDERDRIFT_TOKEN',
+            help='The operator token, for --instance.',
+            show_default=False,
+        ),
+    ] = '',
     as_json: JsonOption = False,
     timeout_s: TimeoutOption = 10.0,
     author: AuthorOption = '',
 ) -> None:
     """Withdraws a key; open streams that use it are ended too."""
+    if instance:
+        withdraw_directly(name, instance, token, as_json)
+        return
+    if not log:
+        raise typer.BadParameter('give --log or --instance')
     change_one(
         log,
         author or operator(),
@@ -530,6 +556,20 @@
     )
 
 
+def withdraw_directly(
+    name: str, instance: str, token: str, as_json: bool
+) -> None:
+    """Withdraws a key at an instance and prints what it said."""
+    try:
+        account = asyncio.run(
+            instance_client.withdraw_key(instance, token, name)
+        )
+    except errors.ResultError as error:
+        raise failed(error)
+    rows = [(name, account, instance, 'withdrawn, not yet in the log')]
+    print_table(('name', 'account', 'instance', 'state'), rows, as_json)
+
+
 @key_app.command('list')
 def key_list(log: LogOption, as_json: JsonOption = False) -> None:
     """Lists the keys in force by name; the keys are known to nobody."""
