Demonstrate the fleet: make demo

Cause: the main job should show with one command.

Nine instances in three data centres serve alerts, dispatches whose request is sent twice through two instances, and planning conversations with a tool, pauses and a sub-agent, by the openai package. The table counts programs within target, runs at the tool stand-ins, refusals and p50/p95 by client account (HdrHistogram), and the command exits 1 where a program failed or a side effect did not happen once.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 	$(PY) -m ruff format $(SOURCES)
 
 check: lint types test
+
+demo: $(STAMP)
+	$(PY) -m standins.demo
--- a/standins/client.py
+++ b/standins/client.py
@@ -55,11 +55,12 @@
 
 @attrs.define(kw_only=True)
 class Stream:
-    """A streamed answer, as far as it came."""
+    """A streamed answer, as far as it came; code is a refusal's."""
 
     text: str = ''
     finished: bool = False
     error: str = ''
+    code: int = 0
 
 
 def send(
@@ -149,6 +150,9 @@
                 },
             )
             take(stream, chunks, on_token)
+        except openai.APIStatusError as error:
+            stream.error = str(error)
+            stream.code = int(error.response.headers['Oleander-Code'])
         except openai.OpenAIError as error:
             stream.error = str(error)
         except Exception as error:
--- a/standins/fleet_config.py
+++ b/standins/fleet_config.py
@@ -40,10 +40,11 @@
     node.settings_path.write_text('\n'.join(lines) + '\n')
 
 
-def command(fleet: fleet_state.Fleet, *arguments: str) -> typing.Any:
+def outcome(fleet: fleet_state.Fleet, *arguments: str) -> typing.Any:
     """Runs an operator's command on the fleet's log; returns its JSON.
 
-    Raises RuntimeError where it exits with another code than 0.
+    A refusal is an outcome too.  Raises RuntimeError where the command
+    prints no JSON.
     """
     done = subprocess.run(
         [sys.executable, '-m', 'oleanderdrift', *arguments]
@@ -52,9 +53,20 @@
         capture_output=True,
         text=True,
     )
-    if done.returncode:
-        raise RuntimeError(f'exit {done.returncode}: {done.stderr}')
-    return json.loads(done.stdout)
+    try:
+        return json.loads(done.stdout)
+    except ValueError:
+        text = f'exit {done.returncode}: {done.stderr}'
+        raise RuntimeError(text) from None
+
+
+def command(fleet: fleet_state.Fleet, *arguments: str) -> typing.Any:
+    """Runs a command whose changes must all be accepted."""
+    rows = outcome(fleet, *arguments)
+    refused = [x for x in rows if x.get('verdict') == 'refused']
+    if refused and arguments != ('config', 'history'):
+        raise RuntimeError(str(refused))
+    return rows
 
 
 def publish(fleet: fleet_state.Fleet, text: str) -> typing.Any:
