End exchanges that curl fails; withdraw keys from open streams

Cause: Tornado's client raises curl's own errors even with raise_error off, so the task of an exchange that failed, or was cancelled, died and its reader waited for ever. Ruled out: the abort not reaching curl; the upstream saw its connection close.

Change: the exchange notes every failure, and tells 'not run' from 'may have run' by whether curl was about to send (PREREQFUNCTION), not by error numbers. Configuration and direct withdrawals go between peers; operators can withdraw a key at any instance without the log.

Before: test_withdrawn_key_ends_an_open_stream hung. After: passes, as does tests/test_http_out.py, 7 passed in 9.5 s.

--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -17,12 +17,15 @@
 from oleanderdrift import calls as calls_lib
 from oleanderdrift import codec
 from oleanderdrift import codes
+from oleanderdrift import config_exchange
 from oleanderdrift import config_feed
+from oleanderdrift import config_snapshots
 from oleanderdrift import dispatch as dispatch_lib
 from oleanderdrift import errors
 from oleanderdrift import group_commit
 from oleanderdrift import http_in
 from oleanderdrift import http_out
+from oleanderdrift import key_trust
 from oleanderdrift import list_client
 from oleanderdrift import log_client
 from oleanderdrift import logs
@@ -71,6 +74,7 @@
 def run(path: pathlib.Path) -> None:
     """Serves until SIGTERM; raises ResultError(SETTINGS_INVALID)."""
     settings = settings_lib.load(path)
+    logs.set_up()
     asyncio.run(serve(settings))
 
 
@@ -101,7 +105,14 @@
     log = log_client.LogClient(
         settings.platform.log_url, settings.platform.timeout_s
     )
-    feed = config_feed.ConfigFeed(client=log, random=random.Random())
+    feed = config_feed.ConfigFeed(
+        client=log,
+        random=random.Random(),
+        trust=key_trust.KeyTrust(grace_s=settings.fleet.key_grace_s),
+        upkeep=config_snapshots.Upkeep(
+            retention_s=settings.platform.log_retention_s
+        ),
+    )
     board.config = feed.config
     upstreams = http_out.Upstreams(max_streams=settings.limits.client_streams)
     releases = releases_lib.Releases(board=board, upstreams=upstreams)
@@ -139,8 +150,10 @@
         owners=owners,
         metrics=metrics_lib.Metrics(),
         status=lambda: _status(daemon),
-        is_ready=feed.caught_up.is_set,
-        key_age_s=lambda: _key_age_s(feed),
+        feed=feed,
+        withdraw=lambda name: config_exchange.withdraw(
+            feed, name, peers.send, _addresses(board)
+        ),
     )
     shards = shard_feed.ShardFeed(
         keeper=keeper,
@@ -172,6 +185,7 @@
         server=_server(settings, front),
     )
     feed.listeners.append(lambda change: _on_change(daemon, change))
+    feed.withdrawal_listeners.append(lambda key: _end_calls(board, key.sha256))
     return daemon
 
 
@@ -238,6 +252,12 @@
         _follow_list(daemon),
         dispatch_lib.poll_load(daemon.dispatch),
         owner_lib.run(daemon.owner),
+        config_exchange.run(
+            daemon.feed,
+            daemon.peers.request,
+            daemon.peers.send,
+            lambda: _addresses(daemon.board),
+        ),
         shard_feed.follow(daemon.shards),
         shard_feed.run(daemon.shards),
     ]
@@ -322,6 +342,13 @@
             return await dispatch_lib.wait_for_slot(
                 daemon.dispatch, sender, message
             )
+        case messages.ReadConfig() | messages.KeysWithdrawn():
+            return config_exchange.handle(
+                daemon.feed,
+                message,
+                daemon.peers.send,
+                _addresses(daemon.board),
+            )
         case messages.PromiseRequest():
             return shard_keeper.on_promise_request(
                 daemon.keeper, time.monotonic(), message
@@ -367,17 +394,31 @@
 def _on_change(daemon: Daemon, change: model.ObjectChange) -> None:
     if change.kind in _DISPATCH_KINDS:
         dispatch_lib.on_config(daemon.dispatch)
-    if change.kind is model.Kind.KEY:
-        _end_withdrawn(daemon)
+    before, after = change.before, change.after
+    if isinstance(before, model.ApiKey):
+        kept = isinstance(after, model.ApiKey) and (
+            after.sha256 == before.sha256
+        )
+        if not kept:
+            _end_calls(daemon.board, before.sha256)
 
 
-def _end_withdrawn(daemon: Daemon) -> None:
-    keys = daemon.board.config.keys
-    for call in list(daemon.board.open_calls.values()):
-        if call.key_sha256 and call.key_sha256 not in keys:
+def _end_calls(board: blackboard.Board, key_sha256: str) -> None:
+    for call in list(board.open_calls.values()):
+        if call.key_sha256 == key_sha256:
             call.abort()
 
 
+def _addresses(board: blackboard.Board) -> list[str]:
+    """Returns the peer addresses of the live instances but this one."""
+    members = membership.alive(board.members, time.monotonic())
+    return [
+        dispatch_lib.peer_address(member)
+        for member in members
+        if member.name != board.members.this.name
+    ]
+
+
 def _key_age_s(feed: config_feed.ConfigFeed) -> float:
     if feed.last_contact is None:
         return float('inf')
--- a/oleanderdrift/http_in.py
+++ b/oleanderdrift/http_in.py
@@ -15,6 +15,8 @@
 
 import asyncio
 import collections.abc
+import hashlib
+import hmac
 import time
 import typing
 import urllib.parse
@@ -29,9 +31,11 @@
 from oleanderdrift import blackboard
 from oleanderdrift import calls as calls_lib
 from oleanderdrift import codes
+from oleanderdrift import config_feed
 from oleanderdrift import config_state
 from oleanderdrift import conversation
 from oleanderdrift import errors
+from oleanderdrift import key_trust
 from oleanderdrift import logs
 from oleanderdrift import messages
 from oleanderdrift import metrics
@@ -44,6 +48,7 @@
 JSON: typing.Final = 'application/json'
 
 Status: typing.TypeAlias = collections.abc.Callable[[], bytes]
+Withdraw: typing.TypeAlias = collections.abc.Callable[[str], model.ApiKey]
 
 
 @attrs.define(kw_only=True)
@@ -55,8 +60,8 @@
     owners: owner_client_lib.OwnerClient
     metrics: metrics.Metrics
     status: Status
-    is_ready: collections.abc.Callable[[], bool]
-    key_age_s: collections.abc.Callable[[], float]
+    feed: config_feed.ConfigFeed
+    withdraw: Withdraw
 
 
 @attrs.frozen(kw_only=True)
@@ -93,6 +98,13 @@
     parent: str = ''
 
 
+def bearer(request: httputil.HTTPServerRequest) -> str:
+    """Returns the bearer token of a request, '' where there is none."""
+    header = request.headers.get('Authorization', '')
+    scheme, _space, token = header.partition(' ')
+    return token if scheme.lower() == 'bearer' else ''
+
+
 def error_body(error: errors.ResultError) -> bytes:
     """Returns the JSON body of a refusal."""
     return msgspec.json.encode(
@@ -178,12 +190,11 @@
 
     def identify(self) -> Caller:
         """Returns who calls; raises ResultError."""
-        header = self.request.headers.get('Authorization', '')
-        scheme, _space, key = header.partition(' ')
-        if scheme.lower() != 'bearer':
-            key = ''
-        found = config_state.authenticate(self.front.board.config, key)
-        self._check_key_age()
+        key = bearer(self.request)
+        feed = self.front.feed
+        found = key_trust.authenticate(
+            feed.trust, feed.config, key, feed.last_contact, time.monotonic()
+        )
         self.client_account = found.client_account
         return Caller(
             client_account=found.client_account,
@@ -191,13 +202,6 @@
             key=key,
         )
 
-    def _check_key_age(self) -> None:
-        grace_s = self.front.board.settings.fleet.key_grace_s
-        if self.front.key_age_s() > grace_s:
-            raise errors.ResultError(
-                codes.KEYS_UNVERIFIABLE, retry_after_s=grace_s / 10
-            )
-
     def admit(self, caller: Caller) -> None:
         """Spends one request of the client account's rate."""
         account = self.front.board.config.accounts.get(caller.client_account)
@@ -497,7 +501,8 @@
 
     def get(self) -> None:
         """Answers 200 while the instance takes new requests."""
-        ready = self.front.is_ready() and not self.front.board.draining
+        ready = self.front.feed.caught_up.is_set()
+        ready = ready and not self.front.board.draining
         self.set_status(200 if ready else 503)
         self.finish('ready\n' if ready else 'not ready\n')
 
@@ -511,11 +516,47 @@
         self.finish(self.front.metrics.exposition())
 
 
-class StatusHandler(BaseHandler):
-    """GET /v1/status, for operators."""
+class OperatorHandler(BaseHandler):
+    """What only operators may do, with the operator token."""
+
+    def check_operator(self) -> None:
+        """Raises ResultError(OPERATOR_ONLY) without the token."""
+        expected = self.front.board.settings.operators.token_sha256
+        token = bearer(self.request)
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        if not expected or not hmac.compare_digest(digest, expected):
+            raise errors.ResultError(codes.OPERATOR_ONLY)
+
+
+class WithdrawHandler(OperatorHandler):
+    """POST /v1/operator/keys/NAME/withdraw, without the log."""
+
+    async def post(self, name: str) -> None:
+        """Withdraws a key at once, here and at every reachable peer."""
+        await self.guard(self._post(name))
+
+    async def _post(self, name: str) -> None:
+        self.check_operator()
+        key = self.front.withdraw(name)
+        self.set_result(codes.OK)
+        self.set_header('Content-Type', JSON)
+        self.finish(msgspec.json.encode({'withdrawn': key.name}))
+
+
+class StatusHandler(OperatorHandler):
+    """GET /v1/status, for operators.
+
+    It is open to all where no operator token is set.
+    """
 
     def get(self) -> None:
         """Answers with the instance's view as JSON."""
+        try:
+            if self.front.board.settings.operators.token_sha256:
+                self.check_operator()
+        except errors.ResultError as error:
+            self.refuse(error)
+            return
         self.set_header('Content-Type', JSON)
         self.finish(self.front.status())
 
@@ -531,6 +572,11 @@
             ('/healthz', HealthHandler, arguments),
             ('/metrics', MetricsHandler, arguments),
             ('/v1/status', StatusHandler, arguments),
+            (
+                '/v1/operator/keys/([^/]+)/withdraw',
+                WithdrawHandler,
+                arguments,
+            ),
             ('/.*', ToolHandler, arguments),
         ],
         log_function=lambda handler: None,
--- a/oleanderdrift/http_out.py
+++ b/oleanderdrift/http_out.py
@@ -20,10 +20,6 @@
 BUFFER_BYTES: typing.Final = 1_048_576
 LOW_SPEED_BYTES_PER_S: typing.Final = 1
 _NO_TIMEOUT_S: typing.Final = 0.0
-_CLOSED: typing.Final = None
-_NOT_SENT: typing.Final = frozenset(
-    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST}
-)
 
 
 @attrs.frozen(kw_only=True)
@@ -52,6 +48,7 @@
         self.headers = httputil.HTTPHeaders()
         self.chunks: list[bytes] = []
         self.buffered = 0
+        self.sent = False
         self.ended = False
         self.cancelled = False
         self.error: errors.ResultError | None = None
@@ -126,6 +123,11 @@
         self.changed.set()
         return len(data)
 
+    def on_connected(self, *_addresses: object) -> int:
+        """Notes that the request goes out; curl asks just before it."""
+        self.sent = True
+        return int(pycurl.PREREQFUNC_OK)
+
     def on_progress(self, *_counts: int) -> int:
         """Tells curl whether to abort (any number but 0)."""
         return int(self.cancelled)
@@ -157,25 +159,32 @@
         def prepare(curl: pycurl.Curl) -> None:
             _prepare(curl, stream, request)
 
-        response = await self.client.fetch(
-            httpclient.HTTPRequest(
-                request.url,
-                method=request.method,
-                headers=httputil.HTTPHeaders(request.headers),
-                body=request.body if request.method != 'GET' else None,
-                connect_timeout=request.connect_timeout_s,
-                request_timeout=_NO_TIMEOUT_S,
-                follow_redirects=False,
-                decompress_response=False,
-                allow_nonstandard_methods=True,
-                prepare_curl_callback=prepare,
-            ),
-            raise_error=False,
-        )
-        stream.curl = None
-        stream.error = _failure(response)
-        stream.ended = True
-        stream.changed.set()
+        try:
+            await self.client.fetch(
+                httpclient.HTTPRequest(
+                    request.url,
+                    method=request.method,
+                    headers=httputil.HTTPHeaders(request.headers),
+                    body=request.body if request.method != 'GET' else None,
+                    connect_timeout=request.connect_timeout_s,
+                    request_timeout=_NO_TIMEOUT_S,
+                    follow_redirects=False,
+                    decompress_response=False,
+                    allow_nonstandard_methods=True,
+                    prepare_curl_callback=prepare,
+                ),
+                raise_error=False,
+            )
+        except curl_httpclient.CurlError as error:
+            stream.error = _failure(error, stream)
+        except Exception as error:
+            stream.error = errors.ResultError(
+                codes.UPSTREAM_FAILED, repr(error)
+            )
+        finally:
+            stream.curl = None
+            stream.ended = True
+            stream.changed.set()
 
 
 async def get(upstreams: Upstreams, url: str, timeout_s: float) -> bytes:
@@ -214,6 +223,7 @@
     stream.curl = curl
     curl.setopt(pycurl.HEADERFUNCTION, stream.on_header)
     curl.setopt(pycurl.WRITEFUNCTION, stream.on_body)
+    curl.setopt(pycurl.PREREQFUNCTION, stream.on_connected)
     curl.setopt(pycurl.NOPROGRESS, 0)
     curl.setopt(pycurl.XFERINFOFUNCTION, stream.on_progress)
     curl.setopt(pycurl.LOW_SPEED_LIMIT, LOW_SPEED_BYTES_PER_S)
@@ -224,14 +234,11 @@
     curl.setopt(pycurl.NOPROXY, '*')
 
 
-def _failure(response: httpclient.HTTPResponse) -> errors.ResultError | None:
-    error = response.error
-    if not isinstance(error, curl_httpclient.CurlError):
-        return None
-    if error.errno in _NOT_SENT:
+def _failure(
+    error: curl_httpclient.CurlError, stream: Stream
+) -> errors.ResultError:
+    if not stream.sent:
         return errors.ResultError(codes.UPSTREAM_UNREACHABLE, str(error))
     if error.errno == pycurl.E_OPERATION_TIMEDOUT:
-        if not response.time_info.get('connect'):
-            return errors.ResultError(codes.UPSTREAM_UNREACHABLE, str(error))
         return errors.ResultError(codes.UPSTREAM_TIMEOUT, str(error))
     return errors.ResultError(codes.UPSTREAM_FAILED, str(error))
--- a/oleanderdrift/logs.py
+++ b/oleanderdrift/logs.py
@@ -4,11 +4,37 @@
 codes alone.
 """
 
+import logging as standard_logging
 import typing
 
 from absl import logging
 
 
+class _Formatter(standard_logging.Formatter):
+    """Puts the time and the level before the pairs of an event."""
+
+    def format(self, record: standard_logging.LogRecord) -> str:
+        """Returns one line; a traceback follows on lines of its own."""
+        stamp = self.formatTime(record, '%Y-%m-%dT%H:%M:%S')
+        head = f'time={stamp}.{int(record.msecs):03d} '
+        head += f'level={record.levelname.lower()} '
+        if record.exc_info:
+            trace = self.formatException(record.exc_info)
+            return f'{head}{record.getMessage()}\n{trace}'
+        return head + record.getMessage()
+
+
+def set_up() -> None:
+    """Sends events to standard error from now on, one line each."""
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    handler = logging.get_absl_handler()
+    handler.setFormatter(_Formatter())
+    # Tornado logs refused requests of its own; codes tell them here.
+    for name in ('tornado.access', 'tornado.general'):
+        standard_logging.getLogger(name).setLevel(standard_logging.ERROR)
+
+
 def line(event: str, **values: object) -> str:
     """Returns the line of an event, its values quoted where needed."""
     pairs = [f'event={event}']
--- a/oleanderdrift/settings.py
+++ b/oleanderdrift/settings.py
@@ -81,6 +81,7 @@
     list_url: str = _url()
     timeout_s: float = _number(2.0, 0.1, 30)
     list_interval_s: float = _number(1.0, 0.1, 60)
+    log_retention_s: float = _number(86_400.0, 60, 31_536_000)
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/test_http_out.py
@@ -0,0 +1,142 @@
+"""Tests of how exchanges with upstreams end."""
+
+import asyncio
+import collections.abc
+import typing
+
+import pytest
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import http_out
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n'
+
+
+class Server:
+    """Sends fixed bytes to each connection, then closes or keeps it."""
+
+    def __init__(self, data: bytes, keep: bool) -> None:
+        self.data = data
+        self.keep = keep
+        self.requests = 0
+        self.hold = asyncio.Event()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers the requests of one connection."""
+        while await reader.readline():
+            while (await reader.readline()).strip():
+                pass
+            self.requests += 1
+            writer.write(self.data)
+            if not self.keep:
+                writer.close()
+                return
+            if not self.data.startswith(HEAD + b'0123456789'):
+                await self.hold.wait()
+
+
+def request(port: int, *, once: bool = False) -> http_out.UpstreamRequest:
+    """Returns a request to a loopback port."""
+    return http_out.UpstreamRequest(
+        method='GET',
+        url=f'http://127.0.0.1:{port}/',
+        headers={},
+        body=b'',
+        once=once,
+        connect_timeout_s=1.0,
+        silence_s=1.0,
+    )
+
+
+async def exchange(
+    data: bytes,
+    keep: bool,
+    use: collections.abc.Callable[
+        [http_out.Upstreams, int, Server],
+        collections.abc.Awaitable[typing.Any],
+    ],
+) -> typing.Any:
+    """Runs a use of the client against a server."""
+    server = Server(data, keep)
+    listener = await asyncio.start_server(server.serve, '127.0.0.1', 0)
+    upstreams = http_out.Upstreams(max_streams=4)
+    port = listener.sockets[0].getsockname()[1]
+    try:
+        return await use(upstreams, port, server)
+    finally:
+        server.hold.set()
+        listener.close()
+        upstreams.close()
+
+
+async def read_all(stream: http_out.Stream) -> bytes:
+    """Reads a stream to its end."""
+    await stream.start()
+    parts = []
+    while data := await stream.read():
+        parts.append(data)
+    return b''.join(parts)
+
+
+@pytest.mark.parametrize(
+    ('data', 'keep', 'code'),
+    [
+        (b'', False, codes.UPSTREAM_FAILED),
+        (HEAD + b'short', False, codes.UPSTREAM_FAILED),
+        (HEAD + b'short', True, codes.UPSTREAM_TIMEOUT),
+        (b'', True, codes.UPSTREAM_TIMEOUT),
+    ],
+)
+def test_cut_or_silent_answer_may_have_run(
+    data: bytes, keep: bool, code: codes.Result
+) -> None:
+    async def use(
+        upstreams: http_out.Upstreams, port: int, _server: Server
+    ) -> None:
+        await read_all(upstreams.open(request(port)))
+
+    with pytest.raises(errors.ResultError) as caught:
+        asyncio.run(exchange(data, keep, use))
+    assert caught.value.code is code
+
+
+def test_refused_connection_was_not_run() -> None:
+    async def use(
+        upstreams: http_out.Upstreams, _port: int, _server: Server
+    ) -> None:
+        await read_all(upstreams.open(request(1)))
+
+    with pytest.raises(errors.ResultError) as caught:
+        asyncio.run(exchange(b'', False, use))
+    assert caught.value.code is codes.UPSTREAM_UNREACHABLE
+
+
+def test_cancelled_stream_ends() -> None:
+    async def use(
+        upstreams: http_out.Upstreams, port: int, _server: Server
+    ) -> None:
+        stream = upstreams.open(request(port))
+        await stream.start()
+        assert await stream.read() == b'short'
+        stream.cancel()
+        await stream.read()
+
+    with pytest.raises(errors.ResultError):
+        asyncio.run(exchange(HEAD + b'short', True, use))
+
+
+def test_once_is_not_repeated_on_a_connection_that_was_closed() -> None:
+    async def use(
+        upstreams: http_out.Upstreams, port: int, server: Server
+    ) -> int:
+        await read_all(upstreams.open(request(port)))
+        server.keep = False
+        server.data = b''
+        with pytest.raises(errors.ResultError):
+            await read_all(upstreams.open(request(port, once=True)))
+        return server.requests
+
+    assert asyncio.run(exchange(HEAD + b'0123456789', True, use)) == 2
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -219,3 +219,30 @@
     url = next(iter(running.nodes.values())).url
     code, _headers, answer = request(f'{url}/sheet/read', '')
     assert (code, answer['path']) == (200, '/sheet/read')
+
+
+def test_withdrawn_key_ends_an_open_stream(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    issued = fleet_config.command(running, 'key', 'issue', 'escola')[0]
+    node = next(iter(running.nodes.values()))
+    while status(node.url)['config_offset'] < issued['offset']:
+        pass
+    client = openai.OpenAI(
+        api_key=issued['key'], base_url=f'{node.url}/v1', max_retries=0
+    )
+    stream = client.chat.completions.create(
+        model='guide',
+        messages=[{'role': 'user', 'content': 'long'}],
+        stream=True,
+        max_tokens=100_000,
+        extra_headers={
+            'Oleander-Program': 'new',
+            'Oleander-Class': 'planning',
+        },
+    )
+    next(iter(stream))
+    fleet_config.command(running, 'key', 'withdraw', issued['name'])
+    with pytest.raises(openai.APIError, match='withdrawn'):
+        for _chunk in stream:
+            pass
