--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,92 @@
+"""The baselines: what callers get without the scheduler.
+
+Both send each call to an engine at once and so leave its order to the
+engine, which is first in, first out.  Both see the whole fleet's calls
+without delay, which real entry instances do not.
+"""
+
+import attrs
+
+from oleanderdrift import messages
+from oleanderdrift import model
+
+
+@attrs.define(kw_only=True)
+class Baseline:
+    """What both baselines know: live upstreams, their calls, new calls."""
+
+    names: list[str] = attrs.field(factory=list)
+    outstanding: dict[str, int] = attrs.field(factory=dict)
+    new: list[messages.SlotRequest] = attrs.field(factory=list)
+
+    def set_upstreams(
+        self, now: float, upstreams: list[model.Upstream]
+    ) -> None:
+        """Takes over the upstreams; a leaving one gets nothing new."""
+        self.names = [each.name for each in upstreams if not each.leaving]
+
+    def submit(self, now: float, request: messages.SlotRequest) -> None:
+        """Takes a new call."""
+        self.new.append(request)
+
+    def release(self, now: float, released: messages.SlotReleased) -> None:
+        """Counts a call's end."""
+        self.outstanding[released.upstream] -= 1
+
+    def poll(
+        self, now: float
+    ) -> list[messages.SlotGranted | messages.SlotRefused]:
+        """Sends every new call at once."""
+        grants: list[messages.SlotGranted | messages.SlotRefused] = []
+        for request in self.new:
+            name = self.pick()
+            self.outstanding[name] = self.outstanding.get(name, 0) + 1
+            grants.append(
+                messages.SlotGranted(call_id=request.call_id, upstream=name)
+            )
+        self.new.clear()
+        return grants
+
+    def pick(self) -> str:
+        """Returns the upstream of the next call."""
+        raise NotImplementedError
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Never decides without an event."""
+        return None
+
+    def on_load(
+        self, now: float, upstream: str, running: int, waiting: int
+    ) -> None:
+        """Makes nothing of load reports."""
+
+    def on_cache_event(
+        self,
+        now: float,
+        upstream: str,
+        sequence: int,
+        stored: tuple[bytes, ...],
+        removed: tuple[bytes, ...],
+    ) -> None:
+        """Makes nothing of cache events."""
+
+
+@attrs.define(kw_only=True)
+class RoundRobin(Baseline):
+    """First in, first out, to each upstream in turn."""
+
+    turn: int = 0
+
+    def pick(self) -> str:
+        """Returns the next upstream in turn."""
+        self.turn += 1
+        return self.names[self.turn % len(self.names)]
+
+
+@attrs.define(kw_only=True)
+class LeastOutstanding(Baseline):
+    """First in, first out, to the upstream with the fewest open calls."""
+
+    def pick(self) -> str:
+        """Returns the upstream with the fewest open calls."""
+        return min(self.names, key=lambda name: self.outstanding.get(name, 0))
--- /dev/null
+++ b/bench/engine.py
@@ -0,0 +1,214 @@
+"""A small fake of an engine at the upstream's interface, in model time.
+
+It batches continuously, computes one prompt at a time, slows down as its
+batch fills, keeps prefixes in a cache of limited size (least recently used
+first out), admits what comes in order of arrival and knows no priorities.
+Plain services are the same without prompts.  Nothing else is simulated.
+"""
+
+import collections
+import heapq
+import typing
+
+import attrs
+
+PREFILL_SHARE: typing.Final = 0.5
+
+
+@attrs.frozen(kw_only=True)
+class EngineSpec:
+    """What an engine can do.
+
+    A decode step takes step_s plus step_per_call_s for each call in the
+    batch, all divided by speed.
+    """
+
+    name: str
+    speed: float
+    max_running: int
+    step_s: float
+    step_per_call_s: float
+    prefill_tokens_per_s: float
+    cache_blocks: int
+    block_tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class EngineCall:
+    """A call sent to an engine."""
+
+    call_id: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[bytes, ...]
+    sent_at: float
+
+
+@attrs.frozen(kw_only=True)
+class Finished:
+    """A call's end, with what the client saw of it."""
+
+    call: EngineCall
+    first_token_s: float
+    duration_s: float
+    cached_tokens: int
+
+
+@attrs.define(kw_only=True, eq=False)
+class Running:
+    """A call in the batch."""
+
+    call: EngineCall
+    cached_tokens: int
+    prefill_left: float
+    first_token_at: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class Engine:
+    """The state of a fake engine at model time now.
+
+    decoded is the number of tokens that a call decoding since time 0
+    would have; a call ends when it reaches the mark in its heap entry.
+    """
+
+    spec: EngineSpec
+    now: float = 0.0
+    waiting: collections.deque[EngineCall] = attrs.field(
+        factory=collections.deque
+    )
+    prefills: collections.deque[Running] = attrs.field(
+        factory=collections.deque
+    )
+    decoding: list[tuple[float, int, Running]] = attrs.field(factory=list)
+    decoded: float = 0.0
+    serial: int = 0
+    cache: collections.OrderedDict[bytes, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    stored: list[bytes] = attrs.field(factory=list)
+    removed: list[bytes] = attrs.field(factory=list)
+    finished: list[Finished] = attrs.field(factory=list)
+    hits: int = 0
+
+
+def send(engine: Engine, now: float, call: EngineCall) -> None:
+    """Sends a call; it joins the batch as soon as there is room."""
+    advance(engine, now)
+    engine.waiting.append(call)
+    admit(engine)
+
+
+def running(engine: Engine) -> int:
+    """Returns the calls in the batch."""
+    return len(engine.prefills) + len(engine.decoding)
+
+
+def admit(engine: Engine) -> None:
+    """Fills the batch in order of arrival."""
+    while engine.waiting and running(engine) < engine.spec.max_running:
+        call = engine.waiting.popleft()
+        blocks = cached_blocks(engine, call.prefix)
+        cached = min(blocks * engine.spec.block_tokens, call.prompt_tokens)
+        engine.prefills.append(
+            Running(
+                call=call,
+                cached_tokens=cached,
+                prefill_left=float(call.prompt_tokens - cached),
+            )
+        )
+        store(engine, call.prefix)
+
+
+def cached_blocks(engine: Engine, prefix: tuple[bytes, ...]) -> int:
+    """Returns how many leading blocks are cached."""
+    for count, digest in enumerate(prefix):
+        if digest not in engine.cache:
+            return count
+    return len(prefix)
+
+
+def store(engine: Engine, prefix: tuple[bytes, ...]) -> None:
+    """Puts a prefix into the cache, its head as the last used."""
+    for digest in reversed(prefix):
+        if digest not in engine.cache:
+            engine.stored.append(digest)
+        engine.cache[digest] = None
+        engine.cache.move_to_end(digest)
+    while len(engine.cache) > engine.spec.cache_blocks:
+        engine.removed.append(engine.cache.popitem(last=False)[0])
+
+
+def drop(engine: Engine, prefix: tuple[bytes, ...]) -> None:
+    """Lets a prefix go, as on an order from the scheduler."""
+    for digest in prefix:
+        if digest in engine.cache:
+            del engine.cache[digest]
+            engine.removed.append(digest)
+
+
+def token_rate(engine: Engine) -> float:
+    """Returns the tokens a second of each decoding call."""
+    spec = engine.spec
+    step_s = spec.step_s + spec.step_per_call_s * len(engine.decoding)
+    share = PREFILL_SHARE if engine.prefills else 1.0
+    return spec.speed * share / step_s
+
+
+def prefill_rate(engine: Engine) -> float:
+    """Returns the prompt tokens computed a second."""
+    return engine.spec.prefill_tokens_per_s * engine.spec.speed
+
+
+def next_event(engine: Engine) -> float | None:
+    """Returns when the engine next changes by itself."""
+    times: list[float] = []
+    if engine.prefills:
+        left = engine.prefills[0].prefill_left
+        times.append(engine.now + left / prefill_rate(engine))
+    if engine.decoding:
+        left = max(0.0, engine.decoding[0][0] - engine.decoded)
+        times.append(engine.now + left / token_rate(engine))
+    return min(times, default=None)
+
+
+def advance(engine: Engine, now: float) -> None:
+    """Moves the engine to a time, through all its changes on the way."""
+    while True:
+        at = next_event(engine)
+        if at is None or at > now:
+            break
+        elapse(engine, at)
+        change(engine)
+        admit(engine)
+    elapse(engine, now)
+
+
+def elapse(engine: Engine, now: float) -> None:
+    """Lets time pass without a change."""
+    elapsed_s = now - engine.now
+    if engine.decoding:
+        engine.decoded += elapsed_s * token_rate(engine)
+    if engine.prefills:
+        engine.prefills[0].prefill_left -= elapsed_s * prefill_rate(engine)
+    engine.now = now
+
+
+def change(engine: Engine) -> None:
+    """Ends the prompt and the calls that are due now."""
+    if engine.prefills and engine.prefills[0].prefill_left <= 1e-6:
+        started = engine.prefills.popleft()
+        started.first_token_at = engine.now
+        engine.serial += 1
+        mark = engine.decoded + started.call.output_tokens
+        heapq.heappush(engine.decoding, (mark, engine.serial, started))
+    while engine.decoding and engine.decoding[0][0] <= engine.decoded + 1e-6:
+        ended = heapq.heappop(engine.decoding)[2]
+        engine.finished.append(
+            Finished(
+                call=ended.call,
+                first_token_s=ended.first_token_at - ended.call.sent_at,
+                duration_s=engine.now - ended.call.sent_at,
+                cached_tokens=ended.cached_tokens,
+            )
+        )
--- /dev/null
+++ b/bench/replay.py
@@ -0,0 +1,503 @@
+"""Replays a load against fake engines, with one dispatcher deciding.
+
+Model time only: a heap of events, the engines of two groups (model and
+tool replicas), and the programs as generators that yield what they wait
+for.  Load reports and cache events reach the dispatcher late and with
+gaps.  The network and the instances are not simulated, but for a fixed
+delay between an entry instance and the group's home.
+"""
+
+import collections.abc
+import heapq
+import itertools
+import random
+import typing
+
+import attrs
+
+from bench import engine
+from bench import workload
+from oleanderdrift import messages
+from oleanderdrift import model
+
+REPORT_EVERY_S: typing.Final = 0.5
+REPORT_LAG_S: typing.Final = 0.75
+CACHE_EVENT_LAG_S: typing.Final = 2.0
+CACHE_EVENT_LOSS: typing.Final = 0.2
+MODEL_GROUP: typing.Final = 'assistant'
+TOOL_GROUP: typing.Final = 'desk'
+
+
+class Dispatcher(typing.Protocol):
+    """What decides for one group: the scheduler or a baseline."""
+
+    def set_upstreams(
+        self, now: float, upstreams: list[model.Upstream]
+    ) -> None:
+        """Takes over the upstreams."""
+
+    def submit(self, now: float, request: messages.SlotRequest) -> None:
+        """Takes a call."""
+
+    def release(self, now: float, released: messages.SlotReleased) -> None:
+        """Takes a call's end."""
+
+    def poll(
+        self, now: float
+    ) -> list[messages.SlotGranted | messages.SlotRefused]:
+        """Returns what is decided."""
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when to poll again."""
+
+    def on_load(
+        self, now: float, upstream: str, running: int, waiting: int
+    ) -> None:
+        """Takes a load report."""
+
+    def on_cache_event(
+        self,
+        now: float,
+        upstream: str,
+        sequence: int,
+        stored: tuple[bytes, ...],
+        removed: tuple[bytes, ...],
+    ) -> None:
+        """Takes a cache event."""
+
+
+@attrs.frozen(kw_only=True)
+class Fleet:
+    """The engines of both groups, and which leaves when."""
+
+    models: tuple[engine.EngineSpec, ...]
+    tools: tuple[engine.EngineSpec, ...]
+    leaving: str
+    leaves_at: float
+
+
+@attrs.define(kw_only=True)
+class Outcome:
+    """What became of one program."""
+
+    program: workload.Program
+    finished_at: float = 0.0
+    refusals: int = 0
+
+
+@attrs.define(kw_only=True)
+class Result:
+    """What a replay measured."""
+
+    outcomes: list[Outcome] = attrs.field(factory=list)
+    calls: int = 0
+    refusals: int = 0
+    prefix_tokens: int = 0
+    recomputed_tokens: int = 0
+    queued_in_engine: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Wait:
+    """A program waits for time to pass."""
+
+    wait_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Call:
+    """A program waits for a call's end."""
+
+    group: str
+    prompt_tokens: int
+    output_tokens: int
+    prefix: tuple[bytes, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Join:
+    """A program waits for its sub-agents."""
+
+    programs: tuple[workload.Program, ...]
+
+
+Waiting: typing.TypeAlias = Wait | Call | Join
+Process: typing.TypeAlias = collections.abc.Generator[Waiting, None, None]
+
+
+def process(program: workload.Program) -> Process:
+    """Runs a program's steps, yielding what it waits for."""
+    history = program.system_tokens
+    for step in program.steps:
+        match step:
+            case workload.ModelCall():
+                history += step.new_tokens
+                yield Call(
+                    group=MODEL_GROUP,
+                    prompt_tokens=history,
+                    output_tokens=step.output_tokens,
+                    prefix=workload.digests(program, history),
+                )
+                history += step.output_tokens
+            case workload.ToolCall():
+                yield Call(
+                    group=TOOL_GROUP,
+                    prompt_tokens=0,
+                    output_tokens=step.work,
+                    prefix=(),
+                )
+            case workload.Pause():
+                yield Wait(wait_s=step.pause_s)
+            case workload.SubAgents():
+                yield Join(programs=step.programs)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Running:
+    """A program under way; parent waits for it where it is a sub-agent."""
+
+    program: workload.Program
+    process: Process
+    outcome: Outcome
+    attained_s: float = 0.0
+    children: int = 0
+    parent: typing.Optional['Running'] = None
+
+
+@attrs.define(kw_only=True, eq=False)
+class Group:
+    """One dispatch group: its dispatcher and engines."""
+
+    name: str
+    dispatcher: Dispatcher
+    engines: dict[str, engine.Engine]
+    sequences: dict[str, int] = attrs.field(factory=dict)
+    wakeup_at: float | None = None
+
+
+@attrs.define(kw_only=True)
+class Replay:
+    """The state of a replay."""
+
+    groups: dict[str, Group]
+    rng: random.Random
+    hop_s: float
+    now: float = 0.0
+    events: list[
+        tuple[float, int, collections.abc.Callable[[], None]]
+    ] = attrs.field(factory=list)
+    serials: typing.Iterator[int] = attrs.field(factory=itertools.count)
+    open: dict[str, tuple[Running, Call]] = attrs.field(factory=dict)
+    result: Result = attrs.field(factory=Result)
+    unfinished: int = 0
+    computed: set[bytes] = attrs.field(factory=set)
+
+
+def run(
+    programs: list[workload.Program],
+    fleet: Fleet,
+    make_dispatcher: collections.abc.Callable[[str], Dispatcher],
+    *,
+    seed: int,
+    hop_s: float = 0.0,
+) -> Result:
+    """Replays a load to its end and returns what was measured."""
+    replay = Replay(
+        groups={
+            name: Group(
+                name=name,
+                dispatcher=make_dispatcher(name),
+                engines={
+                    spec.name: engine.Engine(spec=spec) for spec in specs
+                },
+            )
+            for name, specs in (
+                (MODEL_GROUP, fleet.models),
+                (TOOL_GROUP, fleet.tools),
+            )
+        },
+        rng=random.Random(seed),
+        hop_s=hop_s,
+    )
+    for group in replay.groups.values():
+        configure(replay, group, '')
+    replay.unfinished = len(programs)
+    for program in programs:
+        outcome = Outcome(program=program)
+        replay.result.outcomes.append(outcome)
+        running = Running(
+            program=program, process=process(program), outcome=outcome
+        )
+        at(replay, program.start_at, lambda it=running: step(replay, it))
+    group = replay.groups[MODEL_GROUP]
+    at(replay, fleet.leaves_at, lambda: configure(replay, group, fleet.leaving))
+    at(replay, REPORT_EVERY_S, lambda: report(replay))
+    while replay.unfinished:
+        replay.now, _, action = heapq.heappop(replay.events)
+        action()
+    return replay.result
+
+
+def at(
+    replay: Replay, time: float, action: collections.abc.Callable[[], None]
+) -> None:
+    """Schedules an action."""
+    heapq.heappush(replay.events, (time, next(replay.serials), action))
+
+
+def configure(replay: Replay, group: Group, leaving: str) -> None:
+    """Gives the group its upstreams, one of them perhaps leaving."""
+    group.dispatcher.set_upstreams(
+        replay.now,
+        [
+            model.Upstream(
+                name=name,
+                data_centre='dc',
+                url='http://127.0.0.1',
+                leaving=name == leaving,
+            )
+            for name in group.engines
+        ],
+    )
+
+
+def step(replay: Replay, running: Running) -> None:
+    """Goes on with a program up to its next wait."""
+    waiting = next(running.process, None)
+    match waiting:
+        case None:
+            end(replay, running)
+        case Wait():
+            at(
+                replay,
+                replay.now + waiting.wait_s,
+                lambda: step(replay, running),
+            )
+        case Call():
+            call_id = f'c{next(replay.serials)}'
+            replay.open[call_id] = (running, waiting)
+            replay.result.calls += 1
+            at(
+                replay,
+                replay.now + replay.hop_s,
+                lambda: submit(replay, call_id),
+            )
+        case Join():
+            running.children = len(waiting.programs)
+            for program in waiting.programs:
+                child = Running(
+                    program=program,
+                    process=process(program),
+                    outcome=running.outcome,
+                    parent=running,
+                    attained_s=running.attained_s,
+                )
+                step(replay, child)
+
+
+def end(replay: Replay, running: Running) -> None:
+    """Ends a program; the last sub-agent wakes its parent."""
+    parent = running.parent
+    if parent is None:
+        running.outcome.finished_at = replay.now
+        replay.unfinished -= 1
+        return
+    parent.attained_s = max(parent.attained_s, running.attained_s)
+    parent.children -= 1
+    if not parent.children:
+        step(replay, parent)
+
+
+def submit(replay: Replay, call_id: str) -> None:
+    """Asks the group for a slot."""
+    running, call = replay.open[call_id]
+    group = replay.groups[call.group]
+    program = running.program
+    age_s = replay.now - program.start_at
+    group.dispatcher.submit(
+        replay.now,
+        messages.SlotRequest(
+            call_id=call_id,
+            program=program.name,
+            client_account=program.client_account,
+            class_name=program.class_name,
+            service=group.name,
+            slack_s=workload.TARGETS[program.class_name] - age_s,
+            attained_s=running.attained_s,
+            prompt_tokens=call.prompt_tokens,
+            max_tokens=1000,
+            prefix=call.prefix,
+            program_age_s=age_s,
+        ),
+    )
+    poll(replay, group)
+
+
+def poll(replay: Replay, group: Group) -> None:
+    """Carries out what the dispatcher decides now."""
+    for decision in group.dispatcher.poll(replay.now):
+        match decision:
+            case messages.SlotGranted():
+                at(
+                    replay,
+                    replay.now + replay.hop_s,
+                    lambda it=decision: start(replay, group, it),
+                )
+            case messages.SlotRefused():
+                replay.result.refusals += 1
+                replay.open[decision.call_id][0].outcome.refusals += 1
+                at(
+                    replay,
+                    replay.now + decision.retry_after_s,
+                    lambda it=decision: submit(replay, it.call_id),
+                )
+    wakeup_at = group.dispatcher.next_wakeup(replay.now)
+    if wakeup_at is not None and wakeup_at != group.wakeup_at:
+        group.wakeup_at = wakeup_at
+        at(replay, wakeup_at, lambda: poll(replay, group))
+
+
+def start(
+    replay: Replay, group: Group, granted: messages.SlotGranted
+) -> None:
+    """Sends a granted call to its engine."""
+    _, call = replay.open[granted.call_id]
+    target = group.engines[granted.upstream]
+    engine.send(
+        target,
+        replay.now,
+        engine.EngineCall(
+            call_id=granted.call_id,
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
+            prefix=call.prefix,
+            sent_at=replay.now,
+        ),
+    )
+    if target.waiting:
+        replay.result.queued_in_engine += 1
+    watch(replay, group, target)
+
+
+def watch(replay: Replay, group: Group, target: engine.Engine) -> None:
+    """Schedules a look at an engine when it next changes."""
+    due = engine.next_event(target)
+    if due is not None:
+        at(replay, due, lambda: look(replay, group, target, due))
+
+
+def look(
+    replay: Replay, group: Group, target: engine.Engine, due: float
+) -> None:
+    """Moves an engine on and hands back what it finished."""
+    current = engine.next_event(target)
+    if current is None or current > due + 1e-9 and current > replay.now:
+        return
+    engine.advance(target, max(replay.now, current))
+    finished = target.finished
+    target.finished = []
+    for each in finished:
+        hand_back(replay, group, target, each)
+    watch(replay, group, target)
+
+
+def hand_back(
+    replay: Replay,
+    group: Group,
+    target: engine.Engine,
+    finished: engine.Finished,
+) -> None:
+    """Ends a call: counts its prefix, frees its slot, wakes its program."""
+    call_id = finished.call.call_id
+    running, call = replay.open.pop(call_id)
+    count_prefix(replay, finished, target.spec.block_tokens)
+    running.attained_s += finished.duration_s
+    released = messages.SlotReleased(
+        call_id=call_id,
+        upstream=target.spec.name,
+        failed=False,
+        first_token_s=finished.first_token_s,
+        duration_s=finished.duration_s,
+        tokens=call.output_tokens,
+        cached_tokens=finished.cached_tokens if call.prefix else None,
+    )
+    at(
+        replay,
+        replay.now + replay.hop_s,
+        lambda: free(replay, group, released),
+    )
+    step(replay, running)
+
+
+def free(
+    replay: Replay, group: Group, released: messages.SlotReleased
+) -> None:
+    """Gives a slot back."""
+    group.dispatcher.release(replay.now, released)
+    poll(replay, group)
+
+
+def count_prefix(
+    replay: Replay, finished: engine.Finished, block_tokens: int
+) -> None:
+    """Counts the prompt's blocks that some engine had computed before."""
+    known = 0
+    for digest in finished.call.prefix:
+        if digest not in replay.computed:
+            break
+        known += 1
+    tokens = known * block_tokens
+    replay.result.prefix_tokens += tokens
+    replay.result.recomputed_tokens += max(
+        0, tokens - finished.cached_tokens
+    )
+    replay.computed.update(finished.call.prefix)
+
+
+def report(replay: Replay) -> None:
+    """Has every engine report its load and cache, late and with gaps."""
+    for group in replay.groups.values():
+        for name, target in group.engines.items():
+            engine.advance(target, replay.now)
+            report_load(replay, group, name, target)
+            report_cache(replay, group, name, target)
+            finished = target.finished
+            target.finished = []
+            for each in finished:
+                hand_back(replay, group, target, each)
+    at(replay, replay.now + REPORT_EVERY_S, lambda: report(replay))
+
+
+def report_load(
+    replay: Replay, group: Group, name: str, target: engine.Engine
+) -> None:
+    """Sends a load report."""
+    running = engine.running(target)
+    waiting = len(target.waiting)
+
+    def deliver() -> None:
+        group.dispatcher.on_load(replay.now, name, running, waiting)
+        poll(replay, group)
+
+    at(replay, replay.now + REPORT_LAG_S, deliver)
+
+
+def report_cache(
+    replay: Replay, group: Group, name: str, target: engine.Engine
+) -> None:
+    """Sends a cache event, if there is one and it is not lost."""
+    if not target.stored and not target.removed:
+        return
+    stored, removed = tuple(target.stored), tuple(target.removed)
+    target.stored, target.removed = [], []
+    sequence = group.sequences.get(name, 0)
+    group.sequences[name] = sequence + 1
+    if replay.rng.random() < CACHE_EVENT_LOSS:
+        return
+    at(
+        replay,
+        replay.now + CACHE_EVENT_LAG_S,
+        lambda: group.dispatcher.on_cache_event(
+            replay.now, name, sequence, stored, removed
+        ),
+    )
