--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 format: $(STAMP)
 	$(PY) -m ruff format $(SOURCES)
 
+bench: $(STAMP)
+	$(PY) -m bench
+
 check: lint types test
 
 demo: $(STAMP)
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,32 @@
+"""Runs every bench module that has figures(); one JSON line a figure.
+
+With names of modules as arguments only those run.  The exit status is 1
+where a bound is broken.
+"""
+
+import importlib
+import pkgutil
+import sys
+
+import bench
+from bench import figure
+
+
+def main(names: list[str]) -> int:
+    """Runs the named modules, or all, and returns the exit status."""
+    broken = False
+    found = sorted(info.name for info in pkgutil.iter_modules(bench.__path__))
+    for name in found:
+        if name == '__main__' or names and name not in names:
+            continue
+        module = importlib.import_module(f'bench.{name}')
+        if not hasattr(module, 'figures'):
+            continue
+        for each in module.figures():
+            print(figure.line_of(each), flush=True)
+            broken = broken or not each.ok
+    return 1 if broken else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -1,4 +1,10 @@
-"""Measures the dispatch decisions against the baselines, in model time."""
+"""Measures the dispatch decisions against the baselines, in model time.
+
+Full load is FULL_LOAD of what keeps every slot of the fleet busy for the
+whole run (fleet.programs_per_s): in the bursts between lessons that is
+over twice what the fleet can do.  It was set before any policy was
+measured; the sweep shows the loads around it.
+"""
 
 import collections.abc
 import typing
@@ -6,202 +12,36 @@
 import attrs
 
 from bench import baselines
-from bench import engine
+from bench import dispatchers
 from bench import figure
+from bench import fleet
 from bench import replay
 from bench import workload
-from oleanderdrift import messages
-from oleanderdrift import model
 from oleanderdrift import policy
-from oleanderdrift import scheduler
 
-SEED: typing.Final = 20261204
+SEEDS: typing.Final = (20261204, 20261205, 20261206, 20261207)
 DURATION_S: typing.Final = 900.0
 FULL_LOAD: typing.Final = 0.85
+SWEEP_LOADS: typing.Final = (0.5, 0.7, 1.0)
 HOP_S: typing.Final = 0.0015
-CACHE_BLOCKS: typing.Final = 1200
-
-
-@attrs.define(kw_only=True)
-class Scheduler:
-    """The real deciding modules, as a dispatcher of the bench."""
-
-    group: scheduler.DispatchGroup
-
-    def set_upstreams(
-        self, now: float, upstreams: list[model.Upstream]
-    ) -> None:
-        """Takes over the upstreams."""
-        scheduler.set_upstreams(self.group, now, upstreams)
-
-    def submit(self, now: float, request: messages.SlotRequest) -> None:
-        """Takes a call."""
-        scheduler.submit(self.group, now, request)
-
-    def release(self, now: float, released: messages.SlotReleased) -> None:
-        """Takes a call's end."""
-        scheduler.release(self.group, now, released)
-
-    def poll(
-        self, now: float
-    ) -> list[messages.SlotGranted | messages.SlotRefused]:
-        """Returns what is decided."""
-        return scheduler.poll(self.group, now)
-
-    def next_wakeup(self, now: float) -> float | None:
-        """Returns when to poll again."""
-        return scheduler.next_wakeup(self.group, now)
-
-    def on_load(
-        self, now: float, upstream: str, running: int, waiting: int
-    ) -> None:
-        """Takes a load report."""
-        scheduler.on_load(self.group, now, upstream, running, waiting)
-
-    def on_cache_event(
-        self,
-        now: float,
-        upstream: str,
-        sequence: int,
-        stored: tuple[bytes, ...],
-        removed: tuple[bytes, ...],
-    ) -> None:
-        """Takes a cache event."""
-        scheduler.on_cache_event(
-            self.group, now, upstream, sequence, stored, removed
-        )
-
-
-def make_scheduler(rules: policy.Policy) -> (
-    collections.abc.Callable[[str], replay.Dispatcher]
-):
-    """Returns a maker of scheduler dispatchers under a policy."""
-
-    def make(name: str) -> replay.Dispatcher:
-        group = scheduler.DispatchGroup(name=name, rules=rules)
-        scheduler.set_classes(group, 0.0, workload.CLASSES)
-        scheduler.set_accounts(group, 0.0, workload.ACCOUNTS)
-        return Scheduler(group=group)
-
-    return make
-
-
-def model_spec(number: int, speed: float) -> engine.EngineSpec:
-    """Returns a model engine of a relative speed."""
-    return engine.EngineSpec(
-        name=f'model-{number}',
-        speed=speed,
-        max_running=16,
-        step_s=0.015,
-        step_per_call_s=0.001,
-        prefill_tokens_per_s=8000.0,
-        cache_blocks=CACHE_BLOCKS,
-        block_tokens=workload.BLOCK_TOKENS,
-    )
-
-
-def tool_spec(number: int, speed: float) -> engine.EngineSpec:
-    """Returns a plain service of a relative speed."""
-    return engine.EngineSpec(
-        name=f'tool-{number}',
-        speed=speed,
-        max_running=8,
-        step_s=0.01,
-        step_per_call_s=0.0,
-        prefill_tokens_per_s=1.0,
-        cache_blocks=0,
-        block_tokens=1,
-    )
-
-
-SPEEDS: typing.Final = {
-    '5+3': (1.0, 1.0, 0.7, 0.5, 0.3),
-    '6+3': (1.0, 1.0, 0.8, 0.6, 0.4, 0.3),
-}
-TOOL_SPEEDS: typing.Final = (1.0, 0.7, 0.4)
-LEAVING_INDEX: typing.Final = 3
-
-
-def make_fleet(size: str, duration_s: float) -> replay.Fleet:
-    """Returns a fleet of one of the users' sizes; one replica leaves."""
-    return replay.Fleet(
-        models=tuple(
-            model_spec(number, speed)
-            for number, speed in enumerate(SPEEDS[size])
-        ),
-        tools=tuple(
-            tool_spec(number, speed)
-            for number, speed in enumerate(TOOL_SPEEDS)
-        ),
-        leaving=f'model-{LEAVING_INDEX}',
-        leaves_at=duration_s / 2,
-    )
-
-
-def full_batch_rate(spec: engine.EngineSpec) -> float:
-    """Returns the output tokens a second of an engine's full batch."""
-    step_s = spec.step_s + spec.step_per_call_s * spec.max_running
-    return spec.max_running / step_s
-
-
-def demand_s(program: workload.Program, spec: engine.EngineSpec) -> float:
-    """Returns the seconds that a program needs of an engine of speed 1.
-
-    Its whole batch is busy, and of each prompt only the new part is
-    computed, which takes PREFILL_SHARE from the batch.
-    """
-    total_s = 0.0
-    for step in program.steps:
-        match step:
-            case workload.ModelCall():
-                prefill_s = step.new_tokens / spec.prefill_tokens_per_s
-                total_s += step.output_tokens / full_batch_rate(spec)
-                total_s += (1.0 - engine.PREFILL_SHARE) * prefill_s
-            case workload.SubAgents():
-                total_s += sum(demand_s(each, spec) for each in step.programs)
-            case _:
-                pass
-    return total_s
-
-
-def programs_per_s(size: str, load: float) -> float:
-    """Returns the rate of programs that is a load of the fleet.
-
-    Load 1.0 keeps every slot of every replica busy for the whole run, the
-    leaving replica for the part it is there.  It follows from the engines
-    and the programs alone, not from any dispatcher.
-    """
-    speeds = list(SPEEDS[size])
-    speeds[LEAVING_INDEX] /= 2.0
-    sample = workload.make_programs(
-        SEED, rate_per_s=5.0, duration_s=600.0, flood=True
-    )
-    spec = model_spec(0, 1.0)
-    mean_s = sum(demand_s(each, spec) for each in sample) / len(sample)
-    return load * sum(speeds) / mean_s
-
+URGENT_BOUND: typing.Final = 1.0
+BASELINE_SHARE: typing.Final = 0.5
+FAIRNESS_BOUND: typing.Final = 1.5
+RECOMPUTED_SHARE: typing.Final = 1.0 / 3.0
+REFUSED_BOUND: typing.Final = 0.001
 
-def ideal_s(program: workload.Program, spec: engine.EngineSpec) -> float:
-    """Returns a program's latency alone on an engine of speed 1."""
-    total_s = 0.0
-    for step in program.steps:
-        match step:
-            case workload.ModelCall():
-                step_s = spec.step_s + spec.step_per_call_s
-                total_s += step.new_tokens / spec.prefill_tokens_per_s
-                total_s += step.output_tokens * step_s
-            case workload.ToolCall():
-                total_s += step.work * 0.01
-            case workload.Pause():
-                total_s += step.pause_s
-            case workload.SubAgents():
-                total_s += max(ideal_s(each, spec) for each in step.programs)
-    return total_s
+MakeDispatcher: typing.TypeAlias = collections.abc.Callable[
+    [str], replay.Dispatcher
+]
 
 
 @attrs.frozen(kw_only=True)
 class Summary:
-    """What one replay comes to."""
+    """What the replays of one dispatcher come to, all seeds pooled.
+
+    The ratios are 95th percentiles of whole-program latency over the class
+    target; slowdowns are over the program's latency alone.
+    """
 
     class_p95: dict[str, float]
     all_p95: float
@@ -212,57 +52,202 @@
     calls: int
     in_target: float
 
+    @property
+    def worst_over_median(self) -> float:
+        """The worst account's slowdown over the median account's."""
+        ordered = sorted(self.slowdowns.values())
+        middle = len(ordered) // 2
+        median = (ordered[middle - 1] + ordered[middle]) / 2.0
+        return ordered[-1] / median
+
 
-def summarise(result: replay.Result) -> Summary:
-    """Returns a replay's figures."""
-    spec = model_spec(0, 1.0)
+def summarise(results: list[replay.Result]) -> Summary:
+    """Pools replays into one summary."""
+    spec = fleet.model_spec(0, 1.0)
     ratios: dict[str, list[float]] = {}
     slowdowns: dict[str, list[float]] = {}
-    for outcome in result.outcomes:
-        program = outcome.program
-        latency_s = outcome.finished_at - program.start_at
-        ratios.setdefault(program.class_name, []).append(
-            latency_s / workload.TARGETS[program.class_name]
-        )
-        slowdowns.setdefault(program.client_account, []).append(
-            latency_s / ideal_s(program, spec)
-        )
+    for result in results:
+        for outcome in result.outcomes:
+            program = outcome.program
+            latency_s = outcome.finished_at - program.start_at
+            ratios.setdefault(program.class_name, []).append(
+                latency_s / workload.TARGETS[program.class_name]
+            )
+            slowdowns.setdefault(program.client_account, []).append(
+                latency_s / fleet.ideal_s(program, spec)
+            )
     everything = [each for group in ratios.values() for each in group]
     return Summary(
-        class_p95={
-            name: figure.percentile(values, 95)
-            for name, values in ratios.items()
-        },
+        class_p95=percentiles(ratios),
         all_p95=figure.percentile(everything, 95),
-        slowdowns={
-            name: figure.percentile(values, 95)
-            for name, values in slowdowns.items()
-        },
-        recomputed_tokens=result.recomputed_tokens,
-        prefix_tokens=result.prefix_tokens,
-        refusals=result.refusals,
-        calls=result.calls,
+        slowdowns=percentiles(slowdowns),
+        recomputed_tokens=sum(each.recomputed_tokens for each in results),
+        prefix_tokens=sum(each.prefix_tokens for each in results),
+        refusals=sum(each.refusals for each in results),
+        calls=sum(each.calls for each in results),
         in_target=sum(each <= 1.0 for each in everything) / len(everything),
     )
 
 
+def percentiles(groups: dict[str, list[float]]) -> dict[str, float]:
+    """Returns the 95th percentile of each group."""
+    return {
+        name: figure.percentile(values, 95) for name, values in groups.items()
+    }
+
+
 def measure(
     size: str,
     load: float,
-    make: collections.abc.Callable[[str], replay.Dispatcher],
+    make: MakeDispatcher,
     *,
+    seeds: tuple[int, ...] = SEEDS,
     duration_s: float = DURATION_S,
-    seed: int = SEED,
     hop_s: float = 0.0,
 ) -> Summary:
-    """Replays the opening week once and returns its figures."""
-    programs = workload.make_programs(
-        seed,
-        rate_per_s=programs_per_s(size, load),
-        duration_s=duration_s,
-        flood=True,
+    """Replays the opening week once for each seed."""
+    rate_per_s = fleet.programs_per_s(size, load)
+    results = []
+    for seed in seeds:
+        programs = workload.make_programs(
+            seed, rate_per_s=rate_per_s, duration_s=duration_s, flood=True
+        )
+        engines = fleet.make_fleet(size, duration_s)
+        results.append(
+            replay.run(programs, engines, make, seed=seed, hop_s=hop_s)
+        )
+    return summarise(results)
+
+
+@attrs.frozen(kw_only=True)
+class Comparison:
+    """The scheduler and both baselines on the same load."""
+
+    scheduler: Summary
+    round_robin: Summary
+    least_outstanding: Summary
+
+    def better(
+        self, value: collections.abc.Callable[[Summary], float]
+    ) -> float:
+        """Returns the better baseline's value."""
+        return min(value(self.round_robin), value(self.least_outstanding))
+
+
+def compare(
+    size: str,
+    load: float,
+    *,
+    seeds: tuple[int, ...] = SEEDS,
+    duration_s: float = DURATION_S,
+    rules: policy.Policy | None = None,
+) -> Comparison:
+    """Runs all three on the same load."""
+    return Comparison(
+        scheduler=measure(
+            size,
+            load,
+            dispatchers.make_scheduler(rules or policy.Policy()),
+            seeds=seeds,
+            duration_s=duration_s,
+            hop_s=HOP_S,
+        ),
+        round_robin=measure(
+            size,
+            load,
+            lambda name: baselines.RoundRobin(),
+            seeds=seeds,
+            duration_s=duration_s,
+        ),
+        least_outstanding=measure(
+            size,
+            load,
+            lambda name: baselines.LeastOutstanding(),
+            seeds=seeds,
+            duration_s=duration_s,
+        ),
+    )
+
+
+def bounded_figures(
+    prefix: str, compared: Comparison
+) -> collections.abc.Iterator[figure.Figure]:
+    """Yields the figures that the users set bounds for."""
+    ours = compared.scheduler
+    yield figure.Figure(
+        name=f'{prefix}.urgent_p95_over_target',
+        unit='ratio',
+        value=ours.class_p95['urgent'],
+        baseline=compared.better(lambda each: each.class_p95['urgent']),
+        bound=URGENT_BOUND,
+    )
+    all_baseline = compared.better(lambda each: each.all_p95)
+    yield figure.Figure(
+        name=f'{prefix}.all_p95_over_target',
+        unit='ratio',
+        value=ours.all_p95,
+        baseline=all_baseline,
+        bound=BASELINE_SHARE * all_baseline,
+    )
+    yield figure.Figure(
+        name=f'{prefix}.worst_account_over_median',
+        unit='ratio',
+        value=ours.worst_over_median,
+        baseline=compared.better(lambda each: each.worst_over_median),
+        bound=FAIRNESS_BOUND,
     )
-    fleet = make_fleet(size, duration_s)
-    return summarise(
-        replay.run(programs, fleet, make, seed=seed, hop_s=hop_s)
+    recomputed = float(compared.round_robin.recomputed_tokens)
+    yield figure.Figure(
+        name=f'{prefix}.recomputed_prefix',
+        unit='tokens',
+        value=float(ours.recomputed_tokens),
+        baseline=recomputed,
+        bound=RECOMPUTED_SHARE * recomputed,
     )
+    yield figure.Figure(
+        name=f'{prefix}.refused_calls',
+        unit='share',
+        value=ours.refusals / ours.calls,
+        baseline=0.0,
+        bound=REFUSED_BOUND,
+    )
+
+
+def shown_figures(
+    prefix: str, compared: Comparison
+) -> collections.abc.Iterator[figure.Figure]:
+    """Yields the figures that are shown without a bound."""
+    for name, value in sorted(compared.scheduler.class_p95.items()):
+        yield figure.Figure(
+            name=f'{prefix}.{name}_p95_over_target',
+            unit='ratio',
+            value=value,
+            baseline=compared.least_outstanding.class_p95[name],
+        )
+    yield figure.Figure(
+        name=f'{prefix}.all_p95_over_target',
+        unit='ratio',
+        value=compared.scheduler.all_p95,
+        baseline=compared.better(lambda each: each.all_p95),
+    )
+    yield figure.Figure(
+        name=f'{prefix}.programs_in_target',
+        unit='share',
+        value=compared.scheduler.in_target,
+        baseline=max(
+            compared.round_robin.in_target,
+            compared.least_outstanding.in_target,
+        ),
+    )
+
+
+def figures() -> collections.abc.Iterator[figure.Figure]:
+    """Yields the figures of both sizes, then the sweep over load."""
+    for size in fleet.SPEEDS:
+        compared = compare(size, FULL_LOAD)
+        yield from bounded_figures(f'decisions.{size}', compared)
+        yield from shown_figures(f'decisions.{size}.shown', compared)
+    for size in fleet.SPEEDS:
+        for load in SWEEP_LOADS:
+            compared = compare(size, load, seeds=SEEDS[:1])
+            yield from shown_figures(f'decisions.{size}.load_{load}', compared)
--- /dev/null
+++ b/bench/dispatchers.py
@@ -0,0 +1,76 @@
+"""The real deciding modules as a dispatcher of the bench."""
+
+import collections.abc
+
+import attrs
+
+from bench import replay
+from bench import workload
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import policy
+from oleanderdrift import scheduler
+
+
+@attrs.define(kw_only=True)
+class Scheduler:
+    """The real deciding modules, as a dispatcher of the bench."""
+
+    group: scheduler.DispatchGroup
+
+    def set_upstreams(
+        self, now: float, upstreams: list[model.Upstream]
+    ) -> None:
+        """Takes over the upstreams."""
+        scheduler.set_upstreams(self.group, now, upstreams)
+
+    def submit(self, now: float, request: messages.SlotRequest) -> None:
+        """Takes a call."""
+        scheduler.submit(self.group, now, request)
+
+    def release(self, now: float, released: messages.SlotReleased) -> None:
+        """Takes a call's end."""
+        scheduler.release(self.group, now, released)
+
+    def poll(
+        self, now: float
+    ) -> list[messages.SlotGranted | messages.SlotRefused]:
+        """Returns what is decided."""
+        return scheduler.poll(self.group, now)
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when to poll again."""
+        return scheduler.next_wakeup(self.group, now)
+
+    def on_load(
+        self, now: float, upstream: str, running: int, waiting: int
+    ) -> None:
+        """Takes a load report."""
+        scheduler.on_load(self.group, now, upstream, running, waiting)
+
+    def on_cache_event(
+        self,
+        now: float,
+        upstream: str,
+        sequence: int,
+        stored: tuple[bytes, ...],
+        removed: tuple[bytes, ...],
+    ) -> None:
+        """Takes a cache event."""
+        scheduler.on_cache_event(
+            self.group, now, upstream, sequence, stored, removed
+        )
+
+
+def make_scheduler(
+    rules: policy.Policy,
+) -> collections.abc.Callable[[str], replay.Dispatcher]:
+    """Returns a maker of scheduler dispatchers under a policy."""
+
+    def make(name: str) -> replay.Dispatcher:
+        group = scheduler.DispatchGroup(name=name, rules=rules)
+        scheduler.set_classes(group, 0.0, workload.CLASSES)
+        scheduler.set_accounts(group, 0.0, workload.ACCOUNTS)
+        return Scheduler(group=group)
+
+    return make
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -8,6 +8,7 @@
 """
 
 import collections.abc
+import functools
 import heapq
 import itertools
 import random
@@ -183,9 +184,9 @@
     rng: random.Random
     hop_s: float
     now: float = 0.0
-    events: list[
-        tuple[float, int, collections.abc.Callable[[], None]]
-    ] = attrs.field(factory=list)
+    events: list[tuple[float, int, collections.abc.Callable[[], None]]] = (
+        attrs.field(factory=list)
+    )
     serials: typing.Iterator[int] = attrs.field(factory=itertools.count)
     open: dict[str, tuple[Running, Call]] = attrs.field(factory=dict)
     result: Result = attrs.field(factory=Result)
@@ -228,9 +229,13 @@
         running = Running(
             program=program, process=process(program), outcome=outcome
         )
-        at(replay, program.start_at, lambda it=running: step(replay, it))
+        at(replay, program.start_at, functools.partial(step, replay, running))
     group = replay.groups[MODEL_GROUP]
-    at(replay, fleet.leaves_at, lambda: configure(replay, group, fleet.leaving))
+    at(
+        replay,
+        fleet.leaves_at,
+        lambda: configure(replay, group, fleet.leaving),
+    )
     at(replay, REPORT_EVERY_S, lambda: report(replay))
     while replay.unfinished:
         replay.now, _, action = heapq.heappop(replay.events)
@@ -341,7 +346,7 @@
                 at(
                     replay,
                     replay.now + replay.hop_s,
-                    lambda it=decision: start(replay, group, it),
+                    functools.partial(start, replay, group, decision),
                 )
             case messages.SlotRefused():
                 replay.result.refusals += 1
@@ -349,7 +354,7 @@
                 at(
                     replay,
                     replay.now + decision.retry_after_s,
-                    lambda it=decision: submit(replay, it.call_id),
+                    functools.partial(submit, replay, decision.call_id),
                 )
     wakeup_at = group.dispatcher.next_wakeup(replay.now)
     if wakeup_at is not None and wakeup_at != group.wakeup_at:
@@ -357,9 +362,7 @@
         at(replay, wakeup_at, lambda: poll(replay, group))
 
 
-def start(
-    replay: Replay, group: Group, granted: messages.SlotGranted
-) -> None:
+def start(replay: Replay, group: Group, granted: messages.SlotGranted) -> None:
     """Sends a granted call to its engine."""
     _, call = replay.open[granted.call_id]
     target = group.engines[granted.upstream]
@@ -448,9 +451,7 @@
         known += 1
     tokens = known * block_tokens
     replay.result.prefix_tokens += tokens
-    replay.result.recomputed_tokens += max(
-        0, tokens - finished.cached_tokens
-    )
+    replay.result.recomputed_tokens += max(0, tokens - finished.cached_tokens)
     replay.computed.update(finished.call.prefix)
 
 
--- a/oleanderdrift/call_queue.py
+++ b/oleanderdrift/call_queue.py
@@ -184,20 +184,9 @@
 Order: typing.TypeAlias = tuple[int, bool, bool, Entry]
 
 
-def head_of(
-    queue: CallQueue, now: float, key: tuple[int, str]
-) -> tuple[Order, list[Entry]] | None:
-    """Returns the order and heap of a lane's next call, if it has one."""
-    lane = queue.lanes[key]
-    move_late(queue, now, lane)
-    heap = lane.hopeful or lane.late
-    if not heap:
-        return None
-    band, account = key
-    over = queue.rules.fairness and fair_share.is_over(
-        queue.ledger, now, account, band
-    )
-    return (band, over, heap is lane.late, heap[0]), heap
+def head_of(lane: Lane) -> list[Entry]:
+    """Returns the heap whose head is the lane's next call."""
+    return lane.hopeful or lane.late
 
 
 def in_order(
@@ -208,39 +197,50 @@
     What was yielded and not removed from the queue when the iterator is
     closed goes back to its lane.
     """
-    yielded: list[Waiting] = []
-    heads: list[tuple[Order, tuple[int, str]]] = []
-    for key in list(queue.lanes):
-        head = head_of(queue, now, key)
-        if head is None:
-            del queue.lanes[key]
-        else:
-            heads.append((head[0], key))
-    heapq.heapify(heads)
+    heads = lane_heads(queue, now)
     aged = aged_call(queue, now)
+    taken: list[tuple[list[Entry], Entry]] = []
     try:
         if aged is not None:
             yield aged
         while heads:
-            order, key = heapq.heappop(heads)
-            head = head_of(queue, now, key)
-            if head is None:
-                continue
-            if head[0] != order:
-                heapq.heappush(heads, (head[0], key))
-                continue
-            entry = heapq.heappop(head[1])
-            waiting = queue.waiting[entry[3]]
-            yielded.append(waiting)
-            following = head_of(queue, now, key)
-            if following is not None:
-                heapq.heappush(heads, (following[0], key))
-            if waiting is not aged:
+            (band, over, _, _), key = heapq.heappop(heads)
+            lane = queue.lanes[key]
+            heap = head_of(lane)
+            entry = heapq.heappop(heap)
+            taken.append((heap, entry))
+            drop_stale(queue, heap)
+            following = head_of(lane)
+            if following:
+                order = (band, over, following is lane.late, following[0])
+                heapq.heappush(heads, (order, key))
+            waiting = queue.waiting.get(entry[3])
+            if waiting is not None and waiting is not aged:
                 yield waiting
     finally:
-        for waiting in yielded:
-            if waiting.request.call_id in queue.waiting:
-                place_in_lane(queue, waiting)
+        for heap, entry in taken:
+            if is_current(queue, entry):
+                heapq.heappush(heap, entry)
+
+
+def lane_heads(
+    queue: CallQueue, now: float
+) -> list[tuple[Order, tuple[int, str]]]:
+    """Returns a heap of the lanes by their next calls."""
+    heads: list[tuple[Order, tuple[int, str]]] = []
+    for key, lane in list(queue.lanes.items()):
+        move_late(queue, now, lane)
+        heap = head_of(lane)
+        if not heap:
+            del queue.lanes[key]
+            continue
+        band, account = key
+        over = queue.rules.fairness and fair_share.is_over(
+            queue.ledger, now, account, band
+        )
+        heads.append(((band, over, heap is lane.late, heap[0]), key))
+    heapq.heapify(heads)
+    return heads
 
 
 def aged_call(queue: CallQueue, now: float) -> Waiting | None:
--- a/oleanderdrift/placement.py
+++ b/oleanderdrift/placement.py
@@ -21,9 +21,10 @@
 from oleanderdrift import window
 
 DEFAULT_TOKENS: typing.Final = 128.0
-HOLD_MAX_S: typing.Final = 5.0
-HOLD_GAIN: typing.Final = 1.2
-LOAD_WEIGHT: typing.Final = 0.5
+HOLD_MAX_S: typing.Final = 15.0
+# Computing a prompt slows down every call in the batch.
+PREFILL_HARM: typing.Final = 0.5
+HOLD_GAIN: typing.Final = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -37,6 +38,7 @@
     expected_blocks: int
     computed_tokens: float
     expected_tokens: float
+    held_calls: int
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -44,7 +46,7 @@
     """One upstream as its dispatch group sees it.
 
     prefill_until is when the prompts sent to it are expected to be
-    computed.
+    computed; outstanding_tokens sums what its calls were to compute.
     """
 
     upstream: model.Upstream
@@ -55,6 +57,26 @@
     health_state: health.Health = attrs.field(factory=health.Health)
     outstanding: dict[str, Outstanding] = attrs.field(factory=dict)
     prefill_until: float = float('-inf')
+    outstanding_tokens: float = 0.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Candidate:
+    """A replica as one poll weighs it, with costs in seconds.
+
+    fixed_s is what any call would wait there, prefill_s and decode_s are
+    per token; claims counts the earlier calls that wait for it.
+    """
+
+    replica: Replica
+    slots: int
+    measured: speed.Speed
+    free: int = 0
+    claims: int = 0
+    utilisation: float = 0.0
+    fixed_s: float = 0.0
+    prefill_s: float = 0.0
+    decode_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -65,7 +87,7 @@
     0 where the replica is free.
     """
 
-    replica: Replica
+    candidate: Candidate
     hold_s: float
 
 
@@ -94,75 +116,115 @@
     return request.prompt_tokens - cached
 
 
-def service_s(
-    now: float,
-    replica: Replica,
-    measured: speed.Speed,
-    computed: float,
-    tokens: float,
-) -> float:
-    """Returns how long a call is expected to take from its grant."""
-    total = len(replica.outstanding) / max(1, replica.window_state.slots)
-    work_s = computed * measured.prefill_s + tokens * measured.decode_s
-    backlog_s = max(0.0, replica.prefill_until - now)
-    return work_s * (1.0 + LOAD_WEIGHT * total) + backlog_s
+def candidates_of(
+    rules: policy.Policy, now: float, replicas: list[Replica]
+) -> list[Candidate]:
+    """Returns the replicas that have slots at all, with their costs.
+
+    utilisation is the group's: a replica that is emptier than the others
+    will not stay so while a call lasts.
+    """
+    mean = mean_speed(replicas)
+    found = []
+    for replica in replicas:
+        count = slots(replica, now)
+        if not count:
+            continue
+        known = rules.speed and replica.measured.samples > 0
+        found.append(
+            Candidate(
+                replica=replica,
+                slots=count,
+                measured=replica.measured if known else mean,
+            )
+        )
+    taken = sum(len(each.replica.outstanding) for each in found)
+    total = sum(each.slots for each in found)
+    utilisation = min(1.0, taken / max(1, total))
+    for candidate in found:
+        refresh(candidate, now, utilisation)
+    return found
+
+
+def refresh(candidate: Candidate, now: float, utilisation: float) -> None:
+    """Brings a candidate's costs up to date, as after a grant."""
+    replica = candidate.replica
+    measured = candidate.measured
+    in_flight = len(replica.outstanding)
+    candidate.utilisation = utilisation
+    candidate.free = max(0, candidate.slots - in_flight)
+    full = replica.window_state.slots
+    later = max(in_flight + 1, utilisation * full)
+    held = min(full, (in_flight + 1 + later) / 2.0)
+    candidate.decode_s = speed.decode_s(measured, held)
+    candidate.prefill_s = measured.prefill_s * (1.0 + PREFILL_HARM * held)
+    candidate.fixed_s = min(
+        max(0.0, replica.prefill_until - now),
+        replica.outstanding_tokens * measured.prefill_s,
+    )
+    if not candidate.free:
+        wait_s = measured.call_s / candidate.slots
+        candidate.fixed_s += wait_s * (candidate.claims + 1)
+
 
+def claim(candidate: Candidate) -> None:
+    """Counts a call that waits for a full replica."""
+    candidate.claims += 1
+    candidate.fixed_s += candidate.measured.call_s / candidate.slots
 
-def slot_wait_s(replica: Replica, now: float, claims: int) -> float:
-    """Returns the expected wait for a slot behind earlier claims."""
-    count = max(1, slots(replica, now))
-    return replica.measured.call_s * (claims + 1) / count
+
+def cost_s(
+    rules: policy.Policy,
+    candidate: Candidate,
+    request: messages.SlotRequest,
+    tokens: float,
+) -> float:
+    """Returns the seconds until a call would be finished there."""
+    computed = computed_tokens(rules, candidate.replica, request)
+    return (
+        candidate.fixed_s
+        + computed * candidate.prefill_s
+        + tokens * candidate.decode_s
+    )
 
 
 def choose(
     rules: policy.Policy,
-    now: float,
-    replicas: list[Replica],
+    candidates: list[Candidate],
     request: messages.SlotRequest,
     tokens: float,
-    claims: dict[str, int],
+    may_hold: bool,
 ) -> Choice | None:
-    """Returns the best replica for a call, or None if none is usable.
-
-    claims counts the earlier calls that wait for each full replica.
-    """
-    mean = mean_speed(replicas)
-    best_free: tuple[float, Replica] | None = None
-    best_full: tuple[float, Replica] | None = None
-    for replica in replicas:
-        name = replica.upstream.name
-        if name in request.excluded or not slots(replica, now):
+    """Returns the best replica for a call, or None if none is usable."""
+    best_free: tuple[float, Candidate] | None = None
+    best_full: tuple[float, Candidate] | None = None
+    for candidate in candidates:
+        if not candidate.free and not may_hold:
             continue
-        computed = computed_tokens(rules, replica, request)
-        known = rules.speed and replica.measured.samples > 0
-        measured = replica.measured if known else mean
-        cost_s = service_s(now, replica, measured, computed, tokens)
-        if free_slots(replica, now) > 0:
-            if best_free is None or cost_s < best_free[0]:
-                best_free = (cost_s, replica)
+        if candidate.replica.upstream.name in request.excluded:
             continue
-        cost_s += slot_wait_s(replica, now, claims.get(name, 0))
-        if best_full is None or cost_s < best_full[0]:
-            best_full = (cost_s, replica)
-    return between(rules, best_free, best_full)
+        cost = cost_s(rules, candidate, request, tokens)
+        if candidate.free:
+            if best_free is None or cost < best_free[0]:
+                best_free = (cost, candidate)
+        elif best_full is None or cost < best_full[0]:
+            best_full = (cost, candidate)
+    return between(best_free, best_full)
 
 
 def between(
-    rules: policy.Policy,
-    best_free: tuple[float, Replica] | None,
-    best_full: tuple[float, Replica] | None,
+    best_free: tuple[float, Candidate] | None,
+    best_full: tuple[float, Candidate] | None,
 ) -> Choice | None:
     """Weighs the best free replica against waiting for a full one."""
     if best_free is None:
         if best_full is None:
             return None
-        return Choice(replica=best_full[1], hold_s=HOLD_MAX_S)
-    if not rules.holding or best_full is None:
-        return Choice(replica=best_free[1], hold_s=0.0)
-    if best_full[0] * HOLD_GAIN >= best_free[0]:
-        return Choice(replica=best_free[1], hold_s=0.0)
+        return Choice(candidate=best_full[1], hold_s=HOLD_MAX_S)
+    if best_full is None or best_full[0] * HOLD_GAIN >= best_free[0]:
+        return Choice(candidate=best_free[1], hold_s=0.0)
     hold_s = min(HOLD_MAX_S, best_free[0] - best_full[0])
-    return Choice(replica=best_full[1], hold_s=hold_s)
+    return Choice(candidate=best_full[1], hold_s=hold_s)
 
 
 def mean_speed(replicas: list[Replica]) -> speed.Speed:
@@ -170,8 +232,26 @@
     known = [r.measured for r in replicas if r.measured.samples]
     if not known:
         return speed.Speed()
+    lines = [each.decode for each in known]
     return speed.Speed(
         prefill_s=sum(each.prefill_s for each in known) / len(known),
-        decode_s=sum(each.decode_s for each in known) / len(known),
         call_s=sum(each.call_s for each in known) / len(known),
+        decode=speed.Line(
+            weight=sum(line.weight for line in lines),
+            x=sum(line.x for line in lines),
+            y=sum(line.y for line in lines),
+            xx=sum(line.xx for line in lines),
+            xy=sum(line.xy for line in lines),
+        ),
     )
+
+
+def correct_backlog(
+    replica: Replica, outstanding: Outstanding, cached_tokens: int | None
+) -> None:
+    """Takes back what a call was expected to compute and did not."""
+    if cached_tokens is None:
+        return
+    computed = outstanding.request.prompt_tokens - cached_tokens
+    excess = outstanding.computed_tokens - computed
+    replica.prefill_until -= excess * replica.measured.prefill_s
--- a/oleanderdrift/prefix_cache.py
+++ b/oleanderdrift/prefix_cache.py
@@ -15,9 +15,8 @@
 DEFAULT_CAPACITY_BLOCKS: typing.Final = 100_000
 MIN_CAPACITY_BLOCKS: typing.Final = 16
 CAPACITY_SHRINK: typing.Final = 0.95
-CAPACITY_GROW: typing.Final = 1.01
+CAPACITY_GROWTH_BLOCKS: typing.Final = 1
 EVENT_LAG_S: typing.Final = 5.0
-DOUBT: typing.Final = 0.5
 
 
 @attrs.define(kw_only=True)
@@ -25,8 +24,7 @@
     """The blocks believed cached, least recently used first.
 
     blocks maps a block's chained digest to the time it was last sent or
-    reported.  What was last seen before doubted_before may be gone, since
-    an event after it was lost.
+    reported.
     """
 
     blocks: collections.OrderedDict[bytes, float] = attrs.field(
@@ -34,7 +32,6 @@
     )
     capacity_blocks: int = DEFAULT_CAPACITY_BLOCKS
     next_sequence: int | None = None
-    doubted_before: float = float('-inf')
 
 
 def matched_blocks(view: CacheView, prefix: tuple[bytes, ...]) -> int:
@@ -62,10 +59,7 @@
     matched = matched_blocks(view, prefix)
     if not matched:
         return 0.0
-    tokens = prompt_tokens * matched / len(prefix)
-    if view.blocks[prefix[matched - 1]] < view.doubted_before:
-        return tokens * DOUBT
-    return tokens
+    return prompt_tokens * matched / len(prefix)
 
 
 def note_sent(view: CacheView, now: float, prefix: tuple[bytes, ...]) -> None:
@@ -100,7 +94,7 @@
     elif expected_blocks:
         view.capacity_blocks = min(
             DEFAULT_CAPACITY_BLOCKS,
-            int(view.capacity_blocks * CAPACITY_GROW) + 1,
+            view.capacity_blocks + CAPACITY_GROWTH_BLOCKS,
         )
 
 
@@ -111,15 +105,15 @@
     stored: tuple[bytes, ...],
     removed: tuple[bytes, ...],
 ) -> None:
-    """Takes one cache event; a gap puts all that was seen before in doubt.
+    """Takes one cache event; an older one than the last is ignored.
 
+    Nothing is made of a gap: what was lost heals by the capacity and by
+    what the engine reports of later calls.
     A block sent within the events' lag is kept: its removal is older than
     its last use.
     """
     if view.next_sequence is not None and sequence < view.next_sequence:
         return
-    if view.next_sequence is not None and sequence > view.next_sequence:
-        view.doubted_before = now - EVENT_LAG_S
     view.next_sequence = sequence + 1
     for digest in removed:
         seen = view.blocks.get(digest)
--- a/oleanderdrift/scheduler.py
+++ b/oleanderdrift/scheduler.py
@@ -157,6 +157,7 @@
     replica = group.replicas.get(released.upstream)
     if outstanding is None or replica is None:
         return
+    placement.correct_backlog(replica, outstanding, released.cached_tokens)
     note_released(group.rate, now)
     note_health(group, now, replica, released.failed)
     if not released.failed:
@@ -224,21 +225,25 @@
     decisions: list[Decision] = list(group.refusals)
     group.refusals.clear()
     group.wakeup_at = None
-    free = total_free(group, now)
-    if not free or not group.queue.waiting:
+    if not group.queue.waiting:
         return decisions
-    claims: dict[str, int] = {}
+    candidates = placement.candidates_of(
+        group.rules, now, list(group.replicas.values())
+    )
+    free = sum(candidate.free for candidate in candidates)
     held = 0
     with contextlib.closing(call_queue.in_order(group.queue, now)) as order:
-        for waiting in order:
-            replica = place(group, now, waiting, claims)
-            if replica is None:
-                held += 1
-            else:
-                decisions.append(grant(group, now, waiting, replica))
-                free -= 1
-            if not free or held >= MAX_HELD_PER_POLL:
+        while free and held < MAX_HELD_PER_POLL:
+            waiting = next(order, None)
+            if waiting is None:
                 break
+            candidate = place(group, now, waiting, candidates)
+            if candidate is None:
+                held += 1
+                continue
+            decisions.append(grant(group, now, waiting, candidate.replica))
+            placement.refresh(candidate, now, candidate.utilisation)
+            free -= 1
     return decisions
 
 
@@ -246,31 +251,28 @@
     group: DispatchGroup,
     now: float,
     waiting: call_queue.Waiting,
-    claims: dict[str, int],
-) -> placement.Replica | None:
+    candidates: list[placement.Candidate],
+) -> placement.Candidate | None:
     """Returns the replica that a call takes now, or None to wait on."""
     request = waiting.request
-    rules = group.rules
-    if waiting.hold_until is not None and now >= waiting.hold_until:
-        rules = attrs.evolve(rules, holding=False)
+    may_hold = group.rules.holding and (
+        waiting.hold_until is None or now < waiting.hold_until
+    )
     choice = placement.choose(
-        rules,
-        now,
-        list(group.replicas.values()),
+        group.rules,
+        candidates,
         request,
         expected_tokens(group, request),
-        claims,
+        may_hold,
     )
     if choice is None:
         return None
     if choice.hold_s <= 0.0:
-        return choice.replica
-    name = choice.replica.upstream.name
-    claims[name] = claims.get(name, 0) + 1
+        return choice.candidate
+    placement.claim(choice.candidate)
     if waiting.hold_until is None:
         waiting.hold_until = now + choice.hold_s
-    if waiting.hold_until > now:
-        wake_at(group, waiting.hold_until)
+    wake_at(group, waiting.hold_until)
     return None
 
 
@@ -296,9 +298,11 @@
         ),
         computed_tokens=computed,
         expected_tokens=tokens,
+        held_calls=len(replica.outstanding) + 1,
     )
     replica.outstanding[request.call_id] = outstanding
     group.slots[request.call_id] = replica.upstream.name
+    replica.outstanding_tokens += computed
     start = max(now, replica.prefill_until)
     replica.prefill_until = start + computed * replica.measured.prefill_s
     window.note_granted(replica.window_state, len(replica.outstanding))
@@ -345,14 +349,6 @@
     )
 
 
-def total_free(group: DispatchGroup, now: float) -> int:
-    """Returns the free slots of the group."""
-    return sum(
-        placement.free_slots(replica, now)
-        for replica in group.replicas.values()
-    )
-
-
 def expected_tokens(
     group: DispatchGroup, request: messages.SlotRequest
 ) -> float:
@@ -442,7 +438,7 @@
     if released.cached_tokens is not None and request.prefix:
         computed = float(request.prompt_tokens - released.cached_tokens)
         blocks = len(request.prefix)
-        reported = int(
+        reported = math.ceil(
             blocks * released.cached_tokens / max(1, request.prompt_tokens)
         )
         prefix_cache.note_reported(
@@ -454,8 +450,9 @@
     window.on_release(replica.window_state, now, released.first_token_s)
     speed.on_release(
         replica.measured,
-        computed_tokens=int(computed),
+        computed_tokens=computed,
         tokens=released.tokens,
+        held_calls=(outstanding.held_calls + len(replica.outstanding) + 1) / 2,
         first_token_s=released.first_token_s,
         duration_s=released.duration_s,
     )
@@ -487,7 +484,12 @@
     replica = group.replicas.get(name) if name is not None else None
     if replica is None:
         return None
-    return replica.outstanding.pop(call_id, None)
+    outstanding = replica.outstanding.pop(call_id)
+    replica.outstanding_tokens -= outstanding.computed_tokens
+    if not replica.outstanding:
+        replica.outstanding_tokens = 0.0
+        replica.prefill_until = float('-inf')
+    return outstanding
 
 
 def forget_if_idle(group: DispatchGroup, replica: placement.Replica) -> None:
--- a/oleanderdrift/window.py
+++ b/oleanderdrift/window.py
@@ -15,6 +15,7 @@
 MIN_SLOTS: typing.Final = 1
 MAX_SLOTS: typing.Final = 256
 REPORT_STALE_S: typing.Final = 10.0
+HEADROOM: typing.Final = 1
 GROWTH_DIVISOR: typing.Final = 8
 SLOW_FACTOR: typing.Final = 2.0
 
@@ -44,7 +45,7 @@
     """Follows a load report: calls in the batch and calls queued."""
     window.reported_at = now
     if waiting > 0:
-        shrink_to(window, running + 1)
+        shrink_to(window, running + HEADROOM)
     elif window.limited and running + 1 >= window.slots:
         grow(window)
     window.limited = False
