Receive peer messages that a raw send took the wake-up of

Cause: peers sent on the socket behind ZMQStream. ZeroMQ's descriptor is edge-triggered, so such a send can take in the wake-up of a message that has just come, and the stream never looked again. Ruled out: lost frames; they lay in the socket.

Change: after each send the stream is asked to look again. Also, the end marker of a stream is found when it is split over two pieces.

Before: test_every_request_of_a_busy_mesh_is_answered fails on time-outs. After: tests/test_peers.py, test_conversation.py and test_whole_path.py, 37 passed in 10.2 s.

--- a/oleanderdrift/calls.py
+++ b/oleanderdrift/calls.py
@@ -449,7 +449,7 @@
             answer.begin(stream.status, content_type, call.grant)
             call.begun = True
         parts.append(data)
-        held = await _pass_on(answer, held, data)
+        held = await _pass_on(answer, held, parts)
     body = b''.join(parts)
     await _end_ran(
         calls,
@@ -470,12 +470,13 @@
     )
 
 
-async def _pass_on(answer: Answer, held: bytes, data: bytes) -> bytes:
+async def _pass_on(answer: Answer, held: bytes, parts: list[bytes]) -> bytes:
     # The event that ends the answer waits until the end is recorded, so
     # that the caller's next call finds this one ended.
+    data = parts[-1]
     if held:
         return held + data
-    done = conversation.find_done(data)
+    done = conversation.find_done(parts)
     if done < 0:
         await answer.write(data)
         return b''
--- a/oleanderdrift/conversation.py
+++ b/oleanderdrift/conversation.py
@@ -251,6 +251,17 @@
     )
 
 
-def find_done(data: bytes) -> int:
-    """Returns where the event that ends a stream begins, or -1."""
-    return data.find(DONE_EVENT)
+def find_done(parts: list[bytes]) -> int:
+    """Returns where the event that ends a stream begins in the last part.
+
+    It is 0 where the event began in an earlier part, and -1 where the
+    stream goes on.
+    """
+    before = b''
+    for part in reversed(parts[:-1]):
+        before = part + before
+        if len(before) >= len(DONE_EVENT):
+            break
+    overlap = before[1 - len(DONE_EVENT) :]
+    found = (overlap + parts[-1]).find(DONE_EVENT)
+    return max(0, found - len(overlap)) if found >= 0 else -1
--- a/oleanderdrift/peers.py
+++ b/oleanderdrift/peers.py
@@ -126,7 +126,7 @@
     ) -> None:
         frames = [correlation, self.name, codec.encode(message)]
         try:
-            link.stream.socket.send_multipart(frames, zmq.NOBLOCK)
+            _send_now(link.stream, frames)
         except zmq.Again as error:
             raise errors.ResultError(
                 codes.PEER_UNREACHABLE, f'{link.address} is not connected'
@@ -181,13 +181,24 @@
         encoded = codec.encode(reply)
         self.sent_bytes += len(encoded)
         try:
-            self.router.socket.send_multipart(
-                [identity, correlation, encoded], zmq.NOBLOCK
-            )
+            _send_now(self.router, [identity, correlation, encoded])
         except zmq.ZMQError as error:
             logs.info('peer-reply-dropped', detail=error)
 
 
+def _send_now(stream: zmqstream.ZMQStream, frames: list[bytes]) -> None:
+    """Sends without waiting; raises zmq.Again if the peer takes no more."""
+    stream.socket.send_multipart(frames, zmq.NOBLOCK)
+    # ZeroMQ's descriptor is edge-triggered: the send may have taken in
+    # the wake-up of a message that has come, so the stream looks again.
+    asyncio.get_running_loop().call_soon(_receive_waiting, stream)
+
+
+def _receive_waiting(stream: zmqstream.ZMQStream) -> None:
+    if not stream.closed():
+        stream.flush(zmq.POLLIN)
+
+
 def failed(error: errors.ResultError) -> messages.Failed:
     """Returns the message that carries an error to a peer."""
     return messages.Failed(
