--- /dev/null
+++ b/bench/config_fleet.py
@@ -0,0 +1,242 @@
+"""Measures changes and withdrawals at nine real instances.
+
+Prints one JSON line for each figure.  The processes are those of
+standins.fleet: three data centres of three instances, whose links can be
+cut.
+"""
+
+import asyncio
+import hashlib
+import statistics
+import time
+import typing
+
+import attrs
+import msgspec
+from tornado import curl_httpclient
+from tornado import httpclient
+
+from bench import config_cost
+from oleanderdrift import codec
+from oleanderdrift import codes
+from oleanderdrift import instance_client
+from oleanderdrift import log_client
+from oleanderdrift import model
+from standins import fleet
+from standins import fleet_config
+from standins import fleet_state
+
+PUBLISHES: typing.Final = 20
+WITHDRAWALS: typing.Final = 5
+BOUND_S: typing.Final = 9.0
+POLL_S: typing.Final = 0.01
+GIVE_UP_S: typing.Final = 60.0
+TOKEN: typing.Final = 'operator'
+CUT: typing.Final = 'north'
+CONFIG: typing.Final = """
+[account.ward]
+rate_per_s = 1000
+burst = 1000
+[class.urgent]
+target_s = 10
+[model.guide]
+[tool.desk]
+idempotent = true
+"""
+
+
+@attrs.define(kw_only=True)
+class Bench:
+    """The running fleet and the clients that look at it."""
+
+    fleet: fleet_state.Fleet
+    http: httpclient.AsyncHTTPClient
+    failed: bool = False
+
+
+def config_text(running: fleet_state.Fleet) -> str:
+    """Returns the fleet's configuration."""
+    return CONFIG + fleet_config.upstream_tables(running, 'guide', ['desk'])
+
+
+async def offset_at(bench: Bench, node: fleet_state.Node) -> int:
+    """Returns the offset of the last record that a node has folded."""
+    request = httpclient.HTTPRequest(
+        f'{node.url}/v1/status', headers={'Authorization': f'Bearer {TOKEN}'}
+    )
+    response = await bench.http.fetch(request)
+    return int(msgspec.json.decode(response.body)['config_offset'])
+
+
+async def code_at(bench: Bench, node: fleet_state.Node, key: str) -> int:
+    """Returns the result code of a call that a good key fails later on.
+
+    A class that does not exist is noticed only after the key.
+    """
+    request = httpclient.HTTPRequest(
+        f'{node.url}/v1/programs',
+        method='POST',
+        headers={'Authorization': f'Bearer {key}'},
+        body=b'{"class_name":"none"}',
+    )
+    response = await bench.http.fetch(request, raise_error=False)
+    return int(msgspec.json.decode(response.body)['error']['code'])
+
+
+async def until(
+    condition: typing.Callable[[], typing.Awaitable[bool]],
+) -> float:
+    """Returns the time at which the condition came true.
+
+    Raises TimeoutError after GIVE_UP_S.
+    """
+    async with asyncio.timeout(GIVE_UP_S):
+        while not await condition():
+            await asyncio.sleep(POLL_S)
+    return time.perf_counter()
+
+
+async def all_refuse(
+    bench: Bench, nodes: typing.Iterable[fleet_state.Node], key: str
+) -> float:
+    """Returns the time from which all nodes refuse the key."""
+
+    async def refused(node: fleet_state.Node) -> float:
+        async def check() -> bool:
+            found = await code_at(bench, node, key)
+            return found == codes.UNKNOWN_KEY.number
+
+        return await until(check)
+
+    return max(await asyncio.gather(*map(refused, nodes)))
+
+
+async def command(bench: Bench, *words: str) -> typing.Any:
+    """Runs an operator's command beside the polling."""
+    return await asyncio.to_thread(fleet_config.command, bench.fleet, *words)
+
+
+async def issue(bench: Bench, name: str) -> str:
+    """Issues a key and waits until every instance admits it."""
+    (row,) = await command(bench, 'key', 'issue', 'ward', '--name', name)
+    key: str = row['key']
+    for node in bench.fleet.nodes.values():
+
+        async def admitted(node: fleet_state.Node = node) -> bool:
+            found = await code_at(bench, node, key)
+            return found != codes.UNKNOWN_KEY.number
+
+        await until(admitted)
+    return key
+
+
+def show(bench: Bench, name: str, times: list[float]) -> None:
+    """Shows the median and the slowest of some times."""
+    for what, value, bound in (
+        ('median', statistics.median(times), None),
+        ('slowest', max(times), BOUND_S),
+    ):
+        figure = config_cost.Figure(
+            name=f'config.fleet_9.{name}.{what}_of_{len(times)}',
+            unit='s',
+            value=round(value, 3),
+            bound=bound,
+        )
+        config_cost.show(figure)
+        bench.failed = bench.failed or not figure.ok
+
+
+async def measure_publish(bench: Bench) -> None:
+    """Shows how long a change takes to be in force at all instances."""
+    client = log_client.LogClient(bench.fleet.log.url)
+    times = []
+    for number in range(PUBLISHES):
+        account = model.ClientAccount(
+            name='ward', rate_per_s=1000, burst=1000 + number
+        )
+        change = config_cost.change_of(model.Kind.ACCOUNT, account, number)
+        began = time.perf_counter()
+        offset = await client.append('config', codec.encode(change))
+        for node in bench.fleet.nodes.values():
+
+            async def folded(
+                node: fleet_state.Node = node, offset: int = offset
+            ) -> bool:
+                return await offset_at(bench, node) >= offset
+
+            await until(folded)
+        times.append(time.perf_counter() - began)
+    client.close()
+    show(bench, 'in_force', times)
+
+
+async def measure_withdrawal(bench: Bench) -> None:
+    """Shows how long a key works on after it was withdrawn."""
+    times = []
+    for number in range(WITHDRAWALS):
+        key = await issue(bench, f'key-{number}')
+        began = time.perf_counter()
+        await command(bench, 'key', 'withdraw', f'key-{number}')
+        done = await all_refuse(bench, bench.fleet.nodes.values(), key)
+        times.append(done - began)
+    show(bench, 'withdrawn', times)
+
+
+async def measure_cut(bench: Bench) -> None:
+    """Shows a direct withdrawal in a data centre that is cut off."""
+    key = await issue(bench, 'leaked')
+    inside = bench.fleet.in_data_centre(CUT)
+    fleet.cut_off(bench.fleet, CUT)
+    began = time.perf_counter()
+    await instance_client.withdraw_key(inside[0].url, TOKEN, 'leaked')
+    show(
+        bench,
+        'withdrawn_in_cut_data_centre',
+        [await all_refuse(bench, inside, key) - began],
+    )
+    outside = [
+        node for node in bench.fleet.nodes.values() if node not in inside
+    ]
+    codes_outside = {await code_at(bench, node, key) for node in outside}
+    assert codes.UNKNOWN_KEY.number not in codes_outside, codes_outside
+    fleet.set_cut(bench.fleet, [])
+    began = time.perf_counter()
+    show(
+        bench,
+        'withdrawn_everywhere_after_the_cut',
+        [await all_refuse(bench, outside, key) - began],
+    )
+    history = await command(bench, 'config', 'history', '--limit', '100')
+    removals = [
+        row
+        for row in history
+        if (row['name'], row['change']) == ('leaked', 'remove')
+    ]
+    assert removals and all(
+        row['verdict'] == 'accepted' for row in removals
+    ), removals
+
+
+async def measure(running: fleet_state.Fleet) -> bool:
+    """Shows all figures; returns whether each kept its bound."""
+    bench = Bench(
+        fleet=running,
+        http=curl_httpclient.CurlAsyncHTTPClient(force_instance=True),
+    )
+    await measure_publish(bench)
+    await measure_withdrawal(bench)
+    await measure_cut(bench)
+    return not bench.failed
+
+
+def main() -> int:
+    """Runs the fleet; returns 1 if a figure is over its bound."""
+    plan = fleet_state.Plan(
+        operator_token_sha256=hashlib.sha256(TOKEN.encode()).hexdigest()
+    )
+    with fleet.running(plan, config_text) as running:
+        return 0 if asyncio.run(measure(running)) else 1
+
+
+if __name__ == '__main__':
+    raise SystemExit(main())
