Restore a lost configuration; send peers no records with a hole

And a reader that had bridged a gap kept older records in its tail, so a peer behind the gap was sent records with a hole, which it cannot fold, instead of the state.

Code 6007 config-lost names the case. The tail is cleared when a gap is bridged.

--- a/oleanderdrift/cli.py
+++ b/oleanderdrift/cli.py
@@ -31,6 +31,11 @@
 EXIT_REFUSED: typing.Final = 1
 EXIT_UNAVAILABLE: typing.Final = 3
 EXIT_UNCONFIRMED: typing.Final = 4
+UNAVAILABLE: typing.Final = (
+    codes.LOG_UNAVAILABLE,
+    codes.CONFIG_LOST,
+    codes.PEER_UNREACHABLE,
+)
 KEY_BYTES: typing.Final = 24
 
 EXIT_CODES: typing.Final = """
@@ -113,8 +118,12 @@
     work: typing.Callable[
         [config_admin.Session], typing.Coroutine[typing.Any, typing.Any, T]
     ],
+    lost_allowed: bool = False,
 ) -> T:
-    """Runs work on a session that has read the log to its end."""
+    """Runs work on a session that has read the log to its end.
+
+    With lost_allowed, work runs also where the configuration is lost.
+    """
 
     async def whole() -> T:
         client = log_client.LogClient(log)
@@ -122,7 +131,11 @@
             session = config_admin.Session(
                 client=client, author=author, timeout_s=timeout_s
             )
-            await config_admin.refresh(session)
+            try:
+                await config_admin.refresh(session)
+            except errors.ResultError as error:
+                if error.code is not codes.CONFIG_LOST or not lost_allowed:
+                    raise
             return await work(session)
         finally:
             client.close()
@@ -137,7 +150,7 @@
     """Prints an error and returns the exit that fits it."""
     typer.echo(f'error {error}', err=True)
     typer.echo(f'Try `oleanderdrift explain {error.code.number}`.', err=True)
-    if error.code in (codes.LOG_UNAVAILABLE, codes.PEER_UNREACHABLE):
+    if error.code in UNAVAILABLE:
         return typer.Exit(EXIT_UNAVAILABLE)
     if error.code is codes.CONFIG_UNCONFIRMED:
         return typer.Exit(EXIT_UNCONFIRMED)
@@ -356,6 +369,50 @@
     )
 
 
+@config_app.command('export')
+def config_export(log: LogOption) -> None:
+    """Prints the configuration in force as a file, keys by their hashes.
+
+    Keep it: `config restore` takes it back if the log loses everything.
+    """
+
+    async def work(session: config_admin.Session) -> str:
+        return config_admin.to_toml(session.reader.config)
+
+    typer.echo(run(log, '', 1.0, work), nl=False)
+
+
+@config_app.command('restore')
+def config_restore(
+    file: FileArgument,
+    log: LogOption,
+    replace_all: typing.Annotated[
+        bool,
+        typer.Option(help='Also where the log still has a configuration.'),
+    ] = False,
+    timeout_s: TimeoutOption = 10.0,
+) -> None:
+    """Puts an exported file in place of the whole configuration.
+
+    For a log that answers 6007 config-lost: it has trimmed everything
+    while no instance was alive. What the file lacks is gone, keys too.
+    """
+    wanted = read_file(file)
+    steps = config_admin.differences(model.Config(), wanted, False)
+    report_faults(file, config_admin.check(model.Config(), steps))
+
+    async def work(session: config_admin.Session) -> int:
+        if session.reader.gap_end is None and not replace_all:
+            raise errors.ResultError(
+                codes.CONFIG_CONFLICT,
+                'the log has a configuration; --replace-all replaces it',
+            )
+        return await config_admin.restore(session, wanted)
+
+    offset = run(log, '', timeout_s, work, lost_allowed=True)
+    typer.echo(f'restored {len(wanted)} objects, read back at {offset}')
+
+
 @config_app.command('history')
 def config_history(
     log: LogOption,
--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -251,6 +251,14 @@
     'The record may be in the log; the answer to its append was lost.',
 )
 
+CONFIG_LOST: typing.Final = _entry(
+    6007,
+    'config-lost',
+    503,
+    _NOT,
+    'The log has trimmed the configuration; restore it from a file.',
+)
+
 # 7000: settings and command line.
 SETTINGS_INVALID: typing.Final = _entry(
     7000, 'settings-invalid', 500, _NOT, 'The settings file has faults.'
--- a/oleanderdrift/config_admin.py
+++ b/oleanderdrift/config_admin.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 import time
 import typing
 
@@ -65,8 +66,8 @@
 async def refresh(session: Session) -> None:
     """Reads to the end of the log.
 
-    Raises ResultError LOG_UNAVAILABLE, also for a log whose beginning
-    has been trimmed and that holds no snapshot to start from.
+    Raises ResultError LOG_UNAVAILABLE, or CONFIG_LOST for a log whose
+    beginning has been trimmed and that holds no snapshot to start from.
     """
     while True:
         result = await _read(session, 0.0)
@@ -74,8 +75,7 @@
             break
     if session.reader.gap_end is not None:
         raise errors.ResultError(
-            codes.LOG_UNAVAILABLE,
-            f'the log begins at {result.first} and holds no snapshot',
+            codes.CONFIG_LOST, f'the log begins at {result.first}'
         )
 
 
@@ -131,6 +131,44 @@
         await asyncio.sleep(RETRY_S)
 
 
+async def restore(
+    session: Session,
+    wanted: dict[tuple[model.Kind, str], model.ConfigObject],
+) -> int:
+    """Puts the objects in place of everything; returns the offset read.
+
+    For a log that has lost its configuration.  Raises ResultError
+    LOG_UNAVAILABLE if it is surely not done, or CONFIG_UNCONFIRMED.
+    """
+    snapshot = messages.ConfigSnapshot(
+        next_offset=session.reader.read_offset,
+        objects=tuple(
+            messages.SnapshotObject(
+                kind=kind,
+                name=name,
+                version=session.reader.read_offset,
+                body=msgspec.json.encode(item),
+            )
+            for (kind, name), item in wanted.items()
+        ),
+        restores=True,
+    )
+    data = codec.encode(snapshot)
+    try:
+        await session.client.append(config_reader.STREAM, data)
+    except errors.ResultError as error:
+        if error.code is codes.LOG_UNAVAILABLE:
+            raise
+    deadline = time.monotonic() + session.timeout_s
+    while time.monotonic() < deadline:
+        await _read_or_pause(session, deadline - time.monotonic())
+        reader = session.reader
+        lost = reader.gap_end is not None
+        if not lost and not differences(reader.config, wanted, True):
+            return reader.config.next_offset - 1
+    raise errors.ResultError(codes.CONFIG_UNCONFIRMED, 'the restored state')
+
+
 def _outcome(
     history: typing.Iterable[config_reader.Judged],
     change: messages.ConfigChange,
@@ -204,6 +242,20 @@
     return config_checks.parse(kind, name, body)
 
 
+def to_toml(config: model.Config) -> str:
+    """Returns the configuration as a file that parse_file reads."""
+    lines = []
+    for kind in PUBLISH_ORDER:
+        for item in config_state.objects(config, kind).values():
+            lines.append(f'[{kind}.{json.dumps(item.name)}]')
+            lines += [
+                f'{field} = {json.dumps(value)}'
+                for field, value in msgspec.to_builtins(item).items()
+                if field != 'name'
+            ]
+    return '\n'.join(lines) + '\n'
+
+
 def differences(
     config: model.Config,
     wanted: dict[tuple[model.Kind, str], model.ConfigObject],
--- a/oleanderdrift/config_reader.py
+++ b/oleanderdrift/config_reader.py
@@ -183,6 +183,9 @@
 ) -> None:
     if not isinstance(message, messages.ConfigSnapshot):
         return
+    if message.restores:
+        # It stands for all that came before it, itself included.
+        message = attrs.evolve(message, next_offset=reader.read_offset)
     if reader.gap_end is None or message.next_offset < reader.gap_end:
         return
     try:
@@ -190,4 +193,6 @@
     except errors.ResultError as error:
         logs.warning('config-snapshot-unreadable', detail=error)
         return
+    # Peers must not be sent records with a hole between.
+    reader.tail.clear()
     _close_gap(reader, judged, changes)
--- a/oleanderdrift/config_state.py
+++ b/oleanderdrift/config_state.py
@@ -58,9 +58,10 @@
 ) -> model.Verdict:
     """Folds the record at offset into config and returns the verdict.
 
-    A snapshot changes nothing here: a reader that has every record up to
-    it knows all that it holds (load takes one in).  Raises ResultError
-    INVARIANT_BROKEN for an offset that was folded before.
+    A snapshot changes nothing here, unless an operator restores by it: a
+    reader that has every record up to it knows all that it holds (load
+    takes one in).  Raises ResultError INVARIANT_BROKEN for an offset
+    that was folded before.
     """
     if offset < config.next_offset:
         raise errors.ResultError(
@@ -71,6 +72,8 @@
     match message:
         case messages.ConfigChange():
             return _apply_change(config, offset, message)
+        case messages.ConfigSnapshot(restores=True):
+            return _restore(config, message)
         case messages.ConfigSnapshot():
             return _accepted(0)
         case _:
@@ -226,6 +229,24 @@
     if message.next_offset <= config.next_offset:
         return ()
     loaded = _read_snapshot(message)
+    config.next_offset = loaded.next_offset
+    return _replace(config, loaded)
+
+
+def _restore(
+    config: model.Config, message: messages.ConfigSnapshot
+) -> model.Verdict:
+    try:
+        loaded = _read_snapshot(message)
+    except errors.ResultError as error:
+        return _refused(error.code, error.detail, 0)
+    return _accepted(0, _replace(config, loaded))
+
+
+def _replace(
+    config: model.Config, loaded: model.Config
+) -> tuple[model.ObjectChange, ...]:
+    """Puts what was loaded in place; returns what differs."""
     changes = _differences(config, loaded)
     for kind in model.Kind:
         index = objects(config, kind)
@@ -234,7 +255,6 @@
     config.versions.clear()
     config.versions.update(loaded.versions)
     config.recent = loaded.recent
-    config.next_offset = loaded.next_offset
     return changes
 
 
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -37,12 +37,14 @@
     """The whole configuration as folded up to (not with) an offset.
 
     recent carries the verdicts of the latest changes, oldest first, so
-    that a reader who starts here knows a repeated change as well.
+    that a reader who starts here knows a repeated change as well.  With
+    restores, an operator replaces whatever was in force before.
     """
 
     next_offset: int
     objects: tuple['SnapshotObject', ...]
     recent: tuple['SnapshotVerdict', ...] = ()
+    restores: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_config_peers.py
+++ b/tests/test_config_peers.py
@@ -92,6 +92,16 @@
     assert asker.config == reader_of(4).config
 
 
+def test_peer_that_bridged_a_gap_sends_no_records_with_a_hole() -> None:
+    log = LOG + [config_state.snapshot(reader_of(4).config)]
+    peer = reader_of(1)
+    config_reader.take(peer, config_records.read_result(log, first=4))
+    asker = reader_of(1)
+    exchange(asker, peer, 5.0)
+    assert asker.config == peer.config
+    assert asker.config.next_offset == 6
+
+
 @pytest.mark.parametrize(
     ('last_contact', 'withdrawn', 'asks'),
     [
