Move shares by the log and lend tokens between instances

Cause: a static split refuses requests that are within the account's rate as soon as demand moves between instances.

Weighed: one leased home for each account (needs a unique home while views differ), the static split (kept in shares.py as the baseline and until the daemon is wired), and fractions that move by records, with loans on top. Chosen: the last. Units of 256 slots move only by records of the shares stream, so their sum is conserved by log order. Tokens are lent for 2 s; the lender's cap stays lowered until then. Accounts with a small burst are gathered for 10 s at one holder.

Ruled out by trials: asking the last successful lender first (full buckets waste what they gain while one is drained) and refusing at the end of a first round of asking.

Seven mechanisms are turned off one by one, each in a scene that overspends without it and not with it: lowered cap, count from the question, lease after a pause, lease before a reclaim, lent parts, wait of a gain, donor lowers first.

--- /dev/null
+++ b/bench/share_fleet.py
@@ -0,0 +1,285 @@
+"""Several instances' share deciders joined by a queue in model time.
+
+It feeds the real deciding modules with messages, log records and clocks,
+and counts what they admit.  Tests throw faults at it; the bench measures.
+"""
+
+import heapq
+import random
+import typing
+
+import attrs
+
+from oleanderdrift import codec
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import share_loans
+from oleanderdrift import share_moves
+from oleanderdrift import share_state
+
+TOLERANCE_TOKENS: typing.Final = 1e-3
+
+
+@attrs.define(kw_only=True)
+class Meter:
+    """An exact token bucket: it tells whether admissions conform.
+
+    They conform in every window if and only if the bucket, full at the
+    start, never goes below zero.  ideal says the same of the requests
+    that one bucket for the whole fleet would have admitted.
+    """
+
+    rate_per_s: float
+    burst: float
+    tokens: float
+    ideal: float
+    at_s: float = 0.0
+    requests: int = 0
+    admitted: int = 0
+    refused: int = 0
+    wrongful: int = 0
+    ideal_admitted: int = 0
+    overspent: int = 0
+    waited_s: list[float] = attrs.field(factory=list)
+
+    def fill(self, now: float) -> None:
+        """Adds the tokens due by now."""
+        gained = (now - self.at_s) * self.rate_per_s
+        self.tokens = min(self.burst, self.tokens + gained)
+        self.ideal = min(self.burst, self.ideal + gained)
+        self.at_s = now
+
+
+@attrs.define(kw_only=True)
+class Node:
+    """One instance with its clock and its place in the stream."""
+
+    state: share_state.Shares
+    planner: share_moves.Planner
+    clock_rate: float = 1.0
+    clock_offset_s: float = 0.0
+    cursor: int = 0
+    paused: bool = False
+    group: int = 0
+    platform: bool = True
+    inbox: list[tuple[str, messages.Message]] = attrs.field(factory=list)
+    sent_bytes: int = 0
+    sent_messages: int = 0
+
+
+@attrs.define(kw_only=True)
+class Fleet:
+    """The instances, the stream, the messages on their way."""
+
+    rng: random.Random
+    accounts: dict[str, model.ClientAccount]
+    delay_s: tuple[float, float] = (0.0005, 0.002)
+    loss: float = 0.0
+    duplication: float = 0.0
+    tick_s: float = 0.025
+    read_every_ticks: int = 8
+    now: float = 0.0
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+    log: list[messages.Message] = attrs.field(factory=list)
+    meters: dict[str, Meter] = attrs.field(factory=dict)
+    tickets: dict[tuple[str, int], tuple[str, float, bool]] = attrs.field(
+        factory=dict
+    )
+    queue: list[tuple[float, int, str, str, messages.Message]] = attrs.field(
+        factory=list
+    )
+    serial: int = 0
+    ticks: int = 0
+
+    def join(self, name: str, data_centre: str, incarnation: str) -> Node:
+        """Starts an instance."""
+        state = share_state.new(
+            instance=name,
+            data_centre=data_centre,
+            address=name,
+            incarnation=incarnation,
+            rng=self.rng,
+        )
+        node = Node(state=state, planner=share_moves.Planner())
+        node.clock_rate = 1.0 + self.rng.uniform(-1, 1) * 0.0004
+        node.clock_offset_s = self.rng.uniform(0.0, 1e5)
+        self.nodes[name] = node
+        return node
+
+    def clock(self, node: Node) -> float:
+        """Returns the node's own time."""
+        return node.clock_offset_s + self.now * node.clock_rate
+
+    def request(self, name: str, account: str) -> None:
+        """Brings one request to an instance."""
+        node = self.nodes[name]
+        meter = self.meter(account)
+        meter.fill(self.now)
+        meter.requests += 1
+        ideal = meter.ideal >= 1.0
+        if ideal:
+            meter.ideal -= 1.0
+            meter.ideal_admitted += 1
+        self.serial += 1
+        ticket = self.serial
+        self.tickets[name, ticket] = (account, self.now, ideal)
+        decision = share_loans.request(
+            node.state, self.clock(node), self.accounts[account], ticket
+        )
+        self.post(name, decision.sends)
+        match decision:
+            case share_loans.Admitted():
+                self.admit(name, ticket)
+            case share_loans.Refused():
+                self.refuse(name, ticket)
+
+    def meter(self, account: str) -> Meter:
+        """Returns the account's meter."""
+        if account not in self.meters:
+            limits = self.accounts[account]
+            self.meters[account] = Meter(
+                rate_per_s=limits.rate_per_s,
+                burst=float(limits.burst),
+                tokens=float(limits.burst),
+                ideal=float(limits.burst),
+                at_s=self.now,
+            )
+        return self.meters[account]
+
+    def admit(self, name: str, ticket: int) -> None:
+        """Counts an admission and checks it against the limits."""
+        account, asked_s, _ = self.tickets.pop((name, ticket))
+        meter = self.meters[account]
+        meter.fill(self.now)
+        meter.admitted += 1
+        meter.tokens -= 1.0
+        meter.waited_s.append(self.now - asked_s)
+        if meter.tokens < -TOLERANCE_TOKENS:
+            meter.overspent += 1
+
+    def refuse(self, name: str, ticket: int) -> None:
+        """Counts a refusal; it is wrongful if one bucket had a token."""
+        account, _, ideal = self.tickets.pop((name, ticket))
+        meter = self.meters[account]
+        meter.refused += 1
+        meter.wrongful += ideal
+
+    def post(
+        self, sender: str, sends: typing.Iterable[share_state.Send]
+    ) -> None:
+        """Puts messages on their way."""
+        node = self.nodes[sender]
+        for send in sends:
+            node.sent_messages += 1
+            node.sent_bytes += len(codec.encode(send.message))
+            copies = 1 + (self.rng.random() < self.duplication)
+            for _ in range(copies):
+                if self.rng.random() < self.loss:
+                    continue
+                self.serial += 1
+                due_s = self.now + self.rng.uniform(*self.delay_s)
+                item = (due_s, self.serial, sender, send.to, send.message)
+                heapq.heappush(self.queue, item)
+
+    def run(self, until_s: float) -> None:
+        """Delivers messages and ticks up to a time."""
+        while True:
+            tick_s = (self.ticks + 1) * self.tick_s
+            if self.queue and self.queue[0][0] <= min(tick_s, until_s):
+                due_s, _, sender, to, message = heapq.heappop(self.queue)
+                self.now = max(self.now, due_s)
+                self.deliver(sender, to, message)
+            elif tick_s <= until_s:
+                self.now = max(self.now, tick_s)
+                self.ticks += 1
+                self.tick_all()
+            else:
+                self.now = max(self.now, until_s)
+                return
+
+    def jump(self, seconds: float) -> None:
+        """Lets time pass while every process stands still."""
+        self.now += seconds
+        self.ticks = int(self.now / self.tick_s)
+
+    def deliver(self, sender: str, to: str, message: messages.Message) -> None:
+        """Hands a message over, unless a partition is between the two."""
+        node = self.nodes.get(to)
+        source = self.nodes.get(sender)
+        if node is None or source is None or node.group != source.group:
+            return
+        if node.paused:
+            node.inbox.append((sender, message))
+            return
+        outcome = share_loans.receive(
+            node.state, self.clock(node), sender, message, self.accounts
+        )
+        self.follow(to, outcome)
+
+    def follow(self, name: str, outcome: share_loans.Outcome) -> None:
+        """Carries an outcome out."""
+        for ticket in outcome.admitted:
+            self.admit(name, ticket)
+        for ticket in outcome.refused:
+            self.refuse(name, ticket)
+        self.post(name, outcome.sends)
+
+    def tick_all(self) -> None:
+        """Lets every running instance tick, read and plan."""
+        for place, (name, node) in enumerate(list(self.nodes.items())):
+            if node.paused:
+                continue
+            outcome = share_loans.tick(
+                node.state, self.clock(node), self.accounts
+            )
+            self.follow(name, outcome)
+            if (self.ticks + place) % self.read_every_ticks == 0:
+                self.read_and_plan(node)
+
+    def read_and_plan(self, node: Node) -> None:
+        """Reads the stream to its end and appends what is due."""
+        if not node.platform:
+            return
+        now = self.clock(node)
+        while node.cursor < len(self.log):
+            record = self.log[node.cursor]
+            node.cursor += 1
+            share_state.fold(node.state, now, node.cursor, record)
+        for record in share_moves.plan(
+            node.planner, node.state, now, self.live(node)
+        ):
+            self.append(record)
+
+    def append(self, record: messages.Message) -> None:
+        """Appends to the stream; the append may be lost."""
+        if self.rng.random() >= self.loss:
+            self.log.append(record)
+
+    def live(self, node: Node) -> set[str]:
+        """Returns the instances that the node believes to be alive."""
+        return {
+            name
+            for name, other in self.nodes.items()
+            if other.group == node.group and not other.planner.leaving
+        }
+
+    def thaw(self, name: str) -> None:
+        """Lets a paused instance run on, with its late messages."""
+        node = self.nodes[name]
+        node.paused = False
+        late, node.inbox = node.inbox, []
+        for sender, message in late:
+            self.deliver(sender, name, message)
+
+    def overspent(self) -> int:
+        """Returns how many admissions broke the limits."""
+        return sum(meter.overspent for meter in self.meters.values())
+
+
+def nine(rng: random.Random, accounts: list[model.ClientAccount]) -> Fleet:
+    """Returns three data centres of three instances, settled in."""
+    fleet = Fleet(rng=rng, accounts={a.name: a for a in accounts})
+    for number in range(9):
+        fleet.join(f'i{number}', f'dc{number % 3}', '0')
+    fleet.run(20.0)
+    return fleet
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -510,6 +510,189 @@
     withdrawn: tuple[str, ...]
 
 
+# --- Records of the `shares` stream -------------------------------------
+
+
+@attrs.frozen(kw_only=True)
+class SharesRenewed:
+    """A holder opens or renews its lease on the share units it holds.
+
+    holder names one incarnation of an instance; sent numbers its renewals.
+    The first record of the stream gives its holder all units.
+    """
+
+    holder: str
+    instance: str
+    data_centre: str
+    address: str
+    sent: int
+
+
+@attrs.frozen(kw_only=True)
+class UnitsMoved:
+    """One part of SharesMoved: units of a slot for another holder."""
+
+    receiver: str
+    slot: int
+    units: int
+
+
+@attrs.frozen(kw_only=True)
+class SharesMoved:
+    """A donor, which has stopped using the units, gives them away.
+
+    epoch is the offset of the record that opened the donor and serial
+    numbers its moves, so that a repeated append has no effect.
+    """
+
+    donor: str
+    epoch: int
+    serial: int
+    moves: tuple[UnitsMoved, ...]
+
+
+@attrs.frozen(kw_only=True)
+class SharesReclaimed:
+    """Gives all units of a holder that is gone to another holder.
+
+    It is void where expected_renewal is no longer the offset of the lost
+    holder's last renewal or gain.  A retired holder was declared ended by
+    the operator named, whatever its lease.
+    """
+
+    holder: str
+    expected_renewal: int
+    receiver: str
+    retired_by: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class SharesClosed:
+    """A holder has stopped for good; what units it has are free."""
+
+    holder: str
+    epoch: int
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotHolder:
+    """One holder of a snapshot; units pairs its slots with their units."""
+
+    holder: str
+    instance: str
+    data_centre: str
+    address: str
+    epoch: int
+    serial: int
+    renewal: int
+    closed: bool
+    units: tuple[tuple[int, int], ...]
+
+
+@attrs.frozen(kw_only=True)
+class SharesSnapshot:
+    """The whole share ledger as folded up to (not with) an offset."""
+
+    next_offset: int
+    holders: tuple[SnapshotHolder, ...]
+
+
+# --- Peer messages: rate and burst --------------------------------------
+
+
+@attrs.frozen(kw_only=True)
+class BorrowTokens:
+    """Asks a holder for tokens of a client account.
+
+    need is for requests that wait; extra is for demand to come.  loan is
+    the borrower's number for the loan.
+    """
+
+    loan: int
+    account: str
+    need: float
+    extra: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class TokensLent:
+    """Answers BorrowTokens; left is what the holder still has.
+
+    It is below zero where the holder has lent its part to another.
+    """
+
+    loan: int
+    tokens: float
+    left: float
+
+
+@attrs.frozen(kw_only=True)
+class TokensReturned:
+    """Ends a loan; tokens is what was not spent of it."""
+
+    loan: int
+    tokens: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class BorrowPart:
+    """An account's home asks a holder for its whole part for a while.
+
+    holder is the home's incarnation, as tokens of an earlier one may
+    still be out.
+    """
+
+    loan: int
+    account: str
+    holder: str
+
+
+@attrs.frozen(kw_only=True)
+class PartLent:
+    """Answers BorrowPart with units and the tokens they had gained.
+
+    blocked is how many tokens the lender has out on loans of its own.
+    """
+
+    loan: int
+    units: int
+    tokens: float
+    blocked: float
+
+
+# --- Peer messages: membership ------------------------------------------
+
+
+@attrs.frozen(kw_only=True)
+class MemberUpdate:
+    """What a peer knows of a member: its state in one incarnation."""
+
+    name: str
+    incarnation: int
+    state: int
+
+
+@attrs.frozen(kw_only=True)
+class Probe:
+    """Asks a member whether it is alive.
+
+    target names the member meant where a third one is asked to probe it.
+    """
+
+    serial: int
+    updates: tuple[MemberUpdate, ...] = ()
+    target: str = ''
+
+
+@attrs.frozen(kw_only=True)
+class ProbeAnswer:
+    """Answers a probe, in the target's name where one was named."""
+
+    serial: int
+    updates: tuple[MemberUpdate, ...] = ()
+    target: str = ''
+
+
 Message: typing.TypeAlias = typing.Any
 
 KINDS: typing.Final[dict[int, type]] = {
@@ -549,4 +732,16 @@
     101: ConfigRecords,
     102: ConfigState,
     103: KeysWithdrawn,
+    80: SharesRenewed,
+    81: SharesMoved,
+    82: SharesReclaimed,
+    83: SharesClosed,
+    84: SharesSnapshot,
+    85: BorrowTokens,
+    86: TokensLent,
+    87: TokensReturned,
+    88: BorrowPart,
+    89: PartLent,
+    90: Probe,
+    91: ProbeAnswer,
 }
--- /dev/null
+++ b/oleanderdrift/share_ledger.py
@@ -0,0 +1,245 @@
+"""Folds the `shares` stream: who holds how much of every client account.
+
+Client accounts are hashed to slots.  Each slot has UNITS units; a holder of
+u units of a slot has u / UNITS of the rate and burst of the slot's accounts.
+Units move only by records of the stream, and their sum never changes.
+"""
+
+import collections
+import functools
+import hashlib
+import typing
+
+import attrs
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import messages
+
+SLOTS: typing.Final = 256
+# Divides evenly by up to seven data centres of up to three holders each.
+UNITS: typing.Final = 2 * 3 * 3 * 7 * 10
+FIRST_OFFSET: typing.Final = 1
+_HASH_BYTES: typing.Final = 8
+_HELD_BACK_MAX: typing.Final = 10_000
+
+
+@attrs.define(kw_only=True)
+class Holder:
+    """One incarnation of an instance, with the units it holds by slot.
+
+    epoch is the offset that opened it, serial its next move's number and
+    renewal the offset of its last renewal or gain.  A closed holder has
+    stopped for good; its units may be reclaimed at once.
+    """
+
+    name: str
+    instance: str
+    data_centre: str
+    address: str
+    epoch: int
+    renewal: int
+    serial: int = 0
+    closed: bool = False
+    units: dict[int, int] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class Ledger:
+    """The fold of the stream up to next_offset.
+
+    While whole is false, records were missed: nothing is known until a
+    snapshot covers the gap, and the records read since are held back.
+    """
+
+    next_offset: int = FIRST_OFFSET
+    whole: bool = True
+    holders: dict[str, Holder] = attrs.field(factory=dict)
+    by_slot: dict[int, dict[str, int]] = attrs.field(factory=dict)
+    held_back: collections.deque[tuple[int, messages.Message]] = attrs.field(
+        factory=functools.partial(collections.deque, maxlen=_HELD_BACK_MAX)
+    )
+
+
+@functools.lru_cache(maxsize=200_000)
+def hash_of(text: str) -> int:
+    """Returns the same number for a text in every process."""
+    digest = hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES)
+    return int.from_bytes(digest.digest(), 'big')
+
+
+def slot_of(account: str) -> int:
+    """Returns the slot of a client account."""
+    return hash_of(account) % SLOTS
+
+
+def fold(ledger: Ledger, offset: int, record: messages.Message) -> None:
+    """Takes in the record at an offset; a void record changes nothing.
+
+    Raises ResultError(INVARIANT_BROKEN) where units would not add up.
+    """
+    if offset < ledger.next_offset:
+        return
+    if offset > ledger.next_offset:
+        _forget(ledger)
+    ledger.next_offset = offset + 1
+    if ledger.whole:
+        _apply(ledger, offset, record)
+    elif isinstance(record, messages.SharesSnapshot):
+        _restore(ledger, record)
+    else:
+        ledger.held_back.append((offset, record))
+
+
+def snapshot(ledger: Ledger) -> messages.SharesSnapshot:
+    """Returns the whole ledger as one record; the ledger must be whole."""
+    return messages.SharesSnapshot(
+        next_offset=ledger.next_offset,
+        holders=tuple(
+            messages.SnapshotHolder(
+                holder=holder.name,
+                instance=holder.instance,
+                data_centre=holder.data_centre,
+                address=holder.address,
+                epoch=holder.epoch,
+                serial=holder.serial,
+                renewal=holder.renewal,
+                closed=holder.closed,
+                units=tuple(sorted(holder.units.items())),
+            )
+            for holder in ledger.holders.values()
+        ),
+    )
+
+
+def _forget(ledger: Ledger) -> None:
+    ledger.whole = False
+    ledger.holders = {}
+    ledger.by_slot = {}
+    ledger.held_back.clear()
+
+
+def _restore(ledger: Ledger, record: messages.SharesSnapshot) -> None:
+    """Starts again from a snapshot that joins the records held back."""
+    first = ledger.next_offset - 1
+    if ledger.held_back:
+        first = ledger.held_back[0][0]
+    if record.next_offset < first:
+        return
+    for item in record.holders:
+        ledger.holders[item.holder] = Holder(
+            name=item.holder,
+            instance=item.instance,
+            data_centre=item.data_centre,
+            address=item.address,
+            epoch=item.epoch,
+            serial=item.serial,
+            renewal=item.renewal,
+            closed=item.closed,
+        )
+        for slot, units in item.units:
+            _add(ledger, item.holder, slot, units)
+    ledger.whole = True
+    for offset, held in ledger.held_back:
+        if offset >= record.next_offset:
+            _apply(ledger, offset, held)
+    ledger.held_back.clear()
+
+
+def _apply(ledger: Ledger, offset: int, record: messages.Message) -> None:
+    match record:
+        case messages.SharesRenewed():
+            _apply_renewed(ledger, offset, record)
+        case messages.SharesMoved():
+            _apply_moved(ledger, offset, record)
+        case messages.SharesReclaimed():
+            _apply_reclaimed(ledger, offset, record)
+        case messages.SharesClosed():
+            _apply_closed(ledger, record)
+
+
+def _apply_renewed(
+    ledger: Ledger, offset: int, record: messages.SharesRenewed
+) -> None:
+    holder = ledger.holders.get(record.holder)
+    if holder is not None:
+        holder.renewal = offset
+        return
+    ledger.holders[record.holder] = Holder(
+        name=record.holder,
+        instance=record.instance,
+        data_centre=record.data_centre,
+        address=record.address,
+        epoch=offset,
+        renewal=offset,
+    )
+    if not ledger.by_slot:
+        for slot in range(SLOTS):
+            _add(ledger, record.holder, slot, UNITS)
+
+
+def _apply_moved(
+    ledger: Ledger, offset: int, record: messages.SharesMoved
+) -> None:
+    donor = ledger.holders.get(record.donor)
+    if donor is None or donor.epoch != record.epoch:
+        return
+    if donor.serial != record.serial:
+        return
+    donor.serial += 1
+    for move in record.moves:
+        receiver = ledger.holders.get(move.receiver)
+        if receiver is None or receiver is donor:
+            continue
+        if not 0 < move.units <= donor.units.get(move.slot, 0):
+            continue
+        _add(ledger, donor.name, move.slot, -move.units)
+        _add(ledger, receiver.name, move.slot, move.units)
+        receiver.renewal = offset
+        _check(ledger, move.slot)
+
+
+def _apply_reclaimed(
+    ledger: Ledger, offset: int, record: messages.SharesReclaimed
+) -> None:
+    lost = ledger.holders.get(record.holder)
+    receiver = ledger.holders.get(record.receiver)
+    if lost is None or receiver is None or lost is receiver:
+        return
+    if lost.renewal != record.expected_renewal:
+        return
+    for slot, units in list(lost.units.items()):
+        _add(ledger, lost.name, slot, -units)
+        _add(ledger, receiver.name, slot, units)
+        _check(ledger, slot)
+    receiver.renewal = offset
+    del ledger.holders[lost.name]
+
+
+def _apply_closed(ledger: Ledger, record: messages.SharesClosed) -> None:
+    holder = ledger.holders.get(record.holder)
+    if holder is None or holder.epoch != record.epoch:
+        return
+    holder.closed = True
+    if not holder.units:
+        del ledger.holders[record.holder]
+
+
+def _add(ledger: Ledger, name: str, slot: int, units: int) -> None:
+    held = ledger.holders[name].units
+    by_slot = ledger.by_slot.setdefault(slot, {})
+    total = held.get(slot, 0) + units
+    if total:
+        held[slot] = total
+        by_slot[name] = total
+    else:
+        held.pop(slot, None)
+        by_slot.pop(name, None)
+
+
+def _check(ledger: Ledger, slot: int) -> None:
+    total = sum(ledger.by_slot[slot].values())
+    if total != UNITS:
+        raise errors.ResultError(
+            codes.INVARIANT_BROKEN, f'slot {slot} has {total} units'
+        )
--- /dev/null
+++ b/oleanderdrift/share_moves.py
@@ -0,0 +1,305 @@
+"""Decides which records an instance appends to the `shares` stream.
+
+Every instance works out from the ledger and the live members who should
+hold what, and gives away what it holds beyond its own part.  Nobody takes
+units but from a holder that has closed, been retired or let its lease
+lapse.
+"""
+
+import collections.abc
+import typing
+
+import attrs
+
+from oleanderdrift import messages
+from oleanderdrift import share_ledger
+from oleanderdrift import share_state
+
+RENEW_EVERY_S: typing.Final = 600.0
+RETRY_S: typing.Final = 10.0
+PLAN_EVERY_S: typing.Final = 5.0
+SNAPSHOT_RECORDS: typing.Final = 1_000
+# Holders of one slot in each data centre.
+SPREAD: typing.Final = 3
+_NEVER_S: typing.Final = float('-inf')
+
+Live: typing.TypeAlias = collections.abc.Set[str]
+
+
+@attrs.define(kw_only=True)
+class Planner:
+    """When this instance last looked and appended."""
+
+    renewal_sent_s: float = _NEVER_S
+    planned_s: float = _NEVER_S
+    leaving: bool = False
+    close_sent_s: float = _NEVER_S
+
+
+def plan(
+    planner: Planner,
+    shares: share_state.Shares,
+    now: float,
+    live: Live,
+) -> list[messages.Message]:
+    """Returns the records to append now.
+
+    live names the instances that are alive and not leaving.  A record
+    whose append fails or goes unanswered comes again by itself.
+    """
+    records: list[messages.Message] = []
+    if not planner.leaving and _renewal_due(planner, shares, now):
+        records.append(_renew(planner, shares, now))
+    if not shares.ledger.whole:
+        return records
+    move = shares.pending_move
+    if move is not None and now >= shares.pending_sent_s + RETRY_S:
+        shares.pending_sent_s = now
+        records.append(move)
+    if now >= planner.planned_s + PLAN_EVERY_S:
+        planner.planned_s = now
+        records.extend(_rebalance(planner, shares, now, live))
+        records.extend(_reclaim(shares, now, live))
+        records.extend(_snapshot(shares, live))
+    return records
+
+
+def retire(
+    shares: share_state.Shares, instance: str, author: str
+) -> list[messages.Message]:
+    """Returns the records by which an operator ends a lost instance.
+
+    The operator answers for it that the process has ended.
+    """
+    return [
+        messages.SharesReclaimed(
+            holder=holder.name,
+            expected_renewal=holder.renewal,
+            receiver=shares.holder,
+            retired_by=author,
+        )
+        for holder in shares.ledger.holders.values()
+        if holder.instance == instance and holder.name != shares.holder
+    ]
+
+
+def close(
+    planner: Planner, shares: share_state.Shares
+) -> list[messages.Message]:
+    """Stops all use of the own units and returns the record of it."""
+    planner.leaving = True
+    shares.lease_ends_s = _NEVER_S
+    shares.closing = True
+    holder = shares.ledger.holders.get(shares.holder)
+    if holder is None:
+        return []
+    return [messages.SharesClosed(holder=holder.name, epoch=holder.epoch)]
+
+
+def ideal(
+    ledger: share_ledger.Ledger, live: Live, slot: int
+) -> dict[str, int]:
+    """Returns the units of a slot that each live holder should have.
+
+    Each data centre has an equal part, split between its SPREAD best
+    holders.  The part of a data centre with no live holder is left out.
+    """
+    centres: dict[str, list[str]] = {}
+    for holder in ledger.holders.values():
+        names = centres.setdefault(holder.data_centre, [])
+        if _is_live(ledger, live, holder):
+            names.append(holder.name)
+    result: dict[str, int] = {}
+    order = sorted(centres, key=lambda centre: _weight(centre, slot))
+    for centre, part in zip(order, _split(len(order)), strict=True):
+        names = sorted(centres[centre], key=lambda name: _weight(name, slot))[
+            :SPREAD
+        ]
+        for name, units in zip(names, _split(len(names), part), strict=True):
+            result[name] = units
+    return result
+
+
+def _split(count: int, total: int = share_ledger.UNITS) -> list[int]:
+    if not count:
+        return []
+    least, rest = divmod(total, count)
+    return [least + (place < rest) for place in range(count)]
+
+
+def _weight(name: str, slot: int) -> int:
+    return share_ledger.hash_of(f'{name}\0{slot}')
+
+
+def _is_live(
+    ledger: share_ledger.Ledger, live: Live, holder: share_ledger.Holder
+) -> bool:
+    if holder.closed or holder.instance not in live:
+        return False
+    return all(
+        other.epoch <= holder.epoch
+        for other in ledger.holders.values()
+        if other.instance == holder.instance
+    )
+
+
+def _renewal_due(
+    planner: Planner, shares: share_state.Shares, now: float
+) -> bool:
+    wait_s = RENEW_EVERY_S
+    if shares.renewals_sent_s or shares.holder not in shares.ledger.holders:
+        wait_s = RETRY_S
+    return now >= planner.renewal_sent_s + wait_s
+
+
+def _renew(
+    planner: Planner, shares: share_state.Shares, now: float
+) -> messages.SharesRenewed:
+    planner.renewal_sent_s = now
+    shares.sent += 1
+    shares.renewals_sent_s[shares.sent] = now
+    return messages.SharesRenewed(
+        holder=shares.holder,
+        instance=shares.instance,
+        data_centre=shares.data_centre,
+        address=shares.address,
+        sent=shares.sent,
+    )
+
+
+def _rebalance(
+    planner: Planner, shares: share_state.Shares, now: float, live: Live
+) -> list[messages.Message]:
+    """Gives away what other live holders should have, lowering first."""
+    holder = shares.ledger.holders.get(shares.holder)
+    if holder is None or shares.pending_move is not None:
+        return []
+    if not share_state.usable(shares, now):
+        return []
+    others = live - {shares.instance} if planner.leaving else live
+    moves: list[messages.UnitsMoved] = []
+    for slot in holder.units:
+        moves.extend(_surplus(shares.ledger, others, holder.name, slot))
+    if not moves:
+        return []
+    record = messages.SharesMoved(
+        donor=holder.name,
+        epoch=holder.epoch,
+        serial=holder.serial,
+        moves=tuple(moves),
+    )
+    shares.pending_move = record
+    shares.pending_sent_s = now
+    for slot in {move.slot for move in moves}:
+        share_state.settle_slot(shares, now, slot)
+    return [record]
+
+
+def _surplus(
+    ledger: share_ledger.Ledger, live: Live, name: str, slot: int
+) -> list[messages.UnitsMoved]:
+    """Matches all surpluses of a slot to its deficits; returns our own.
+
+    Donors that see the same members make the same match, so that no
+    deficit is filled twice.
+    """
+    wanted = ideal(ledger, live, slot)
+    if not wanted:
+        return []
+    held = ledger.by_slot[slot]
+    missing = {
+        receiver: units - held.get(receiver, 0)
+        for receiver, units in sorted(wanted.items())
+        if units > held.get(receiver, 0)
+    }
+    moves = []
+    for donor in sorted(held):
+        if donor != name and not _is_live(ledger, live, ledger.holders[donor]):
+            continue
+        surplus = held[donor] - wanted.get(donor, 0)
+        for receiver in list(missing):
+            units = min(surplus, missing[receiver])
+            if units <= 0:
+                continue
+            surplus -= units
+            missing[receiver] -= units
+            if donor == name:
+                move = messages.UnitsMoved(
+                    receiver=receiver, slot=slot, units=units
+                )
+                moves.append(move)
+    return moves
+
+
+def _reclaim(
+    shares: share_state.Shares, now: float, live: Live
+) -> list[messages.Message]:
+    """Takes the units of holders that have surely stopped using them."""
+    if not share_state.usable(shares, now):
+        return []
+    records: list[messages.Message] = []
+    for holder in shares.ledger.holders.values():
+        if holder.name == shares.holder or not _has_ended(shares, now, holder):
+            continue
+        if _heir(shares.ledger, live, holder) != shares.holder:
+            continue
+        records.append(
+            messages.SharesReclaimed(
+                holder=holder.name,
+                expected_renewal=holder.renewal,
+                receiver=shares.holder,
+            )
+        )
+    return records
+
+
+def _has_ended(
+    shares: share_state.Shares, now: float, holder: share_ledger.Holder
+) -> bool:
+    if holder.closed:
+        return True
+    mine = shares.ledger.holders.get(shares.holder)
+    if mine is not None and holder.address == mine.address:
+        # The process that bound the address before this one has ended.
+        return holder.epoch < mine.epoch
+    heard = shares.heard[holder.name]
+    lease_s = share_state.LEASE_S * (1.0 + share_state.CLOCK_DRIFT)
+    return now >= heard.at_s + lease_s + share_state.LOAN_S
+
+
+def _heir(
+    ledger: share_ledger.Ledger, live: Live, lost: share_ledger.Holder
+) -> str | None:
+    """Returns the one that takes a lost holder's units.
+
+    It is the next incarnation at the same address, else one of the same
+    data centre, else any.
+    """
+    names = [
+        (
+            holder.address != lost.address,
+            holder.data_centre != lost.data_centre,
+            share_ledger.hash_of(f'{holder.name}\0{lost.name}'),
+            holder.name,
+        )
+        for holder in ledger.holders.values()
+        if holder is not lost and _is_live(ledger, live, holder)
+    ]
+    return min(names)[-1] if names else None
+
+
+def _snapshot(
+    shares: share_state.Shares, live: Live
+) -> list[messages.Message]:
+    """Returns a snapshot where one is due and ours to write."""
+    ledger = shares.ledger
+    if ledger.next_offset - shares.last_snapshot < SNAPSHOT_RECORDS:
+        return []
+    names = [
+        (share_ledger.hash_of(holder.name), holder.name)
+        for holder in ledger.holders.values()
+        if _is_live(ledger, live, holder)
+    ]
+    if not names or min(names)[-1] != shares.holder:
+        return []
+    return [share_ledger.snapshot(ledger)]
--- /dev/null
+++ b/oleanderdrift/share_parts.py
@@ -0,0 +1,202 @@
+"""Gathers the parts of accounts with a small burst at one home.
+
+Split between many holders, a small burst leaves each with less than a few
+tokens: full buckets waste what they gain while others run dry.  One holder
+of the account, its home by rendezvous hashing, therefore borrows the other
+holders' parts, units and tokens, for some seconds and renews the loans
+while the account is in use.  Where the home is lost or cut off, the parts
+fall back to their holders by themselves.
+"""
+
+import typing
+
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import share_ledger
+from oleanderdrift import share_state
+
+SMALL_TOKENS: typing.Final = 8.0
+RENEW_AFTER_S: typing.Final = share_state.PART_S / 2.0
+IDLE_S: typing.Final = 30.0
+LOOK_AGAIN_S: typing.Final = 1.0
+
+
+def is_small(shares: share_state.Shares, account: model.ClientAccount) -> bool:
+    """Says whether the account's parts are gathered at a home."""
+    slot = share_ledger.slot_of(account.name)
+    holders = shares.ledger.by_slot.get(slot, {})
+    return account.burst < SMALL_TOKENS * len(holders)
+
+
+def home(
+    shares: share_state.Shares, now: float, account: model.ClientAccount
+) -> str | None:
+    """Returns the holder that gathers the account's parts, if any does."""
+    if not is_small(shares, account):
+        return None
+    slot = share_ledger.slot_of(account.name)
+    best = -1
+    chosen = None
+    for name in shares.ledger.by_slot[slot]:
+        rank = share_ledger.hash_of(f'{account.name}\0{name}')
+        if rank > best and not _avoided(shares, now, name):
+            best = rank
+            chosen = name
+    return chosen
+
+
+def _avoided(shares: share_state.Shares, now: float, holder: str) -> bool:
+    if holder == shares.holder:
+        return False
+    instance = _instance(shares, holder)
+    return now < shares.avoided_until_s.get(instance, 0.0)
+
+
+def gather(
+    shares: share_state.Shares, now: float, account: model.ClientAccount
+) -> list[share_state.Send]:
+    """Asks all other holders for their parts, if this is the home."""
+    bucket = shares.buckets.get(account.name)
+    if bucket is None or now < bucket.parts_asked_s + RENEW_AFTER_S:
+        return []
+    if not is_small(shares, account):
+        return []
+    if not share_state.usable(shares, now):
+        return []
+    if home(shares, now, account) != shares.holder:
+        bucket.parts_asked_s = now - RENEW_AFTER_S + LOOK_AGAIN_S
+        return []
+    bucket.parts_asked_s = now
+    holders = shares.ledger.by_slot[bucket.slot]
+    lenders = [name for name in holders if name != shares.holder]
+    return [_ask(shares, now, account, name) for name in lenders]
+
+
+def lend(
+    shares: share_state.Shares,
+    now: float,
+    sender: str,
+    message: messages.BorrowPart,
+    account: model.ClientAccount,
+) -> list[share_state.Send]:
+    """Takes the own part out of use and lends it to the home."""
+    if not share_state.usable(shares, now):
+        return []
+    bucket = share_state.bucket_of(shares, now, account)
+    if bucket is None or bucket.parts:
+        return []
+    out = bucket.part_out
+    if out is not None and out.holder != message.holder:
+        return []
+    units = bucket.units if out is None else max(out.units, bucket.units)
+    if out is not None:
+        shares.loans_out.pop(out.key, None)
+    tokens = max(0.0, bucket.tokens)
+    bucket.tokens -= tokens
+    bucket.part_out = share_state.PartOut(
+        holder=message.holder,
+        key=(sender, message.loan),
+        units=units,
+        ends_s=now + share_state.PART_S,
+    )
+    shares.loans_out[sender, message.loan] = account.name
+    answer = messages.PartLent(
+        loan=message.loan,
+        units=bucket.units,
+        tokens=tokens,
+        blocked=sum(lent.tokens for lent in bucket.lent.values()),
+    )
+    return [share_state.Send(to=sender, message=answer)]
+
+
+def take(
+    shares: share_state.Shares,
+    now: float,
+    sender: str,
+    message: messages.PartLent,
+) -> None:
+    """Puts a borrowed part to use.
+
+    It goes out of use early enough for all tokens lent of it to be void
+    when its lender counts on it again.
+    """
+    ask = shares.asks.get(message.loan)
+    if ask is None or ask.lender != sender:
+        return
+    del shares.asks[message.loan]
+    bucket = shares.buckets.get(ask.account)
+    use_s = share_state.PART_S - share_state.LOAN_S
+    ends_s = ask.sent_s + use_s * (1.0 - share_state.CLOCK_DRIFT)
+    if bucket is None or now >= ends_s:
+        return
+    share_state.refill(bucket, now)
+    bucket.parts[sender] = share_state.Part(
+        loan=message.loan, units=message.units, ends_s=ends_s
+    )
+    if message.blocked > 0.0:
+        loan_s = share_state.LOAN_S * (1.0 + share_state.CLOCK_DRIFT)
+        bucket.lent[sender, message.loan] = share_state.Lent(
+            tokens=message.blocked, ends_s=now + loan_s
+        )
+    shares.gathered.add(ask.account)
+    bucket.tokens += message.tokens
+    share_state.clip(bucket)
+
+
+def tick(
+    shares: share_state.Shares, now: float, accounts: share_state.Accounts
+) -> list[share_state.Send]:
+    """Renews the parts of accounts in use and returns all others."""
+    sends: list[share_state.Send] = []
+    for name in list(shares.gathered):
+        bucket = shares.buckets[name]
+        account = accounts.get(name)
+        if account is not None and now < bucket.used_s + IDLE_S:
+            sends.extend(gather(shares, now, account))
+        else:
+            sends.extend(_give_back(bucket, now))
+        if not bucket.parts:
+            shares.gathered.discard(name)
+    return sends
+
+
+def _give_back(
+    bucket: share_state.Bucket, now: float
+) -> list[share_state.Send]:
+    """Returns the parts with their tokens, unless some are lent on."""
+    share_state.refill(bucket, now)
+    if bucket.lent or not bucket.parts:
+        return []
+    whole = share_state.part_in_use(bucket) * share_ledger.UNITS
+    tokens = max(0.0, bucket.tokens)
+    sends = []
+    for lender, part in bucket.parts.items():
+        returned = messages.TokensReturned(
+            loan=part.loan, tokens=tokens * part.units / whole
+        )
+        sends.append(share_state.Send(to=lender, message=returned))
+    bucket.parts = {}
+    share_state.clip(bucket)
+    return sends
+
+
+def _instance(shares: share_state.Shares, holder: str) -> str:
+    return shares.ledger.holders[holder].instance
+
+
+def _ask(
+    shares: share_state.Shares,
+    now: float,
+    account: model.ClientAccount,
+    holder: str,
+) -> share_state.Send:
+    lender = _instance(shares, holder)
+    loan = shares.next_loan
+    shares.next_loan += 1
+    shares.asks[loan] = share_state.Ask(
+        account=account.name, lender=lender, sent_s=now
+    )
+    message = messages.BorrowPart(
+        loan=loan, account=account.name, holder=shares.holder
+    )
+    return share_state.Send(to=lender, message=message)
--- /dev/null
+++ b/tests/test_share_fleet.py
@@ -0,0 +1,319 @@
+"""No client account gets more than its rate and burst, whatever fails.
+
+A state machine throws loss, delay, duplication, pauses past the lease,
+crashes, joins, leaves and partitions at several instances' deciders.  Each
+mechanism is then turned off, and the same machine has to notice.
+"""
+
+import collections.abc
+import random
+import typing
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from bench import share_fleet
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import share_ledger
+from oleanderdrift import share_loans
+from oleanderdrift import share_moves
+from oleanderdrift import share_state
+
+ACCOUNTS: typing.Final = {
+    'large': model.ClientAccount(name='large', rate_per_s=400.0, burst=80),
+    'small': model.ClientAccount(name='small', rate_per_s=40.0, burst=5),
+}
+NAMES: typing.Final = ('a', 'b', 'c', 'd', 'e')
+INSTANCES: typing.Final = strategies.sampled_from(NAMES)
+
+
+def make_fleet(seed: int, count: int = 4) -> share_fleet.Fleet:
+    """Returns instances in two data centres, settled in."""
+    fleet = share_fleet.Fleet(
+        rng=random.Random(seed),
+        accounts=dict(ACCOUNTS),
+        tick_s=0.1,
+        read_every_ticks=2,
+    )
+    for place, name in enumerate(NAMES[:count]):
+        fleet.join(name, f'dc{place % 2}', '0')
+    fleet.run(20.0)
+    return fleet
+
+
+class SharesMachine(stateful.RuleBasedStateMachine):
+    """Instances under faults; the meters tell of any overspending."""
+
+    @stateful.initialize(seed=strategies.integers(0, 9))
+    def start(self, seed: int) -> None:
+        self.fleet = make_fleet(seed)
+        self.incarnation = 0
+
+    @stateful.rule(
+        name=INSTANCES,
+        account=strategies.sampled_from(sorted(ACCOUNTS)),
+        count=strategies.sampled_from((1, 12)),
+        seconds=strategies.sampled_from((0.0, 0.3, 1.5)),
+    )
+    def ask(self, name: str, account: str, count: int, seconds: float) -> None:
+        node = self.fleet.nodes.get(name)
+        if node is None or node.paused:
+            return
+        for _ in range(count):
+            self.fleet.request(name, account)
+        self.fleet.run(self.fleet.now + seconds)
+
+    @stateful.rule()
+    def flood(self) -> None:
+        """Spends all that any instance believes it may spend."""
+        for account, limits in ACCOUNTS.items():
+            for name, node in self.fleet.nodes.items():
+                for _ in range(0 if node.paused else limits.burst):
+                    self.fleet.request(name, account)
+
+    @stateful.rule(seconds=strategies.sampled_from((0.01, 0.3, 3.0, 12.0)))
+    def wait(self, seconds: float) -> None:
+        self.fleet.run(self.fleet.now + seconds)
+
+    @stateful.rule()
+    def outlast_the_lease(self) -> None:
+        self.fleet.jump(share_state.LEASE_S * 1.01)
+        self.fleet.run(self.fleet.now + 6.0)
+
+    @stateful.rule(
+        loss=strategies.sampled_from((0.0, 0.3)),
+        duplication=strategies.sampled_from((0.0, 0.3)),
+        delay_s=strategies.sampled_from((0.002, 0.3, 4.0)),
+    )
+    def spoil(self, loss: float, duplication: float, delay_s: float) -> None:
+        self.fleet.loss = loss
+        self.fleet.duplication = duplication
+        self.fleet.delay_s = (0.0005, delay_s)
+
+    @stateful.rule(name=INSTANCES)
+    def pause_or_thaw(self, name: str) -> None:
+        node = self.fleet.nodes.get(name)
+        if node is not None and node.paused:
+            self.fleet.thaw(name)
+        elif node is not None:
+            node.paused = True
+
+    @stateful.rule(name=INSTANCES, group=strategies.integers(0, 1))
+    def cut(self, name: str, group: int) -> None:
+        if name in self.fleet.nodes:
+            self.fleet.nodes[name].group = group
+            self.fleet.nodes[name].platform = group == 0
+
+    @stateful.rule(name=INSTANCES)
+    def crash(self, name: str) -> None:
+        if len(self.fleet.nodes) > 1:
+            self.fleet.nodes.pop(name, None)
+
+    @stateful.rule(name=INSTANCES)
+    def join(self, name: str) -> None:
+        if name not in self.fleet.nodes:
+            self.incarnation += 1
+            place = NAMES.index(name) % 2
+            self.fleet.join(name, f'dc{place}', str(self.incarnation))
+
+    @stateful.rule(name=INSTANCES)
+    def leave(self, name: str) -> None:
+        node = self.fleet.nodes.get(name)
+        if node is None or node.paused or not node.platform:
+            return
+        for record in share_moves.close(node.planner, node.state):
+            self.fleet.append(record)
+
+    @stateful.rule()
+    def thaw_and_flood(self) -> None:
+        for name, node in self.fleet.nodes.items():
+            if node.paused:
+                self.fleet.thaw(name)
+        self.flood()
+
+    def teardown(self) -> None:
+        if hasattr(self, 'fleet'):
+            self.thaw_and_flood()
+            self.within_limits()
+
+    @stateful.invariant()
+    def within_limits(self) -> None:
+        if hasattr(self, 'fleet'):
+            assert self.fleet.overspent() == 0
+
+
+def settings(examples: int) -> hypothesis.settings:
+    """Returns the settings of a deterministic run."""
+    return hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=25,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        phases=(hypothesis.Phase.generate,),
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+def test_no_fault_makes_the_fleet_overspend() -> None:
+    stateful.run_state_machine_as_test(SharesMachine, settings=settings(12))
+
+
+def flood(fleet: share_fleet.Fleet) -> int:
+    """Spends all that any instance believes it may; returns the excess."""
+    for name, node in fleet.nodes.items():
+        if node.paused:
+            fleet.thaw(name)
+    for account, limits in ACCOUNTS.items():
+        for name in fleet.nodes:
+            for _ in range(2 * limits.burst):
+                fleet.request(name, account)
+    return fleet.overspent()
+
+
+def hold_a_loan(fleet: share_fleet.Fleet) -> None:
+    """One instance borrows ahead; the lender's bucket fills again."""
+    for _ in range(41):
+        fleet.request('a', 'large')
+    fleet.run(fleet.now + 0.5)
+
+
+def get_an_answer_late(fleet: share_fleet.Fleet) -> None:
+    """A loan's answer comes just before the loan ends at its lender."""
+    fleet.delay_s = (0.01, 0.01)
+    for _ in range(21):
+        fleet.request('a', 'large')
+    fleet.delay_s = (1.9, 1.9)
+    fleet.run(fleet.now + 2.2)
+    for name in 'bcd':
+        fleet.request(name, 'large')
+    fleet.run(fleet.now + 0.2)
+
+
+def pause_past_the_lease(fleet: share_fleet.Fleet) -> None:
+    """The others take a paused instance's units; then it runs on."""
+    fleet.nodes['a'].paused = True
+    fleet.run(fleet.now + 1.0)
+    for _ in range(3):
+        fleet.jump(share_state.LEASE_S * 0.4)
+        fleet.run(fleet.now + 30.0)
+    fleet.nodes['a'].platform = False
+
+
+def gather_parts(fleet: share_fleet.Fleet) -> None:
+    """All parts of the small account go to its home."""
+    for _ in range(3):
+        for name in fleet.nodes:
+            fleet.request(name, 'small')
+        fleet.run(fleet.now + 0.3)
+
+
+def close_a_part_lender(fleet: share_fleet.Fleet) -> None:
+    """A holder whose part the home uses closes; another gains its units."""
+    fleet.run(fleet.now + 20.0)
+    gather_parts(fleet)
+    node = fleet.nodes['d']
+    for record in share_moves.close(node.planner, node.state):
+        fleet.append(record)
+    fleet.run(fleet.now + 6.5)
+
+
+def cut_off_a_donor(fleet: share_fleet.Fleet) -> None:
+    """A donor cannot read that the stream holds its move."""
+    fleet.join('e', 'dc0', '1')
+    start = len(fleet.log)
+    moves: list[messages.SharesMoved] = []
+    while not moves:
+        fleet.run(fleet.now + fleet.tick_s)
+        for record in fleet.log[start:]:
+            if isinstance(record, messages.SharesMoved):
+                moves.append(record)
+    donor = moves[0].donor.partition('#')[0]
+    fleet.nodes[donor].platform = False
+    fleet.run(fleet.now + 12.0)
+
+
+def cut_off_a_holder(fleet: share_fleet.Fleet) -> None:
+    """A holder goes on while it sees neither the stream nor its peers."""
+    fleet.nodes['a'].group = 1
+    fleet.nodes['a'].platform = False
+    fleet.run(fleet.now + 30.0)
+
+
+Patch: typing.TypeAlias = pytest.MonkeyPatch
+
+
+def off_lowered_cap(patch: Patch) -> None:
+    def lend(
+        shares: share_state.Shares,
+        now: float,
+        account: str,
+        key: tuple[str, int],
+        tokens: float,
+    ) -> None:
+        shares.buckets[account].tokens -= tokens
+
+    patch.setattr(share_state, 'lend', lend)
+
+
+def off_lease(patch: Patch) -> None:
+    patch.setattr(share_state, 'usable', lambda shares, now: True)
+
+
+def off_reclaim_wait(patch: Patch) -> None:
+    def has_ended(
+        shares: share_state.Shares, now: float, holder: share_ledger.Holder
+    ) -> bool:
+        return now >= shares.heard[holder.name].at_s + 25.0
+
+    patch.setattr(share_moves, '_has_ended', has_ended)
+
+
+def off_part_out(patch: Patch) -> None:
+    def part_in_use(bucket: share_state.Bucket) -> float:
+        units = sum(part.units for part in bucket.parts.values())
+        return (bucket.units + units) / share_ledger.UNITS
+
+    patch.setattr(share_state, 'part_in_use', part_in_use)
+
+
+def off_gain_wait(patch: Patch) -> None:
+    patch.setattr(share_state, 'GAIN_WAIT_S', 0.0)
+
+
+def off_donor_lowering(patch: Patch) -> None:
+    patch.setattr(share_state, '_given_away', lambda shares, slot: 0)
+
+
+def off_count_from_ask(patch: Patch) -> None:
+    patch.setattr(share_loans, '_loan_ends_s', lambda ask, now: now + 2.0)
+
+
+Scene: typing.TypeAlias = collections.abc.Callable[[share_fleet.Fleet], None]
+Switch: typing.TypeAlias = collections.abc.Callable[[Patch], None]
+
+SCENES: typing.Final[list[tuple[Scene, Switch]]] = [
+    (hold_a_loan, off_lowered_cap),
+    (get_an_answer_late, off_count_from_ask),
+    (pause_past_the_lease, off_lease),
+    (cut_off_a_holder, off_reclaim_wait),
+    (gather_parts, off_part_out),
+    (close_a_part_lender, off_gain_wait),
+    (cut_off_a_donor, off_donor_lowering),
+]
+
+
+@pytest.mark.parametrize(('scene', 'switch'), SCENES)
+def test_each_mechanism_is_needed(
+    scene: Scene, switch: Switch, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    whole = make_fleet(1)
+    scene(whole)
+    assert flood(whole) == 0
+    switch(monkeypatch)
+    lacking = make_fleet(1)
+    scene(lacking)
+    assert flood(lacking) > 0
