--- a/oleanderdrift/call_queue.py
+++ b/oleanderdrift/call_queue.py
@@ -34,7 +34,9 @@
     """A call that waits for a slot, and the instance that asked.
 
     hold_until is the time up to which it may wait for a better replica
-    than is free, or None before that was weighed.
+    than is free, or None before that was weighed; held_for is that
+    replica's name, held_cost_s what the call would cost there, and
+    declined the free replicas that it was weighed against.
     """
 
     request: messages.SlotRequest
@@ -44,6 +46,9 @@
     deadline: float = math.inf
     band: int = 0
     hold_until: float | None = None
+    held_for: str = ''
+    held_cost_s: float = 0.0
+    declined: set[str] = attrs.field(factory=set)
 
 
 @attrs.define(kw_only=True)
@@ -228,6 +233,7 @@
 ) -> list[tuple[Order, tuple[int, str]]]:
     """Returns a heap of the lanes by their next calls."""
     heads: list[tuple[Order, tuple[int, str]]] = []
+    free = fair_share.free_allowance(queue.ledger, now)
     for key, lane in list(queue.lanes.items()):
         move_late(queue, now, lane)
         heap = head_of(lane)
@@ -236,7 +242,7 @@
             continue
         band, account = key
         over = queue.rules.fairness and fair_share.is_over(
-            queue.ledger, now, account, band
+            queue.ledger, account, band, free
         )
         heads.append(((band, over, heap is lane.late, heap[0]), key))
     heapq.heapify(heads)
@@ -257,7 +263,8 @@
     """Returns how many waiting calls would go before a new one."""
     account = request.client_account
     band = queue.bands.get(request.class_name, len(queue.bands))
-    over = fair_share.is_over(queue.ledger, now, account, band)
+    free = fair_share.free_allowance(queue.ledger, now)
+    over = fair_share.is_over(queue.ledger, account, band, free)
     return sum(
         len(lane.hopeful) + len(lane.late)
         for (of_band, of_account), lane in queue.lanes.items()
@@ -266,6 +273,6 @@
         and (
             over
             or of_account == account
-            or not fair_share.is_over(queue.ledger, now, of_account, band)
+            or not fair_share.is_over(queue.ledger, of_account, band, free)
         )
     )
--- a/oleanderdrift/fair_share.py
+++ b/oleanderdrift/fair_share.py
@@ -13,6 +13,7 @@
 import attrs
 
 DECAY_S: typing.Final = 60.0
+EPOCH_S: typing.Final = 20 * DECAY_S
 INPUT_WEIGHT: typing.Final = 1.0
 OUTPUT_WEIGHT: typing.Final = 2.0
 MARGIN: typing.Final = 1.5
@@ -21,29 +22,23 @@
 SMOOTHING: typing.Final = 0.05
 
 
-@attrs.define(kw_only=True)
-class Usage:
-    """Decayed tokens served to one account, by band; up to updated_at."""
-
-    bands: dict[int, float] = attrs.field(factory=dict)
-    updated_at: float = 0.0
-
-
 @attrs.define(kw_only=True)
 class Ledger:
     """The usage of all accounts of a group, and their weights.
 
     Weights follow the accounts' configured rates; one that is not
-    configured counts as the mean of the others.  mean_charge is the
-    moving average of a call's charge.
+    configured counts as the mean of the others.  usage is by account and
+    band.  Instead of shrinking all amounts as time passes, new ones are
+    scaled up by the time since epoch_at, which gives the same shares.
+    mean_charge is the moving average of a call's charge, not scaled.
     """
 
     weights: dict[str, float] = attrs.field(factory=dict)
     default_weight: float = 1.0
-    usage: dict[str, Usage] = attrs.field(factory=dict)
+    usage: dict[str, dict[int, float]] = attrs.field(factory=dict)
     total: float = 0.0
     total_weight: float = 0.0
-    total_at: float = 0.0
+    epoch_at: float = 0.0
     mean_charge: float = 0.0
 
 
@@ -79,55 +74,61 @@
     ledger: Ledger, now: float, account: str, band: int, amount: float
 ) -> None:
     """Adds to an account's usage; a negative amount takes back."""
-    usage = ledger.usage.get(account)
-    if usage is None:
-        usage = ledger.usage[account] = Usage(updated_at=now)
+    keep_epoch(ledger, now)
+    bands = ledger.usage.get(account)
+    if bands is None:
+        bands = ledger.usage[account] = {}
         ledger.total_weight += weight(ledger, account)
-    decay_usage(usage, now)
-    usage.bands[band] = usage.bands.get(band, 0.0) + amount
-    decay_total(ledger, now)
-    ledger.total += amount
+    scaled = amount * scale(ledger, now)
+    bands[band] = bands.get(band, 0.0) + scaled
+    ledger.total += scaled
 
 
-def decay_usage(usage: Usage, now: float) -> None:
-    """Brings a usage up to the present time."""
-    factor = math.exp((usage.updated_at - now) / DECAY_S)
-    usage.updated_at = now
-    for band in usage.bands:
-        usage.bands[band] *= factor
+def scale(ledger: Ledger, now: float) -> float:
+    """Returns what an amount of the present time counts."""
+    return math.exp((now - ledger.epoch_at) / DECAY_S)
 
 
-def decay_total(ledger: Ledger, now: float) -> None:
-    """Brings the total up to the present time."""
-    ledger.total *= math.exp((ledger.total_at - now) / DECAY_S)
-    ledger.total_at = now
+def keep_epoch(ledger: Ledger, now: float) -> None:
+    """Starts a new epoch before the scale grows too large."""
+    if now - ledger.epoch_at > EPOCH_S:
+        start_epoch(ledger, now)
 
 
-def forget_idle(ledger: Ledger, now: float) -> None:
-    """Drops the accounts whose usage has decayed to nothing."""
+def start_epoch(ledger: Ledger, now: float) -> None:
+    """Scales all amounts to the present; drops accounts with next to none."""
+    factor = math.exp((ledger.epoch_at - now) / DECAY_S)
+    ledger.epoch_at = now
+    ledger.total = 0.0
     floor = FORGET_CALLS * ledger.mean_charge
-    for account, usage in list(ledger.usage.items()):
-        decay_usage(usage, now)
-        if sum(usage.bands.values()) <= floor:
+    for account, bands in list(ledger.usage.items()):
+        for band in bands:
+            bands[band] *= factor
+        used = sum(bands.values())
+        if used <= floor:
             del ledger.usage[account]
-            ledger.total_weight -= weight(ledger, account)
+        else:
+            ledger.total += used
+    ledger.total_weight = sum(weight(ledger, name) for name in ledger.usage)
+
+
+def free_allowance(ledger: Ledger, now: float) -> float:
+    """Returns the usage that every account has free, scaled."""
+    keep_epoch(ledger, now)
+    return FREE_CALLS * ledger.mean_charge * scale(ledger, now)
 
 
-def is_over(ledger: Ledger, now: float, account: str, band: int) -> bool:
+def is_over(ledger: Ledger, account: str, band: int, free: float) -> bool:
     """Tells whether an account is over its share.
 
     Only its usage in this band and more urgent ones counts: planning does
-    not cost an account its urgent calls.  A few calls are always free, so
-    that a small account's first program is not held against it.
+    not cost an account its urgent calls.  A few calls are always free
+    (free_allowance), so that a small account's first program is not held
+    against it.
     """
-    usage = ledger.usage.get(account)
-    if usage is None or not ledger.total_weight:
+    bands = ledger.usage.get(account)
+    if bands is None or not ledger.total_weight:
         return False
-    decay_usage(usage, now)
-    decay_total(ledger, now)
-    used = sum(
-        amount for of_band, amount in usage.bands.items() if of_band <= band
-    )
+    used = sum(amount for of_band, amount in bands.items() if of_band <= band)
     share = weight(ledger, account) / ledger.total_weight
-    allowed = MARGIN * share * ledger.total + FREE_CALLS * ledger.mean_charge
-    return used > allowed
+    return used > MARGIN * share * ledger.total + free
--- a/oleanderdrift/placement.py
+++ b/oleanderdrift/placement.py
@@ -64,8 +64,9 @@
 class Candidate:
     """A replica as one poll weighs it, with costs in seconds.
 
-    fixed_s is what any call would wait there, prefill_s and decode_s are
-    per token; claims counts the earlier calls that wait for it.
+    fixed_s is what any call would wait there; prefill_s, decode_s and
+    harm_s, what a computed token costs the calls there, are per token;
+    claims counts the earlier calls that wait for it.
     """
 
     replica: Replica
@@ -76,9 +77,23 @@
     utilisation: float = 0.0
     fixed_s: float = 0.0
     prefill_s: float = 0.0
+    harm_s: float = 0.0
     decode_s: float = 0.0
 
 
+@attrs.frozen(kw_only=True)
+class Needs:
+    """What a call is expected to need, and how patient its class is.
+
+    patience is its target over the longest target, so harm done to calls
+    of patient classes weighs little for an urgent call.
+    """
+
+    request: messages.SlotRequest
+    tokens: float
+    patience: float
+
+
 @attrs.frozen(kw_only=True)
 class Choice:
     """What a call should do: replica to take or to wait for.
@@ -89,6 +104,15 @@
 
     candidate: Candidate
     hold_s: float
+    cost_s: float
+
+
+@attrs.frozen(kw_only=True)
+class Held:
+    """The full replica that a call waits for, and its cost there."""
+
+    name: str
+    cost_s: float
 
 
 def slots(replica: Replica, now: float) -> int:
@@ -124,19 +148,18 @@
     utilisation is the group's: a replica that is emptier than the others
     will not stay so while a call lasts.
     """
-    mean = mean_speed(replicas)
+    known = rules.speed and all(r.measured.samples for r in replicas)
+    mean = None if known else mean_speed(replicas)
     found = []
     for replica in replicas:
         count = slots(replica, now)
         if not count:
             continue
-        known = rules.speed and replica.measured.samples > 0
+        measured = replica.measured
+        if mean is not None and not (rules.speed and measured.samples):
+            measured = mean
         found.append(
-            Candidate(
-                replica=replica,
-                slots=count,
-                measured=replica.measured if known else mean,
-            )
+            Candidate(replica=replica, slots=count, measured=measured)
         )
     taken = sum(len(each.replica.outstanding) for each in found)
     total = sum(each.slots for each in found)
@@ -157,7 +180,8 @@
     later = max(in_flight + 1, utilisation * full)
     held = min(full, (in_flight + 1 + later) / 2.0)
     candidate.decode_s = speed.decode_s(measured, held)
-    candidate.prefill_s = measured.prefill_s * (1.0 + PREFILL_HARM * held)
+    candidate.prefill_s = measured.prefill_s
+    candidate.harm_s = measured.prefill_s * PREFILL_HARM * held
     candidate.fixed_s = min(
         max(0.0, replica.prefill_until - now),
         replica.outstanding_tokens * measured.prefill_s,
@@ -176,40 +200,53 @@
 def cost_s(
     rules: policy.Policy,
     candidate: Candidate,
-    request: messages.SlotRequest,
-    tokens: float,
+    needs: Needs,
 ) -> float:
-    """Returns the seconds until a call would be finished there."""
-    computed = computed_tokens(rules, candidate.replica, request)
+    """Returns the seconds until a call would be finished there.
+
+    The harm that its prompt does to others counts as well.
+    """
+    computed = computed_tokens(rules, candidate.replica, needs.request)
+    per_token_s = candidate.prefill_s + needs.patience * candidate.harm_s
     return (
         candidate.fixed_s
-        + computed * candidate.prefill_s
-        + tokens * candidate.decode_s
+        + computed * per_token_s
+        + needs.tokens * candidate.decode_s
     )
 
 
 def choose(
     rules: policy.Policy,
     candidates: list[Candidate],
-    request: messages.SlotRequest,
-    tokens: float,
+    needs: Needs,
     may_hold: bool,
+    held: Held | None = None,
 ) -> Choice | None:
-    """Returns the best replica for a call, or None if none is usable."""
+    """Returns the best replica for a call, or None if none is usable.
+
+    held is what the call waited for at the last poll; while that replica
+    is full, only the free ones are weighed against it anew.
+    """
     best_free: tuple[float, Candidate] | None = None
     best_full: tuple[float, Candidate] | None = None
     for candidate in candidates:
-        if not candidate.free and not may_hold:
-            continue
-        if candidate.replica.upstream.name in request.excluded:
+        name = candidate.replica.upstream.name
+        if name in needs.request.excluded:
             continue
-        cost = cost_s(rules, candidate, request, tokens)
         if candidate.free:
+            cost = cost_s(rules, candidate, needs)
             if best_free is None or cost < best_free[0]:
                 best_free = (cost, candidate)
-        elif best_full is None or cost < best_full[0]:
-            best_full = (cost, candidate)
-    return between(best_free, best_full)
+        elif held is not None:
+            if name == held.name:
+                best_full = (held.cost_s, candidate)
+        elif may_hold:
+            cost = cost_s(rules, candidate, needs)
+            if best_full is None or cost < best_full[0]:
+                best_full = (cost, candidate)
+    if held is not None and may_hold and best_full is None:
+        return choose(rules, candidates, needs, may_hold)
+    return between(best_free, best_full if may_hold else None)
 
 
 def between(
@@ -220,11 +257,16 @@
     if best_free is None:
         if best_full is None:
             return None
-        return Choice(candidate=best_full[1], hold_s=HOLD_MAX_S)
+        return Choice(
+            candidate=best_full[1], hold_s=HOLD_MAX_S, cost_s=best_full[0]
+        )
     if best_full is None or best_full[0] * HOLD_GAIN >= best_free[0]:
-        return Choice(candidate=best_free[1], hold_s=0.0)
-    hold_s = min(HOLD_MAX_S, best_free[0] - best_full[0])
-    return Choice(candidate=best_full[1], hold_s=hold_s)
+        return Choice(candidate=best_free[1], hold_s=0.0, cost_s=best_free[0])
+    return Choice(
+        candidate=best_full[1],
+        hold_s=min(HOLD_MAX_S, best_free[0] - best_full[0]),
+        cost_s=best_full[0],
+    )
 
 
 def mean_speed(replicas: list[Replica]) -> speed.Speed:
--- a/oleanderdrift/policy.py
+++ b/oleanderdrift/policy.py
@@ -20,7 +20,6 @@
     affinity: cached prefixes count in placement.
     holding: a call may wait a bounded time for a better replica.
     speed: the replica's own measured speed counts in placement.
-    retention: prefixes of paused programs count against new ones.
     refusing: what cannot start in time is refused at once.
     """
 
@@ -32,5 +31,4 @@
     affinity: bool = True
     holding: bool = True
     speed: bool = True
-    retention: bool = True
     refusing: bool = True
--- a/oleanderdrift/scheduler.py
+++ b/oleanderdrift/scheduler.py
@@ -225,55 +225,96 @@
     decisions: list[Decision] = list(group.refusals)
     group.refusals.clear()
     group.wakeup_at = None
-    if not group.queue.waiting:
+    if not group.queue.waiting or not has_free_slot(group, now):
         return decisions
     candidates = placement.candidates_of(
         group.rules, now, list(group.replicas.values())
     )
-    free = sum(candidate.free for candidate in candidates)
+    free = {each.replica.upstream.name for each in candidates if each.free}
     held = 0
     with contextlib.closing(call_queue.in_order(group.queue, now)) as order:
         while free and held < MAX_HELD_PER_POLL:
             waiting = next(order, None)
             if waiting is None:
                 break
-            candidate = place(group, now, waiting, candidates)
+            if holds_on(group, now, waiting, free):
+                held += 1
+                continue
+            candidate = place(group, now, waiting, candidates, free)
             if candidate is None:
                 held += 1
                 continue
             decisions.append(grant(group, now, waiting, candidate.replica))
             placement.refresh(candidate, now, candidate.utilisation)
-            free -= 1
+            if not candidate.free:
+                free.discard(candidate.replica.upstream.name)
     return decisions
 
 
+def holds_on(
+    group: DispatchGroup,
+    now: float,
+    waiting: call_queue.Waiting,
+    free: set[str],
+) -> bool:
+    """Tells whether a call goes on waiting for its better replica.
+
+    So it does until its time is up, that replica is free, or one is free
+    that it has not been weighed against.
+    """
+    if waiting.hold_until is None or now >= waiting.hold_until:
+        return False
+    if waiting.held_for in free or not free <= waiting.declined:
+        return False
+    wake_at(group, waiting.hold_until)
+    return waiting.held_for in group.replicas
+
+
 def place(
     group: DispatchGroup,
     now: float,
     waiting: call_queue.Waiting,
     candidates: list[placement.Candidate],
+    free: set[str],
 ) -> placement.Candidate | None:
     """Returns the replica that a call takes now, or None to wait on."""
-    request = waiting.request
     may_hold = group.rules.holding and (
         waiting.hold_until is None or now < waiting.hold_until
     )
+    held = placement.Held(name=waiting.held_for, cost_s=waiting.held_cost_s)
     choice = placement.choose(
         group.rules,
         candidates,
-        request,
-        expected_tokens(group, request),
+        needs_of(group, waiting.request),
         may_hold,
+        held if waiting.held_for else None,
     )
     if choice is None:
         return None
     if choice.hold_s <= 0.0:
         return choice.candidate
     placement.claim(choice.candidate)
+    hold(group, now, waiting, choice, free)
+    return None
+
+
+def hold(
+    group: DispatchGroup,
+    now: float,
+    waiting: call_queue.Waiting,
+    choice: placement.Choice,
+    free: set[str],
+) -> None:
+    """Records what a call waits for and what it declined for that."""
+    name = choice.candidate.replica.upstream.name
+    if name != waiting.held_for:
+        waiting.declined.clear()
+    waiting.held_for = name
+    waiting.held_cost_s = choice.cost_s
+    waiting.declined |= free
     if waiting.hold_until is None:
         waiting.hold_until = now + choice.hold_s
     wake_at(group, waiting.hold_until)
-    return None
 
 
 def grant(
@@ -349,6 +390,14 @@
     )
 
 
+def has_free_slot(group: DispatchGroup, now: float) -> bool:
+    """Tells whether any replica could take a call now."""
+    return any(
+        placement.free_slots(replica, now)
+        for replica in group.replicas.values()
+    )
+
+
 def expected_tokens(
     group: DispatchGroup, request: messages.SlotRequest
 ) -> float:
@@ -357,6 +406,20 @@
     return min(tokens, float(request.max_tokens))
 
 
+def needs_of(
+    group: DispatchGroup, request: messages.SlotRequest
+) -> placement.Needs:
+    """Returns what a call is expected to need."""
+    targets = group.queue.targets
+    longest_s = max(targets.values(), default=1.0)
+    target_s = targets.get(request.class_name, longest_s)
+    return placement.Needs(
+        request=request,
+        tokens=expected_tokens(group, request),
+        patience=target_s / longest_s,
+    )
+
+
 def refuse(
     group: DispatchGroup, request: messages.SlotRequest, retry_after_s: float
 ) -> None:
