--- a/bench/config_cost.py
+++ b/bench/config_cost.py
@@ -1,11 +1,12 @@
 """Measures the configuration's cost and the time to be in force.
 
-Prints one JSON line for each figure.  Costs are taken at three sizes, so
-that docs/CAPACITY.md can give slopes.  The time to be in force runs from
-the call that appends a change to the last of nine followers having it.
+Costs are taken at three sizes, so that docs/CAPACITY.md can give slopes.
+The time to be in force runs from the call that appends a change to the
+last of nine followers having it.
 """
 
 import asyncio
+import collections.abc
 import functools
 import random
 import statistics
@@ -17,6 +18,7 @@
 import attrs
 import msgspec
 
+from bench import figure
 from oleanderdrift import codec
 from oleanderdrift import config_feed
 from oleanderdrift import config_state
@@ -35,27 +37,6 @@
 IN_FORCE_BOUND_S: typing.Final = 9.0
 
 
-@attrs.frozen(kw_only=True)
-class Figure:
-    """One figure; bound is the most allowed, None where none is set."""
-
-    name: str
-    unit: str
-    value: float
-    bound: float | None = None
-
-    @property
-    def ok(self) -> bool:
-        """Whether the value keeps its bound."""
-        return self.bound is None or self.value <= self.bound
-
-
-def show(figure: Figure) -> None:
-    """Prints a figure as a line of JSON."""
-    line = msgspec.to_builtins(figure) | {'ok': figure.ok}
-    print(msgspec.json.encode(line).decode(), flush=True)
-
-
 def change_of(
     kind: model.Kind, item: model.ConfigObject, serial: int
 ) -> messages.ConfigChange:
@@ -126,8 +107,8 @@
     return changes
 
 
-def measure_cost(accounts: int) -> None:
-    """Shows the costs at one size."""
+def measure_cost(accounts: int) -> list[figure.Figure]:
+    """Returns the costs at one size."""
     records = records_of(accounts)
     tracemalloc.start()
     config = fold(records)
@@ -147,21 +128,19 @@
     began = time.perf_counter()
     config_state.load(model.Config(), codec.decode(snapshot))
     load_s = time.perf_counter() - began
-    for name, unit, value in (
-        ('memory', 'KiB', memory / 1024),
-        ('fold_all', 'ms', whole_s * 1e3),
-        ('fold_key_change', 'us', each_s * 1e6),
-        ('snapshot_size', 'KiB', len(snapshot) / 1024),
-        ('snapshot_encode', 'ms', encode_s * 1e3),
-        ('snapshot_load', 'ms', load_s * 1e3),
-    ):
-        show(
-            Figure(
-                name=f'config.{name}.accounts_{accounts}',
-                unit=unit,
-                value=round(value, 2),
-            )
+    return [
+        figure.Figure(
+            name=f'config.{name}.accounts_{accounts}', unit=unit, value=value
+        )
+        for name, unit, value in (
+            ('memory', 'KiB', memory / 1024),
+            ('fold_all', 'ms', whole_s * 1e3),
+            ('fold_key_change', 'us', each_s * 1e6),
+            ('snapshot_size', 'KiB', len(snapshot) / 1024),
+            ('snapshot_encode', 'ms', encode_s * 1e3),
+            ('snapshot_load', 'ms', load_s * 1e3),
         )
+    ]
 
 
 class LogThread:
@@ -241,36 +220,34 @@
     return times
 
 
-def measure_times(publishes: int, silent: bool) -> Figure:
-    """Shows the median and returns the slowest of some changes."""
+def of_times(name: str, times: list[float]) -> list[figure.Figure]:
+    """Returns the median and the slowest of some times."""
+    return [
+        figure.Figure(
+            name=f'{name}.{what}_of_{len(times)}',
+            unit='s',
+            value=value,
+            bound=IN_FORCE_BOUND_S,
+        )
+        for what, value in (
+            ('median', statistics.median(times)),
+            ('slowest', max(times)),
+        )
+    ]
+
+
+def measure_times(publishes: int, silent: bool) -> list[figure.Figure]:
+    """Returns the times of some changes."""
     service = LogThread()
     times = asyncio.run(measure_in_force(service, publishes, silent))
     service.stop()
     name = 'config.in_force' + ('.silent_connections' if silent else '')
-    for what, value, bound in (
-        ('median', statistics.median(times), None),
-        ('slowest', max(times), IN_FORCE_BOUND_S),
-    ):
-        figure = Figure(
-            name=f'{name}.{what}_of_{publishes}.readers_{READERS}',
-            unit='s',
-            value=round(value, 4),
-            bound=bound,
-        )
-        show(figure)
-    return figure
+    return of_times(f'{name}.readers_{READERS}', times)
 
 
-def main() -> int:
-    """Shows all figures; returns 1 if one is over its bound."""
+def figures() -> collections.abc.Iterator[figure.Figure]:
+    """Yields all figures."""
     for accounts in ACCOUNTS:
-        measure_cost(accounts)
-    slowest = [
-        measure_times(PUBLISHES, False),
-        measure_times(SILENT_PUBLISHES, True),
-    ]
-    return 0 if all(figure.ok for figure in slowest) else 1
-
-
-if __name__ == '__main__':
-    raise SystemExit(main())
+        yield from measure_cost(accounts)
+    yield from measure_times(PUBLISHES, False)
+    yield from measure_times(SILENT_PUBLISHES, True)
--- a/bench/config_fleet.py
+++ b/bench/config_fleet.py
@@ -1,13 +1,11 @@
 """Measures changes and withdrawals at nine real instances.
 
-Prints one JSON line for each figure.  The processes are those of
-standins.fleet: three data centres of three instances, whose links can be
-cut.
+The processes are those of standins.fleet: three data centres of three
+instances, whose links can be cut.
 """
 
 import asyncio
 import hashlib
-import statistics
 import time
 import typing
 
@@ -17,6 +15,7 @@
 from tornado import httpclient
 
 from bench import config_cost
+from bench import figure
 from oleanderdrift import codec
 from oleanderdrift import codes
 from oleanderdrift import instance_client
@@ -28,7 +27,6 @@
 
 PUBLISHES: typing.Final = 20
 WITHDRAWALS: typing.Final = 5
-BOUND_S: typing.Final = 9.0
 POLL_S: typing.Final = 0.01
 GIVE_UP_S: typing.Final = 60.0
 TOKEN: typing.Final = 'operator'
@@ -54,7 +52,7 @@
 
     fleet: fleet_state.Fleet
     http: httpclient.AsyncHTTPClient
-    failed: bool = False
+    figures: list[figure.Figure] = attrs.field(factory=list)
 
 
 def config_text(running: fleet_state.Fleet) -> str:
@@ -133,20 +131,9 @@
     return key
 
 
-def show(bench: Bench, name: str, times: list[float]) -> None:
-    """Shows the median and the slowest of some times."""
-    for what, value, bound in (
-        ('median', statistics.median(times), None),
-        ('slowest', max(times), BOUND_S),
-    ):
-        figure = config_cost.Figure(
-            name=f'config.fleet_9.{name}.{what}_of_{len(times)}',
-            unit='s',
-            value=round(value, 3),
-            bound=bound,
-        )
-        config_cost.show(figure)
-        bench.failed = bench.failed or not figure.ok
+def note(bench: Bench, name: str, times: list[float]) -> None:
+    """Adds the median and the slowest of some times to the figures."""
+    bench.figures += config_cost.of_times(f'config.fleet_9.{name}', times)
 
 
 async def publish_one(
@@ -167,25 +154,25 @@
 
 
 async def measure_publish(bench: Bench) -> None:
-    """Shows the times, with and without the log in one data centre."""
+    """Measures the times, with and without the log in one data centre."""
     client = log_client.LogClient(bench.fleet.log.url)
     times = [
         await publish_one(bench, client, 1000 + number)
         for number in range(PUBLISHES)
     ]
-    show(bench, 'in_force', times)
+    note(bench, 'in_force', times)
     fleet.set_cut(bench.fleet, [f'{CUT}/log', f'{CUT}/list'])
     times = [
         await publish_one(bench, client, 2000 + number)
         for number in range(CHANGES_WITHOUT_LOG)
     ]
-    show(bench, 'in_force_relayed_by_peers', times)
+    note(bench, 'in_force_relayed_by_peers', times)
     fleet.set_cut(bench.fleet, [])
     client.close()
 
 
 async def measure_withdrawal(bench: Bench) -> None:
-    """Shows how long a key works on after it was withdrawn."""
+    """Measures how long a key works on after it was withdrawn."""
     times = []
     for number in range(WITHDRAWALS):
         key = await issue(bench, f'key-{number}')
@@ -193,18 +180,18 @@
         await command(bench, 'key', 'withdraw', f'key-{number}')
         done = await all_refuse(bench, bench.fleet.nodes.values(), key)
         times.append(done - began)
-    show(bench, 'withdrawn', times)
+    note(bench, 'withdrawn', times)
 
 
 async def measure_cut(bench: Bench) -> None:
-    """Shows a direct withdrawal in a data centre that is cut off."""
+    """Measures a direct withdrawal in a data centre that is cut off."""
     key = await issue(bench, 'leaked')
     inside = bench.fleet.in_data_centre(CUT)
     fleet.cut_off(bench.fleet, CUT)
     await asyncio.sleep(CUT_S)
     began = time.perf_counter()
     await instance_client.withdraw_key(inside[0].url, TOKEN, 'leaked')
-    show(
+    note(
         bench,
         'withdrawn_in_cut_data_centre',
         [await all_refuse(bench, inside, key) - began],
@@ -216,7 +203,7 @@
     assert codes.UNKNOWN_KEY.number not in codes_outside, codes_outside
     fleet.set_cut(bench.fleet, [])
     began = time.perf_counter()
-    show(
+    note(
         bench,
         'withdrawn_everywhere_after_the_cut',
         [await all_refuse(bench, outside, key) - began],
@@ -232,7 +219,7 @@
         ]
         return bool(verdicts)
 
-    show(
+    note(
         bench,
         'withdrawn_in_the_log_after_the_cut',
         [await until(logged) - began],
@@ -240,8 +227,8 @@
     assert set(verdicts) == {'accepted'}, verdicts
 
 
-async def measure(running: fleet_state.Fleet) -> bool:
-    """Shows all figures; returns whether each kept its bound."""
+async def measure(running: fleet_state.Fleet) -> list[figure.Figure]:
+    """Returns all figures of a running fleet."""
     bench = Bench(
         fleet=running,
         http=curl_httpclient.CurlAsyncHTTPClient(force_instance=True),
@@ -249,17 +236,13 @@
     await measure_publish(bench)
     await measure_withdrawal(bench)
     await measure_cut(bench)
-    return not bench.failed
+    return bench.figures
 
 
-def main() -> int:
-    """Runs the fleet; returns 1 if a figure is over its bound."""
+def figures() -> list[figure.Figure]:
+    """Runs the fleet and returns all figures."""
     plan = fleet_state.Plan(
         operator_token_sha256=hashlib.sha256(TOKEN.encode()).hexdigest()
     )
     with fleet.running(plan, config_text) as running:
-        return 0 if asyncio.run(measure(running)) else 1
-
-
-if __name__ == '__main__':
-    raise SystemExit(main())
+        return asyncio.run(measure(running))
--- a/bench/config_spread.py
+++ b/bench/config_spread.py
@@ -1,15 +1,15 @@
 """Measures how a direct withdrawal spreads over the neighbours' graph.
 
 Every instance passes news on to its neighbours once.  Who hears nothing
-asks a neighbour each two seconds, as a cut-off instance does.  Prints
-one JSON line for each figure.
+asks its neighbours each two seconds, as a cut-off instance does.
 """
 
+import collections.abc
 import typing
 
 import attrs
-import msgspec
 
+from bench import figure
 from oleanderdrift import config_peers
 from oleanderdrift import membership
 
@@ -79,17 +79,12 @@
     )
 
 
-def main() -> None:
-    """Shows the figures at the target size."""
+def figures() -> collections.abc.Iterator[figure.Figure]:
+    """Yields the figures at the target size."""
     for cut in (False, True):
-        figures = msgspec.to_builtins(
-            spread(DATA_CENTRES, INSTANCES_EACH, cut)
-        )
+        found = spread(DATA_CENTRES, INSTANCES_EACH, cut)
         where = 'cut_data_centre' if cut else 'fleet'
-        for name, value in figures.items():
-            line = {'name': f'config.spread.{where}.{name}', 'value': value}
-            print(msgspec.json.encode(line).decode())
-
-
-if __name__ == '__main__':
-    main()
+        for name, value in attrs.asdict(found).items():
+            yield figure.Figure(
+                name=f'config.spread.{where}.{name}', unit='', value=value
+            )
