--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -602,7 +602,7 @@
 
 @attrs.frozen(kw_only=True)
 class BorrowTokens:
-    """Asks a holder for tokens of a client account.
+    """Asks a holder for thousandths of tokens of a client account.
 
     need is for requests that wait; extra is for demand to come.  loan is
     the borrower's number for the loan.
@@ -610,28 +610,28 @@
 
     loan: int
     account: str
-    need: float
-    extra: float = 0.0
+    need: int
+    extra: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class TokensLent:
-    """Answers BorrowTokens; left is what the holder still has.
+    """Answers BorrowTokens, in thousandths; left is what remains.
 
     It is below zero where the holder has lent its part to another.
     """
 
     loan: int
-    tokens: float
-    left: float
+    tokens: int
+    left: int
 
 
 @attrs.frozen(kw_only=True)
 class TokensReturned:
-    """Ends a loan; tokens is what was not spent of it."""
+    """Ends a loan; tokens is the unspent rest in thousandths."""
 
     loan: int
-    tokens: float = 0.0
+    tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -652,12 +652,13 @@
     """Answers BorrowPart with units and the tokens they had gained.
 
     blocked is how many tokens the lender has out on loans of its own.
+    Both are in thousandths.
     """
 
     loan: int
     units: int
-    tokens: float
-    blocked: float
+    tokens: int
+    blocked: int
 
 
 # --- Peer messages: membership ------------------------------------------
--- a/oleanderdrift/share_ledger.py
+++ b/oleanderdrift/share_ledger.py
@@ -48,12 +48,14 @@
 class Ledger:
     """The fold of the stream up to next_offset.
 
-    While whole is false, records were missed: nothing is known until a
+    changes counts the changes of holders and units.  While whole is
+    false, records were missed: nothing is known until a
     snapshot covers the gap, and the records read since are held back.
     """
 
     next_offset: int = FIRST_OFFSET
     whole: bool = True
+    changes: int = 0
     holders: dict[str, Holder] = attrs.field(factory=dict)
     by_slot: dict[int, dict[str, int]] = attrs.field(factory=dict)
     held_back: collections.deque[tuple[int, messages.Message]] = attrs.field(
@@ -140,6 +142,7 @@
         for slot, units in item.units:
             _add(ledger, item.holder, slot, units)
     ledger.whole = True
+    ledger.changes += 1
     for offset, held in ledger.held_back:
         if offset >= record.next_offset:
             _apply(ledger, offset, held)
@@ -173,6 +176,7 @@
         epoch=offset,
         renewal=offset,
     )
+    ledger.changes += 1
     if not ledger.by_slot:
         for slot in range(SLOTS):
             _add(ledger, record.holder, slot, UNITS)
@@ -187,6 +191,7 @@
     if donor.serial != record.serial:
         return
     donor.serial += 1
+    ledger.changes += 1
     for move in record.moves:
         receiver = ledger.holders.get(move.receiver)
         if receiver is None or receiver is donor:
@@ -213,6 +218,7 @@
         _add(ledger, receiver.name, slot, units)
         _check(ledger, slot)
     receiver.renewal = offset
+    ledger.changes += 1
     del ledger.holders[lost.name]
 
 
@@ -221,6 +227,7 @@
     if holder is None or holder.epoch != record.epoch:
         return
     holder.closed = True
+    ledger.changes += 1
     if not holder.units:
         del ledger.holders[record.holder]
 
--- a/oleanderdrift/share_loans.py
+++ b/oleanderdrift/share_loans.py
@@ -127,7 +127,8 @@
             share_parts.take(shares, now, sender, message)
         case messages.TokensReturned():
             key = (sender, message.loan)
-            share_state.take_back(shares, now, key, message.tokens)
+            rest = message.tokens / share_state.MILLI_TOKENS
+            share_state.take_back(shares, now, key, rest)
     return outcome
 
 
@@ -227,7 +228,8 @@
 def _give_back(line: share_state.Line, loan: int, outcome: Outcome) -> None:
     """Ends a loan, first here and then at its lender."""
     held = line.loans.pop(loan)
-    message = messages.TokensReturned(loan=loan, tokens=held.tokens)
+    rest = math.floor(max(0.0, held.tokens) * share_state.MILLI_TOKENS)
+    message = messages.TokensReturned(loan=loan, tokens=rest)
     outcome.sends.append(share_state.Send(to=held.lender, message=message))
 
 
@@ -326,8 +328,8 @@
     message = messages.BorrowTokens(
         loan=loan,
         account=account.name,
-        need=need,
-        extra=max(0.0, ahead - surplus),
+        need=math.ceil(need * share_state.MILLI_TOKENS),
+        extra=int(max(0.0, ahead - surplus) * share_state.MILLI_TOKENS),
     )
     outcome.sends.append(share_state.Send(to=lender, message=message))
     return True
@@ -397,7 +399,7 @@
 ) -> None:
     """Lends what can be spared; its own cap is lowered first."""
     _use(shares, now, account, outcome)
-    tokens = 0.0
+    milli = 0
     bucket = None
     if share_state.usable(shares, now):
         bucket = share_state.bucket_of(shares, now, account)
@@ -405,23 +407,27 @@
     if bucket is not None:
         if key in bucket.lent:
             return
-        tokens = _spare(bucket, message)
-    if tokens > 0.0:
+        milli = _spare(bucket, message)
+    if milli > 0:
+        tokens = milli / share_state.MILLI_TOKENS
         share_state.lend(shares, now, account.name, key, tokens)
     left = 0.0 if bucket is None else _left(bucket, now)
     answer = messages.TokensLent(
-        loan=message.loan, tokens=tokens, left=round(left, 3)
+        loan=message.loan,
+        tokens=milli,
+        left=int(left * share_state.MILLI_TOKENS),
     )
     outcome.sends.append(share_state.Send(to=sender, message=answer))
 
 
-def _spare(
-    bucket: share_state.Bucket, message: messages.BorrowTokens
-) -> float:
-    """Gives all for waiting requests, half of the rest for later ones."""
-    held = max(0.0, bucket.tokens)
-    need = min(held, max(0.0, message.need))
-    return need + min(max(0.0, message.extra), (held - need) / 2.0)
+def _spare(bucket: share_state.Bucket, message: messages.BorrowTokens) -> int:
+    """Returns the thousandths to lend.
+
+    That is all for waiting requests and half of the rest for later ones.
+    """
+    held = int(max(0.0, bucket.tokens) * share_state.MILLI_TOKENS)
+    need = min(held, max(0, message.need))
+    return need + min(max(0, message.extra), (held - need) // 2)
 
 
 def _left(bucket: share_state.Bucket, now: float) -> float:
@@ -464,11 +470,12 @@
     if account is None or line is None:
         return
     ends_s = _loan_ends_s(ask, now)
-    line.levels[sender] = share_state.Level(tokens=message.left, at_s=now)
-    if message.tokens > 0.0 and now < ends_s:
+    left = message.left / share_state.MILLI_TOKENS
+    line.levels[sender] = share_state.Level(tokens=left, at_s=now)
+    if message.tokens > 0 and now < ends_s:
         line.loans[message.loan] = share_state.Loan(
             lender=sender,
-            tokens=message.tokens,
+            tokens=message.tokens / share_state.MILLI_TOKENS,
             taken_s=now,
             ends_s=ends_s,
         )
--- a/oleanderdrift/share_moves.py
+++ b/oleanderdrift/share_moves.py
@@ -19,8 +19,8 @@
 RETRY_S: typing.Final = 10.0
 PLAN_EVERY_S: typing.Final = 5.0
 SNAPSHOT_RECORDS: typing.Final = 1_000
-# Holders of one slot in each data centre.
-SPREAD: typing.Final = 3
+# Holders of one slot in the whole fleet, but one in each data centre.
+HOLDERS: typing.Final = 12
 _NEVER_S: typing.Final = float('-inf')
 
 Live: typing.TypeAlias = collections.abc.Set[str]
@@ -32,8 +32,8 @@
 
     renewal_sent_s: float = _NEVER_S
     planned_s: float = _NEVER_S
+    planned_for: tuple[int, Live] | None = None
     leaving: bool = False
-    close_sent_s: float = _NEVER_S
 
 
 def plan(
@@ -96,24 +96,42 @@
     return [messages.SharesClosed(holder=holder.name, epoch=holder.epoch)]
 
 
-def ideal(
-    ledger: share_ledger.Ledger, live: Live, slot: int
-) -> dict[str, int]:
-    """Returns the units of a slot that each live holder should have.
+def live_holders(
+    ledger: share_ledger.Ledger, live: Live
+) -> dict[str, list[str]]:
+    """Returns the live holders of each data centre of the ledger.
 
-    Each data centre has an equal part, split between its SPREAD best
-    holders.  The part of a data centre with no live holder is left out.
+    Of several incarnations of an instance only the newest is live.
     """
+    newest: dict[str, share_ledger.Holder] = {}
+    for holder in ledger.holders.values():
+        other = newest.get(holder.instance)
+        if other is None or holder.epoch > other.epoch:
+            newest[holder.instance] = holder
     centres: dict[str, list[str]] = {}
     for holder in ledger.holders.values():
         names = centres.setdefault(holder.data_centre, [])
-        if _is_live(ledger, live, holder):
+        if holder.closed or holder.instance not in live:
+            continue
+        if newest[holder.instance] is holder:
             names.append(holder.name)
+    return centres
+
+
+def ideal(centres: dict[str, list[str]], slot: int) -> dict[str, int]:
+    """Returns the units of a slot that each live holder should have.
+
+    Each data centre has an equal part, split between its best holders.
+    The part of a data centre with no live holder is left out.
+    """
+    if not centres:
+        return {}
+    spread = -(-HOLDERS // len(centres))
     result: dict[str, int] = {}
     order = sorted(centres, key=lambda centre: _weight(centre, slot))
     for centre, part in zip(order, _split(len(order)), strict=True):
         names = sorted(centres[centre], key=lambda name: _weight(name, slot))[
-            :SPREAD
+            :spread
         ]
         for name, units in zip(names, _split(len(names), part), strict=True):
             result[name] = units
@@ -131,18 +149,6 @@
     return share_ledger.hash_of(f'{name}\0{slot}')
 
 
-def _is_live(
-    ledger: share_ledger.Ledger, live: Live, holder: share_ledger.Holder
-) -> bool:
-    if holder.closed or holder.instance not in live:
-        return False
-    return all(
-        other.epoch <= holder.epoch
-        for other in ledger.holders.values()
-        if other.instance == holder.instance
-    )
-
-
 def _renewal_due(
     planner: Planner, shares: share_state.Shares, now: float
 ) -> bool:
@@ -176,10 +182,15 @@
         return []
     if not share_state.usable(shares, now):
         return []
+    if planner.planned_for == (shares.ledger.changes, live):
+        return []
+    planner.planned_for = (shares.ledger.changes, frozenset(live))
     others = live - {shares.instance} if planner.leaving else live
+    centres = live_holders(shares.ledger, others)
     moves: list[messages.UnitsMoved] = []
     for slot in holder.units:
-        moves.extend(_surplus(shares.ledger, others, holder.name, slot))
+        held = shares.ledger.by_slot[slot]
+        moves.extend(_surplus(held, centres, holder.name, slot))
     if not moves:
         return []
     record = messages.SharesMoved(
@@ -196,26 +207,27 @@
 
 
 def _surplus(
-    ledger: share_ledger.Ledger, live: Live, name: str, slot: int
+    held: dict[str, int],
+    centres: dict[str, list[str]],
+    name: str,
+    slot: int,
 ) -> list[messages.UnitsMoved]:
     """Matches all surpluses of a slot to its deficits; returns our own.
 
     Donors that see the same members make the same match, so that no
     deficit is filled twice.
     """
-    wanted = ideal(ledger, live, slot)
+    wanted = ideal(centres, slot)
     if not wanted:
         return []
-    held = ledger.by_slot[slot]
+    givers = {name}.union(*centres.values())
     missing = {
         receiver: units - held.get(receiver, 0)
         for receiver, units in sorted(wanted.items())
         if units > held.get(receiver, 0)
     }
     moves = []
-    for donor in sorted(held):
-        if donor != name and not _is_live(ledger, live, ledger.holders[donor]):
-            continue
+    for donor in sorted(held.keys() & givers):
         surplus = held[donor] - wanted.get(donor, 0)
         for receiver in list(missing):
             units = min(surplus, missing[receiver])
@@ -238,10 +250,11 @@
     if not share_state.usable(shares, now):
         return []
     records: list[messages.Message] = []
+    centres = live_holders(shares.ledger, live)
     for holder in shares.ledger.holders.values():
         if holder.name == shares.holder or not _has_ended(shares, now, holder):
             continue
-        if _heir(shares.ledger, live, holder) != shares.holder:
+        if _heir(shares.ledger, centres, holder) != shares.holder:
             continue
         records.append(
             messages.SharesReclaimed(
@@ -268,24 +281,27 @@
 
 
 def _heir(
-    ledger: share_ledger.Ledger, live: Live, lost: share_ledger.Holder
+    ledger: share_ledger.Ledger,
+    centres: dict[str, list[str]],
+    lost: share_ledger.Holder,
 ) -> str | None:
     """Returns the one that takes a lost holder's units.
 
     It is the next incarnation at the same address, else one of the same
     data centre, else any.
     """
-    names = [
+    ranks = [
         (
-            holder.address != lost.address,
-            holder.data_centre != lost.data_centre,
-            share_ledger.hash_of(f'{holder.name}\0{lost.name}'),
-            holder.name,
+            ledger.holders[name].address != lost.address,
+            centre != lost.data_centre,
+            share_ledger.hash_of(f'{name}\0{lost.name}'),
+            name,
         )
-        for holder in ledger.holders.values()
-        if holder is not lost and _is_live(ledger, live, holder)
+        for centre, names in centres.items()
+        for name in names
+        if name != lost.name
     ]
-    return min(names)[-1] if names else None
+    return min(ranks)[-1] if ranks else None
 
 
 def _snapshot(
@@ -295,11 +311,8 @@
     ledger = shares.ledger
     if ledger.next_offset - shares.last_snapshot < SNAPSHOT_RECORDS:
         return []
-    names = [
-        (share_ledger.hash_of(holder.name), holder.name)
-        for holder in ledger.holders.values()
-        if _is_live(ledger, live, holder)
-    ]
-    if not names or min(names)[-1] != shares.holder:
+    centres = live_holders(ledger, live)
+    names = [name for each in centres.values() for name in each]
+    if not names or min(names, key=share_ledger.hash_of) != shares.holder:
         return []
     return [share_ledger.snapshot(ledger)]
--- a/oleanderdrift/share_parts.py
+++ b/oleanderdrift/share_parts.py
@@ -8,6 +8,7 @@
 fall back to their holders by themselves.
 """
 
+import math
 import typing
 
 from oleanderdrift import messages
@@ -91,8 +92,9 @@
     units = bucket.units if out is None else max(out.units, bucket.units)
     if out is not None:
         shares.loans_out.pop(out.key, None)
-    tokens = max(0.0, bucket.tokens)
-    bucket.tokens -= tokens
+    milli = int(max(0.0, bucket.tokens) * share_state.MILLI_TOKENS)
+    blocked = sum(lent.tokens for lent in bucket.lent.values())
+    bucket.tokens = 0.0
     bucket.part_out = share_state.PartOut(
         holder=message.holder,
         key=(sender, message.loan),
@@ -103,8 +105,8 @@
     answer = messages.PartLent(
         loan=message.loan,
         units=bucket.units,
-        tokens=tokens,
-        blocked=sum(lent.tokens for lent in bucket.lent.values()),
+        tokens=milli,
+        blocked=math.ceil(blocked * share_state.MILLI_TOKENS),
     )
     return [share_state.Send(to=sender, message=answer)]
 
@@ -133,13 +135,14 @@
     bucket.parts[sender] = share_state.Part(
         loan=message.loan, units=message.units, ends_s=ends_s
     )
-    if message.blocked > 0.0:
+    if message.blocked > 0:
         loan_s = share_state.LOAN_S * (1.0 + share_state.CLOCK_DRIFT)
         bucket.lent[sender, message.loan] = share_state.Lent(
-            tokens=message.blocked, ends_s=now + loan_s
+            tokens=message.blocked / share_state.MILLI_TOKENS,
+            ends_s=now + loan_s,
         )
     shares.gathered.add(ask.account)
-    bucket.tokens += message.tokens
+    bucket.tokens += message.tokens / share_state.MILLI_TOKENS
     share_state.clip(bucket)
 
 
@@ -168,11 +171,11 @@
     if bucket.lent or not bucket.parts:
         return []
     whole = share_state.part_in_use(bucket) * share_ledger.UNITS
-    tokens = max(0.0, bucket.tokens)
+    milli = max(0.0, bucket.tokens) * share_state.MILLI_TOKENS
     sends = []
     for lender, part in bucket.parts.items():
         returned = messages.TokensReturned(
-            loan=part.loan, tokens=tokens * part.units / whole
+            loan=part.loan, tokens=int(milli * part.units / whole)
         )
         sends.append(share_state.Send(to=lender, message=returned))
     bucket.parts = {}
--- a/oleanderdrift/share_state.py
+++ b/oleanderdrift/share_state.py
@@ -36,7 +36,8 @@
 GAIN_WAIT_S: typing.Final = PART_S * (1.0 + CLOCK_DRIFT)
 # Rounding may leave a whole token short by less than this.
 ROUNDING_TOKENS: typing.Final = 1e-6
-_LOAN_NUMBERS: typing.Final = 2**48
+MILLI_TOKENS: typing.Final = 1_000
+_LOAN_NUMBERS: typing.Final = 2**31
 
 Accounts: typing.TypeAlias = collections.abc.Mapping[str, model.ClientAccount]
 
