--- /dev/null
+++ b/bench/decision_cost.py
@@ -0,0 +1,140 @@
+"""Processor time of one dispatch decision, and its slopes.
+
+One decision is a submit, a release and the polls after both, in a group
+that stays full.  Its cost is measured at three numbers of replicas with
+one queue, and at three lengths of the queue with one set of replicas.
+"""
+
+import collections.abc
+import time
+import typing
+
+from bench import figure
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import scheduler
+
+REPLICAS: typing.Final = (6, 24, 96)
+WAITING: typing.Final = (16, 256, 4096)
+ACCOUNTS: typing.Final = 8
+DECISIONS: typing.Final = 500
+PREFIX_BLOCKS: typing.Final = 32
+CLASSES: typing.Final = (
+    model.ProgramClass(name='urgent', target_s=10.0),
+    model.ProgramClass(name='dispatch', target_s=30.0),
+    model.ProgramClass(name='planning', target_s=180.0),
+)
+
+
+def make_request(number: int, waiting: int) -> messages.SlotRequest:
+    """Returns the nth call; calls of one program share a prefix."""
+    program = f'p{number % (2 * waiting)}'
+    return messages.SlotRequest(
+        call_id=f'c{number}',
+        program=program,
+        client_account=f'a{number % ACCOUNTS}',
+        class_name=CLASSES[number % len(CLASSES)].name,
+        service='m',
+        slack_s=1e6,
+        attained_s=1.0,
+        prompt_tokens=256 * PREFIX_BLOCKS,
+        max_tokens=500,
+        prefix=tuple(
+            f'{program}/{block}'.encode() for block in range(PREFIX_BLOCKS)
+        ),
+    )
+
+
+def decision_us(replicas: int, waiting: int) -> float:
+    """Returns the microseconds of processor time of one decision."""
+    group = scheduler.DispatchGroup(name='m')
+    scheduler.set_classes(group, 0.0, CLASSES)
+    scheduler.set_upstreams(
+        group,
+        0.0,
+        [
+            model.Upstream(name=f'u{number}', data_centre='a', url='')
+            for number in range(replicas)
+        ],
+    )
+    held: collections.deque[messages.SlotGranted] = collections.deque()
+    serial = 0
+    while len(group.queue.waiting) < waiting:
+        scheduler.submit(group, 0.0, make_request(serial, waiting))
+        held.extend(granted(group, 0.0))
+        serial += 1
+    now = 1.0
+    started = time.process_time()
+    for _ in range(DECISIONS):
+        now += 0.01
+        scheduler.submit(group, now, make_request(serial, waiting))
+        held.extend(granted(group, now))
+        serial += 1
+        release(group, now, held.popleft())
+        held.extend(granted(group, now))
+    return (time.process_time() - started) / DECISIONS * 1e6
+
+
+def granted(
+    group: scheduler.DispatchGroup, now: float
+) -> list[messages.SlotGranted]:
+    """Returns the grants of a poll."""
+    return [
+        each
+        for each in scheduler.poll(group, now)
+        if isinstance(each, messages.SlotGranted)
+    ]
+
+
+def release(
+    group: scheduler.DispatchGroup, now: float, grant: messages.SlotGranted
+) -> None:
+    """Gives a slot back after a plain call; no window changes."""
+    scheduler.on_load(group, now, grant.upstream, running=1, waiting=0)
+    scheduler.release(
+        group,
+        now,
+        messages.SlotReleased(
+            call_id=grant.call_id,
+            upstream=grant.upstream,
+            failed=False,
+            first_token_s=0.2,
+            duration_s=5.0,
+            tokens=200,
+            cached_tokens=0,
+        ),
+    )
+
+
+def slope(points: list[tuple[int, float]]) -> float:
+    """Returns the least-squares slope through the points."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    return sum((x - mean_x) * (y - mean_y) for x, y in points) / sum(
+        (x - mean_x) ** 2 for x, _ in points
+    )
+
+
+def figures() -> collections.abc.Iterator[figure.Figure]:
+    """Yields the cost at each size and the two slopes."""
+    by_replicas = [(each, decision_us(each, 64)) for each in REPLICAS]
+    by_waiting = [(each, decision_us(6, each)) for each in WAITING]
+    for replicas, cost in by_replicas:
+        yield figure.Figure(
+            name=f'decision_cost.replicas_{replicas}', unit='us', value=cost
+        )
+    for waiting, cost in by_waiting:
+        yield figure.Figure(
+            name=f'decision_cost.waiting_{waiting}', unit='us', value=cost
+        )
+    yield figure.Figure(
+        name='decision_cost.slope_replicas',
+        unit='us per replica',
+        value=slope(by_replicas),
+    )
+    yield figure.Figure(
+        name='decision_cost.slope_waiting',
+        unit='us per 1000 waiting',
+        value=slope(by_waiting) * 1000.0,
+    )
