Let go of prefixes that are not worth keeping

Engines evict what was used longest ago and cannot know that a program ended, moved, or pauses longer than its prefix is worth. The group now says which programs' blocks an upstream should release (retention); how long a paused one is kept grows with the time to rebuild it (Continuum). Memory is bounded also where nobody asks for the releases.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -9,6 +9,7 @@
 
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import retention
 
 
 @attrs.define(kw_only=True)
@@ -55,6 +56,13 @@
         """Never decides without an event."""
         return None
 
+    def end_program(self, now: float, program: str) -> None:
+        """Makes nothing of a program's end."""
+
+    def due_releases(self, now: float) -> list[retention.Release]:
+        """Releases nothing; engines evict what was used longest ago."""
+        return []
+
     def on_load(
         self, now: float, upstream: str, running: int, waiting: int
     ) -> None:
--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -2,11 +2,13 @@
 
 One decision is a submit, a release and the polls after both, in a group
 that stays full.  Its cost is measured at three numbers of replicas with
-one queue, and at three lengths of the queue with one set of replicas.
+one queue, at three lengths of the queue with one set of replicas, and at
+three numbers of client accounts that have calls waiting.
 """
 
 import collections.abc
 import time
+import tracemalloc
 import typing
 
 from bench import figure
@@ -16,7 +18,7 @@
 
 REPLICAS: typing.Final = (6, 24, 96)
 WAITING: typing.Final = (16, 256, 4096)
-ACCOUNTS: typing.Final = 8
+ACCOUNTS: typing.Final = (8, 64, 512)
 DECISIONS: typing.Final = 500
 PREFIX_BLOCKS: typing.Final = 32
 CLASSES: typing.Final = (
@@ -26,13 +28,15 @@
 )
 
 
-def make_request(number: int, waiting: int) -> messages.SlotRequest:
+def make_request(
+    number: int, waiting: int, accounts: int
+) -> messages.SlotRequest:
     """Returns the nth call; calls of one program share a prefix."""
     program = f'p{number % (2 * waiting)}'
     return messages.SlotRequest(
         call_id=f'c{number}',
         program=program,
-        client_account=f'a{number % ACCOUNTS}',
+        client_account=f'a{number % accounts}',
         class_name=CLASSES[number % len(CLASSES)].name,
         service='m',
         slack_s=1e6,
@@ -45,7 +49,7 @@
     )
 
 
-def decision_us(replicas: int, waiting: int) -> float:
+def decision_us(replicas: int, waiting: int, accounts: int) -> float:
     """Returns the microseconds of processor time of one decision."""
     group = scheduler.DispatchGroup(name='m')
     scheduler.set_classes(group, 0.0, CLASSES)
@@ -60,14 +64,14 @@
     held: collections.deque[messages.SlotGranted] = collections.deque()
     serial = 0
     while len(group.queue.waiting) < waiting:
-        scheduler.submit(group, 0.0, make_request(serial, waiting))
+        scheduler.submit(group, 0.0, make_request(serial, waiting, accounts))
         held.extend(granted(group, 0.0))
         serial += 1
     now = 1.0
     started = time.process_time()
     for _ in range(DECISIONS):
         now += 0.01
-        scheduler.submit(group, now, make_request(serial, waiting))
+        scheduler.submit(group, now, make_request(serial, waiting, accounts))
         held.extend(granted(group, now))
         serial += 1
         release(group, now, held.popleft())
@@ -75,6 +79,20 @@
     return (time.process_time() - started) / DECISIONS * 1e6
 
 
+def waiting_bytes(waiting: int) -> int:
+    """Returns the memory of so many waiting calls, requests included."""
+    tracemalloc.start()
+    group = scheduler.DispatchGroup(name='m')
+    scheduler.set_classes(group, 0.0, CLASSES)
+    upstream = model.Upstream(name='u', data_centre='a', url='')
+    scheduler.set_upstreams(group, 0.0, [upstream])
+    for number in range(waiting):
+        scheduler.submit(group, 0.0, make_request(number, waiting, 8))
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return used
+
+
 def granted(
     group: scheduler.DispatchGroup, now: float
 ) -> list[messages.SlotGranted]:
@@ -118,8 +136,15 @@
 
 def figures() -> collections.abc.Iterator[figure.Figure]:
     """Yields the cost at each size and the two slopes."""
-    by_replicas = [(each, decision_us(each, 64)) for each in REPLICAS]
-    by_waiting = [(each, decision_us(6, each)) for each in WAITING]
+    by_replicas = [(each, decision_us(each, 64, 8)) for each in REPLICAS]
+    by_waiting = [(each, decision_us(6, each, 8)) for each in WAITING]
+    by_accounts = [(each, decision_us(6, 1024, each)) for each in ACCOUNTS]
+    by_bytes = [(each, float(waiting_bytes(each))) for each in WAITING]
+    yield figure.Figure(
+        name='decision_cost.slope_memory',
+        unit='bytes per waiting call',
+        value=slope(by_bytes),
+    )
     for replicas, cost in by_replicas:
         yield figure.Figure(
             name=f'decision_cost.replicas_{replicas}', unit='us', value=cost
@@ -128,6 +153,15 @@
         yield figure.Figure(
             name=f'decision_cost.waiting_{waiting}', unit='us', value=cost
         )
+    for accounts, cost in by_accounts:
+        yield figure.Figure(
+            name=f'decision_cost.accounts_{accounts}', unit='us', value=cost
+        )
+    yield figure.Figure(
+        name='decision_cost.slope_accounts',
+        unit='us per waiting account',
+        value=slope(by_accounts),
+    )
     yield figure.Figure(
         name='decision_cost.slope_replicas',
         unit='us per replica',
--- a/bench/dispatchers.py
+++ b/bench/dispatchers.py
@@ -9,6 +9,7 @@
 from oleanderdrift import messages
 from oleanderdrift import model
 from oleanderdrift import policy
+from oleanderdrift import retention
 from oleanderdrift import scheduler
 
 
@@ -42,6 +43,14 @@
         """Returns when to poll again."""
         return scheduler.next_wakeup(self.group, now)
 
+    def end_program(self, now: float, program: str) -> None:
+        """Takes a program's end."""
+        scheduler.end_program(self.group, now, program)
+
+    def due_releases(self, now: float) -> list[retention.Release]:
+        """Returns which programs' blocks to release."""
+        return scheduler.due_releases(self.group, now)
+
     def on_load(
         self, now: float, upstream: str, running: int, waiting: int
     ) -> None:
--- a/bench/engine.py
+++ b/bench/engine.py
@@ -139,12 +139,13 @@
         engine.removed.append(engine.cache.popitem(last=False)[0])
 
 
-def drop(engine: Engine, prefix: tuple[bytes, ...]) -> None:
-    """Lets a prefix go, as on an order from the scheduler."""
-    for digest in prefix:
-        if digest in engine.cache:
-            del engine.cache[digest]
-            engine.removed.append(digest)
+def drop(engine: Engine, program: str) -> None:
+    """Releases the blocks of one program alone, as on an order."""
+    head = f'{program}/'.encode()
+    gone = [digest for digest in engine.cache if digest.startswith(head)]
+    for digest in gone:
+        del engine.cache[digest]
+    engine.removed.extend(gone)
 
 
 def token_rate(engine: Engine) -> float:
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -20,6 +20,7 @@
 from bench import workload
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import retention
 
 REPORT_EVERY_S: typing.Final = 0.5
 REPORT_LAG_S: typing.Final = 0.75
@@ -51,6 +52,12 @@
     def next_wakeup(self, now: float) -> float | None:
         """Returns when to poll again."""
 
+    def end_program(self, now: float, program: str) -> None:
+        """Takes a program's end."""
+
+    def due_releases(self, now: float) -> list[retention.Release]:
+        """Returns which programs' blocks to release."""
+
     def on_load(
         self, now: float, upstream: str, running: int, waiting: int
     ) -> None:
@@ -302,6 +309,8 @@
 
 def end(replay: Replay, running: Running) -> None:
     """Ends a program; the last sub-agent wakes its parent."""
+    for group in replay.groups.values():
+        group.dispatcher.end_program(replay.now, running.program.name)
     parent = running.parent
     if parent is None:
         running.outcome.finished_at = replay.now
@@ -356,6 +365,8 @@
                     replay.now + decision.retry_after_s,
                     functools.partial(submit, replay, decision.call_id),
                 )
+    for release in group.dispatcher.due_releases(replay.now):
+        engine.drop(group.engines[release.upstream], release.program)
     wakeup_at = group.dispatcher.next_wakeup(replay.now)
     if wakeup_at is not None and wakeup_at != group.wakeup_at:
         group.wakeup_at = wakeup_at
--- a/oleanderdrift/policy.py
+++ b/oleanderdrift/policy.py
@@ -20,6 +20,7 @@
     affinity: cached prefixes count in placement.
     holding: a call may wait a bounded time for a better replica.
     speed: the replica's own measured speed counts in placement.
+    retention: prefixes not worth keeping are let go.
     refusing: what cannot start in time is refused at once.
     """
 
@@ -31,4 +32,5 @@
     affinity: bool = True
     holding: bool = True
     speed: bool = True
+    retention: bool = True
     refusing: bool = True
--- a/oleanderdrift/prefix_cache.py
+++ b/oleanderdrift/prefix_cache.py
@@ -20,14 +20,21 @@
 
 
 @attrs.define(kw_only=True)
-class CacheView:
-    """The blocks believed cached, least recently used first.
+class Block:
+    """A cached block: when it was last sent, and its only program.
 
-    blocks maps a block's chained digest to the time it was last sent or
-    reported.
+    program is empty for a block that several programs share.
     """
 
-    blocks: collections.OrderedDict[bytes, float] = attrs.field(
+    sent_at: float
+    program: str
+
+
+@attrs.define(kw_only=True)
+class CacheView:
+    """The blocks believed cached, least recently used first."""
+
+    blocks: collections.OrderedDict[bytes, Block] = attrs.field(
         factory=collections.OrderedDict
     )
     capacity_blocks: int = DEFAULT_CAPACITY_BLOCKS
@@ -62,14 +69,22 @@
     return prompt_tokens * matched / len(prefix)
 
 
-def note_sent(view: CacheView, now: float, prefix: tuple[bytes, ...]) -> None:
-    """Records that the replica is about to hold a prefix.
+def note_sent(
+    view: CacheView, now: float, prefix: tuple[bytes, ...], program: str = ''
+) -> None:
+    """Records that the replica is about to hold a program's prefix.
 
     The head of the chain becomes the most recently used, as in engines
     that evict from the tail.
     """
     for digest in reversed(prefix):
-        view.blocks[digest] = now
+        block = view.blocks.get(digest)
+        if block is None:
+            view.blocks[digest] = Block(sent_at=now, program=program)
+            continue
+        block.sent_at = now
+        if block.program != program:
+            block.program = ''
         view.blocks.move_to_end(digest)
     while len(view.blocks) > view.capacity_blocks:
         view.blocks.popitem(last=False)
@@ -116,19 +131,17 @@
         return
     view.next_sequence = sequence + 1
     for digest in removed:
-        seen = view.blocks.get(digest)
-        if seen is not None and seen < now - EVENT_LAG_S:
+        block = view.blocks.get(digest)
+        if block is not None and block.sent_at < now - EVENT_LAG_S:
             del view.blocks[digest]
     for digest in stored:
-        view.blocks[digest] = max(now, view.blocks.get(digest, now))
+        if digest not in view.blocks:
+            view.blocks[digest] = Block(sent_at=now, program='')
 
 
-def forget(view: CacheView, prefix: tuple[bytes, ...]) -> None:
-    """Drops a prefix, as when its program ended and it was let go."""
+def forget(view: CacheView, prefix: tuple[bytes, ...], program: str) -> None:
+    """Drops the part of a prefix that only its program used."""
     for digest in prefix:
-        view.blocks.pop(digest, None)
-
-
-def clear(view: CacheView) -> None:
-    """Forgets everything, as when the replica was restarted."""
-    view.blocks.clear()
+        block = view.blocks.get(digest)
+        if block is not None and block.program == program:
+            del view.blocks[digest]
--- a/oleanderdrift/scheduler.py
+++ b/oleanderdrift/scheduler.py
@@ -26,6 +26,7 @@
 from oleanderdrift import placement
 from oleanderdrift import policy
 from oleanderdrift import prefix_cache
+from oleanderdrift import retention
 from oleanderdrift import speed
 from oleanderdrift import window
 
@@ -68,6 +69,7 @@
     slots: dict[str, str] = attrs.field(factory=dict)
     tokens: dict[str, float] = attrs.field(factory=dict)
     rate: ServiceRate = attrs.field(factory=ServiceRate)
+    retained: retention.Retention = attrs.field(factory=retention.Retention)
     refusals: list[messages.SlotRefused] = attrs.field(factory=list)
     wakeup_at: float | None = None
 
@@ -101,7 +103,7 @@
     for waiting in list(group.queue.waiting.values()):
         if not has_upstream(group, waiting.request):
             call_queue.remove(group.queue, waiting.request.call_id)
-            refuse(group, waiting.request, NO_UPSTREAM_RETRY_S)
+            refuse(group, now, waiting.request, NO_UPSTREAM_RETRY_S)
 
 
 def set_classes(
@@ -140,12 +142,13 @@
     ):
         return
     if not has_upstream(group, request):
-        refuse(group, request, NO_UPSTREAM_RETRY_S)
+        refuse(group, now, request, NO_UPSTREAM_RETRY_S)
         return
     retry_after_s = overload_s(group, now, request)
     if retry_after_s > 0.0:
-        refuse(group, request, retry_after_s)
+        refuse(group, now, request, retry_after_s)
         return
+    retention.on_resume(group.retained, request.program)
     call_queue.add(group.queue, now, request, holder)
 
 
@@ -162,15 +165,25 @@
     note_health(group, now, replica, released.failed)
     if not released.failed:
         learn(group, now, replica, outstanding, released)
+        keep_prefix(group, now, replica, outstanding.request)
+    else:
+        retention.on_abandoned(
+            group.retained, now, outstanding.request.program
+        )
     forget_if_idle(group, replica)
 
 
 def withdraw(group: DispatchGroup, now: float, call_id: str) -> None:
     """Takes a call whose caller is gone out of the queue or its slot."""
-    call_queue.remove(group.queue, call_id)
+    waiting = call_queue.remove(group.queue, call_id)
     replica = group.replicas.get(group.slots.get(call_id, ''))
-    if free_slot(group, call_id) is not None and replica is not None:
+    outstanding = free_slot(group, call_id)
+    if outstanding is not None and replica is not None:
         forget_if_idle(group, replica)
+    for each in (waiting, outstanding):
+        if each is not None:
+            program = each.request.program
+            retention.on_abandoned(group.retained, now, program)
 
 
 def withdraw_holder(group: DispatchGroup, now: float, holder: str) -> None:
@@ -190,6 +203,11 @@
         withdraw(group, now, call_id)
 
 
+def end_program(group: DispatchGroup, now: float, program: str) -> None:
+    """Has the prefix of a program that ended let go."""
+    retention.let_go(group.retained, program)
+
+
 def on_load(
     group: DispatchGroup,
     now: float,
@@ -222,6 +240,7 @@
 
 def poll(group: DispatchGroup, now: float) -> list[Decision]:
     """Returns the grants and refusals that are due."""
+    retention.expire(group.retained, now)
     decisions: list[Decision] = list(group.refusals)
     group.refusals.clear()
     group.wakeup_at = None
@@ -347,7 +366,7 @@
     start = max(now, replica.prefill_until)
     replica.prefill_until = start + computed * replica.measured.prefill_s
     window.note_granted(replica.window_state, len(replica.outstanding))
-    prefix_cache.note_sent(replica.cache, now, request.prefix)
+    prefix_cache.note_sent(replica.cache, now, request.prefix, request.program)
     fair_share.charge(
         group.queue.ledger,
         now,
@@ -360,6 +379,20 @@
     )
 
 
+def due_releases(group: DispatchGroup, now: float) -> list[retention.Release]:
+    """Returns which programs' blocks the upstreams should release now."""
+    if not group.rules.retention:
+        return []
+    retention.expire(group.retained, now)
+    due = group.retained.due
+    group.retained.due = []
+    for release, prefix in due:
+        replica = group.replicas.get(release.upstream)
+        if replica is not None:
+            prefix_cache.forget(replica.cache, prefix, release.program)
+    return [release for release, _ in due]
+
+
 def next_wakeup(group: DispatchGroup, now: float) -> float | None:
     """Returns when poll() next decides without a new event, or None."""
     if group.refusals:
@@ -421,9 +454,13 @@
 
 
 def refuse(
-    group: DispatchGroup, request: messages.SlotRequest, retry_after_s: float
+    group: DispatchGroup,
+    now: float,
+    request: messages.SlotRequest,
+    retry_after_s: float,
 ) -> None:
     """Refuses a call that was never granted, so it is truly not run."""
+    retention.on_abandoned(group.retained, now, request.program)
     group.refusals.append(
         messages.SlotRefused(
             call_id=request.call_id,
@@ -533,6 +570,25 @@
     )
 
 
+def keep_prefix(
+    group: DispatchGroup,
+    now: float,
+    replica: placement.Replica,
+    request: messages.SlotRequest,
+) -> None:
+    """Weighs how long a program's prefix is worth keeping."""
+    if not request.prefix or not request.program:
+        return
+    retention.on_pause(
+        group.retained,
+        now,
+        request.program,
+        replica.upstream.name,
+        request.prefix,
+        request.prompt_tokens * replica.measured.prefill_s,
+    )
+
+
 def smooth(averages: dict[str, float], key: str, value: float) -> None:
     """Moves an average towards a value; the first value starts it."""
     old = averages.get(key, value)
--- a/tests/test_dispatch_policy.py
+++ b/tests/test_dispatch_policy.py
@@ -12,6 +12,7 @@
 from oleanderdrift import model
 from oleanderdrift import policy
 from oleanderdrift import prefix_cache
+from oleanderdrift import retention
 from oleanderdrift import retries
 from oleanderdrift import scheduler
 from oleanderdrift import speed
@@ -101,6 +102,36 @@
     assert prefix_cache.matched_blocks(view, (b'1',)) == 0
 
 
+@pytest.mark.parametrize(
+    'event, expected',
+    [('end', ['u1']), ('move', ['u1']), ('long', ['u1']), ('back', [])],
+)
+def test_prefix_is_let_go(event: str, expected: list[str]) -> None:
+    kept = retention.Retention()
+    retention.on_pause(kept, 0.0, 'p', 'u1', PREFIX, 0.5)
+    now = 49.0
+    match event:
+        case 'end':
+            retention.let_go(kept, 'p')
+        case 'move':
+            retention.on_pause(kept, 1.0, 'p', 'u2', PREFIX, 0.5)
+        case 'long':
+            now = 50.0
+        case 'back':
+            retention.on_resume(kept, 'p')
+            now = 1e6
+    retention.expire(kept, now)
+    assert [release.upstream for release, _ in kept.due] == expected
+
+
+def test_shared_blocks_are_not_forgotten() -> None:
+    view = prefix_cache.CacheView()
+    prefix_cache.note_sent(view, 0.0, PREFIX[:4], 'p')
+    prefix_cache.note_sent(view, 0.0, PREFIX[:2], 'q')
+    prefix_cache.forget(view, PREFIX[:4], 'p')
+    assert prefix_cache.matched_blocks(view, PREFIX) == 2
+
+
 # --- Speed -------------------------------------------------------------------
 
 
