Free slots whose release was lost; judge plain services by their calls

Found in the daemon's use of the group: a release sent to a new home never reaches the old one, which keeps the slot for ever, and calls of tools have no tokens, so replicas of unlike speed all seemed free of cost. An engine that reports to hold nothing now frees what was granted over 10 s ago; a call without tokens costs what a usual call takes there; no limit on a call's tokens (0) no longer reads as none expected.

--- a/oleanderdrift/placement.py
+++ b/oleanderdrift/placement.py
@@ -79,6 +79,7 @@
     prefill_s: float = 0.0
     harm_s: float = 0.0
     decode_s: float = 0.0
+    call_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -182,6 +183,7 @@
     candidate.decode_s = speed.decode_s(measured, held)
     candidate.prefill_s = measured.prefill_s
     candidate.harm_s = measured.prefill_s * PREFILL_HARM * held
+    candidate.call_s = measured.call_s * (1.0 + in_flight / candidate.slots)
     candidate.fixed_s = min(
         max(0.0, replica.prefill_until - now),
         replica.outstanding_tokens * measured.prefill_s,
@@ -204,8 +206,11 @@
 ) -> float:
     """Returns the seconds until a call would be finished there.
 
-    The harm that its prompt does to others counts as well.
+    The harm that its prompt does to others counts as well.  A call that
+    makes no tokens, as of a plain service, counts as a usual call there.
     """
+    if not needs.tokens:
+        return candidate.fixed_s + candidate.call_s
     computed = computed_tokens(rules, candidate.replica, needs.request)
     per_token_s = candidate.prefill_s + needs.patience * candidate.harm_s
     return (
--- a/oleanderdrift/scheduler.py
+++ b/oleanderdrift/scheduler.py
@@ -37,6 +37,8 @@
 MIN_RATE_CALLS: typing.Final = 5.0
 DEFAULT_WAIT_LIMIT_S: typing.Final = 60.0
 SMOOTHING: typing.Final = 0.05
+# Longer than a load report lags and a granted call takes to arrive.
+LOST_RELEASE_S: typing.Final = 10.0
 
 Decision: typing.TypeAlias = messages.SlotGranted | messages.SlotRefused
 
@@ -215,10 +217,24 @@
     running: int,
     waiting: int,
 ) -> None:
-    """Takes an engine's load report, which lags."""
+    """Takes an engine's load report, which lags.
+
+    An engine that holds nothing has ended all calls but the latest: slots
+    whose release was lost are freed.
+    """
     replica = group.replicas.get(upstream)
-    if replica is not None:
-        window.on_report(replica.window_state, now, running, waiting)
+    if replica is None:
+        return
+    window.on_report(replica.window_state, now, running, waiting)
+    if running or waiting:
+        return
+    lost = [
+        call_id
+        for call_id, outstanding in replica.outstanding.items()
+        if now - outstanding.granted_at > LOST_RELEASE_S
+    ]
+    for call_id in lost:
+        withdraw(group, now, call_id)
 
 
 def on_cache_event(
@@ -435,8 +451,12 @@
     group: DispatchGroup, request: messages.SlotRequest
 ) -> float:
     """Returns the output tokens that a call is expected to need."""
+    if request.prompt_tokens <= 0 and request.max_tokens <= 0:
+        return 0.0
     tokens = group.tokens.get(request.class_name, placement.DEFAULT_TOKENS)
-    return min(tokens, float(request.max_tokens))
+    if request.max_tokens > 0:
+        return min(tokens, float(request.max_tokens))
+    return tokens
 
 
 def needs_of(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """Tests of the dispatch decisions' frame: slots, queue, leaving."""
 
+import attrs
 import pytest
 
 from oleanderdrift import codes
@@ -121,3 +122,34 @@
     scheduler.submit(group, 0.0, request('c1'))
     scheduler.withdraw(group, 0.0, 'c1')
     assert scheduler.poll(group, 0.0) == []
+
+
+@pytest.mark.parametrize(
+    'at, running, held', [(5.0, 0, 1), (20.0, 1, 1), (20.0, 0, 0)]
+)
+def test_idle_engine_frees_slots_whose_release_was_lost(
+    group: scheduler.DispatchGroup, at: float, running: int, held: int
+) -> None:
+    scheduler.submit(group, 0.0, request('c1', ('u2',)))
+    scheduler.poll(group, 0.0)
+    scheduler.on_load(group, at, 'u1', running, 0)
+    assert len(group.replicas['u1'].outstanding) == held
+
+
+def test_plain_services_go_to_the_faster_replica(
+    group: scheduler.DispatchGroup,
+) -> None:
+    for name, duration_s in (('u1', 4.0), ('u2', 0.5)):
+        other = 'u2' if name == 'u1' else 'u1'
+        plain = attrs.evolve(
+            request(name, (other,)), prompt_tokens=0, max_tokens=0
+        )
+        scheduler.submit(group, 0.0, plain)
+        scheduler.poll(group, 0.0)
+        ended = attrs.evolve(
+            released(name, name), duration_s=duration_s, tokens=0
+        )
+        scheduler.release(group, 1.0, ended)
+    plain = attrs.evolve(request('c'), prompt_tokens=0, max_tokens=0)
+    scheduler.submit(group, 2.0, plain)
+    assert granted(scheduler.poll(group, 2.0)) == [('c', 'u2')]
