--- a/standins/client.py
+++ b/standins/client.py
@@ -16,7 +16,7 @@
 
 from standins import batching
 
-TIMEOUT_S: typing.Final = 60.0
+TIMEOUT_S: typing.Final = 10.0
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,15 @@
 """Shared fixtures, and the marking of the tests in KNOWN-RED.txt."""
 
 import pathlib
+import typing
 
 import pytest
 
+from standins import demo_config
+from standins import fleet
+from standins import fleet_state
+from tests import fleet_support
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
 
@@ -21,3 +27,10 @@
     for item in items:
         if item.nodeid in listed:
             item.add_marker(pytest.mark.xfail(reason='KNOWN-RED.txt'))
+
+
+@pytest.fixture(scope='session')
+def nine() -> typing.Iterator[fleet_state.Fleet]:
+    """Runs nine instances in three data centres as processes."""
+    with fleet.running(fleet_support.PLAN, demo_config.text) as running:
+        yield running
