Find failed instances by SWIM probes

Cause: the platform's list lags, and a full mesh of heartbeats would take 38 KB/s an instance at 600.

A process that was paused accuses nobody for its own silence. Send has a module of its own.

--- a/bench/share_fleet.py
+++ b/bench/share_fleet.py
@@ -13,6 +13,7 @@
 from oleanderdrift import codec
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import outbound
 from oleanderdrift import share_loans
 from oleanderdrift import share_moves
 from oleanderdrift import share_state
@@ -164,9 +165,7 @@
         meter.refused += 1
         meter.wrongful += ideal
 
-    def post(
-        self, sender: str, sends: typing.Iterable[share_state.Send]
-    ) -> None:
+    def post(self, sender: str, sends: typing.Iterable[outbound.Send]) -> None:
         """Puts messages on their way."""
         node = self.nodes[sender]
         for send in sends:
--- a/oleanderdrift/share_loans.py
+++ b/oleanderdrift/share_loans.py
@@ -14,6 +14,7 @@
 
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import outbound
 from oleanderdrift import share_ledger
 from oleanderdrift import share_parts
 from oleanderdrift import share_state
@@ -39,7 +40,7 @@
 class Admitted:
     """The request may go on; its token is spent."""
 
-    sends: tuple[share_state.Send, ...] = ()
+    sends: tuple[outbound.Send, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -47,7 +48,7 @@
     """The request waits for a loan; its verdict is in a later Outcome."""
 
     deadline_s: float
-    sends: tuple[share_state.Send, ...]
+    sends: tuple[outbound.Send, ...]
 
 
 @attrs.frozen(kw_only=True)
@@ -55,7 +56,7 @@
     """The request is over the account's limits and is not run."""
 
     retry_after_s: float
-    sends: tuple[share_state.Send, ...] = ()
+    sends: tuple[outbound.Send, ...] = ()
 
 
 Decision: typing.TypeAlias = Admitted | Borrow | Refused
@@ -69,7 +70,7 @@
     after retry_after_s.
     """
 
-    sends: list[share_state.Send] = attrs.field(factory=list)
+    sends: list[outbound.Send] = attrs.field(factory=list)
     admitted: list[int] = attrs.field(factory=list)
     refused: list[int] = attrs.field(factory=list)
     retry_after_s: float = MIN_RETRY_AFTER_S
@@ -230,7 +231,7 @@
     held = line.loans.pop(loan)
     rest = math.floor(max(0.0, held.tokens) * share_state.MILLI_TOKENS)
     message = messages.TokensReturned(loan=loan, tokens=rest)
-    outcome.sends.append(share_state.Send(to=held.lender, message=message))
+    outcome.sends.append(outbound.Send(to=held.lender, message=message))
 
 
 def _ask_ahead(
@@ -331,7 +332,7 @@
         need=math.ceil(need * share_state.MILLI_TOKENS),
         extra=int(max(0.0, ahead - surplus) * share_state.MILLI_TOKENS),
     )
-    outcome.sends.append(share_state.Send(to=lender, message=message))
+    outcome.sends.append(outbound.Send(to=lender, message=message))
     return True
 
 
@@ -417,7 +418,7 @@
         tokens=milli,
         left=int(left * share_state.MILLI_TOKENS),
     )
-    outcome.sends.append(share_state.Send(to=sender, message=answer))
+    outcome.sends.append(outbound.Send(to=sender, message=answer))
 
 
 def _spare(bucket: share_state.Bucket, message: messages.BorrowTokens) -> int:
--- a/oleanderdrift/share_parts.py
+++ b/oleanderdrift/share_parts.py
@@ -13,6 +13,7 @@
 
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import outbound
 from oleanderdrift import share_ledger
 from oleanderdrift import share_state
 
@@ -55,7 +56,7 @@
 
 def gather(
     shares: share_state.Shares, now: float, account: model.ClientAccount
-) -> list[share_state.Send]:
+) -> list[outbound.Send]:
     """Asks all other holders for their parts, if this is the home."""
     bucket = shares.buckets.get(account.name)
     if bucket is None or now < bucket.parts_asked_s + RENEW_AFTER_S:
@@ -79,7 +80,7 @@
     sender: str,
     message: messages.BorrowPart,
     account: model.ClientAccount,
-) -> list[share_state.Send]:
+) -> list[outbound.Send]:
     """Takes the own part out of use and lends it to the home."""
     if not share_state.usable(shares, now):
         return []
@@ -108,7 +109,7 @@
         tokens=milli,
         blocked=math.ceil(blocked * share_state.MILLI_TOKENS),
     )
-    return [share_state.Send(to=sender, message=answer)]
+    return [outbound.Send(to=sender, message=answer)]
 
 
 def take(
@@ -148,9 +149,9 @@
 
 def tick(
     shares: share_state.Shares, now: float, accounts: share_state.Accounts
-) -> list[share_state.Send]:
+) -> list[outbound.Send]:
     """Renews the parts of accounts in use and returns all others."""
-    sends: list[share_state.Send] = []
+    sends: list[outbound.Send] = []
     for name in list(shares.gathered):
         bucket = shares.buckets[name]
         account = accounts.get(name)
@@ -163,9 +164,7 @@
     return sends
 
 
-def _give_back(
-    bucket: share_state.Bucket, now: float
-) -> list[share_state.Send]:
+def _give_back(bucket: share_state.Bucket, now: float) -> list[outbound.Send]:
     """Returns the parts with their tokens, unless some are lent on."""
     share_state.refill(bucket, now)
     if bucket.lent or not bucket.parts:
@@ -177,7 +176,7 @@
         returned = messages.TokensReturned(
             loan=part.loan, tokens=int(milli * part.units / whole)
         )
-        sends.append(share_state.Send(to=lender, message=returned))
+        sends.append(outbound.Send(to=lender, message=returned))
     bucket.parts = {}
     share_state.clip(bucket)
     return sends
@@ -192,7 +191,7 @@
     now: float,
     account: model.ClientAccount,
     holder: str,
-) -> share_state.Send:
+) -> outbound.Send:
     lender = _instance(shares, holder)
     loan = shares.next_loan
     shares.next_loan += 1
@@ -202,4 +201,4 @@
     message = messages.BorrowPart(
         loan=loan, account=account.name, holder=shares.holder
     )
-    return share_state.Send(to=lender, message=message)
+    return outbound.Send(to=lender, message=message)
--- a/oleanderdrift/share_state.py
+++ b/oleanderdrift/share_state.py
@@ -42,14 +42,6 @@
 Accounts: typing.TypeAlias = collections.abc.Mapping[str, model.ClientAccount]
 
 
-@attrs.frozen(kw_only=True)
-class Send:
-    """A peer message for the instance named."""
-
-    to: str
-    message: messages.Message
-
-
 @attrs.define(kw_only=True)
 class Lent:
     """Tokens lent to a peer, which lower the cap until ends_s."""
--- /dev/null
+++ b/tests/test_probes.py
@@ -0,0 +1,96 @@
+"""Failure detection: the dead are found, nobody else is accused."""
+
+import pytest
+
+from bench import probes as bench_probes
+from oleanderdrift import probes
+
+DETECTED_S = 15.0
+
+
+def others(net: bench_probes.Net, *names: str) -> list[str]:
+    return [name for name in net.nodes if name not in names]
+
+
+@pytest.mark.parametrize(('size', 'loss'), [(2, 0.0), (9, 0.0), (9, 0.05)])
+def test_a_failed_instance_is_found_and_no_other(
+    size: int, loss: float
+) -> None:
+    net = bench_probes.make_net(size, loss=loss)
+    net.run(10.0)
+    net.nodes['i1'].up = False
+    net.run(10.0 + DETECTED_S)
+    for name in others(net, 'i1'):
+        assert net.seen_by(name) == set(others(net, 'i1'))
+
+
+def test_a_thawed_instance_is_back_and_accuses_nobody() -> None:
+    net = bench_probes.make_net(9, loss=0.0)
+    net.run(10.0)
+    net.nodes['i1'].up = False
+    net.run(30.0)
+    net.nodes['i1'].up = True
+    net.run(30.3)
+    assert net.seen_by('i1') == set(net.nodes)
+    net.run(42.0)
+    for name in net.nodes:
+        assert net.seen_by(name) == set(net.nodes)
+
+
+def test_without_refutation_a_thawed_instance_stays_dead(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(probes, '_refute', lambda *args: None)
+    net = bench_probes.make_net(9, loss=0.0)
+    net.run(10.0)
+    net.nodes['i1'].up = False
+    net.run(30.0)
+    net.nodes['i1'].up = True
+    net.run(50.0)
+    assert 'i1' not in net.seen_by('i0')
+
+
+def test_an_instance_that_only_some_cannot_reach_is_not_accused() -> None:
+    net = bench_probes.make_net(9, loss=0.0)
+    net.cut_links.add(frozenset(('i0', 'i1')))
+    net.run(60.0)
+    for name in net.nodes:
+        assert net.seen_by(name) == set(net.nodes)
+
+
+def test_without_helpers_one_cut_link_kills(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(probes, '_ask_for_help', lambda *args: [])
+    monkeypatch.setattr(probes, '_refute', lambda *args: None)
+    net = bench_probes.make_net(9, loss=0.0)
+    net.cut_links.add(frozenset(('i0', 'i1')))
+    net.run(60.0)
+    assert any(net.seen_by(name) != set(net.nodes) for name in net.nodes)
+
+
+def test_each_side_of_a_partition_sees_itself_and_heals() -> None:
+    net = bench_probes.make_net(9, loss=0.0)
+    net.run(5.0)
+    side = {'i0', 'i3', 'i6'}
+    for name in side:
+        net.nodes[name].group = 1
+    net.run(45.0)
+    for name in net.nodes:
+        expected = side if name in side else set(net.nodes) - side
+        assert net.seen_by(name) == expected
+    for node in net.nodes.values():
+        node.group = 0
+    net.run(75.0)
+    for name in net.nodes:
+        assert net.seen_by(name) == set(net.nodes)
+
+
+def test_a_leaving_instance_gets_nothing_new_after_a_few_seconds() -> None:
+    net = bench_probes.make_net(9, loss=0.0)
+    net.run(5.0)
+    node = net.nodes['i1']
+    probes.leave(node.prober, node.members)
+    net.run(9.0)
+    for name in net.nodes:
+        assert 'i1' not in net.seen_by(name)
