--- a/oleanderdrift/share_moves.py
+++ b/oleanderdrift/share_moves.py
@@ -19,6 +19,7 @@
 RETRY_S: typing.Final = 10.0
 PLAN_EVERY_S: typing.Final = 5.0
 SNAPSHOT_RECORDS: typing.Final = 1_000
+SNAPSHOT_EVERY_S: typing.Final = 900.0
 # Holders of one slot in the whole fleet, but one in each data centre.
 HOLDERS: typing.Final = 12
 _NEVER_S: typing.Final = float('-inf')
@@ -60,7 +61,7 @@
         planner.planned_s = now
         records.extend(_rebalance(planner, shares, now, live))
         records.extend(_reclaim(shares, now, live))
-        records.extend(_snapshot(shares, live))
+        records.extend(_snapshot(shares, now, live))
     return records
 
 
@@ -305,11 +306,15 @@
 
 
 def _snapshot(
-    shares: share_state.Shares, live: Live
+    shares: share_state.Shares, now: float, live: Live
 ) -> list[messages.Message]:
     """Returns a snapshot where one is due and ours to write."""
     ledger = shares.ledger
-    if ledger.next_offset - shares.last_snapshot < SNAPSHOT_RECORDS:
+    records = ledger.next_offset - shares.last_snapshot
+    age_s = now - shares.last_snapshot_s
+    if records < SNAPSHOT_RECORDS and age_s < SNAPSHOT_EVERY_S:
+        return []
+    if not ledger.by_slot:
         return []
     centres = live_holders(ledger, live)
     names = [name for each in centres.values() for name in each]
--- a/oleanderdrift/share_state.py
+++ b/oleanderdrift/share_state.py
@@ -184,6 +184,7 @@
     avoided_until_s: dict[str, float] = attrs.field(factory=dict)
     closing: bool = False
     last_snapshot: int = 0
+    last_snapshot_s: float = float('-inf')
 
 
 def new(
@@ -215,6 +216,7 @@
     share_ledger.fold(shares.ledger, offset, record)
     if isinstance(record, messages.SharesSnapshot):
         shares.last_snapshot = offset
+        shares.last_snapshot_s = now
     _hear(shares, now)
     _note_own_renewal(shares, record)
     _resolve_pending_move(shares)
@@ -229,6 +231,20 @@
         settle_slot(shares, now, slot)
 
 
+def begin_anew(shares: Shares, now: float, first: int) -> None:
+    """Starts from a stream whose records have all been trimmed.
+
+    The log keeps records for longer than a lease, so no holder is left:
+    the next renewal begins the stream again.
+    """
+    shares.ledger = share_ledger.Ledger(next_offset=first)
+    shares.pending_move = None
+    shares.lease_ends_s = float('-inf')
+    _hear(shares, now)
+    for slot in list(shares.active):
+        settle_slot(shares, now, slot)
+
+
 def usable(shares: Shares, now: float) -> bool:
     """Says whether the own units may be spent and lent.
 
