Refuse by what a whole program would wait, not one call

Cause: one call's wait was held against the whole target, and a program waits once for each of its calls. The class's mean calls a program are now learnt and the target is split among them.

--- a/oleanderdrift/scheduler.py
+++ b/oleanderdrift/scheduler.py
@@ -37,6 +37,9 @@
 MIN_RATE_CALLS: typing.Final = 5.0
 DEFAULT_WAIT_LIMIT_S: typing.Final = 60.0
 SMOOTHING: typing.Final = 0.05
+LENGTH_SMOOTHING: typing.Final = 0.01
+MIN_FIRST_SHARE: typing.Final = 0.005
+MIN_RETRY_S: typing.Final = 1.0
 # Longer than a load report lags and a granted call takes to arrive.
 LOST_RELEASE_S: typing.Final = 10.0
 
@@ -51,12 +54,24 @@
     updated_at: float = 0.0
 
 
+@attrs.define(kw_only=True)
+class ProgramLength:
+    """Moving share of a class's calls that are the first of a program."""
+
+    first_share: float = 1.0
+
+    @property
+    def calls(self) -> float:
+        """The calls that a program makes, in the mean."""
+        return 1.0 / self.first_share
+
+
 @attrs.define(kw_only=True)
 class DispatchGroup:
     """The state of one dispatch group at its home instance.
 
-    tokens is the expected output tokens of a call by class; refusals wait
-    for the next poll.
+    tokens is the expected output tokens of a call by class, lengths the
+    expected calls of a program; refusals wait for the next poll.
     """
 
     name: str
@@ -70,6 +85,7 @@
     )
     slots: dict[str, str] = attrs.field(factory=dict)
     tokens: dict[str, float] = attrs.field(factory=dict)
+    lengths: dict[str, ProgramLength] = attrs.field(factory=dict)
     rate: ServiceRate = attrs.field(factory=ServiceRate)
     retained: retention.Retention = attrs.field(factory=retention.Retention)
     refusals: list[messages.SlotRefused] = attrs.field(factory=list)
@@ -150,6 +166,7 @@
     if retry_after_s > 0.0:
         refuse(group, now, request, retry_after_s)
         return
+    note_length(group, request)
     retention.on_resume(group.retained, request.program)
     call_queue.add(group.queue, now, request, holder)
 
@@ -495,8 +512,9 @@
 ) -> float:
     """Returns how long to stay away, in seconds, or 0 to queue the call.
 
-    Refused are first calls of programs that could not start within their
-    whole target, and anything beyond the queue's bound.
+    Refused are first calls of programs whose calls together would wait for
+    longer than the program's whole target, and anything beyond the queue's
+    bound.
     """
     queue = group.queue
     if len(queue.waiting) >= MAX_WAITING:
@@ -506,11 +524,28 @@
     rate = service_rate(group.rate, now)
     if rate <= 0.0:
         return 0.0
-    limit_s = queue.targets.get(request.class_name, DEFAULT_WAIT_LIMIT_S)
+    target_s = queue.targets.get(request.class_name, DEFAULT_WAIT_LIMIT_S)
+    limit_s = target_s / length_of(group, request).calls
     if len(queue.waiting) / rate <= limit_s:
         return 0.0
     wait_s = call_queue.ahead(queue, now, request) / rate
-    return max(0.0, wait_s - limit_s)
+    if wait_s <= limit_s:
+        return 0.0
+    return max(MIN_RETRY_S, wait_s - limit_s)
+
+
+def length_of(
+    group: DispatchGroup, request: messages.SlotRequest
+) -> ProgramLength:
+    """Returns the length of programs of the request's class."""
+    return group.lengths.setdefault(request.class_name, ProgramLength())
+
+
+def note_length(group: DispatchGroup, request: messages.SlotRequest) -> None:
+    """Counts a call as the first of its program or a later one."""
+    length = length_of(group, request)
+    first = 1.0 if request.attained_s <= 0.0 else MIN_FIRST_SHARE
+    length.first_share += LENGTH_SMOOTHING * (first - length.first_share)
 
 
 def note_released(rate: ServiceRate, now: float) -> None:
