Split the refusal out of the scheduler

scheduler.py had grown to 672 lines; the service rate, the length of programs and the refusal are a module of their own now.

--- a/oleanderdrift/scheduler.py
+++ b/oleanderdrift/scheduler.py
@@ -23,6 +23,7 @@
 from oleanderdrift import health
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import overload
 from oleanderdrift import placement
 from oleanderdrift import policy
 from oleanderdrift import prefix_cache
@@ -31,47 +32,20 @@
 from oleanderdrift import window
 
 NO_UPSTREAM_RETRY_S: typing.Final = 1.0
-MAX_WAITING: typing.Final = 20_000
 MAX_HELD_PER_POLL: typing.Final = 64
-RATE_DECAY_S: typing.Final = 20.0
-MIN_RATE_CALLS: typing.Final = 5.0
-DEFAULT_WAIT_LIMIT_S: typing.Final = 60.0
 SMOOTHING: typing.Final = 0.05
-LENGTH_SMOOTHING: typing.Final = 0.01
-MIN_FIRST_SHARE: typing.Final = 0.005
-MIN_RETRY_S: typing.Final = 1.0
 # Longer than a load report lags and a granted call takes to arrive.
 LOST_RELEASE_S: typing.Final = 10.0
 
 Decision: typing.TypeAlias = messages.SlotGranted | messages.SlotRefused
 
 
-@attrs.define(kw_only=True)
-class ServiceRate:
-    """Decayed count of released calls, up to updated_at."""
-
-    calls: float = 0.0
-    updated_at: float = 0.0
-
-
-@attrs.define(kw_only=True)
-class ProgramLength:
-    """Moving share of a class's calls that are the first of a program."""
-
-    first_share: float = 1.0
-
-    @property
-    def calls(self) -> float:
-        """The calls that a program makes, in the mean."""
-        return 1.0 / self.first_share
-
-
 @attrs.define(kw_only=True)
 class DispatchGroup:
     """The state of one dispatch group at its home instance.
 
-    tokens is the expected output tokens of a call by class, lengths the
-    expected calls of a program; refusals wait for the next poll.
+    tokens is the expected output tokens of a call by class; refusals wait
+    for the next poll.
     """
 
     name: str
@@ -85,8 +59,7 @@
     )
     slots: dict[str, str] = attrs.field(factory=dict)
     tokens: dict[str, float] = attrs.field(factory=dict)
-    lengths: dict[str, ProgramLength] = attrs.field(factory=dict)
-    rate: ServiceRate = attrs.field(factory=ServiceRate)
+    demand: overload.Demand = attrs.field(factory=overload.Demand)
     retained: retention.Retention = attrs.field(factory=retention.Retention)
     refusals: list[messages.SlotRefused] = attrs.field(factory=list)
     wakeup_at: float | None = None
@@ -162,11 +135,15 @@
     if not has_upstream(group, request):
         refuse(group, now, request, NO_UPSTREAM_RETRY_S)
         return
-    retry_after_s = overload_s(group, now, request)
+    retry_after_s = 0.0
+    if group.rules.refusing:
+        retry_after_s = overload.retry_after_s(
+            group.demand, group.queue, now, request
+        )
     if retry_after_s > 0.0:
         refuse(group, now, request, retry_after_s)
         return
-    note_length(group, request)
+    overload.note_submitted(group.demand, request)
     retention.on_resume(group.retained, request.program)
     call_queue.add(group.queue, now, request, holder)
 
@@ -180,7 +157,7 @@
     if outstanding is None or replica is None:
         return
     placement.correct_backlog(replica, outstanding, released.cached_tokens)
-    note_released(group.rate, now)
+    overload.note_released(group.demand, now)
     note_health(group, now, replica, released.failed)
     if not released.failed:
         learn(group, now, replica, outstanding, released)
@@ -507,60 +484,6 @@
     )
 
 
-def overload_s(
-    group: DispatchGroup, now: float, request: messages.SlotRequest
-) -> float:
-    """Returns how long to stay away, in seconds, or 0 to queue the call.
-
-    Refused are first calls of programs whose calls together would wait for
-    longer than the program's whole target, and anything beyond the queue's
-    bound.
-    """
-    queue = group.queue
-    if len(queue.waiting) >= MAX_WAITING:
-        return DEFAULT_WAIT_LIMIT_S
-    if not group.rules.refusing or request.attained_s > 0.0:
-        return 0.0
-    rate = service_rate(group.rate, now)
-    if rate <= 0.0:
-        return 0.0
-    target_s = queue.targets.get(request.class_name, DEFAULT_WAIT_LIMIT_S)
-    limit_s = target_s / length_of(group, request).calls
-    if len(queue.waiting) / rate <= limit_s:
-        return 0.0
-    wait_s = call_queue.ahead(queue, now, request) / rate
-    if wait_s <= limit_s:
-        return 0.0
-    return max(MIN_RETRY_S, wait_s - limit_s)
-
-
-def length_of(
-    group: DispatchGroup, request: messages.SlotRequest
-) -> ProgramLength:
-    """Returns the length of programs of the request's class."""
-    return group.lengths.setdefault(request.class_name, ProgramLength())
-
-
-def note_length(group: DispatchGroup, request: messages.SlotRequest) -> None:
-    """Counts a call as the first of its program or a later one."""
-    length = length_of(group, request)
-    first = 1.0 if request.attained_s <= 0.0 else MIN_FIRST_SHARE
-    length.first_share += LENGTH_SMOOTHING * (first - length.first_share)
-
-
-def note_released(rate: ServiceRate, now: float) -> None:
-    """Counts a released call."""
-    decay = math.exp((rate.updated_at - now) / RATE_DECAY_S)
-    rate.calls = rate.calls * decay + 1.0
-    rate.updated_at = now
-
-
-def service_rate(rate: ServiceRate, now: float) -> float:
-    """Returns released calls per second, or 0 while too few are known."""
-    calls = rate.calls * math.exp((rate.updated_at - now) / RATE_DECAY_S)
-    return calls / RATE_DECAY_S if calls >= MIN_RATE_CALLS else 0.0
-
-
 def note_health(
     group: DispatchGroup,
     now: float,
