--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 demo: $(STAMP)
 	$(PY) -m standins.demo
+
+long: $(STAMP)
+	$(PY) -m pytest -m long -s
--- a/standins/client.py
+++ b/standins/client.py
@@ -125,10 +125,12 @@
     model: str,
     tokens: int,
     on_token: typing.Callable[[str], None] = lambda token: None,
+    idempotency_key: str = '',
 ) -> Stream:
     """Makes a streamed model call; takes it into the history if whole.
 
-    A refusal or a cut shows in the stream's error.
+    A refusal or a cut shows in the stream's error.  A repeat of a call
+    needs the first one's idempotency key.
     """
     messages = [*program.messages, {'role': 'user', 'content': question}]
     stream = Stream()
@@ -146,7 +148,7 @@
                 stream=True,
                 extra_headers={
                     **program.headers(program.calls + 1),
-                    'Idempotency-Key': uuid.uuid4().hex,
+                    'Idempotency-Key': idempotency_key or uuid.uuid4().hex,
                 },
             )
             take(stream, chunks, on_token)
--- a/tests/fleet_support.py
+++ b/tests/fleet_support.py
@@ -25,6 +25,7 @@
 LEASE_S: typing.Final = 2.0
 TAKEOVER_BOUND_S: typing.Final = 12.0
 PROBE_INTERVAL_S: typing.Final = 0.02
+RECORD_BOUND_S: typing.Final = 5.0
 READ_LIMIT: typing.Final = 10_000
 PLAN: typing.Final = fleet_state.Plan(
     settings={
@@ -116,10 +117,17 @@
     question: str,
     tokens: int = 8,
     on_token: typing.Callable[[str], None] = lambda token: None,
+    idempotency_key: str = '',
 ) -> client.Stream:
     """Makes a model call through a node."""
     return client.ask(
-        node.url, program, question, demo_config.MODEL, tokens, on_token
+        node.url,
+        program,
+        question,
+        demo_config.MODEL,
+        tokens,
+        on_token,
+        idempotency_key,
     )
 
 
@@ -131,10 +139,11 @@
 ) -> client.Stream:
     """Repeats a model call until it is answered, and rightly."""
     last = client.Stream()
+    key = new_key()
 
     def answered() -> bool:
         nonlocal last
-        last = ask(node, program, question)
+        last = ask(node, program, question, idempotency_key=key)
         return last.finished
 
     try:
@@ -227,23 +236,40 @@
     ]
 
 
+def recorded_messages(
+    running: fleet_state.Fleet, program: client.Program
+) -> list[dict[str, str]]:
+    """Returns a program's history as the log has it."""
+    calls = {
+        call.call: call.history for call in finished_calls(running, program)
+    }
+    return [
+        message
+        for call in sorted(calls)
+        if calls[call]
+        for message in json.loads(calls[call])
+    ]
+
+
 def check_history(running: fleet_state.Fleet, program: client.Program) -> None:
     """Asserts that the log holds the program's whole history, once."""
+    check_history_begins(running, program)
+    assert recorded_messages(running, program) == program.messages
+
+
+def check_history_begins(
+    running: fleet_state.Fleet, program: client.Program
+) -> None:
+    """Asserts that the log's history begins with the caller's."""
+    known = len(program.messages)
+
+    def recorded() -> bool:
+        return len(recorded_messages(running, program)) >= known
 
-    def recorded() -> list[dict[str, str]]:
-        calls = {
-            call.call: call.history
-            for call in finished_calls(running, program)
-        }
-        return [
-            message
-            for call in sorted(calls)
-            if calls[call]
-            for message in json.loads(calls[call])
-        ]
-
-    wait_until(lambda: len(recorded()) >= len(program.messages), 5)
-    assert recorded() == program.messages
+    if known:
+        wait_until(recorded, RECORD_BOUND_S)
+    found = recorded_messages(running, program)[:known]
+    assert found == program.messages, program.program_id
 
 
 def key_table(name: str, account: str, secret: str) -> str:
