--- a/tests/test_fleet_together.py
+++ b/tests/test_fleet_together.py
@@ -2,6 +2,8 @@
 
 import concurrent.futures
 
+import pytest
+
 from standins import fleet
 from standins import fleet_state
 from standins import processes
@@ -36,6 +38,7 @@
         fleet_support.restart(nine, owner)
 
 
+@pytest.mark.long
 def test_owner_frozen_in_a_log_outage(nine: fleet_state.Fleet) -> None:
     owner, other = nine.nodes['south-2'], nine.nodes['south-3']
     ledger = fleet_support.Ledger()
@@ -62,6 +65,7 @@
     ledger.check(fleet_support.runs(nine))
 
 
+@pytest.mark.long
 def test_owner_killed_behind_a_cut(nine: fleet_state.Fleet) -> None:
     owner, near = nine.nodes['south-1'], nine.nodes['south-2']
     far = nine.nodes['north-1']
