--- a/oleanderdrift/instance_client.py
+++ b/oleanderdrift/instance_client.py
@@ -20,17 +20,26 @@
     PEER_UNREACHABLE if no answer comes, else what the instance says.
     """
     quoted = urllib.parse.quote(name, safe='')
-    await _post(
-        f'{base_url.rstrip("/")}/v1/operator/keys/{quoted}/withdraw', token
-    )
+    path = f'/v1/operator/keys/{quoted}/withdraw'
+    await _call(base_url, token, 'POST', path)
+
+
+async def read_status(base_url: str, token: str) -> dict[str, typing.Any]:
+    """Returns what an instance says of itself and the fleet.
+
+    Raises ResultError as withdraw_key does.
+    """
+    return await _call(base_url, token, 'GET', '/v1/status')
 
 
-async def _post(url: str, token: str) -> None:
+async def _call(
+    base_url: str, token: str, method: str, path: str
+) -> dict[str, typing.Any]:
     client = curl_httpclient.CurlAsyncHTTPClient(force_instance=True)
     request = httpclient.HTTPRequest(
-        url,
-        method='POST',
-        body=b'',
+        base_url.rstrip('/') + path,
+        method=method,
+        body=b'' if method == 'POST' else None,
         headers={'Authorization': f'Bearer {token}'},
         connect_timeout=TIMEOUT_S,
         request_timeout=TIMEOUT_S,
@@ -38,9 +47,9 @@
     )
     try:
         response = await client.fetch(request, raise_error=False)
+        answer = dict(msgspec.json.decode(response.body))
         if response.code == 200:
-            return
-        answer = msgspec.json.decode(response.body)
+            return answer
         code = codes.TABLE[answer['error']['code']]
         detail = str(answer['error']['message'])
     except (
@@ -51,7 +60,8 @@
         ValueError,
     ) as error:
         raise errors.ResultError(
-            codes.PEER_UNREACHABLE, f'no valid answer from {url}: {error!r}'
+            codes.PEER_UNREACHABLE,
+            f'no valid answer from {base_url}{path}: {error!r}',
         ) from error
     finally:
         client.close()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -110,6 +110,7 @@
     assert listed['sha256_start'] == digest[:12]
     stored = log_service.app.frame.requests
     assert all(row['key'] not in one.body for one in stored)
+    assert not cli.app.pretty_exceptions_enable
     operator.run('key', 'withdraw', row['name'])
     assert operator.json('key', 'list') == []
     assert operator.json('account', 'list')[0]['keys'] == 0
@@ -121,10 +122,12 @@
     def post(self, name: str) -> None:
         """Takes the key `tablet` and the token `right` alone."""
         token = self.request.headers['Authorization']
-        if (name, token) != ('tablet', 'Bearer right'):
-            self.set_status(403)
-            error = errors.ResultError(codes.OPERATOR_ONLY)
-            self.finish(http_in.error_body(error))
+        if (name, token) == ('tablet', 'Bearer right'):
+            self.finish({'withdrawn': name})
+            return
+        self.set_status(403)
+        error = errors.ResultError(codes.OPERATOR_ONLY)
+        self.finish(http_in.error_body(error))
 
 
 @pytest.mark.parametrize(
@@ -150,6 +153,22 @@
     assert asyncio.run(withdraw()) is expected
 
 
+def test_status_is_a_table_for_each_list(
+    operator: Operator, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    found = {'ready': True, 'members': [{'port': 7, 'name': 'n1'}], 'x': []}
+
+    async def read_status(url: str, token: str) -> dict[str, typing.Any]:
+        assert (url, token) == ('http://i', 't')
+        return found
+
+    monkeypatch.setattr(instance_client, 'read_status', read_status)
+    words = ('status', '--instance', 'http://i', '--token', 't')
+    assert operator.json(*words) == found
+    lines = operator.run(*words).splitlines()
+    assert lines[-6:] == ['members', 'name  port', 'n1    7', '', 'x', 'none']
+
+
 def test_lost_configuration_is_restored_from_an_export(
     operator: Operator,
     file: pathlib.Path,
