Run owners under random faults, and prove the replay

Cause: the promises held in single tests; nothing showed them under interleavings of pauses, cuts, lost and late appends and takeovers.

A property test compares the replay of the records, with copies of re-sent batches, to the owner's own state.

--- a/Makefile
+++ b/Makefile
@@ -32,5 +32,12 @@
 demo: $(STAMP)
 	$(PY) -m standins.demo
 
+# SEED=n repeats a run; without it a new seed is drawn and printed.
+SEED ?= $(shell date +%s)
+LONG_EXAMPLES ?= 5000
+
 long: $(STAMP)
 	$(PY) -m pytest -m long -s
+	@echo seed=$(SEED)
+	PROMISES_EXAMPLES=$(LONG_EXAMPLES) PROMISES_STRIDE=1 \
+	$(PY) -m pytest tests/test_promises.py --hypothesis-seed=$(SEED)
--- a/oleanderdrift/ledger.py
+++ b/oleanderdrift/ledger.py
@@ -30,10 +30,13 @@
 
 @attrs.define(kw_only=True)
 class Budget:
-    """What a root program and its sub-agents may use, and have used."""
+    """What a root program and its sub-agents may use, and have used.
+
+    active_at is not compared: the log knows no begin of idempotent calls.
+    """
 
     created_at: float
-    active_at: float
+    active_at: float = attrs.field(eq=False)
     target_s: float
     max_calls: int
     max_tokens: int
--- a/oleanderdrift/programs.py
+++ b/oleanderdrift/programs.py
@@ -496,10 +496,13 @@
     call = program.open
     if call is None:
         return Decision(reply=messages.Done())
-    record = _finished(program, call, now, message)
-    not_run = message.execution is codes.Execution.NOT_RUN
-    ledger_lib.apply(ledger, record)
-    records = () if not_run and call.idempotent else (record,)
+    records: tuple[messages.Message, ...] = ()
+    if message.execution is codes.Execution.NOT_RUN and call.idempotent:
+        # It left no trace, so the log need not know of it.
+        ledger_lib.close_call(program)
+    else:
+        records = (_finished(program, call, now, message),)
+        ledger_lib.apply(ledger, records[0])
     releases: tuple[Release, ...] = ()
     if program.ended_code is not None:
         releases = _released(program.program, (message.upstream,)).releases
--- /dev/null
+++ b/tests/owner_fleet.py
@@ -0,0 +1,362 @@
+"""Instances that own programs, joined by a log that delays and loses.
+
+Only the log, the peers' messages and the upstreams are stood in for; the
+instances are the product's keepers and ledgers.
+"""
+
+import collections
+import random
+import typing
+
+import attrs
+
+from oleanderdrift import codec
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import ledger as ledger_lib
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import programs
+from oleanderdrift import shard_keeper
+
+LEASE_S: typing.Final = 10.0
+CLASS: typing.Final = model.ProgramClass(
+    name='plan', target_s=60.0, max_calls=6, max_tokens=60
+)
+ACCOUNT: typing.Final = 'acme'
+COMMIT, READY, SENT, DONE = range(4)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Append:
+    """An append under way; it may land late, and its answer get lost."""
+
+    node: 'Node'
+    stream: str
+    record: messages.Message
+    on_answer: typing.Callable[[], None]
+    on_failure: typing.Callable[[], None]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Op:
+    """A call that an instance has admitted."""
+
+    node: 'Node'
+    serial: int
+    begin: messages.BeginCall
+    grant: messages.CallGranted
+    upstream: str
+    needs: int
+    must_commit: bool
+    state: int = COMMIT
+
+
+@attrs.define(kw_only=True, eq=False)
+class Node:
+    """One incarnation of an instance with its own clock."""
+
+    name: str
+    rate: float
+    shift: float
+    keeper: shard_keeper.Keeper
+    entries: list[tuple[str, int, messages.Message]] = attrs.field(
+        factory=list
+    )
+    written: int = 0
+    committed: int = 0
+    committing: bool = False
+    reading: list[shard_keeper.TakeOver] = attrs.field(factory=list)
+
+    def write(self, decision: programs.Decision) -> None:
+        """Queues a decision's records for the group commit."""
+        for record in decision.records:
+            shard = ledger_lib.shard_of(record.program)
+            epoch = self.keeper.ledger.shards[shard].epoch
+            self.entries.append((shard, epoch, record))
+            self.written += 1
+
+
+@attrs.define(kw_only=True, eq=False)
+class Fleet:
+    """The world: the log's streams, what is under way, what was seen."""
+
+    now: float = 1_000.0
+    incarnations: int = 0
+    nodes: list[Node] = attrs.field(factory=list)
+    streams: dict[str, list[messages.Message]] = attrs.field(
+        factory=lambda: {'fleet': [], 'programs': []}
+    )
+    appends: list[Append] = attrs.field(factory=list)
+    late: list[Append] = attrs.field(factory=list)
+    asks: list[tuple[Node, shard_keeper.AskPromise]] = attrs.field(
+        factory=list
+    )
+    ops: list[Op] = attrs.field(factory=list)
+    serials: int = 0
+    runs: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    not_run: dict[str, int] = attrs.field(factory=dict)
+    newest: dict[str, tuple[int, int]] = attrs.field(factory=dict)
+    used: dict[str, set[str]] = attrs.field(factory=dict)
+    released: dict[str, set[str]] = attrs.field(factory=dict)
+    unrecorded: set[str] = attrs.field(factory=set)
+
+    def start(self, name: str, rate: float) -> None:
+        """Starts a new incarnation of an instance."""
+        self.incarnations += 1
+        keeper = shard_keeper.make(
+            instance=name,
+            data_centre='dc',
+            lease_s=LEASE_S,
+            unix_s=self.now + self.incarnations,
+            rng=random.Random(self.incarnations),
+            ledger=programs.Ledger(),
+        )
+        keeper.fleet.next_offset = 1
+        shift = 1e4 * self.incarnations
+        node = Node(name=name, rate=rate, shift=shift, keeper=keeper)
+        self.nodes.append(node)
+
+    def kill(self, node: Node) -> None:
+        """Ends an incarnation and starts the next of its name."""
+        self.nodes.remove(node)
+        self.ops = [op for op in self.ops if op.node is not node]
+        self.late += [one for one in self.appends if one.node is node]
+        self.appends = [a for a in self.appends if a.node is not node]
+        self.start(node.name, node.rate)
+
+    def clock(self, node: Node) -> float:
+        """Returns a node's monotonic time."""
+        return self.now * node.rate + node.shift
+
+    def read(self, node: Node) -> None:
+        """Lets a node read all of the fleet stream."""
+        fleet = node.keeper.fleet
+        for offset in range(fleet.next_offset, len(self.streams['fleet']) + 1):
+            record = self.streams['fleet'][offset - 1]
+            shard_keeper.on_fleet_record(
+                node.keeper, self.clock(node), offset, record
+            )
+
+    def step(self, node: Node) -> None:
+        """Lets a node's keeper act, and its group commit send."""
+        actions = shard_keeper.step(
+            node.keeper,
+            self.clock(node),
+            log_answers=True,
+            durable=not node.entries,
+        )
+        for action in actions:
+            match action:
+                case shard_keeper.AppendFleet():
+                    self.append(node, 'fleet', action.record)
+                case shard_keeper.AskPromise():
+                    self.asks.append((node, action))
+                case shard_keeper.TakeOver():
+                    self.fence(node, action)
+        self.flush(node)
+
+    def append(
+        self,
+        node: Node,
+        stream: str,
+        record: messages.Message,
+        on_answer: typing.Callable[[], None] = lambda: None,
+        on_failure: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Sends an append."""
+        self.appends.append(
+            Append(
+                node=node,
+                stream=stream,
+                record=record,
+                on_answer=on_answer,
+                on_failure=on_failure,
+            )
+        )
+
+    def fence(self, node: Node, action: shard_keeper.TakeOver) -> None:
+        """Sends a takeover's fence."""
+        self.append(
+            node,
+            'programs',
+            action.fence,
+            on_answer=lambda: self.take_over(node, action),
+            on_failure=lambda: shard_keeper.takeover_failed(
+                node.keeper, action
+            ),
+        )
+
+    def take_over(self, node: Node, action: shard_keeper.TakeOver) -> None:
+        """Folds a shard up to the fence and serves it."""
+        stream = self.streams['programs']
+        upto = stream.index(action.fence)
+        found = programs.replay(stream[:upto], [action.shard])
+        decision = shard_keeper.finish_takeover(
+            node.keeper, self.now, action, found
+        )
+        if decision is not None:
+            node.write(decision)
+
+    def flush(self, node: Node) -> None:
+        """Sends what waits as one batch, one batch at a time."""
+        if node.committing or not node.entries:
+            return
+        node.committing = True
+        batch = list(node.entries)
+
+        def on_answer() -> None:
+            node.committing = False
+            node.committed += len(batch)
+            del node.entries[: len(batch)]
+
+        def on_failure() -> None:
+            node.committing = False
+
+        records = tuple(
+            codec.encode(
+                messages.ShardRecords(
+                    shard=shard, epoch=epoch, records=(codec.encode(one),)
+                )
+            )
+            for shard, epoch, one in batch
+        )
+        record = messages.Batch(records=records)
+        self.append(node, 'programs', record, on_answer, on_failure)
+
+    def land(self, one: Append, *, answered: bool) -> None:
+        """Lands an append; an answer that is lost counts as a failure."""
+        self.appends.remove(one)
+        self.streams[one.stream].append(one.record)
+        if answered:
+            one.on_answer()
+        else:
+            one.on_failure()
+
+    def lose(self, one: Append) -> None:
+        """Fails an append that may land later."""
+        self.appends.remove(one)
+        self.late.append(one)
+        one.on_failure()
+
+    def land_late(self, one: Append) -> None:
+        """Lands an append whose sender gave it up."""
+        self.late.remove(one)
+        self.streams[one.stream].append(one.record)
+
+    def deliver(self, asked: tuple[Node, shard_keeper.AskPromise]) -> None:
+        """Passes a request for a promise to the peer and back."""
+        self.asks.remove(asked)
+        asker, action = asked
+        for node in self.nodes:
+            if node.name != action.instance:
+                continue
+            try:
+                reply = shard_keeper.on_promise_request(
+                    node.keeper, self.clock(node), action.request
+                )
+            except errors.ResultError:
+                continue
+            shard_keeper.on_promise(asker.keeper, reply)
+
+    def serve(
+        self, nodes: typing.Iterable[Node], *, log: bool, peers: bool = True
+    ) -> None:
+        """Lets nodes act, and the log and the peers where they work."""
+        for node in list(nodes):
+            if log:
+                self.read(node)
+            self.step(node)
+            for asked in [a for a in self.asks if a[0] is node]:
+                if peers:
+                    self.deliver(asked)
+                else:
+                    self.asks.remove(asked)
+            for one in [a for a in self.appends if a.node is node]:
+                if log:
+                    self.land(one, answered=True)
+                else:
+                    self.lose(one)
+            if log:
+                self.read(node)
+
+    def create(self, node: Node) -> str:
+        """Starts a program."""
+        shard = shard_keeper.shard_for_new(node.keeper, self.clock(node))
+        message = messages.CreateProgram(
+            client_account=ACCOUNT, class_name='plan'
+        )
+        decision = programs.create(
+            node.keeper.ledger, self.now, shard, message, CLASS
+        )
+        node.write(decision)
+        assert isinstance(decision.reply, messages.ProgramStarted)
+        return decision.reply.program
+
+    def begin(
+        self, node: Node, message: messages.BeginCall, upstream: str
+    ) -> codes.Result | None:
+        """Asks a node to admit a call; returns the code of a refusal."""
+        shard = ledger_lib.shard_of(message.program)
+        try:
+            epoch = shard_keeper.epoch_of(node.keeper, self.clock(node), shard)
+        except errors.ResultError as error:
+            return self.refuse(
+                message, programs.unanswered(message, error).code
+            )
+        decision = programs.begin(node.keeper.ledger, self.now, epoch, message)
+        node.write(decision)
+        if isinstance(decision.reply, messages.Failed):
+            return self.refuse(message, codes.TABLE[decision.reply.code])
+        if isinstance(decision.reply, messages.CallGranted):
+            self.admit(node, message, decision, upstream)
+        return None
+
+    def admit(
+        self,
+        node: Node,
+        message: messages.BeginCall,
+        decision: programs.Decision,
+        upstream: str,
+    ) -> None:
+        """Notes an admitted call and the upstream it goes to."""
+        grant = decision.reply
+        placed = programs.place(
+            node.keeper.ledger,
+            self.now,
+            messages.CallPlaced(
+                program=grant.program,
+                call=grant.call,
+                attempt=grant.attempt,
+                fencing_token=grant.fencing_token,
+                upstream=upstream,
+            ),
+        )
+        node.write(placed)
+        self.serials += 1
+        self.ops.append(
+            Op(
+                node=node,
+                serial=self.serials,
+                begin=message,
+                grant=grant,
+                upstream=upstream,
+                needs=node.written,
+                must_commit=decision.commit_first or placed.commit_soon,
+            )
+        )
+
+    def refuse(
+        self, message: messages.BeginCall, code: codes.Result
+    ) -> codes.Result:
+        """Checks an answer that says "not run"."""
+        if code.execution is codes.Execution.NOT_RUN:
+            self.note_not_run(message)
+        return code
+
+    def note_not_run(self, message: messages.BeginCall) -> None:
+        """Notes that a call was answered "not run"."""
+        if message.idempotent:
+            return
+        assert not self.runs[message.idempotency_key], message
+        self.not_run[message.idempotency_key] = self.serials
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -3,12 +3,15 @@
 import typing
 
 import attrs
+import hypothesis
+from hypothesis import strategies
 import pytest
 
 from oleanderdrift import codec
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift import invariants
+from oleanderdrift import ledger as ledger_lib
 from oleanderdrift import messages
 from oleanderdrift import model
 from oleanderdrift import programs
@@ -291,6 +294,52 @@
     assert reply.code == code.number
 
 
+CHOICES: typing.Final = (
+    CREATE,
+    attrs.evolve(CREATE, parent='s.1'),
+    FINISH,
+    *(
+        attrs.evolve(step, program=program)
+        for program in ('s.1', 's.2')
+        for step in (BEGIN, TOOL, SECOND, END, LOST, NOT_RUN, END_2)
+    ),
+)
+
+
+@hypothesis.given(
+    steps=strategies.lists(
+        strategies.sampled_from(CHOICES), min_size=10, max_size=40
+    ),
+    copies=strategies.lists(strategies.integers(0, 39), max_size=5),
+)
+@hypothesis.settings(derandomize=True, database=None, max_examples=100)
+def test_replay_reaches_the_owners_state(
+    steps: list[Step], copies: list[int]
+) -> None:
+    live = programs.Ledger()
+    programs.hold_shard(live, 's', EPOCH)
+    stream = []
+    for number, step in enumerate([CREATE, *steps]):
+        for record in run(live, step, now=NOW + number).records:
+            data = (codec.encode(record),)
+            stream.append(
+                messages.ShardRecords(shard='s', epoch=EPOCH, records=data)
+            )
+    for copy in copies:
+        number = copy % (len(stream) + 1)
+        # An append whose answer was lost is sent again, from its start.
+        stream[number:number] = stream[max(0, number - 3) : number]
+    found = programs.replay(stream, ['s'])
+    for ledger in (live, found):
+        programs.hold_shard(ledger, 's', EPOCH)
+        for program in ledger.shards['s'].programs.values():
+            if program.open is not None and program.open.idempotent:
+                ledger_lib.close_call(program)
+            elif program.open is not None:
+                program.open.fencing_token = EPOCH
+    assert found == live
+
+
 def test_history_digest_chains() -> None:
     whole = programs.history_digest([b'a', b'b', b'c'])
     first = programs.history_digest([b'a'])
