--- a/oleanderdrift/share_loans.py
+++ b/oleanderdrift/share_loans.py
@@ -22,7 +22,7 @@
 MAX_WAIT_S: typing.Final = 0.25
 ASK_TIMEOUT_S: typing.Final = 0.05
 AVOID_S: typing.Final = 5.0
-MAX_ASKS: typing.Final = 8
+MAX_ASKS: typing.Final = 3
 RETURN_AFTER_S: typing.Final = 0.75
 HORIZON_S: typing.Final = 0.5
 LOW_WATER_S: typing.Final = 0.1
--- a/oleanderdrift/share_parts.py
+++ b/oleanderdrift/share_parts.py
@@ -118,18 +118,13 @@
     sender: str,
     message: messages.PartLent,
 ) -> None:
-    """Puts a borrowed part to use.
-
-    It goes out of use early enough for all tokens lent of it to be void
-    when its lender counts on it again.
-    """
+    """Puts a borrowed part to use."""
     ask = shares.asks.get(message.loan)
     if ask is None or ask.lender != sender:
         return
     del shares.asks[message.loan]
     bucket = shares.buckets.get(ask.account)
-    use_s = share_state.PART_S - share_state.LOAN_S
-    ends_s = ask.sent_s + use_s * (1.0 - share_state.CLOCK_DRIFT)
+    ends_s = _use_ends_s(ask, now)
     if bucket is None or now >= ends_s:
         return
     share_state.refill(bucket, now)
@@ -147,6 +142,16 @@
     share_state.clip(bucket)
 
 
+def _use_ends_s(ask: share_state.Ask, now: float) -> float:
+    """Returns until when a part may be used.
+
+    All tokens lent of it are then void when its lender counts on it
+    again.
+    """
+    use_s = share_state.PART_S - share_state.LOAN_S
+    return ask.sent_s + use_s * (1.0 - share_state.CLOCK_DRIFT)
+
+
 def tick(
     shares: share_state.Shares, now: float, accounts: share_state.Accounts
 ) -> list[outbound.Send]:
--- a/tests/test_share_fleet.py
+++ b/tests/test_share_fleet.py
@@ -20,6 +20,7 @@
 from oleanderdrift import share_ledger
 from oleanderdrift import share_loans
 from oleanderdrift import share_moves
+from oleanderdrift import share_parts
 from oleanderdrift import share_state
 
 ACCOUNTS: typing.Final = {
@@ -211,6 +212,24 @@
         fleet.run(fleet.now + 0.3)
 
 
+def get_parts_late(fleet: share_fleet.Fleet) -> None:
+    """A home is paused while its parts come and can then renew none."""
+    node = fleet.nodes['a']
+    chosen = share_parts.home(node.state, fleet.clock(node), ACCOUNTS['small'])
+    home = str(chosen).partition('#')[0]
+    fleet.delay_s = (0.01, 0.01)
+    for _ in range(2):
+        fleet.request(home, 'small')
+    fleet.nodes[home].paused = True
+    fleet.run(fleet.now + 4.5)
+    fleet.loss = 1.0
+    fleet.thaw(home)
+    fleet.run(fleet.now + 6.0)
+    for name in fleet.nodes:
+        fleet.request(name, 'small')
+    fleet.run(fleet.now + 0.3)
+
+
 def close_a_part_lender(fleet: share_fleet.Fleet) -> None:
     """A holder whose part the home uses closes; another gains its units."""
     fleet.run(fleet.now + 20.0)
@@ -292,6 +311,10 @@
     patch.setattr(share_loans, '_loan_ends_s', lambda ask, now: now + 2.0)
 
 
+def off_part_count_from_ask(patch: Patch) -> None:
+    patch.setattr(share_parts, '_use_ends_s', lambda ask, now: now + 8.0)
+
+
 Scene: typing.TypeAlias = collections.abc.Callable[[share_fleet.Fleet], None]
 Switch: typing.TypeAlias = collections.abc.Callable[[Patch], None]
 
@@ -301,6 +324,7 @@
     (pause_past_the_lease, off_lease),
     (cut_off_a_holder, off_reclaim_wait),
     (gather_parts, off_part_out),
+    (get_parts_late, off_part_count_from_ask),
     (close_a_part_lender, off_gain_wait),
     (cut_off_a_donor, off_donor_lowering),
 ]
@@ -317,3 +341,50 @@
     lacking = make_fleet(1)
     scene(lacking)
     assert flood(lacking) > 0
+
+
+def held_by(fleet: share_fleet.Fleet, name: str) -> int:
+    """Returns the units that an instance has in use."""
+    return sum(fleet.nodes[name].state.active.values())
+
+
+def restart(fleet: share_fleet.Fleet) -> None:
+    """An instance crashes and starts again at its address."""
+    del fleet.nodes['a']
+    fleet.run(fleet.now + 1.0)
+    fleet.join('a', 'dc0', '1')
+
+
+def leave(fleet: share_fleet.Fleet) -> None:
+    """An instance closes and goes."""
+    node = fleet.nodes['a']
+    for record in share_moves.close(node.planner, node.state):
+        fleet.append(record)
+    fleet.run(fleet.now + 1.0)
+    del fleet.nodes['a']
+
+
+def be_lost(fleet: share_fleet.Fleet) -> None:
+    """An instance is lost; its lease lapses."""
+    del fleet.nodes['a']
+    for _ in range(5):
+        fleet.jump(share_state.LEASE_S * 0.3)
+        fleet.run(fleet.now + 20.0)
+
+
+def be_retired(fleet: share_fleet.Fleet) -> None:
+    """An instance is lost and an operator says so."""
+    del fleet.nodes['a']
+    state = fleet.nodes['b'].state
+    fleet.log.extend(share_moves.retire(state, 'a', 'operator'))
+
+
+@pytest.mark.parametrize('scene', [restart, leave, be_lost, be_retired])
+def test_units_of_the_gone_are_in_use_again(scene: Scene) -> None:
+    fleet = make_fleet(1)
+    scene(fleet)
+    fleet.run(fleet.now + 45.0)
+    units = [held_by(fleet, name) for name in fleet.nodes]
+    assert sum(units) == share_ledger.SLOTS * share_ledger.UNITS
+    assert min(units) > 0
+    assert flood(fleet) == 0
