--- a/oleanderdrift/placement.py
+++ b/oleanderdrift/placement.py
@@ -23,7 +23,7 @@
 DEFAULT_TOKENS: typing.Final = 128.0
 HOLD_MAX_S: typing.Final = 15.0
 # Computing a prompt slows down every call in the batch.
-PREFILL_HARM: typing.Final = 0.5
+PREFILL_HARM: typing.Final = 2.0
 HOLD_GAIN: typing.Final = 1.0
 
 
