Prove that a thawed owner without the log serves nothing

Cause: with the lease check turned off (may_serve always true) the proof of an owner frozen past its lease still passed: on waking it reads the takeover from the log before it decides.

The relay gives each instance its own links to the platform, so one can be cut from it alone. The owner is cut, frozen until another has taken over, and thawed while still cut; it must refuse a call that would fork the history, and a dispatch.

Run with the lease check off: failed, the stale call was answered. With it: passed.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -52,17 +52,8 @@
 
 
 def plan_nodes(fleet: fleet_state.Fleet) -> None:
-    """Gives every instance its addresses and settings."""
+    """Gives every instance its addresses, links and settings."""
     for row, place in enumerate(fleet.plan.data_centres, start=1):
-        platform = {}
-        for part, process in (
-            ('log', fleet.log),
-            ('list', fleet.standins[f'list-{place}']),
-        ):
-            port = open_link(
-                fleet, f'{place}/{part}', process.address, process.port
-            )
-            platform[f'{part}_url'] = f'http://{RELAY_ADDRESS}:{port}'
         for number in range(1, fleet.plan.instances_each + 1):
             name = f'{place}-{number}'
             address = f'127.0.{row}.{number}'
@@ -75,7 +66,27 @@
                 settings_path=fleet.folder / f'{name}.toml',
             )
             fleet.nodes[name] = node
-            fleet_config.write_settings(fleet, node, platform)
+            fleet_config.write_settings(fleet, node, platform(fleet, node))
+
+
+def platform(
+    fleet: fleet_state.Fleet, node: fleet_state.Node
+) -> dict[str, str]:
+    """Returns a node's platform settings, over links of its own."""
+    listing = fleet.standins[f'list-{node.data_centre}']
+    urls = {}
+    for part, process in (('log', fleet.log), ('list', listing)):
+        link = f'{node.data_centre}/{node.name}/{part}'
+        port = open_link(fleet, link, process.address, process.port)
+        urls[f'{part}_url'] = f'http://{RELAY_ADDRESS}:{port}'
+    return urls
+
+
+def cut_from_platform(
+    fleet: fleet_state.Fleet, node: fleet_state.Node
+) -> None:
+    """Cuts one node from the log and the list, not from its peers."""
+    set_cut(fleet, [f'{node.data_centre}/{node.name}/'])
 
 
 def register(fleet: fleet_state.Fleet, node: fleet_state.Node) -> None:
--- a/tests/test_fleet_owner.py
+++ b/tests/test_fleet_owner.py
@@ -4,11 +4,13 @@
 import signal
 import threading
 
+import attrs
 import pytest
 
 from oleanderdrift import codes
 from standins import client
 from standins import demo_config
+from standins import fleet
 from standins import fleet_state
 from standins import processes
 from tests import fleet_support
@@ -162,6 +164,31 @@
         fleet_support.ask_until_answered(owner, program, 'thawed')
 
 
+def test_thawed_owner_without_the_log_serves_nothing(
+    nine: fleet_state.Fleet,
+) -> None:
+    owner, other = nine.nodes['south-1'], nine.nodes['south-2']
+    ledger = fleet_support.Ledger()
+    program = fleet_support.start_program(owner)
+    fleet_support.ask_until_answered(owner, program, 'before')
+    stale = attrs.evolve(program, messages=list(program.messages))
+    fleet.cut_from_platform(nine, owner)
+    owner.running.freeze()
+    try:
+        fleet_support.ask_until_answered(other, program, 'taken over')
+        owner.running.thaw()
+        forked = fleet_support.ask(owner, stale, 'a fork')
+        assert not forked.finished and forked.code, forked
+        answer = ledger.dispatch(owner.url, stale, fleet_support.new_key())
+        assert answer is not None and answer.execution == 'not-run', answer
+    finally:
+        owner.running.thaw()
+        fleet.set_cut(nine, [])
+    fleet_support.ask_until_answered(owner, program, 'after')
+    fleet_support.check_history(nine, program)
+    ledger.check(fleet_support.runs(nine))
+
+
 def test_program_started_just_before_its_owner_is_killed(
     nine: fleet_state.Fleet,
 ) -> None:
