Race operators from one version, so that the proof can fail

Now four sessions read the same version, then publish at once; exactly one must be accepted, the rest get a conflict, and the verdicts show at nine instances.

--- a/tests/test_fleet_config.py
+++ b/tests/test_fleet_config.py
@@ -1,10 +1,14 @@
 """Proofs on real processes: configuration, keys and racing operators."""
 
+import asyncio
 import concurrent.futures
 import threading
 import typing
 
 from oleanderdrift import codes
+from oleanderdrift import config_admin
+from oleanderdrift import log_client
+from oleanderdrift import model
 from standins import client
 from standins import demo_config
 from standins import fleet_config
@@ -60,32 +64,46 @@
     assert seen > 1
 
 
-def test_racing_operators_get_true_verdicts(nine: fleet_state.Fleet) -> None:
-    secrets = [f'od-race-{number}' for number in range(4)]
+async def race(url: str, secrets: list[str]) -> list[config_admin.Outcome]:
+    """Lets operators who have read the same version issue one key each."""
+    clients = [log_client.LogClient(url) for _ in secrets]
+    sessions = [
+        config_admin.Session(client=one, author='racer') for one in clients
+    ]
+    await asyncio.gather(*map(config_admin.refresh, sessions))
+    changes = [
+        config_admin.change_of(
+            session,
+            fleet_support.new_key(),
+            model.Kind.KEY,
+            'raced',
+            model.ApiKey(
+                name='raced',
+                client_account='museum',
+                sha256=demo_config.sha256(secret),
+            ),
+        )
+        for session, secret in zip(sessions, secrets, strict=True)
+    ]
+    outcomes = await asyncio.gather(
+        *map(config_admin.publish, sessions, changes)
+    )
+    for one in clients:
+        one.close()
+    return list(outcomes)
 
-    def publish(secret: str) -> typing.Any:
-        path = nine.folder / f'{secret}.toml'
-        path.write_text(fleet_support.key_table('raced', 'museum', secret))
-        return fleet_config.outcome(nine, 'config', 'publish', str(path))
 
-    with concurrent.futures.ThreadPoolExecutor(len(secrets)) as pool:
-        outcomes = [x[0] for x in pool.map(publish, secrets)]
-    accepted = {
-        outcome['offset']: secret
-        for secret, outcome in zip(secrets, outcomes, strict=True)
-        if outcome['verdict'] == 'accepted'
-    }
-    refused = [x for x in outcomes if x['verdict'] != 'accepted']
-    assert accepted
-    assert {x['code'] for x in refused} <= {codes.CONFIG_CONFLICT.number}
-    history = fleet_config.command(nine, 'config', 'history')
-    judged = {x['offset']: x['verdict'] for x in history}
-    assert all(judged[x['offset']] == x['verdict'] for x in outcomes)
-    winner = accepted[max(accepted)]
-    fleet_support.await_everywhere(nine.nodes.values(), winner, True)
-    for secret in secrets:
-        if secret != winner:
-            fleet_support.await_everywhere(nine.nodes.values(), secret, False)
+def test_racing_operators_get_true_verdicts(nine: fleet_state.Fleet) -> None:
+    secrets = [f'od-race-{number}' for number in range(4)]
+    outcomes = asyncio.run(race(nine.log.url, secrets))
+    verdicts = [outcome.verdict for outcome in outcomes]
+    assert [one.accepted for one in verdicts].count(True) == 1
+    refused = {one.code for one in verdicts if not one.accepted}
+    assert refused == {codes.CONFIG_CONFLICT}
+    for secret, verdict in zip(secrets, verdicts, strict=True):
+        fleet_support.await_everywhere(
+            nine.nodes.values(), secret, verdict.accepted
+        )
     fleet_config.command(nine, 'key', 'withdraw', 'raced')
 
 
