--- /dev/null
+++ b/bench/stream_path.py
@@ -0,0 +1,243 @@
+"""What one instance adds to streams at its share of the target size.
+
+30 requests and 13,000 tokens a second go through a real instance, and
+then the same straight to the upstream.  The figures are the differences
+of the 95th percentiles, and the processor time of the instance.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import json
+import os
+import pathlib
+import random
+import re
+import tempfile
+import time
+import typing
+
+import attrs
+
+from bench import figure
+from standins import fleet
+from standins import fleet_config
+from standins import fleet_state
+from standins import processes
+
+REQUESTS_PER_S: typing.Final = 30
+TOKENS_PER_S: typing.Final = 13_000
+TOKENS: typing.Final = TOKENS_PER_S // REQUESTS_PER_S
+STREAMS: typing.Final = int(TOKENS_PER_S * 0.075)
+UPSTREAM_NAMES: typing.Final = 160
+RAMP_S: typing.Final = 8.0
+MEASURE_S: typing.Final = 15.0
+SEED: typing.Final = 7
+FIRST_TOKEN_BOUND_MS: typing.Final = 31.0
+BETWEEN_BOUND_MS: typing.Final = 3.75
+NS_PER_MS: typing.Final = 1e6
+STAMP: typing.Final = re.compile(rb'"content":"(\d+)"')
+
+CONFIG: typing.Final = """
+[account.load]
+rate_per_s = 1000.0
+burst = 2000
+[class.planning]
+target_s = 600.0
+[model.guide]
+"""
+
+
+@attrs.define(kw_only=True)
+class Samples:
+    """What the clients saw, in milliseconds, while measuring."""
+
+    measuring: bool = False
+    first: list[float] = attrs.field(factory=list)
+    between: list[float] = attrs.field(factory=list)
+    delays: list[float] = attrs.field(factory=list)
+    failed: int = 0
+    open: int = 0
+
+
+class Client(asyncio.Protocol):
+    """One streamed request."""
+
+    def __init__(self, request: bytes, samples: Samples) -> None:
+        self.request = request
+        self.samples = samples
+        self.started_ns = time.monotonic_ns()
+        self.last_ns = 0
+        self.whole = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the request."""
+        self.transport = typing.cast(asyncio.Transport, transport)
+        self.started_ns = time.monotonic_ns()
+        self.transport.write(self.request)
+        self.samples.open += 1
+
+    def data_received(self, data: bytes) -> None:
+        """Notes the tokens that have come."""
+        now_ns = time.monotonic_ns()
+        stamps = STAMP.findall(data)
+        if stamps and self.samples.measuring:
+            self.note(now_ns, int(stamps[-1]))
+        if stamps:
+            self.last_ns = now_ns
+        if b'[DONE]' in data:
+            self.whole = True
+            self.transport.close()
+
+    def note(self, now_ns: int, sent_ns: int) -> None:
+        """Takes one token into the samples."""
+        self.samples.delays.append((now_ns - sent_ns) / NS_PER_MS)
+        if self.last_ns:
+            gap_ns = now_ns - self.last_ns
+            self.samples.between.append(gap_ns / NS_PER_MS)
+        else:
+            self.samples.first.append((now_ns - self.started_ns) / NS_PER_MS)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Counts streams that ended early."""
+        self.samples.open -= 1
+        self.samples.failed += not self.whole
+
+
+def request_bytes(key: str, tokens: int) -> bytes:
+    """Returns a whole HTTP request."""
+    body = json.dumps(
+        {
+            'model': 'guide',
+            'stream': True,
+            'max_tokens': tokens,
+            'messages': [{'role': 'user', 'content': 'plan the week ' * 40}],
+        }
+    ).encode()
+    return (
+        b'POST /v1/chat/completions HTTP/1.1\r\nHost: bench\r\n'
+        b'Content-Type: application/json\r\nOleander-Program: new\r\n'
+        b'Oleander-Class: planning\r\n'
+        b'Authorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s'
+        % (key.encode(), len(body), body)
+    )
+
+
+async def load(address: str, port: int, key: str) -> Samples:
+    """Runs the load against one port and returns what was seen."""
+    samples = Samples()
+    rng = random.Random(SEED)
+    loop = asyncio.get_running_loop()
+
+    async def one(tokens: int) -> None:
+        with contextlib.suppress(OSError):
+            await loop.create_connection(
+                lambda: Client(request_bytes(key, tokens), samples),
+                address,
+                port,
+            )
+
+    for _ in range(STREAMS):
+        await one(rng.randint(1, TOKENS))
+        await asyncio.sleep(RAMP_S / STREAMS / 2)
+    end = time.monotonic() + RAMP_S / 2 + MEASURE_S
+    due = time.monotonic()
+    while due < end:
+        samples.measuring = due > end - MEASURE_S
+        await one(TOKENS)
+        due += 1 / REQUESTS_PER_S
+        await asyncio.sleep(max(0.0, due - time.monotonic()))
+    samples.measuring = False
+    return samples
+
+
+def cpu_s(pid: int) -> float:
+    """Returns the processor time of a process, in seconds."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
+    return (int(fields[13]) + int(fields[14])) / os.sysconf('SC_CLK_TCK')
+
+
+def upstreams(url: str) -> str:
+    """Returns the configuration of the token server under many names."""
+    tables = [
+        f'[upstream.tokens-{number}]\ndata_centre = "north"\n'
+        f'url = "{url}"\nmodels = ["guide"]\n'
+        for number in range(UPSTREAM_NAMES)
+    ]
+    return ''.join(tables)
+
+
+@contextlib.contextmanager
+def token_server() -> collections.abc.Iterator[processes.Process]:
+    """Runs the token server until the block ends."""
+    with tempfile.TemporaryDirectory(prefix='bench-') as folder:
+        started = processes.start(
+            'tokens', ['-m', 'bench.token_server'], pathlib.Path(folder)
+        )
+        try:
+            processes.await_listening(started)
+            yield started
+        finally:
+            processes.end_all([started])
+
+
+def figures() -> list[figure.Figure]:
+    """Runs the load through an instance and straight."""
+    plan = fleet_state.Plan(
+        data_centres=('north',), instances_each=1, engine_speeds=()
+    )
+    with (
+        token_server() as server,
+        fleet.running(plan, lambda _: CONFIG + upstreams(server.url)) as run,
+    ):
+        issued = fleet_config.command(run, 'key', 'issue', 'load')
+        node = next(iter(run.nodes.values()))
+        while status_offset(node.url) < issued[0]['offset']:
+            pass
+        pid = node.running.child.pid
+        before_s, started = cpu_s(pid), time.monotonic()
+        through = asyncio.run(
+            load(node.address, node.http_port, issued[0]['key'])
+        )
+        used_s = cpu_s(pid) - before_s
+        elapsed_s = time.monotonic() - started
+        straight = asyncio.run(load(server.address, server.port, 'none'))
+    return _compare(through, straight, used_s / elapsed_s)
+
+
+def status_offset(url: str) -> int:
+    """Returns the configuration offset in force at an instance."""
+    return int(processes.call('GET', f'{url}/v1/status')['config_offset'])
+
+
+def _compare(
+    through: Samples, straight: Samples, cores: float
+) -> list[figure.Figure]:
+    def added(name: str, bound: float, field: str) -> figure.Figure:
+        baseline = figure.percentile(getattr(straight, field), 95)
+        value = figure.percentile(getattr(through, field), 95)
+        return figure.Figure(
+            name=f'stream_path.{name}',
+            unit='ms',
+            value=value - baseline,
+            baseline=baseline,
+            bound=bound,
+        )
+
+    return [
+        added('first_token_added_p95', FIRST_TOKEN_BOUND_MS, 'first'),
+        added('between_tokens_added_p95', BETWEEN_BOUND_MS, 'between'),
+        added('token_delay_added_p95', BETWEEN_BOUND_MS, 'delays'),
+        figure.Figure(
+            name='stream_path.tokens_per_s',
+            unit='1/s',
+            value=len(through.delays) / MEASURE_S,
+            baseline=len(straight.delays) / MEASURE_S,
+        ),
+        figure.Figure(
+            name='stream_path.failed', unit='', value=through.failed, bound=0
+        ),
+        figure.Figure(
+            name='stream_path.instance_cores', unit='cores', value=cores
+        ),
+    ]
