--- a/bench/shares.py
+++ b/bench/shares.py
@@ -13,9 +13,9 @@
 
 from bench import figure
 from bench import share_fleet
+from bench import static_shares
 from oleanderdrift import errors
 from oleanderdrift import model
-from oleanderdrift import shares
 
 SEEDS: typing.Final = (11, 12, 13)
 COST_SEED: typing.Final = 11
@@ -148,7 +148,8 @@
     fleet.delay_s = site.delay_s
     names = sorted(fleet.nodes)
     split = {
-        name: shares.Shares(instance=name, fraction=1 / 9) for name in names
+        name: static_shares.Shares(instance=name, fraction=1 / 9)
+        for name in names
     }
     static = dict.fromkeys(fleet.accounts, 0)
     for due_s, place in _arrivals(rng, fleet.now, accounts):
@@ -159,7 +160,7 @@
         account = accounts[place]
         fleet.request(name, account.name)
         try:
-            shares.admit(split[name], due_s, account)
+            static_shares.admit(split[name], due_s, account)
             static[account.name] += 1
         except errors.ResultError:
             continue
--- a/oleanderdrift/shares.py
+++ b/bench/static_shares.py
@@ -1,4 +1,4 @@
-"""Admits requests within each client account's rate and burst.
+"""The baseline for accounts' limits: a fixed split between instances.
 
 A token bucket of each client account holds this instance's fraction of
 the account's rate and burst.  The fractions of all instances add up to at
--- a/oleanderdrift/blackboard.py
+++ b/oleanderdrift/blackboard.py
@@ -13,7 +13,7 @@
 from oleanderdrift import programs
 from oleanderdrift import scheduler
 from oleanderdrift import settings as settings_lib
-from oleanderdrift import shares
+from oleanderdrift import share_state
 
 
 @attrs.define(kw_only=True)
@@ -37,7 +37,7 @@
 
     settings: settings_lib.Settings
     members: membership.Members
-    shares: shares.Shares
+    shares: share_state.Shares
     config: model.Config = attrs.field(factory=model.Config)
     ledger: programs.Ledger = attrs.field(factory=programs.Ledger)
     groups: dict[str, scheduler.DispatchGroup] = attrs.field(factory=dict)
--- a/oleanderdrift/calls.py
+++ b/oleanderdrift/calls.py
@@ -98,6 +98,7 @@
     first_token_s: float = 0.0
     answer: conversation.ChatAnswer | None = None
     stream: http_out.Stream | None = None
+    placed: asyncio.Task[None] | None = None
 
 
 @attrs.define(kw_only=True)
@@ -289,6 +290,8 @@
     call.attempt = attempt
     failed = False
     try:
+        if call.service.idempotent:
+            return await _place_beside(calls, call, attempt, answer)
         await _place(calls, call, upstream)
         return await _exchange(calls, call, attempt, answer)
     except errors.ResultError as error:
@@ -359,6 +362,22 @@
     )
 
 
+async def _place_beside(
+    calls: Calls, call: Call, attempt: Attempt, answer: Answer
+) -> Result:
+    """Lets the owner note the upstream while the call is on its way.
+
+    Nothing of the answer goes out before the owner has noted it.
+    """
+    attempt.placed = asyncio.get_running_loop().create_task(
+        _place(calls, call, attempt.upstream)
+    )
+    try:
+        return await _exchange(calls, call, attempt, answer)
+    finally:
+        attempt.placed.cancel()
+
+
 def _upstream_request(
     calls: Calls, call: Call, upstream: model.Upstream
 ) -> http_out.UpstreamRequest:
@@ -396,6 +415,8 @@
     attempt.stream = stream
     try:
         await stream.start()
+        if attempt.placed is not None:
+            await attempt.placed
         chat = call.service.chat
         if chat is not None and chat.stream and stream.status in SUCCESS:
             return await _stream(calls, call, attempt, answer)
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -8,6 +8,7 @@
 import signal
 import time
 import typing
+import uuid
 
 import attrs
 import msgspec
@@ -42,9 +43,18 @@
 from oleanderdrift import settings as settings_lib
 from oleanderdrift import shard_feed
 from oleanderdrift import shard_keeper
-from oleanderdrift import shares
+from oleanderdrift import share_feed
+from oleanderdrift import share_state
 
 DRAIN_POLL_S: typing.Final = 0.05
+_INCARNATION_DIGITS: typing.Final = 8
+_SHARE_MESSAGES: typing.Final = (
+    messages.BorrowTokens,
+    messages.TokensLent,
+    messages.TokensReturned,
+    messages.BorrowPart,
+    messages.PartLent,
+)
 _DISPATCH_KINDS: typing.Final = (
     model.Kind.UPSTREAM,
     model.Kind.CLASS,
@@ -91,6 +101,7 @@
         loop.add_signal_handler(number, stop.set)
     start(daemon)
     await daemon.feed.caught_up.wait()
+    await daemon.front.shares.settled.wait()
     logs.info(
         'ready',
         instance=settings.instance.name,
@@ -148,6 +159,14 @@
         upstreams=upstreams,
         random=random.Random(),
     )
+    share = share_feed.ShareFeed(
+        board=board,
+        shares=board.shares,
+        client=log,
+        random=random.Random(),
+        send=lambda name, message: _send_to(daemon, name, message),
+        live=lambda: _live(board),
+    )
     front = http_in.Front(
         board=board,
         calls=calls,
@@ -155,6 +174,7 @@
         metrics=metrics_lib.Metrics(),
         status=lambda: _status(daemon),
         feed=feed,
+        shares=share,
         withdraw=lambda name: config_exchange.withdraw(
             feed, name, peers.send, _addresses(board)
         ),
@@ -204,7 +224,13 @@
     return blackboard.Board(
         settings=settings,
         members=membership.Members(this=this),
-        shares=shares.Shares(instance=this.name, fraction=1.0),
+        shares=share_state.new(
+            instance=this.name,
+            data_centre=this.data_centre,
+            address=f'{this.address}:{this.peer_port}',
+            incarnation=uuid.uuid4().hex[:_INCARNATION_DIGITS],
+            rng=random.Random(),
+        ),
     )
 
 
@@ -262,6 +288,9 @@
             daemon.peers.send,
             lambda: _addresses(daemon.board),
         ),
+        share_feed.follow(daemon.front.shares),
+        share_feed.tick(daemon.front.shares),
+        share_feed.plan(daemon.front.shares),
         shard_feed.follow(daemon.shards),
         shard_feed.run(daemon.shards),
     ]
@@ -278,6 +307,7 @@
         await asyncio.sleep(DRAIN_POLL_S)
     while daemon.commit.entries and time.monotonic() < deadline:
         await asyncio.sleep(DRAIN_POLL_S)
+    await share_feed.close(daemon.front.shares)
     if not daemon.commit.entries:
         await _release_shards(daemon)
     daemon.server.stop()
@@ -341,6 +371,9 @@
 async def _on_peer(
     daemon: Daemon, sender: str, message: messages.Message
 ) -> messages.Message | None:
+    if isinstance(message, _SHARE_MESSAGES):
+        share_feed.on_peer(daemon.front.shares, sender, message)
+        return None
     match message:
         case messages.SlotRequest():
             return await dispatch_lib.wait_for_slot(
@@ -413,6 +446,17 @@
             call.abort()
 
 
+def _live(board: blackboard.Board) -> set[str]:
+    members = membership.alive(board.members, time.monotonic())
+    return {member.name for member in members}
+
+
+def _send_to(daemon: Daemon, name: str, message: messages.Message) -> None:
+    member = daemon.board.members.listed.get(name)
+    if member is not None:
+        daemon.peers.send(dispatch_lib.peer_address(member), message)
+
+
 def _addresses(board: blackboard.Board) -> list[str]:
     """Returns the peer addresses of the live instances but this one."""
     members = membership.alive(board.members, time.monotonic())
@@ -463,7 +507,7 @@
             members=tuple(membership.alive(board.members, now)),
             upstreams=tuple(board.config.upstreams.values()),
             classes=tuple(board.config.classes.values()),
-            share=board.shares.fraction,
+            share=share_feed.fraction(daemon.front.shares),
             open_calls=len(board.open_calls),
             programs=sum(
                 len(shard.programs) for shard in board.ledger.shards.values()
--- a/oleanderdrift/group_commit.py
+++ b/oleanderdrift/group_commit.py
@@ -1,12 +1,15 @@
 """Group commit: many records of one instance in one append.
 
-Records that come within an interval go to the log in one Batch.  An
+Records that come within an interval go to the log in one Batch, so that
+an instance makes at most one append an interval.  An
 append that failed is tried again with the same records; the fold drops
 the copy when both took effect, since every record is idempotent there.
 """
 
 import asyncio
 import collections.abc
+import math
+import time
 import typing
 
 import attrs
@@ -44,6 +47,7 @@
         self.ready = asyncio.Event()
         self.appends = 0
         self.failing = False
+        self.appended_at = -math.inf
 
     def add(
         self, shard: str, epoch: int, record: messages.Message
@@ -62,12 +66,16 @@
         """Appends batches for ever; cancelled by the daemon."""
         while True:
             await self.ready.wait()
-            await asyncio.sleep(self.interval_s)
+            # The first record after a pause goes at once; those that come
+            # close behind it share the next append.
+            since_s = time.monotonic() - self.appended_at
+            await asyncio.sleep(max(0.0, self.interval_s - since_s))
             self.ready.clear()
             await self._append_all()
 
     async def _append_all(self) -> None:
         while self.entries:
+            self.appended_at = time.monotonic()
             batch = _first_batch(self.entries)
             offset = await self._append_until_taken(batch)
             del self.entries[: len(batch)]
--- a/oleanderdrift/http_in.py
+++ b/oleanderdrift/http_in.py
@@ -42,7 +42,7 @@
 from oleanderdrift import metrics
 from oleanderdrift import model
 from oleanderdrift import owner_client as owner_client_lib
-from oleanderdrift import shares
+from oleanderdrift import share_feed
 
 CHAT_PATH: typing.Final = '/v1/chat/completions'
 NEW_PROGRAM: typing.Final = 'new'
@@ -63,6 +63,7 @@
     metrics: metrics.Metrics
     status: Status
     feed: config_feed.ConfigFeed
+    shares: share_feed.ShareFeed
     withdraw: Withdraw
 
 
@@ -204,12 +205,12 @@
             key=key,
         )
 
-    def admit(self, caller: Caller) -> None:
+    async def admit(self, caller: Caller) -> None:
         """Spends one request of the client account's rate."""
         account = self.front.board.config.accounts.get(caller.client_account)
         if account is None:
             raise errors.ResultError(codes.UNKNOWN_KEY)
-        shares.admit(self.front.board.shares, time.monotonic(), account)
+        await share_feed.admit(self.front.shares, account)
 
     async def guard(self, work: collections.abc.Awaitable[None]) -> None:
         """Runs the work of a request and answers what it raises."""
@@ -313,7 +314,7 @@
         )
         self.front.metrics.observe(
             caller.client_account,
-            self.request.headers.get('Oleander-Class', ''),
+            class_of(result.grant),
             time.monotonic() - self.started,
         )
         self.front.metrics.count_result(caller.client_account, codes.OK)
@@ -407,6 +408,11 @@
         return len(data)
 
 
+def class_of(grant: messages.CallGranted | messages.CallReplayed) -> str:
+    """Returns the class of a call's program, '' where it is not known."""
+    return grant.class_name if isinstance(grant, messages.CallGranted) else ''
+
+
 def call_number(headers: httputil.HTTPHeaders) -> int:
     """Returns the call's place from the headers, 0 for the next."""
     text = headers.get('Oleander-Call', '0')
@@ -447,7 +453,7 @@
 
     async def _chat(self) -> None:
         caller = self.identify()
-        self.admit(caller)
+        await self.admit(caller)
         body = self.body()
         chat = conversation.parse_request(body)
         if chat.model not in self.front.board.config.models:
@@ -482,7 +488,7 @@
         caller = Caller()
         if not route.open_to_all:
             caller = self.identify()
-            self.admit(caller)
+            await self.admit(caller)
         await self.run_call(self._service(route), caller)
 
     def _service(self, route: model.Route) -> calls_lib.Service:
@@ -508,7 +514,7 @@
 
     async def _post(self) -> None:
         caller = self.identify()
-        self.admit(caller)
+        await self.admit(caller)
         try:
             asked = msgspec.json.decode(self.body(), type=NewProgram)
         except msgspec.MsgspecError as error:
@@ -552,6 +558,7 @@
     def get(self) -> None:
         """Answers 200 while the instance takes new requests."""
         ready = self.front.feed.caught_up.is_set()
+        ready = ready and self.front.shares.settled.is_set()
         ready = ready and not self.front.board.draining
         self.set_status(200 if ready else 503)
         self.finish('ready\n' if ready else 'not ready\n')
--- a/oleanderdrift/programs.py
+++ b/oleanderdrift/programs.py
@@ -193,7 +193,7 @@
     )
     ledger_lib.apply(ledger, record)
     reply = messages.ProgramStarted(program=record.program)
-    return Decision(reply=reply, records=(record,))
+    return Decision(reply=reply, records=(record,), commit_soon=True)
 
 
 def _held_shard(ledger: Ledger, shard: str) -> ledger_lib.Shard:
--- /dev/null
+++ b/oleanderdrift/share_feed.py
@@ -0,0 +1,185 @@
+"""Runs an instance's shares of the accounts' limits against the fleet.
+
+Follows the `shares` stream, appends what share_moves decides, carries
+share_loans' messages to and from peers, and lets requests wait for it.
+"""
+
+import asyncio
+import collections.abc
+import itertools
+import random
+import time
+import typing
+
+import attrs
+
+from oleanderdrift import blackboard
+from oleanderdrift import codec
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import log_client
+from oleanderdrift import logs
+from oleanderdrift import messages
+from oleanderdrift import model
+from oleanderdrift import share_ledger
+from oleanderdrift import share_loans
+from oleanderdrift import share_moves
+from oleanderdrift import share_state
+
+STREAM: typing.Final = 'shares'
+BATCH_RECORDS: typing.Final = 500
+WAIT_S: typing.Final = 3.0
+RETRY_S: typing.Final = 0.5
+TICK_S: typing.Final = 0.02
+PLAN_S: typing.Final = 0.25
+
+Send: typing.TypeAlias = collections.abc.Callable[
+    [str, messages.Message], None
+]
+Live: typing.TypeAlias = collections.abc.Callable[[], set[str]]
+
+
+@attrs.define(kw_only=True)
+class ShareFeed:
+    """The adapter of one instance's shares.
+
+    send carries a message to an instance by name; live names those that
+    are alive.  waiting holds the requests that wait for tokens.
+    """
+
+    board: blackboard.Board
+    shares: share_state.Shares
+    client: log_client.LogClient
+    random: random.Random
+    send: Send
+    live: Live
+    planner: share_moves.Planner = attrs.field(factory=share_moves.Planner)
+    tickets: typing.Iterator[int] = attrs.field(factory=itertools.count)
+    waiting: dict[int, asyncio.Future[None]] = attrs.field(factory=dict)
+    next_offset: int = 0
+    settled: asyncio.Event = attrs.field(factory=asyncio.Event)
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+
+async def admit(feed: ShareFeed, account: model.ClientAccount) -> None:
+    """Spends a token of the account, waiting a short time for a loan.
+
+    Raises ResultError(RATE_EXCEEDED).
+    """
+    ticket = next(feed.tickets)
+    decision = share_loans.request(
+        feed.shares, time.monotonic(), account, ticket
+    )
+    _post(feed, decision.sends)
+    match decision:
+        case share_loans.Refused():
+            raise _exceeded(decision.retry_after_s)
+        case share_loans.Borrow():
+            future: asyncio.Future[None] = (
+                asyncio.get_running_loop().create_future()
+            )
+            feed.waiting[ticket] = future
+            await future
+
+
+def _exceeded(retry_after_s: float) -> errors.ResultError:
+    return errors.ResultError(codes.RATE_EXCEEDED, retry_after_s=retry_after_s)
+
+
+def on_peer(feed: ShareFeed, sender: str, message: messages.Message) -> None:
+    """Takes in a peer message about tokens."""
+    accounts = feed.board.config.accounts
+    outcome = share_loans.receive(
+        feed.shares, time.monotonic(), sender, message, accounts
+    )
+    _follow(feed, outcome)
+
+
+def _follow(feed: ShareFeed, outcome: share_loans.Outcome) -> None:
+    for ticket in outcome.admitted:
+        future = feed.waiting.pop(ticket, None)
+        if future is not None and not future.done():
+            future.set_result(None)
+    for ticket in outcome.refused:
+        future = feed.waiting.pop(ticket, None)
+        if future is not None and not future.done():
+            future.set_exception(_exceeded(outcome.retry_after_s))
+    _post(feed, outcome.sends)
+
+
+def _post(
+    feed: ShareFeed, sends: collections.abc.Iterable[share_state.Send]
+) -> None:
+    for send in sends:
+        feed.send(send.to, send.message)
+
+
+async def follow(feed: ShareFeed) -> typing.NoReturn:
+    """Reads the stream for good; returns only by cancellation."""
+    while True:
+        wait_s = WAIT_S if feed.settled.is_set() else 0.0
+        try:
+            result = await feed.client.read(
+                STREAM, feed.next_offset, BATCH_RECORDS, wait_s
+            )
+        except errors.ResultError:
+            await asyncio.sleep(feed.random.uniform(0.5, 1) * RETRY_S)
+            continue
+        _fold(feed, result)
+        if not result.records and not feed.settled.is_set():
+            await asyncio.sleep(TICK_S)
+
+
+def _fold(feed: ShareFeed, result: log_client.ReadResult) -> None:
+    now = time.monotonic()
+    for entry in result.records:
+        feed.next_offset = entry.offset + 1
+        try:
+            record = codec.decode(entry.data)
+            share_state.fold(feed.shares, now, entry.offset, record)
+        except (codec.CodecError, errors.ResultError) as error:
+            logs.warning(
+                'shares-record-refused', offset=entry.offset, detail=error
+            )
+    feed.next_offset = max(feed.next_offset, result.next_offset)
+    if share_state.usable(feed.shares, now):
+        feed.settled.set()
+
+
+async def tick(feed: ShareFeed) -> typing.NoReturn:
+    """Ends what time ends, for good."""
+    while True:
+        await asyncio.sleep(TICK_S)
+        accounts = feed.board.config.accounts
+        outcome = share_loans.tick(feed.shares, time.monotonic(), accounts)
+        _follow(feed, outcome)
+
+
+async def plan(feed: ShareFeed) -> typing.NoReturn:
+    """Appends what is due, for good."""
+    while True:
+        records = share_moves.plan(
+            feed.planner, feed.shares, time.monotonic(), feed.live()
+        )
+        for record in records:
+            await _append(feed, record)
+        await asyncio.sleep(PLAN_S)
+
+
+async def _append(feed: ShareFeed, record: messages.Message) -> None:
+    try:
+        await feed.client.append(STREAM, codec.encode(record))
+    except errors.ResultError as error:
+        logs.info('shares-append-failed', code=error.code.number)
+
+
+async def close(feed: ShareFeed) -> None:
+    """Gives all units up, for a shutdown."""
+    for record in share_moves.close(feed.planner, feed.shares):
+        await _append(feed, record)
+
+
+def fraction(feed: ShareFeed) -> float:
+    """Returns the part of all accounts' limits that is in use here."""
+    total = share_ledger.SLOTS * share_ledger.UNITS
+    return sum(feed.shares.active.values()) / total
--- a/oleanderdrift/share_state.py
+++ b/oleanderdrift/share_state.py
@@ -213,6 +213,8 @@
     Raises ResultError(INVARIANT_BROKEN) where units would not add up.
     """
     before = dict(_ledger_units(shares))
+    # Before the first holder of all, nobody can have made a loan.
+    is_first = offset == share_ledger.FIRST_OFFSET
     share_ledger.fold(shares.ledger, offset, record)
     if isinstance(record, messages.SharesSnapshot):
         shares.last_snapshot = offset
@@ -221,7 +223,7 @@
     _note_own_renewal(shares, record)
     _resolve_pending_move(shares)
     after = _ledger_units(shares)
-    active_s = now + GAIN_WAIT_S
+    active_s = now if is_first else now + GAIN_WAIT_S
     for slot, units in after.items():
         gained = units - before.get(slot, 0)
         if gained > 0:
--- a/tests/test_shares.py
+++ b/tests/test_static_shares.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from bench import static_shares as shares
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift import model
-from oleanderdrift import shares
 
 ACCOUNT = model.ClientAccount(name='a', rate_per_s=4.0, burst=8)
 
