--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -36,9 +36,11 @@
 from oleanderdrift import messages
 from oleanderdrift import metrics as metrics_lib
 from oleanderdrift import model
+from oleanderdrift import outbound
 from oleanderdrift import owner as owner_lib
 from oleanderdrift import owner_client as owner_client_lib
 from oleanderdrift import peers as peers_lib
+from oleanderdrift import probes
 from oleanderdrift import releases as releases_lib
 from oleanderdrift import settings as settings_lib
 from oleanderdrift import shard_feed
@@ -47,6 +49,7 @@
 from oleanderdrift import share_state
 
 DRAIN_POLL_S: typing.Final = 0.05
+PROBE_TICK_S: typing.Final = 0.1
 _INCARNATION_DIGITS: typing.Final = 8
 _SHARE_MESSAGES: typing.Final = (
     messages.BorrowTokens,
@@ -80,6 +83,7 @@
     releases: releases_lib.Releases
     front: http_in.Front
     server: httpserver.HTTPServer
+    prober: probes.Prober
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
 
@@ -207,6 +211,7 @@
         releases=releases,
         front=front,
         server=_server(settings, front),
+        prober=probes.Prober(rng=random.Random()),
     )
     feed.listeners.append(lambda change: _on_change(daemon, change))
     feed.withdrawal_listeners.append(lambda key: _end_calls(board, key.sha256))
@@ -280,6 +285,7 @@
         config_feed.follow(daemon.feed),
         daemon.commit.run(),
         _follow_list(daemon),
+        _probe(daemon),
         dispatch_lib.poll_load(daemon.dispatch),
         owner_lib.run(daemon.owner),
         config_exchange.run(
@@ -301,6 +307,7 @@
 async def drain(daemon: Daemon) -> None:
     """Leaves the balancer's check and lets every open call end."""
     daemon.board.draining = True
+    probes.leave(daemon.prober, daemon.board.members)
     logs.info('draining', open_calls=len(daemon.board.open_calls))
     deadline = time.monotonic() + daemon.board.settings.limits.shutdown_s
     while daemon.board.open_calls and time.monotonic() < deadline:
@@ -346,10 +353,29 @@
         await asyncio.sleep(interval_s)
 
 
+async def _probe(daemon: Daemon) -> None:
+    members = daemon.board.members
+    before = _live(daemon.board)
+    while True:
+        await asyncio.sleep(PROBE_TICK_S)
+        sends = probes.tick(daemon.prober, members, time.monotonic())
+        _post(daemon, sends)
+        live = _live(daemon.board)
+        if before - live:
+            logs.info('instances-gone', names=','.join(sorted(before - live)))
+            dispatch_lib.on_members(daemon.dispatch, before - live)
+        before = live
+
+
+def _post(daemon: Daemon, sends: list[outbound.Send]) -> None:
+    for send in sends:
+        _send_to(daemon, send.to, send.message)
+
+
 def _on_list(daemon: Daemon, listed: list[list_client.ListedInstance]) -> None:
     now = time.monotonic()
     members = daemon.board.members
-    before = {member.name for member in membership.alive(members, now)}
+    before = set(members.listed)
     fresh = [
         membership.Member(
             name=entry.name,
@@ -364,13 +390,24 @@
     membership.update(members, now, fresh)
     gone = before - set(members.listed) - {members.this.name}
     if gone:
-        dispatch_lib.on_members(daemon.dispatch, gone)
         owner_lib.on_members(daemon.owner, gone)
 
 
 async def _on_peer(
     daemon: Daemon, sender: str, message: messages.Message
 ) -> messages.Message | None:
+    if isinstance(message, messages.Probe | messages.ProbeAnswer):
+        _post(
+            daemon,
+            probes.receive(
+                daemon.prober,
+                daemon.board.members,
+                time.monotonic(),
+                sender,
+                message,
+            ),
+        )
+        return None
     if isinstance(message, _SHARE_MESSAGES):
         share_feed.on_peer(daemon.front.shares, sender, message)
         return None
--- a/oleanderdrift/dispatch.py
+++ b/oleanderdrift/dispatch.py
@@ -23,8 +23,8 @@
 from oleanderdrift import peers
 from oleanderdrift import scheduler
 
-HOME_TRIES: typing.Final = 3
-RETRY_S: typing.Final = 0.25
+HOME_TRIES: typing.Final = 4
+AVOID_S: typing.Final = 10.0
 MIN_WAKEUP_S: typing.Final = 0.001
 LOAD_INTERVAL_S: typing.Final = 1.0
 LOAD_PATH: typing.Final = '/v1/load'
@@ -34,11 +34,16 @@
 
 @attrs.define(kw_only=True)
 class Dispatch:
-    """The dispatch controller of one instance."""
+    """The dispatch controller of one instance.
+
+    avoided names instances that did not answer, and until when they are
+    not taken for a home.
+    """
 
     board: blackboard.Board
     peers: peers.Peers
     upstreams: http_out.Upstreams
+    avoided: dict[str, float] = attrs.field(factory=dict)
     timers: dict[str, asyncio.TimerHandle] = attrs.field(factory=dict)
     pending: dict[str, asyncio.Future[_Decision]] = attrs.field(factory=dict)
 
@@ -83,7 +88,7 @@
         except errors.ResultError as error:
             if error.code is not codes.PEER_UNREACHABLE:
                 raise
-            await asyncio.sleep(RETRY_S)
+            dispatch.avoided[home.name] = time.monotonic() + AVOID_S
             continue
         if isinstance(decision, messages.SlotGranted):
             return decision
@@ -96,8 +101,22 @@
 
 
 def _home(dispatch: Dispatch, service: str) -> membership.Member:
+    now = time.monotonic()
     members = dispatch.board.members
-    return membership.home(members, time.monotonic(), f'group {service}')
+    for name in [n for n, until in dispatch.avoided.items() if until <= now]:
+        del dispatch.avoided[name]
+    key = f'group {service}'
+    if not dispatch.avoided:
+        return membership.home(members, now, key)
+    answering = [
+        member
+        for member in membership.alive(members, now)
+        if member.name not in dispatch.avoided
+    ]
+    return max(
+        answering or [members.this],
+        key=lambda member: membership.weight(member.name, key),
+    )
 
 
 async def _ask(
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -279,6 +279,11 @@
     """An answer that carries nothing but success."""
 
 
+@attrs.frozen(kw_only=True)
+class Ping:
+    """Asks whether a peer still runs; it is answered at once."""
+
+
 @attrs.frozen(kw_only=True)
 class Failed:
     """An answer that carries a result code."""
@@ -729,6 +734,7 @@
     61: SlotGranted,
     62: SlotRefused,
     63: SlotReleased,
+    64: Ping,
     100: ReadConfig,
     101: ConfigRecords,
     102: ConfigState,
--- a/oleanderdrift/peers.py
+++ b/oleanderdrift/peers.py
@@ -2,8 +2,9 @@
 
 One ROUTER socket takes what peers send; one DEALER socket for each peer
 sends and gets the replies.  A message names its sender and a request has
-a correlation id.  A reply to a request that has timed out goes to
-on_late, so that what it granted can be given back.  Every link has
+a correlation id.  A peer that takes its time over a reply is pinged, so that
+one that has stopped is found long before the request's own time-out.  A
+reply to a request that has timed out goes to on_late, so that what it granted can be given back.  Every link has
 heartbeats, and a link that went silent is closed and replaced by a new
 connection.
 """
@@ -11,6 +12,8 @@
 import asyncio
 import collections.abc
 import itertools
+import math
+import time
 import typing
 
 import attrs
@@ -26,6 +29,8 @@
 HEARTBEAT_INTERVAL_MS: typing.Final = 1_000
 HEARTBEAT_TIMEOUT_MS: typing.Final = 3_000
 HIGH_WATER_MARK: typing.Final = 10_000
+PING_AFTER_S: typing.Final = 0.5
+PING_TIMEOUT_S: typing.Final = 0.5
 _ID_BYTES: typing.Final = 8
 _ONE_WAY: typing.Final = bytes(_ID_BYTES)
 
@@ -47,6 +52,7 @@
     waiting: dict[bytes, asyncio.Future[messages.Message]] = attrs.field(
         factory=dict
     )
+    heard_at: float = -math.inf
 
 
 class Peers:
@@ -94,6 +100,22 @@
         the peer's own ResultError where it answered with Failed.
         """
         link = self._link(address)
+        deadline_s = time.monotonic() + timeout_s
+        try:
+            reply = await self._exchange(link, message, deadline_s)
+        except TimeoutError as error:
+            self._drop_silent(link)
+            raise errors.ResultError(
+                codes.PEER_UNREACHABLE, f'no reply from {address}'
+            ) from error
+        if isinstance(reply, messages.Failed):
+            raise _error(reply)
+        return reply
+
+    async def _exchange(
+        self, link: Link, message: messages.Message, deadline_s: float
+    ) -> messages.Message:
+        """Awaits a reply; pings a peer that takes its time over it."""
         correlation = next(self.correlation).to_bytes(_ID_BYTES, 'big')
         future: asyncio.Future[messages.Message] = (
             asyncio.get_running_loop().create_future()
@@ -101,18 +123,24 @@
         link.waiting[correlation] = future
         try:
             self._send(link, correlation, message)
-            reply = await asyncio.wait_for(future, timeout_s)
-        except TimeoutError as error:
-            self._drop_silent(link)
-            raise errors.ResultError(
-                codes.PEER_UNREACHABLE, f'no reply from {address}'
-            ) from error
+            while True:
+                left_s = deadline_s - time.monotonic()
+                done, _ = await asyncio.wait(
+                    {future}, timeout=min(left_s, PING_AFTER_S)
+                )
+                if done:
+                    return future.result()
+                if left_s <= PING_AFTER_S:
+                    raise TimeoutError
+                await self._ping(link)
         finally:
             link.waiting.pop(correlation, None)
 
-        if isinstance(reply, messages.Failed):
-            raise _error(reply)
-        return reply
+    async def _ping(self, link: Link) -> None:
+        deadline_s = time.monotonic() + PING_TIMEOUT_S
+        if time.monotonic() < link.heard_at + PING_AFTER_S:
+            return
+        await self._exchange(link, messages.Ping(), deadline_s)
 
     def send(self, address: str, message: messages.Message) -> None:
         """Sends a message that wants no reply; it may be lost."""
@@ -155,6 +183,7 @@
 
     def _on_reply(self, link: Link, frames: list[bytes]) -> None:
         correlation, data = frames
+        link.heard_at = time.monotonic()
         message = codec.decode(data)
         future = link.waiting.get(correlation)
         if future is None or future.done():
@@ -170,7 +199,10 @@
     async def _answer(self, frames: list[bytes]) -> None:
         identity, correlation, sender, data = frames
         try:
-            reply = await self.handler(sender.decode(), codec.decode(data))
+            message = codec.decode(data)
+            reply: messages.Message | None = messages.Done()
+            if not isinstance(message, messages.Ping):
+                reply = await self.handler(sender.decode(), message)
         except errors.ResultError as error:
             reply = failed(error)
         except codec.CodecError as error:
--- a/oleanderdrift/share_feed.py
+++ b/oleanderdrift/share_feed.py
@@ -7,6 +7,7 @@
 import asyncio
 import collections.abc
 import itertools
+import math
 import random
 import time
 import typing
@@ -21,6 +22,7 @@
 from oleanderdrift import logs
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import outbound
 from oleanderdrift import share_ledger
 from oleanderdrift import share_loans
 from oleanderdrift import share_moves
@@ -32,6 +34,7 @@
 RETRY_S: typing.Final = 0.5
 TICK_S: typing.Final = 0.02
 PLAN_S: typing.Final = 0.25
+SETTLE_S: typing.Final = share_state.GAIN_WAIT_S + share_moves.PLAN_EVERY_S
 
 Send: typing.TypeAlias = collections.abc.Callable[
     [str, messages.Message], None
@@ -57,6 +60,7 @@
     tickets: typing.Iterator[int] = attrs.field(factory=itertools.count)
     waiting: dict[int, asyncio.Future[None]] = attrs.field(factory=dict)
     next_offset: int = 0
+    usable_at: float = math.inf
     settled: asyncio.Event = attrs.field(factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -108,7 +112,7 @@
 
 
 def _post(
-    feed: ShareFeed, sends: collections.abc.Iterable[share_state.Send]
+    feed: ShareFeed, sends: collections.abc.Iterable[outbound.Send]
 ) -> None:
     for send in sends:
         feed.send(send.to, send.message)
@@ -143,7 +147,7 @@
             )
     feed.next_offset = max(feed.next_offset, result.next_offset)
     if share_state.usable(feed.shares, now):
-        feed.settled.set()
+        feed.usable_at = min(feed.usable_at, now)
 
 
 async def tick(feed: ShareFeed) -> typing.NoReturn:
@@ -153,6 +157,14 @@
         accounts = feed.board.config.accounts
         outcome = share_loans.tick(feed.shares, time.monotonic(), accounts)
         _follow(feed, outcome)
+        _note_settled(feed, time.monotonic())
+
+
+def _note_settled(feed: ShareFeed, now: float) -> None:
+    # Units that a fleet has just shared out are in use nowhere until
+    # the loans of their last holder must have ended.
+    if feed.shares.active or now >= feed.usable_at + SETTLE_S:
+        feed.settled.set()
 
 
 async def plan(feed: ShareFeed) -> typing.NoReturn:
