--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -169,6 +169,9 @@
         client=log,
         random=random.Random(),
         send=lambda name, message: _send_to(daemon, name, message),
+        ask=lambda name, message: owner_client_lib.ask_instance(
+            owners, name, message
+        ),
         live=lambda: _live(board),
     )
     front = http_in.Front(
@@ -416,6 +419,8 @@
             return await dispatch_lib.wait_for_slot(
                 daemon.dispatch, sender, message
             )
+        case messages.ReadShares():
+            return share_feed.read_shares(daemon.front.shares)
         case messages.ReadConfig() | messages.KeysWithdrawn():
             return config_exchange.handle(
                 daemon.feed,
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -605,6 +605,11 @@
 # --- Peer messages: rate and burst --------------------------------------
 
 
+@attrs.frozen(kw_only=True)
+class ReadShares:
+    """Asks a peer for the ledger of units, as a SharesSnapshot."""
+
+
 @attrs.frozen(kw_only=True)
 class BorrowTokens:
     """Asks a holder for thousandths of tokens of a client account.
@@ -751,4 +756,5 @@
     89: PartLent,
     90: Probe,
     91: ProbeAnswer,
+    92: ReadShares,
 }
--- a/oleanderdrift/share_feed.py
+++ b/oleanderdrift/share_feed.py
@@ -34,11 +34,16 @@
 RETRY_S: typing.Final = 0.5
 TICK_S: typing.Final = 0.02
 PLAN_S: typing.Final = 0.25
+_SETTLE_MS: typing.Final = 16_000
+_LATEST: typing.Final = -1
 SETTLE_S: typing.Final = share_state.GAIN_WAIT_S + share_moves.PLAN_EVERY_S
 
 Send: typing.TypeAlias = collections.abc.Callable[
     [str, messages.Message], None
 ]
+Ask: typing.TypeAlias = collections.abc.Callable[
+    [str, messages.Message], collections.abc.Awaitable[messages.Message]
+]
 Live: typing.TypeAlias = collections.abc.Callable[[], set[str]]
 
 
@@ -55,12 +60,14 @@
     client: log_client.LogClient
     random: random.Random
     send: Send
+    ask: Ask
     live: Live
     planner: share_moves.Planner = attrs.field(factory=share_moves.Planner)
     tickets: typing.Iterator[int] = attrs.field(factory=itertools.count)
     waiting: dict[int, asyncio.Future[None]] = attrs.field(factory=dict)
     next_offset: int = 0
     usable_at: float = math.inf
+    opened_ms: dict[int, int] = attrs.field(factory=dict)
     settled: asyncio.Event = attrs.field(factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -127,6 +134,7 @@
                 STREAM, feed.next_offset, BATCH_RECORDS, wait_s
             )
         except errors.ResultError:
+            await _ask_peer(feed)
             await asyncio.sleep(feed.random.uniform(0.5, 1) * RETRY_S)
             continue
         _fold(feed, result)
@@ -138,6 +146,8 @@
     now = time.monotonic()
     for entry in result.records:
         feed.next_offset = entry.offset + 1
+        feed.opened_ms[entry.offset] = entry.time_ms
+        feed.opened_ms[_LATEST] = entry.time_ms
         try:
             record = codec.decode(entry.data)
             share_state.fold(feed.shares, now, entry.offset, record)
@@ -146,6 +156,9 @@
                 'shares-record-refused', offset=entry.offset, detail=error
             )
     feed.next_offset = max(feed.next_offset, result.next_offset)
+    epochs = {h.epoch for h in feed.shares.ledger.holders.values()}
+    for offset in feed.opened_ms.keys() - epochs - {_LATEST}:
+        del feed.opened_ms[offset]
     if share_state.usable(feed.shares, now):
         feed.usable_at = min(feed.usable_at, now)
 
@@ -163,10 +176,59 @@
 def _note_settled(feed: ShareFeed, now: float) -> None:
     # Units that a fleet has just shared out are in use nowhere until
     # the loans of their last holder must have ended.
-    if feed.shares.active or now >= feed.usable_at + SETTLE_S:
+    if (
+        feed.shares.active
+        or now >= feed.usable_at + SETTLE_S
+        or _has_settled_lender(feed)
+    ):
         feed.settled.set()
 
 
+def _has_settled_lender(feed: ShareFeed) -> bool:
+    live = feed.live()
+    return any(
+        holder.units
+        and holder.instance in live
+        and holder.name != feed.shares.holder
+        and _has_been_open(feed, holder.epoch)
+        for holder in feed.shares.ledger.holders.values()
+    )
+
+
+def _has_been_open(feed: ShareFeed, epoch: int) -> bool:
+    # A holder known from a snapshot alone opened long ago.
+    latest_ms = feed.opened_ms.get(_LATEST, 0)
+    opened_ms = feed.opened_ms.get(epoch)
+    return opened_ms is None or latest_ms - opened_ms >= _SETTLE_MS
+
+
+async def _ask_peer(feed: ShareFeed) -> None:
+    """Takes the ledger from a peer while the log does not answer."""
+    others = sorted(feed.live() - {feed.shares.instance})
+    if not others or feed.shares.ledger.holders:
+        return
+    try:
+        found = await feed.ask(
+            feed.random.choice(others), messages.ReadShares()
+        )
+    except errors.ResultError:
+        return
+    if isinstance(found, messages.SharesSnapshot) and found.holders:
+        offset = found.next_offset - 1
+        share_state.fold(feed.shares, time.monotonic(), offset, found)
+        feed.next_offset = found.next_offset
+
+
+def read_shares(feed: ShareFeed) -> messages.SharesSnapshot:
+    """Returns the ledger for a peer that cannot reach the log.
+
+    Raises ResultError(LOG_UNAVAILABLE) where this one does not know it.
+    """
+    if not feed.shares.ledger.whole:
+        raise errors.ResultError(codes.LOG_UNAVAILABLE)
+    return share_ledger.snapshot(feed.shares.ledger)
+
+
 async def plan(feed: ShareFeed) -> typing.NoReturn:
     """Appends what is due, for good."""
     while True:
