--- a/oleanderdrift/peers.py
+++ b/oleanderdrift/peers.py
@@ -2,11 +2,11 @@
 
 One ROUTER socket takes what peers send; one DEALER socket for each peer
 sends and gets the replies.  A message names its sender and a request has
-a correlation id.  A peer that takes its time over a reply is pinged, so that
-one that has stopped is found long before the request's own time-out.  A
-reply to a request that has timed out goes to on_late, so that what it granted can be given back.  Every link has
-heartbeats, and a link that went silent is closed and replaced by a new
-connection.
+a correlation id.  A peer that takes its time over a reply is pinged, so
+that one that has stopped is found long before the request's own time-out.
+A reply to a request that has timed out goes to on_late, so that what it
+granted can be given back.  Every link has heartbeats, and a link that
+went silent is closed and replaced by a new connection.
 """
 
 import asyncio
