--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -22,6 +22,7 @@
 from oleanderdrift import codes
 from oleanderdrift import config_exchange
 from oleanderdrift import config_feed
+from oleanderdrift import config_peers
 from oleanderdrift import config_snapshots
 from oleanderdrift import dispatch as dispatch_lib
 from oleanderdrift import errors
@@ -500,12 +501,11 @@
 
 
 def _addresses(board: blackboard.Board) -> list[str]:
-    """Returns the peer addresses of the live instances but this one."""
-    members = membership.alive(board.members, time.monotonic())
+    """Returns the peer addresses of the neighbours that config asks."""
+    now = time.monotonic()
     return [
         dispatch_lib.peer_address(member)
-        for member in members
-        if member.name != board.members.this.name
+        for member in config_peers.neighbours(board.members, now)
     ]
 
 
