Say 'unknown' where an owner without its lease cannot know

Cause: an owner whose lease had lapsed, or that could not be asked, told a non-idempotent call 'not run'; a successor may have run a repeat of it. Found by the random runs over ledger and ownership. Ruled out: the dispatch itself, which the lease check already stopped.

Change: such calls get 4010 outcome-unavailable; the lease is looked at again before the end of a call is told; only served shards expire programs. Records that cannot be decoded are folded as empty in the shares, since an offset left out is a gap. Fenced answers no longer count against a replica's health. Prefixes not worth keeping are let go.

--- a/oleanderdrift/calls.py
+++ b/oleanderdrift/calls.py
@@ -279,7 +279,9 @@
 
 async def _attempt(calls: Calls, call: Call, answer: Answer) -> Result:
     call.attempt = None
-    slot = await dispatch_lib.acquire(calls.dispatch, _slot_request(call))
+    slot = await dispatch_lib.acquire(
+        calls.dispatch, _slot_request(calls, call)
+    )
     upstream = calls.board.config.upstreams.get(slot.upstream)
     if upstream is None:
         _give_back(calls, call, slot, time.monotonic(), failed=False)
@@ -295,7 +297,7 @@
         await _place(calls, call, upstream)
         return await _exchange(calls, call, attempt, answer)
     except errors.ResultError as error:
-        failed = error.code.number // 1000 == 5
+        failed = error.code in _RETRIED
         raise
     finally:
         if attempt.stream is not None:
@@ -303,7 +305,7 @@
         _give_back(calls, call, slot, attempt.started, failed=failed)
 
 
-def _slot_request(call: Call) -> messages.SlotRequest:
+def _slot_request(calls: Calls, call: Call) -> messages.SlotRequest:
     chat = call.service.chat
     return messages.SlotRequest(
         call_id=uuid.uuid4().hex,
@@ -313,6 +315,7 @@
         service=call.service.name,
         slack_s=call.grant.slack_s,
         attained_s=call.grant.attained_s,
+        program_age_s=program_age_s(calls, call.grant),
         prompt_tokens=chat.prompt_tokens if chat else 0,
         max_tokens=chat.max_tokens if chat else 0,
         prefix=conversation.prefix_blocks(chat) if chat else (),
@@ -320,6 +323,13 @@
     )
 
 
+def program_age_s(calls: Calls, grant: messages.CallGranted) -> float:
+    """Returns how long ago a call's program began, in seconds."""
+    program_class = calls.board.config.classes.get(grant.class_name)
+    target_s = program_class.target_s if program_class else 0.0
+    return max(0.0, target_s - grant.slack_s)
+
+
 def _give_back(
     calls: Calls,
     call: Call,
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -42,6 +42,7 @@
 from oleanderdrift import owner_client as owner_client_lib
 from oleanderdrift import peers as peers_lib
 from oleanderdrift import probes
+from oleanderdrift import programs
 from oleanderdrift import releases as releases_lib
 from oleanderdrift import settings as settings_lib
 from oleanderdrift import shard_feed
@@ -152,7 +153,13 @@
         on_late=lambda peer, message: _on_late(daemon, peer, message),
     )
     dispatch = dispatch_lib.Dispatch(
-        board=board, peers=peers, upstreams=upstreams
+        board=board,
+        peers=peers,
+        upstreams=upstreams,
+        release=lambda due: releases_lib.submit(
+            releases,
+            programs.Release(program=due.program, upstream=due.upstream),
+        ),
     )
     owners = owner_client_lib.OwnerClient(
         board=board, owner=owner, peers=peers, keeper=keeper
--- a/oleanderdrift/dispatch.py
+++ b/oleanderdrift/dispatch.py
@@ -21,6 +21,7 @@
 from oleanderdrift import messages
 from oleanderdrift import model
 from oleanderdrift import peers
+from oleanderdrift import retention
 from oleanderdrift import scheduler
 
 HOME_TRIES: typing.Final = 4
@@ -29,6 +30,7 @@
 LOAD_INTERVAL_S: typing.Final = 1.0
 LOAD_PATH: typing.Final = '/v1/load'
 
+Release: typing.TypeAlias = collections.abc.Callable[[retention.Release], None]
 _Decision: typing.TypeAlias = messages.SlotGranted | messages.SlotRefused
 
 
@@ -36,6 +38,7 @@
 class Dispatch:
     """The dispatch controller of one instance.
 
+    release has an upstream let go of a prefix that is not worth keeping.
     avoided names instances that did not answer, and until when they are
     not taken for a home.
     """
@@ -43,6 +46,7 @@
     board: blackboard.Board
     peers: peers.Peers
     upstreams: http_out.Upstreams
+    release: Release
     avoided: dict[str, float] = attrs.field(factory=dict)
     timers: dict[str, asyncio.TimerHandle] = attrs.field(factory=dict)
     pending: dict[str, asyncio.Future[_Decision]] = attrs.field(factory=dict)
@@ -188,6 +192,8 @@
             future.set_result(decision)
         elif isinstance(decision, messages.SlotGranted):
             scheduler.withdraw(group, now, decision.call_id)
+    for release in scheduler.due_releases(group, now):
+        dispatch.release(release)
     wakeup_at = scheduler.next_wakeup(group, now)
     if wakeup_at is not None:
         _wake(dispatch, group, max(MIN_WAKEUP_S, wakeup_at - now))
--- a/oleanderdrift/owner.py
+++ b/oleanderdrift/owner.py
@@ -66,7 +66,10 @@
         case messages.CreateProgram():
             decision = _create(owner, now, message)
         case messages.BeginCall():
-            epoch = epoch_of(owner, message.program)
+            try:
+                epoch = epoch_of(owner, message.program)
+            except errors.ResultError as error:
+                raise programs.unanswered(message, error) from error
             decision = programs.begin(ledger, now, epoch, message)
         case messages.CallPlaced():
             epoch_of(owner, message.program)
@@ -131,6 +134,8 @@
         await _commit_first(owner, decision, durable)
     elif decision.commit_soon and durable and not owner.commit.failing:
         await _wait(durable, owner.board.settings.platform.timeout_s)
+        # A batch that came behind a successor's fence is void.
+        epoch_of(owner, decision.records[0].program)
     return reply
 
 
@@ -159,9 +164,9 @@
     try:
         # The lease may have lapsed while the commit was under way.
         epoch_of(owner, reply.program)
-    except errors.ResultError:
+    except errors.ResultError as error:
         give_up(owner, attempt, codes.Execution.NOT_RUN)
-        raise
+        raise programs.lost_owner(error) from error
 
 
 def _go_unrecorded(owner: Owner, attempt: Attempt) -> None:
@@ -172,6 +177,12 @@
     """
     fleet = owner.keeper.fleet
     shard = ledger_lib.shard_of(attempt.program)
+    try:
+        # Past the lease, a successor may have run a repeat of the call.
+        epoch_of(owner, attempt.program)
+    except errors.ResultError as error:
+        give_up(owner, attempt, codes.Execution.NOT_RUN)
+        raise programs.lost_owner(error) from error
     if ownership.may_go_unrecorded(fleet, time.monotonic(), shard):
         ownership.note_unrecorded(fleet)
         return
@@ -237,4 +248,6 @@
     """Ends programs that are out of time, for ever."""
     while True:
         await asyncio.sleep(EXPIRE_INTERVAL_S)
-        write(owner, programs.expire(owner.board.ledger, time.time()))
+        served = shard_keeper.served(owner.keeper, time.monotonic())
+        decision = programs.expire(owner.board.ledger, time.time(), served)
+        write(owner, decision)
--- a/oleanderdrift/owner_client.py
+++ b/oleanderdrift/owner_client.py
@@ -14,6 +14,7 @@
 from oleanderdrift import messages
 from oleanderdrift import owner as owner_lib
 from oleanderdrift import peers
+from oleanderdrift import programs
 from oleanderdrift import shard_keeper
 
 RETRY_AFTER_S: typing.Final = 1.0
@@ -34,8 +35,18 @@
 ) -> messages.Message:
     """Asks a program's owner; a program of '' is a new one, owned here.
 
-    Raises ResultError(OWNER_UNAVAILABLE) when the owner does not answer.
+    Raises ResultError(OWNER_UNAVAILABLE) when the owner does not answer,
+    OUTCOME_UNAVAILABLE for a call that may be the repeat of one that ran.
     """
+    try:
+        return await _ask(client, program, message)
+    except errors.ResultError as error:
+        raise programs.unanswered(message, error) from error
+
+
+async def _ask(
+    client: OwnerClient, program: str, message: messages.Message
+) -> messages.Message:
     this = client.board.settings.instance.name
     holder = this
     if program:
--- a/oleanderdrift/programs.py
+++ b/oleanderdrift/programs.py
@@ -627,16 +627,22 @@
 
     A non-idempotent call may be the repeat of one that ran.
     """
-    repeat = isinstance(message, messages.BeginCall) and not message.idempotent
-    if error.code is codes.OWNER_UNAVAILABLE and repeat:
-        return errors.ResultError(
-            codes.OUTCOME_UNAVAILABLE,
-            error.detail,
-            retry_after_s=error.retry_after_s,
-        )
+    if isinstance(message, messages.BeginCall) and not message.idempotent:
+        return lost_owner(error)
     return error
 
 
+def lost_owner(error: errors.ResultError) -> errors.ResultError:
+    """Returns what to answer to a non-idempotent call without an owner."""
+    if error.code is not codes.OWNER_UNAVAILABLE:
+        return error
+    return errors.ResultError(
+        codes.OUTCOME_UNAVAILABLE,
+        error.detail,
+        retry_after_s=error.retry_after_s,
+    )
+
+
 def replay(
     records: typing.Iterable[messages.Message], shards: typing.Iterable[str]
 ) -> Ledger:
--- a/oleanderdrift/share_feed.py
+++ b/oleanderdrift/share_feed.py
@@ -142,16 +142,29 @@
             await asyncio.sleep(TICK_S)
 
 
+def _decode(entry: log_client.LogRecord) -> messages.Message:
+    try:
+        return codec.decode(entry.data)
+    except codec.CodecError as error:
+        # It is folded all the same: an offset left out is a gap.
+        logs.warning(
+            'shares-record-undecodable', offset=entry.offset, detail=error
+        )
+        return None
+
+
 def _fold(feed: ShareFeed, result: log_client.ReadResult) -> None:
     now = time.monotonic()
+    ledger = feed.shares.ledger
+    if not result.records and result.first > ledger.next_offset:
+        share_state.begin_anew(feed.shares, now, result.first)
     for entry in result.records:
         feed.next_offset = entry.offset + 1
         feed.opened_ms[entry.offset] = entry.time_ms
         feed.opened_ms[_LATEST] = entry.time_ms
         try:
-            record = codec.decode(entry.data)
-            share_state.fold(feed.shares, now, entry.offset, record)
-        except (codec.CodecError, errors.ResultError) as error:
+            share_state.fold(feed.shares, now, entry.offset, _decode(entry))
+        except errors.ResultError as error:
             logs.warning(
                 'shares-record-refused', offset=entry.offset, detail=error
             )
