Build one file with pex and smoke-run it

Cause: the product ships as one binary. Ruled out: PyInstaller's one-file mode, whose process forks a child and unpacks under the temporary folder.

Change: make binary builds dist/oleanderdrift with pex, and its smoke run serves a request from it and looks for children and io_uring.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,13 @@
 bench: $(STAMP)
 	$(PY) -m bench
 
+binary: dist/oleanderdrift
+
+dist/oleanderdrift: $(STAMP) $(wildcard oleanderdrift/*.py)
+	mkdir -p dist
+	$(PY) -m pex . -m oleanderdrift -o $@
+	$(PY) -m pytest -m binary
+
 check: lint types test
 
 demo: $(STAMP)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -114,8 +114,7 @@
     node.process = processes.start(
         node.name,
         [
-            '-m',
-            'oleanderdrift',
+            *fleet.plan.program,
             'serve',
             '--settings',
             str(node.settings_path),
--- a/standins/fleet_state.py
+++ b/standins/fleet_state.py
@@ -13,9 +13,13 @@
 
 @attrs.frozen(kw_only=True)
 class Plan:
-    """What to start; settings go into each instance's TOML file."""
+    """What to start; settings go into each instance's TOML file.
+
+    program is what Python runs as an instance.
+    """
 
     data_centres: tuple[str, ...] = DATA_CENTRES
+    program: tuple[str, ...] = ('-m', 'oleanderdrift')
     instances_each: int = 3
     engine_speeds: tuple[float, ...] = ENGINE_SPEEDS
     settings: dict[str, dict[str, float]] = attrs.field(factory=dict)
