--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import json
+import time
 import typing
 import urllib.error
 import urllib.request
@@ -12,6 +13,7 @@
 from standins import fleet
 from standins import fleet_config
 from standins import fleet_state
+from standins import processes
 
 CONFIG = """
 [account.escola]
@@ -254,3 +256,100 @@
     with pytest.raises(openai.APIError, match='withdrawn'):
         for _chunk in stream:
             pass
+
+
+def get_json(url: str) -> typing.Any:
+    """Returns the JSON of a GET."""
+    with urllib.request.urlopen(url) as answer:
+        return json.load(answer)
+
+
+def held_programs(running: fleet_state.Fleet) -> set[str]:
+    """Returns the programs of which an engine holds cache blocks."""
+    return {
+        program
+        for process in running.of_kind('engine')
+        for program in get_json(f'{process.url}/v1/load')['held']
+    }
+
+
+def test_ended_program_is_let_go_by_engines(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    node = next(iter(running.nodes.values()))
+    asked = [{'role': 'user', 'content': 'long enough to be cached ' * 40}]
+    program, _text = chat(node.url, keys['escola'], 'new', asked)
+    assert program in held_programs(running)
+    ended = urllib.request.Request(
+        f'{node.url}/v1/programs/{program}',
+        method='DELETE',
+        headers={'Authorization': f'Bearer {keys["escola"]}'},
+    )
+    with urllib.request.urlopen(ended) as answer:
+        assert answer.status == 204
+    deadline = time.monotonic() + 5.0
+    while program in held_programs(running):
+        assert time.monotonic() < deadline
+
+
+def runs_by_tool(running: fleet_state.Fleet) -> dict[str, int]:
+    """Returns how often each tool has run."""
+    return {
+        process.name: processes.report(process)['total']
+        for process in running.of_kind('tool')
+    }
+
+
+def busiest_tool(running: fleet_state.Fleet, urls: list[str]) -> str:
+    """Sends requests and returns the tool that got most of them."""
+    before = runs_by_tool(running)
+    for number in range(30):
+        assert request(f'{urls[number % 3]}/sheet/x', '')[0] == 200
+    after = runs_by_tool(running)
+    return max(after, key=lambda name: after[name] - before[name])
+
+
+def test_leaving_upstream_gets_no_new_work(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    urls = [node.url for node in running.nodes.values()]
+    left = busiest_tool(running, urls)
+    tables = fleet_config.upstream_tables(running, 'guide', ['desk', 'sheet'])
+    tables = tables.replace(
+        f'[upstream.{left}]\n', f'[upstream.{left}]\nleaving = true\n'
+    )
+    changed = fleet_config.publish(running, CONFIG + tables)
+    offset = max(each['offset'] for each in changed)
+    deadline = time.monotonic() + 9.0
+    while min(status(url)['config_offset'] for url in urls) < offset:
+        assert time.monotonic() < deadline
+    before = runs_by_tool(running)[left]
+    assert busiest_tool(running, urls) != left
+    assert runs_by_tool(running)[left] == before
+
+
+def test_graceful_shutdown_cuts_no_stream(
+    running: fleet_state.Fleet, keys: dict[str, str]
+) -> None:
+    node = list(running.nodes.values())[-1]
+    client = openai.OpenAI(
+        api_key=keys['escola'], base_url=f'{node.url}/v1', max_retries=0
+    )
+    stream = client.chat.completions.create(
+        model='guide',
+        messages=[{'role': 'user', 'content': 'last words'}],
+        stream=True,
+        max_tokens=60,
+        extra_headers={
+            'Oleander-Program': 'new',
+            'Oleander-Class': 'planning',
+        },
+    )
+    chunks = iter(stream)
+    first = next(chunks)
+    node.running.child.terminate()
+    pieces = [
+        chunk.choices[0].delta.content for chunk in chunks if chunk.choices
+    ]
+    assert first.choices and len([piece for piece in pieces if piece]) == 59
+    assert node.running.child.wait(timeout=30) == 0
