--- a/oleanderdrift/cli.py
+++ b/oleanderdrift/cli.py
@@ -121,4 +121,9 @@
     """Runs an instance until SIGTERM."""
     # Operators' commands need none of what an instance loads.
     daemon = importlib.import_module('oleanderdrift.daemon')
-    daemon.run(settings)
+    try:
+        daemon.run(settings)
+    except errors.ResultError as error:
+        typer.echo(f'{error.code.number} {error.code.name}', err=True)
+        typer.echo(error.detail, err=True)
+        raise typer.Exit(cli_common.EXIT_REFUSED) from None
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -316,7 +316,10 @@
     daemon.board.draining = True
     probes.leave(daemon.prober, daemon.board.members)
     logs.info('draining', open_calls=len(daemon.board.open_calls))
-    deadline = time.monotonic() + daemon.board.settings.limits.shutdown_s
+    limits = daemon.board.settings.limits
+    deadline = time.monotonic() + limits.shutdown_s
+    # The balancer needs a moment to see the check fail.
+    await asyncio.sleep(limits.drain_grace_s)
     while daemon.board.open_calls and time.monotonic() < deadline:
         await asyncio.sleep(DRAIN_POLL_S)
     while daemon.commit.entries and time.monotonic() < deadline:
--- a/oleanderdrift/settings.py
+++ b/oleanderdrift/settings.py
@@ -94,6 +94,7 @@
     connect_timeout_s: float = _number(1.0, 0.05, 30)
     upstream_silence_s: float = _number(30.0, 0.5, 3_600)
     shutdown_s: float = _number(120.0, 0, 3_600)
+    drain_grace_s: float = _number(3.0, 0, 600)
     client_streams: int = _number(2_000, 1, 100_000)
 
 
@@ -102,7 +103,6 @@
     """Times of the agreements between instances."""
 
     lease_s: float = _number(20.0, 1, 600)
-    share_lease_s: float = _number(7_200.0, 2, 86_400)
     key_grace_s: float = _number(3_600.0, 1, 86_400)
     commit_interval_s: float = _number(0.02, 0, 5)
     peer_timeout_s: float = _number(2.0, 0.1, 60)
