Split the HTTP handlers and the status into modules of one job

Cause: http_in had 640 lines with the operators' handlers among the callers', and the daemon held the status.

Change: http_base, http_in and http_operators; status. No behaviour changes.

--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -10,7 +10,6 @@
 import uuid
 
 import attrs
-import msgspec
 from tornado import httpserver
 from tornado import netutil
 
@@ -25,6 +24,7 @@
 from oleanderdrift import dispatch as dispatch_lib
 from oleanderdrift import errors
 from oleanderdrift import group_commit
+from oleanderdrift import http_base
 from oleanderdrift import http_in
 from oleanderdrift import http_out
 from oleanderdrift import key_trust
@@ -47,6 +47,7 @@
 from oleanderdrift import shard_keeper
 from oleanderdrift import share_feed
 from oleanderdrift import share_state
+from oleanderdrift import status
 
 DRAIN_POLL_S: typing.Final = 0.05
 PROBE_TICK_S: typing.Final = 0.1
@@ -81,7 +82,7 @@
     owner: owner_lib.Owner
     commit: group_commit.GroupCommit
     releases: releases_lib.Releases
-    front: http_in.Front
+    front: http_base.Front
     server: httpserver.HTTPServer
     prober: probes.Prober
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
@@ -178,12 +179,12 @@
         ),
         live=lambda: _live(board),
     )
-    front = http_in.Front(
+    front = http_base.Front(
         board=board,
         calls=calls,
         owners=owners,
         metrics=metrics_lib.Metrics(),
-        status=lambda: _status(daemon),
+        status=lambda: status.read(board, feed, share, commit),
         feed=feed,
         shares=share,
         withdraw=lambda name: config_exchange.withdraw(
@@ -269,7 +270,7 @@
 
 
 def _server(
-    settings: settings_lib.Settings, front: http_in.Front
+    settings: settings_lib.Settings, front: http_base.Front
 ) -> httpserver.HTTPServer:
     limits = settings.limits
     server = httpserver.HTTPServer(
@@ -513,54 +514,3 @@
         dispatch_lib.peer_address(member)
         for member in config_peers.neighbours(board.members, now)
     ]
-
-
-def _key_age_s(feed: config_feed.ConfigFeed) -> float:
-    if feed.last_contact is None:
-        return float('inf')
-    return time.monotonic() - feed.last_contact
-
-
-@attrs.frozen(kw_only=True)
-class Status:
-    """What GET /v1/status answers."""
-
-    instance: str
-    data_centre: str
-    ready: bool
-    draining: bool
-    config_offset: int
-    config_age_s: float
-    members: tuple[membership.Member, ...]
-    upstreams: tuple[model.Upstream, ...]
-    classes: tuple[model.ProgramClass, ...]
-    share: float
-    open_calls: int
-    programs: int
-    log_failing: bool
-    log_appends: int
-
-
-def _status(daemon: Daemon) -> bytes:
-    board = daemon.board
-    now = time.monotonic()
-    return msgspec.json.encode(
-        Status(
-            instance=board.settings.instance.name,
-            data_centre=board.settings.instance.data_centre,
-            ready=daemon.feed.caught_up.is_set(),
-            draining=board.draining,
-            config_offset=daemon.feed.next_offset - 1,
-            config_age_s=min(_key_age_s(daemon.feed), 1e9),
-            members=tuple(membership.alive(board.members, now)),
-            upstreams=tuple(board.config.upstreams.values()),
-            classes=tuple(board.config.classes.values()),
-            share=share_feed.fraction(daemon.front.shares),
-            open_calls=len(board.open_calls),
-            programs=sum(
-                len(shard.programs) for shard in board.ledger.shards.values()
-            ),
-            log_failing=daemon.commit.failing,
-            log_appends=daemon.commit.appends,
-        )
-    )
--- a/oleanderdrift/http_in.py
+++ b/oleanderdrift/http_in.py
@@ -1,4 +1,4 @@
-"""The HTTP server for callers, on Tornado.
+"""What callers reach over HTTP: model calls, tool calls, programs.
 
 Callers speak the usual chat completions API, or reach tools through
 configured routes.  Programs are named in headers:
@@ -13,15 +13,11 @@
 and whether the request was run.
 """
 
-import asyncio
 import collections.abc
-import hashlib
-import hmac
 import time
 import typing
 import urllib.parse
 
-from absl import logging
 import attrs
 import msgspec
 from tornado import http1connection
@@ -29,228 +25,31 @@
 from tornado import iostream
 from tornado import web
 
-from oleanderdrift import blackboard
 from oleanderdrift import calls as calls_lib
 from oleanderdrift import codes
-from oleanderdrift import config_feed
 from oleanderdrift import config_state
 from oleanderdrift import conversation
 from oleanderdrift import errors
-from oleanderdrift import key_trust
-from oleanderdrift import logs
+from oleanderdrift import http_base
+from oleanderdrift import http_operators
 from oleanderdrift import messages
-from oleanderdrift import metrics
 from oleanderdrift import model
 from oleanderdrift import owner_client as owner_client_lib
-from oleanderdrift import share_feed
 
 CHAT_PATH: typing.Final = '/v1/chat/completions'
 NEW_PROGRAM: typing.Final = 'new'
-JSON: typing.Final = 'application/json'
 UNSENT_LIMIT_BYTES: typing.Final = 262_144
 
-Status: typing.TypeAlias = collections.abc.Callable[[], bytes]
-Withdraw: typing.TypeAlias = collections.abc.Callable[[str], model.ApiKey]
-
-
-@attrs.define(kw_only=True)
-class Front:
-    """What the handlers work with."""
-
-    board: blackboard.Board
-    calls: calls_lib.Calls
-    owners: owner_client_lib.OwnerClient
-    metrics: metrics.Metrics
-    status: Status
-    feed: config_feed.ConfigFeed
-    shares: share_feed.ShareFeed
-    withdraw: Withdraw
-
-
-@attrs.frozen(kw_only=True)
-class Caller:
-    """An authenticated caller; both are empty on a route open to all."""
-
-    client_account: str = ''
-    key_sha256: str = ''
-    key: str = ''
-
-
-@attrs.frozen(kw_only=True)
-class ErrorBody:
-    """The error object of an answer, in the usual API's shape."""
-
-    code: int
-    type: str
-    message: str
-    execution: codes.Execution
-
-
-@attrs.frozen(kw_only=True)
-class ErrorAnswer:
-    """The JSON body of a refusal."""
-
-    error: ErrorBody
-
 
 @attrs.frozen(kw_only=True)
 class NewProgram:
-    """The JSON body that asks for a program."""
+    """The http_base.JSON body that asks for a program."""
 
     class_name: str
     parent: str = ''
 
 
-def bearer(request: httputil.HTTPServerRequest) -> str:
-    """Returns the bearer token of a request, '' where there is none."""
-    header = request.headers.get('Authorization', '')
-    scheme, _space, token = header.partition(' ')
-    return token if scheme.lower() == 'bearer' else ''
-
-
-def error_body(error: errors.ResultError) -> bytes:
-    """Returns the JSON body of a refusal."""
-    return msgspec.json.encode(
-        ErrorAnswer(
-            error=ErrorBody(
-                code=error.code.number,
-                type=error.code.name,
-                message=error.detail,
-                execution=error.code.execution,
-            )
-        )
-    )
-
-
-@web.stream_request_body
-class BaseHandler(web.RequestHandler):
-    """Takes the body within its bound and answers errors with codes."""
-
-    front: Front
-
-    def initialize(self, front: Front) -> None:
-        """Receives what Application hands to each handler."""
-        self.front = front
-        self.parts: list[bytes] = []
-        self.size = 0
-        self.started = time.monotonic()
-        self.task: asyncio.Task[None] | None = None
-        self.client_account = ''
-        self.program = ''
-
-    def prepare(self) -> None:
-        """Refuses a body that is known to be too long before it comes."""
-        length = self.request.headers.get('Content-Length', '0')
-        if int(length) > self.front.board.settings.limits.body_bytes:
-            self.refuse(errors.ResultError(codes.BODY_TOO_LARGE))
-
-    def data_received(self, chunk: bytes) -> None:
-        """Gathers the body."""
-        self.size += len(chunk)
-        limit = self.front.board.settings.limits.body_bytes
-        if self.size <= limit:
-            self.parts.append(chunk)
-        elif not self._finished:
-            self.refuse(errors.ResultError(codes.BODY_TOO_LARGE))
-
-    def body(self) -> bytes:
-        """Returns the whole body."""
-        return b''.join(self.parts)
-
-    def on_connection_close(self) -> None:
-        """Ends the work for a caller that has gone away."""
-        if self.task is not None:
-            self.task.cancel()
-
-    def refuse(self, error: errors.ResultError) -> None:
-        """Answers with a result code."""
-        self.front.metrics.count_result(self.client_account, error.code)
-        logs.info(
-            'request-refused',
-            code=error.code.number,
-            execution=error.code.execution,
-            program=self.program,
-            client_account=self.client_account,
-            path=self.request.path,
-        )
-        self.set_status(error.code.status)
-        self.set_result(error.code)
-        if error.retry_after_s is not None:
-            seconds = max(1, round(error.retry_after_s))
-            self.set_header('Retry-After', str(seconds))
-        self.set_header('Content-Type', JSON)
-        self.finish(error_body(error))
-
-    def set_result(self, code: codes.Result) -> None:
-        """Sets the headers that every answer has."""
-        self.set_header('Oleander-Code', str(code.number))
-        self.set_header('Oleander-Execution', code.execution)
-        self.set_header(
-            'Oleander-Instance', self.front.board.settings.instance.name
-        )
-        if self.program:
-            self.set_header('Oleander-Program', self.program)
-
-    def identify(self) -> Caller:
-        """Returns who calls; raises ResultError."""
-        key = bearer(self.request)
-        feed = self.front.feed
-        found = key_trust.authenticate(
-            feed.trust, feed.config, key, feed.last_contact, time.monotonic()
-        )
-        self.client_account = found.client_account
-        return Caller(
-            client_account=found.client_account,
-            key_sha256=found.sha256,
-            key=key,
-        )
-
-    async def admit(self, caller: Caller) -> None:
-        """Spends one request of the client account's rate."""
-        account = self.front.board.config.accounts.get(caller.client_account)
-        if account is None:
-            raise errors.ResultError(codes.UNKNOWN_KEY)
-        await share_feed.admit(self.front.shares, account)
-
-    async def guard(self, work: collections.abc.Awaitable[None]) -> None:
-        """Runs the work of a request and answers what it raises."""
-        self.task = asyncio.ensure_future(work)
-        try:
-            await self.task
-        except errors.ResultError as error:
-            self.fail(error)
-        except (asyncio.CancelledError, iostream.StreamClosedError):
-            logs.info('caller-gone', program=self.program)
-        except Exception as error:
-            logging.exception('event=request-crashed')
-            self.fail(errors.ResultError(codes.INVARIANT_BROKEN, repr(error)))
-
-    def fail(self, error: errors.ResultError) -> None:
-        """Answers an error, or breaks an answer that has begun off."""
-        if not self._headers_written:
-            self.refuse(error)
-            return
-        # A cut answer must not look whole: no terminating chunk is sent.
-        self.front.metrics.count_result(self.client_account, error.code)
-        logs.warning(
-            'answer-cut', code=error.code.number, program=self.program
-        )
-        self.write(b'data: ' + error_body(error) + b'\n\n')
-        self.flush()
-        connection = self.request.connection
-        if connection is not None:
-            self.detach().close()
-
-    def write_error(self, status_code: int, **_kwargs: typing.Any) -> None:
-        """Answers Tornado's own refusals with a code."""
-        code = codes.UNKNOWN_ROUTE if status_code == 404 else codes.BAD_REQUEST
-        self.refuse(errors.ResultError(code))
-
-    def log_exception(self, *_args: typing.Any) -> None:
-        """Leaves logging to refuse()."""
-
-
-class CallHandler(BaseHandler):
+class CallHandler(http_base.BaseHandler):
     """A call of a model or a tool."""
 
     unsent = 0
@@ -304,7 +103,7 @@
             self.set_header('Oleander-Replayed', 'true')
 
     async def run_call(
-        self, service: calls_lib.Service, caller: Caller
+        self, service: calls_lib.Service, caller: http_base.Caller
     ) -> None:
         """Runs a call and sends its answer."""
         check_no_key(self.request, service, caller)
@@ -326,7 +125,7 @@
         self.finish()
 
     async def program_identity(
-        self, service: calls_lib.Service, caller: Caller
+        self, service: calls_lib.Service, caller: http_base.Caller
     ) -> calls_lib.Identity:
         """Reads the program headers and starts a program if asked to."""
         headers = self.request.headers
@@ -350,7 +149,7 @@
         )
 
     async def start_program(
-        self, caller: Caller, class_name: str, parent: str
+        self, caller: http_base.Caller, class_name: str, parent: str
     ) -> str:
         """Starts a program and returns its id."""
         reply = await owner_client_lib.ask(
@@ -426,7 +225,7 @@
 def check_no_key(
     request: httputil.HTTPServerRequest,
     service: calls_lib.Service,
-    caller: Caller,
+    caller: http_base.Caller,
 ) -> None:
     """Refuses a request that would carry the caller's key upstream."""
     if not caller.key:
@@ -463,7 +262,7 @@
             idempotent=True,
             path=CHAT_PATH,
             method='POST',
-            content_type=JSON,
+            content_type=http_base.JSON,
             body=body,
             chat=chat,
         )
@@ -485,7 +284,7 @@
         )
         if route is None:
             raise errors.ResultError(codes.UNKNOWN_ROUTE, self.request.path)
-        caller = Caller()
+        caller = http_base.Caller()
         if not route.open_to_all:
             caller = self.identify()
             await self.admit(caller)
@@ -500,7 +299,9 @@
             idempotent=tool.idempotent,
             path=self.request.uri or '/',
             method=self.request.method or 'GET',
-            content_type=self.request.headers.get('Content-Type', JSON),
+            content_type=self.request.headers.get(
+                'Content-Type', http_base.JSON
+            ),
             body=self.body(),
         )
 
@@ -526,7 +327,7 @@
         )
         self.set_result(codes.OK)
         self.set_status(201)
-        self.set_header('Content-Type', JSON)
+        self.set_header('Content-Type', http_base.JSON)
         self.finish(msgspec.json.encode({'program': self.program}))
 
 
@@ -552,73 +353,7 @@
         self.finish()
 
 
-class HealthHandler(BaseHandler):
-    """GET /healthz: the balancer's check."""
-
-    def get(self) -> None:
-        """Answers 200 while the instance takes new requests."""
-        ready = self.front.feed.caught_up.is_set()
-        ready = ready and self.front.shares.settled.is_set()
-        ready = ready and not self.front.board.draining
-        self.set_status(200 if ready else 503)
-        self.finish('ready\n' if ready else 'not ready\n')
-
-
-class MetricsHandler(BaseHandler):
-    """GET /metrics, in the usual text format."""
-
-    def get(self) -> None:
-        """Answers with all metrics."""
-        self.set_header('Content-Type', metrics.CONTENT_TYPE)
-        self.finish(self.front.metrics.exposition())
-
-
-class OperatorHandler(BaseHandler):
-    """What only operators may do, with the operator token."""
-
-    def check_operator(self) -> None:
-        """Raises ResultError(OPERATOR_ONLY) without the token."""
-        expected = self.front.board.settings.operators.token_sha256
-        token = bearer(self.request)
-        digest = hashlib.sha256(token.encode()).hexdigest()
-        if not expected or not hmac.compare_digest(digest, expected):
-            raise errors.ResultError(codes.OPERATOR_ONLY)
-
-
-class WithdrawHandler(OperatorHandler):
-    """POST /v1/operator/keys/NAME/withdraw, without the log."""
-
-    async def post(self, name: str) -> None:
-        """Withdraws a key at once, here and at every reachable peer."""
-        await self.guard(self._post(name))
-
-    async def _post(self, name: str) -> None:
-        self.check_operator()
-        key = self.front.withdraw(name)
-        self.set_result(codes.OK)
-        self.set_header('Content-Type', JSON)
-        self.finish(msgspec.json.encode({'withdrawn': key.name}))
-
-
-class StatusHandler(OperatorHandler):
-    """GET /v1/status, for operators.
-
-    It is open to all where no operator token is set.
-    """
-
-    def get(self) -> None:
-        """Answers with the instance's view as JSON."""
-        try:
-            if self.front.board.settings.operators.token_sha256:
-                self.check_operator()
-        except errors.ResultError as error:
-            self.refuse(error)
-            return
-        self.set_header('Content-Type', JSON)
-        self.finish(self.front.status())
-
-
-def make_app(front: Front) -> web.Application:
+def make_app(front: http_base.Front) -> web.Application:
     """Returns the Tornado application."""
     arguments = {'front': front}
     return web.Application(
@@ -626,12 +361,12 @@
             (CHAT_PATH, ChatHandler, arguments),
             ('/v1/programs', ProgramsHandler, arguments),
             ('/v1/programs/([^/]+)', ProgramHandler, arguments),
-            ('/healthz', HealthHandler, arguments),
-            ('/metrics', MetricsHandler, arguments),
-            ('/v1/status', StatusHandler, arguments),
+            ('/healthz', http_operators.HealthHandler, arguments),
+            ('/metrics', http_operators.MetricsHandler, arguments),
+            ('/v1/status', http_operators.StatusHandler, arguments),
             (
                 '/v1/operator/keys/([^/]+)/withdraw',
-                WithdrawHandler,
+                http_operators.WithdrawHandler,
                 arguments,
             ),
             ('/.*', ToolHandler, arguments),
--- /dev/null
+++ b/oleanderdrift/http_operators.py
@@ -0,0 +1,77 @@
+"""HTTP for operators: the balancer's check, metrics, status, keys."""
+
+import hashlib
+import hmac
+
+import msgspec
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift import http_base
+from oleanderdrift import metrics
+
+
+class HealthHandler(http_base.BaseHandler):
+    """GET /healthz: the balancer's check."""
+
+    def get(self) -> None:
+        """Answers 200 while the instance takes new requests."""
+        ready = self.front.feed.caught_up.is_set()
+        ready = ready and self.front.shares.settled.is_set()
+        ready = ready and not self.front.board.draining
+        self.set_status(200 if ready else 503)
+        self.finish('ready\n' if ready else 'not ready\n')
+
+
+class MetricsHandler(http_base.BaseHandler):
+    """GET /metrics, in the usual text format."""
+
+    def get(self) -> None:
+        """Answers with all metrics."""
+        self.set_header('Content-Type', metrics.CONTENT_TYPE)
+        self.finish(self.front.metrics.exposition())
+
+
+class OperatorHandler(http_base.BaseHandler):
+    """What only operators may do, with the operator token."""
+
+    def check_operator(self) -> None:
+        """Raises ResultError(OPERATOR_ONLY) without the token."""
+        expected = self.front.board.settings.operators.token_sha256
+        token = http_base.bearer(self.request)
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        if not expected or not hmac.compare_digest(digest, expected):
+            raise errors.ResultError(codes.OPERATOR_ONLY)
+
+
+class WithdrawHandler(OperatorHandler):
+    """POST /v1/operator/keys/NAME/withdraw, without the log."""
+
+    async def post(self, name: str) -> None:
+        """Withdraws a key at once, here and at every reachable peer."""
+        await self.guard(self._post(name))
+
+    async def _post(self, name: str) -> None:
+        self.check_operator()
+        key = self.front.withdraw(name)
+        self.set_result(codes.OK)
+        self.set_header('Content-Type', http_base.JSON)
+        self.finish(msgspec.json.encode({'withdrawn': key.name}))
+
+
+class StatusHandler(OperatorHandler):
+    """GET /v1/status, for operators.
+
+    It is open to all where no operator token is set.
+    """
+
+    def get(self) -> None:
+        """Answers with the instance's view as http_base.JSON."""
+        try:
+            if self.front.board.settings.operators.token_sha256:
+                self.check_operator()
+        except errors.ResultError as error:
+            self.refuse(error)
+            return
+        self.set_header('Content-Type', http_base.JSON)
+        self.finish(self.front.status())
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -13,7 +13,7 @@
 from oleanderdrift import codes
 from oleanderdrift import config_state
 from oleanderdrift import errors
-from oleanderdrift import http_in
+from oleanderdrift import http_base
 from oleanderdrift import instance_client
 from standins import serving
 from tests import log_service as services
@@ -127,7 +127,7 @@
             return
         self.set_status(403)
         error = errors.ResultError(codes.OPERATOR_ONLY)
-        self.finish(http_in.error_body(error))
+        self.finish(http_base.error_body(error))
 
 
 @pytest.mark.parametrize(
