Stop and refuse with a code before the instance is ready

Cause: SIGTERM was looked at only once the instance was ready, so one started in an outage of the log did not stop; and a tool's path got 404 unknown-route while the configuration was not known yet (found by the random run).

Change: readiness is announced beside the wait for the signal; 6008 not-ready, not run.

tests/test_daemon.py failed before and passes now.

--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -259,6 +259,14 @@
     'The log has trimmed the configuration; restore it from a file.',
 )
 
+NOT_READY: typing.Final = _entry(
+    6008,
+    'not-ready',
+    503,
+    _NOT,
+    'The instance has started and does not know the configuration yet.',
+)
+
 # 7000: settings and command line.
 SETTINGS_INVALID: typing.Final = _entry(
     7000, 'settings-invalid', 500, _NOT, 'The settings file has faults.'
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -103,18 +103,24 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     start(daemon)
+    daemon.tasks.append(loop.create_task(_announce(daemon)))
+    await stop.wait()
+    await drain(daemon)
+    close(daemon)
+
+
+async def _announce(daemon: Daemon) -> None:
+    """Logs that the instance is ready once it is."""
     await daemon.feed.caught_up.wait()
     await daemon.front.shares.settled.wait()
+    instance = daemon.board.settings.instance
     logs.info(
         'ready',
-        instance=settings.instance.name,
-        data_centre=settings.instance.data_centre,
-        http_port=settings.instance.http_port,
+        instance=instance.name,
+        data_centre=instance.data_centre,
+        http_port=instance.http_port,
         peer_port=daemon.peers.port,
     )
-    await stop.wait()
-    await drain(daemon)
-    close(daemon)
 
 
 def build(settings: settings_lib.Settings) -> Daemon:
--- a/oleanderdrift/http_in.py
+++ b/oleanderdrift/http_in.py
@@ -279,6 +279,8 @@
     get = post = put = delete = patch = handle
 
     async def _tool(self) -> None:
+        if not self.front.feed.caught_up.is_set():
+            raise errors.ResultError(codes.NOT_READY, retry_after_s=1.0)
         route = config_state.find_route(
             self.front.board.config, self.request.path
         )
