Cut an answer whose end the history could not take

Cause: found on the read-through. A late end of a chat call was answered as done though it was dropped (its attempt had been settled, as when an instance leaves the list while it still drains a stream), and an end that nobody took after four tries was only logged. The caller got a whole answer that the program's history does not hold.

Ruled out: refusing every late end. A tool's answer adds no history and is true, so it still goes to the caller; a repeat of the end that was recorded is still done.

Change: a late end that adds to the history is refused with 4010, and the entry instance cuts the answer with it.

test_late_end_may_not_add_to_the_history failed before on its first case and passes now.

--- a/oleanderdrift/calls.py
+++ b/oleanderdrift/calls.py
@@ -603,6 +603,11 @@
 
 
 async def _end(calls: Calls, call: Call, message: messages.EndCall) -> None:
+    """Reports an end to the owner.
+
+    Raises ResultError(OUTCOME_UNAVAILABLE) where an answer could not be
+    recorded: the caller may not take it for the program's history.
+    """
     if not call.grant.program:
         return
     for tries_left in range(END_TRIES - 1, -1, -1):
@@ -612,11 +617,24 @@
             )
             return
         except errors.ResultError as error:
-            if not tries_left:
-                logs.warning(
-                    'call-end-unreported',
-                    code=error.code.number,
-                    program=call.grant.program,
-                    call=call.grant.call,
-                )
+            if not tries_left or error.code is codes.OUTCOME_UNAVAILABLE:
+                _note_unreported(call, message, error)
+                return
         await asyncio.sleep(END_RETRY_S)
+
+
+def _note_unreported(
+    call: Call, message: messages.EndCall, error: errors.ResultError
+) -> None:
+    logs.warning(
+        'call-end-unreported',
+        code=error.code.number,
+        program=call.grant.program,
+        call=call.grant.call,
+    )
+    if message.history:
+        raise errors.ResultError(
+            codes.OUTCOME_UNAVAILABLE,
+            'the end of the call could not be recorded',
+            retry_after_s=END_RETRY_S,
+        ) from error
--- a/oleanderdrift/programs.py
+++ b/oleanderdrift/programs.py
@@ -466,18 +466,40 @@
     """Settles an attempt; a late end of an older attempt is dropped.
 
     The upstream of a late end is still remembered, or released at once
-    where the program has ended.
+    where the program has ended.  One that adds to the history is refused,
+    so that no caller is given an answer that the history does not hold.
     """
     program = ledger_lib.find(ledger, message.program)
     if program is None:
         return _released(message.program, (message.upstream,))
     if not _is_current(program, message):
-        if program.ended_code is None:
-            return _use_upstream(ledger, program, message.upstream)
-        return _released(message.program, (message.upstream,))
+        return _end_late(ledger, program, message)
     return _end_current(ledger, now, program, message)
 
 
+def _end_late(
+    ledger: Ledger, program: ledger_lib.Program, message: messages.EndCall
+) -> Decision:
+    if program.ended_code is None:
+        decision = _use_upstream(ledger, program, message.upstream)
+    else:
+        decision = _released(message.program, (message.upstream,))
+    if not message.history or _is_recorded(program, message):
+        return decision
+    refusal = _refuse(codes.OUTCOME_UNAVAILABLE, 'another attempt came first')
+    return attrs.evolve(decision, reply=refusal.reply, commit_soon=False)
+
+
+def _is_recorded(
+    program: ledger_lib.Program, message: messages.EndCall
+) -> bool:
+    """Tells whether the end is a repeat of the one that was recorded."""
+    held = program.held
+    if held is None or held.call != message.call:
+        return False
+    return message.history_digest == program.history_digest
+
+
 def _released(program: str, upstreams: tuple[str, ...]) -> Decision:
     releases = tuple(
         Release(program=program, upstream=upstream)
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -196,6 +196,31 @@
     assert reply.code == codes.CALL_IN_PROGRESS.number
 
 
+@pytest.mark.parametrize(
+    ('last', 'history', 'recorded'),
+    [
+        (1, b'["other"]', False),
+        (1, b'', True),
+        (2, b'["told"]', True),
+    ],
+)
+def test_late_end_may_not_add_to_the_history(
+    ledger: programs.Ledger, last: int, history: bytes, recorded: bool
+) -> None:
+    told = attrs.evolve(
+        END, attempt=2, history=b'["told"]', history_digest=b'told'
+    )
+    run(ledger, BEGIN, LOST, BEGIN, told)
+    late = attrs.evolve(
+        told,
+        attempt=last,
+        history=history,
+        history_digest=b'told' if last == 2 else b'other',
+    )
+    reply = run(ledger, late).reply
+    assert isinstance(reply, messages.Done) == recorded
+
+
 def test_sub_agents_share_the_budget_and_end_with_the_root(
     ledger: programs.Ledger,
 ) -> None:
