--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Every target sets up what it needs in $(VENV) first.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-STAMP := $(VENV)/.stamp-$(shell cksum pyproject.toml | cut -d' ' -f1)
+STAMP := $(VENV)/.stamp-$(shell cat pyproject.toml requirements.txt | cksum | cut -d' ' -f1)
 SOURCES := oleanderdrift standins tests bench
 
 .PHONY: test demo bench binary check format lint types long
@@ -29,7 +29,7 @@
 
 binary: dist/oleanderdrift
 
-dist/oleanderdrift: $(STAMP) $(wildcard oleanderdrift/*.py)
+dist/oleanderdrift: $(STAMP) $(wildcard oleanderdrift/*.py oleanderdrift/*/*.py)
 	mkdir -p dist
 	$(PY) -m pex . -m oleanderdrift -o $@
 	$(PY) -m pytest -m binary
--- a/oleanderdrift/cli.py
+++ b/oleanderdrift/cli.py
@@ -127,3 +127,18 @@
         typer.echo(f'{error.code.number} {error.code.name}', err=True)
         typer.echo(error.detail, err=True)
         raise typer.Exit(cli_common.EXIT_REFUSED) from None
+
+
+@app.command()
+def gateway() -> None:
+    """Runs an instance on the users' platform until SIGTERM.
+
+    The platform's environment says where its settings file is.
+    """
+    run = importlib.import_module('oleanderdrift.platform.run')
+    try:
+        run.run()
+    except errors.ResultError as error:
+        typer.echo(f'{error.code.number} {error.code.name}', err=True)
+        typer.echo(error.detail, err=True)
+        raise typer.Exit(cli_common.EXIT_REFUSED) from None
--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -126,6 +126,14 @@
     3002, 'budget-exhausted', 403, _NOT, "The program's budget is used up."
 )
 
+TOKENS_SPENT: typing.Final = _entry(
+    3003,
+    'tokens-spent',
+    402,
+    _NOT,
+    "The program's token budget holds no further call.",
+)
+
 # 4000: programs.
 PROGRAM_REQUIRED: typing.Final = _entry(
     4000, 'program-required', 400, _NOT, 'This route needs a program.'
@@ -193,6 +201,14 @@
     _UNKNOWN,
     'The owner cannot be asked now; an earlier attempt may have run.',
 )
+UNKNOWN_TURN: typing.Final = _entry(
+    4011,
+    'unknown-turn',
+    404,
+    _NOT,
+    'The client account has no such earlier turn.',
+)
+
 
 # 5000: upstreams.
 UPSTREAM_UNREACHABLE: typing.Final = _entry(
@@ -215,6 +231,14 @@
     _NOT,
     'The upstream saw a newer fencing token.',
 )
+NO_UPSTREAM: typing.Final = _entry(
+    5004,
+    'no-upstream',
+    503,
+    _NOT,
+    'No upstream of the service took the request.',
+)
+
 
 # 6000: platform, configuration and peers.
 LOG_UNAVAILABLE: typing.Final = _entry(
--- /dev/null
+++ b/oleanderdrift/gateway/admission.py
@@ -0,0 +1,86 @@
+"""Decides whether a request may go on, from what the instance knows."""
+
+import attrs
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import routing
+
+# Callers come back after this long when the instance cannot serve; another
+# instance may serve them at once.
+ELSEWHERE_S = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class Admitted:
+    """A request that may go on, and what was found for it."""
+
+    request: model.Request
+    route: model.Route
+    service: model.Service
+    account: model.ClientAccount | None
+    config_version: int
+
+    def is_turn(self) -> bool:
+        """Tells whether the request spends a program's token budget."""
+        return self.request.token_budget is not None
+
+    def may_repeat(self) -> bool:
+        """Tells whether the request may run more than once."""
+        return self.route.kind is model.Kind.IDEMPOTENT or (
+            self.route.kind is model.Kind.STREAMING and self.route.resumable
+        )
+
+
+def admit(
+    board: board_lib.Board,
+    request: model.Request,
+    now: float,
+    boot_now: float,
+) -> Admitted:
+    """Returns the admitted request; raises ResultError where it is not.
+
+    now is monotonic time, boot_now goes on during a suspension.
+    """
+    config = board.config
+    if config is None or not board.upstreams_known:
+        raise errors.ResultError(codes.NOT_READY, retry_after_s=ELSEWHERE_S)
+    if not board.freshness.may_serve(boot_now, board.settings.key_grace_s):
+        age_s = board.freshness.age_s(boot_now)
+        raise errors.ResultError(
+            codes.KEYS_UNVERIFIABLE,
+            f'news of the store is {age_s:.2f} s old',
+            retry_after_s=ELSEWHERE_S,
+        )
+    route = routing.find_route(config, request.host, request.target)
+    account = routing.find_account(config, route, request.key)
+    name = routing.choose_service(route, request)
+    service = config.services.get(name)
+    if service is None:
+        raise errors.ResultError(
+            codes.NO_UPSTREAM, f'no service {name} is configured'
+        )
+    if account is not None:
+        begun = _has_begun(board, request)
+        wait_s = board.allotments.admit(account, now, begun)
+        if wait_s is not None:
+            raise errors.ResultError(codes.RATE_EXCEEDED, retry_after_s=wait_s)
+    if request.program_id:
+        board.note_program(request.program_id)
+    return Admitted(
+        request=request,
+        route=route,
+        service=service,
+        account=account,
+        config_version=config.version,
+    )
+
+
+def _has_begun(board: board_lib.Board, request: model.Request) -> bool:
+    return (
+        request.previous_turn is not None
+        or request.token_budget is None
+        or request.program_id in board.programs
+    )
--- /dev/null
+++ b/oleanderdrift/gateway/board.py
@@ -0,0 +1,56 @@
+"""The blackboard of a gateway instance: what its parts share."""
+
+import collections
+
+import attrs
+
+from oleanderdrift.gateway import allotments as allotments_lib
+from oleanderdrift.gateway import freshness as freshness_lib
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift.gateway import upstreams as upstreams_lib
+
+# Programs remembered as begun at this instance.
+MAX_PROGRAMS = 20_000
+
+
+@attrs.define(kw_only=True)
+class Board:
+    """What one instance knows.
+
+    programs holds the ids of programs that had a request admitted here,
+    the latest last.  stopping is set from the signal to stop on.
+    """
+
+    settings: settings_lib.GatewaySettings
+    allotments: allotments_lib.Allotments
+    config: model.Configuration | None = None
+    upstreams: upstreams_lib.UpstreamSet = attrs.field(
+        factory=upstreams_lib.UpstreamSet
+    )
+    upstreams_known: bool = False
+    freshness: freshness_lib.Freshness = attrs.field(
+        factory=freshness_lib.Freshness
+    )
+    programs: collections.OrderedDict[str, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    stopping: bool = False
+    open_requests: int = 0
+    peer_running: dict[str, dict[str, int]] = attrs.field(factory=dict)
+
+    def note_program(self, program: str) -> None:
+        """Remembers that a program has begun."""
+        self.programs[program] = None
+        self.programs.move_to_end(program)
+        if len(self.programs) > MAX_PROGRAMS:
+            self.programs.popitem(last=False)
+
+    def is_ready(self, boot_now: float) -> bool:
+        """Tells whether the balancer should send new connections."""
+        return (
+            self.config is not None
+            and self.upstreams_known
+            and not self.stopping
+            and self.freshness.is_ready(boot_now)
+        )
--- /dev/null
+++ b/oleanderdrift/gateway/budget_log.py
@@ -0,0 +1,132 @@
+"""Reserves turns' tokens in the store, whose order decides.
+
+A reservation is one append to the program's partition and, where others
+wrote there meanwhile, one read.  What ended turns really used goes along
+with the next append, or by itself soon after.
+"""
+
+import asyncio
+import typing
+
+import attrs
+
+from oleanderdrift import errors
+from oleanderdrift import logs
+from oleanderdrift.gateway import budgets
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import records
+from oleanderdrift.gateway import routing
+
+# Half of the time in which the end of a turn is to be known to all.
+SETTLE_EVERY_S: typing.Final = 0.3
+# Reads of one partition: some thousand records.
+READ_BYTES: typing.Final = 262_144
+
+
+@attrs.define(kw_only=True)
+class Partition:
+    """One partition's ledger and the settlements that wait for it."""
+
+    number: int
+    ledger: budgets.BudgetLedger = attrs.field(factory=budgets.BudgetLedger)
+    pending: list[records.Settle] = attrs.field(factory=list)
+    reading: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+
+class BudgetLog:
+    """The budgets of all programs, as the store's records tell them."""
+
+    def __init__(self, log: ports.Log) -> None:
+        self.log = log
+        self.partitions = [
+            Partition(number=number) for number in range(log.partitions)
+        ]
+
+    def partition_of(self, program: str) -> Partition:
+        """Returns the partition of a program's records."""
+        place = routing.hash_of(program) % len(self.partitions)
+        return self.partitions[place]
+
+    def is_spent(self, program: str, budget: int) -> bool:
+        """Tells whether the known records show the budget used up."""
+        return self.partition_of(program).ledger.is_spent(program, budget)
+
+    async def reserve(
+        self, program: str, turn: str, tokens: int, budget: int, now: float
+    ) -> bool:
+        """Sets a turn's tokens aside; returns whether the budget held.
+
+        Raises ResultError where the store cannot tell.
+        """
+        part = self.partition_of(program)
+        record = records.Reserve(
+            program=program, turn=turn, tokens=tokens, budget=budget
+        )
+        try:
+            await self.append(part, [record], now)
+        except errors.ResultError:
+            # The record may still come into force.
+            self.settle(program, turn, 0)
+            raise
+        program_state = part.ledger.program(program, now)
+        return program_state.turns.get(turn) is not None
+
+    def settle(self, program: str, turn: str, tokens: int) -> None:
+        """Notes what a turn used; the store hears of it soon."""
+        part = self.partition_of(program)
+        part.pending.append(
+            records.Settle(program=program, turn=turn, tokens=tokens)
+        )
+
+    async def append(
+        self,
+        part: Partition,
+        new: list[records.BudgetRecord],
+        now: float,
+    ) -> None:
+        """Appends records and folds the partition up to them."""
+        settled, part.pending = part.pending, []
+        data = [records.encode(record) for record in [*settled, *new]]
+        try:
+            start = await self.log.append(
+                records.BUDGET_TOPIC, part.number, data
+            )
+        except errors.ResultError:
+            # Settling twice does no harm.
+            part.pending = settled + part.pending
+            raise
+        if start == part.ledger.end:
+            part.ledger.fold(start, tuple(data), now)
+        await self.read_up_to(part, start + len(data), now)
+
+    async def read_up_to(self, part: Partition, end: int, now: float) -> None:
+        """Reads and folds records until the ledger reaches an offset."""
+        async with part.reading:
+            while part.ledger.end < end:
+                found = await self.log.read(
+                    records.BUDGET_TOPIC,
+                    part.number,
+                    part.ledger.end,
+                    max_bytes=READ_BYTES,
+                )
+                if found.trimmed:
+                    part.ledger.end = found.first
+                    continue
+                part.ledger.fold(found.start, found.records, now)
+
+    async def flush(self, now: float) -> None:
+        """Appends settlements that no reservation took along."""
+        for part in self.partitions:
+            part.ledger.forget(now)
+            if not part.pending:
+                continue
+            try:
+                await self.append(part, [], now)
+            except errors.ResultError as error:
+                logs.warning(
+                    'settlements-kept',
+                    partition=part.number,
+                    count=len(part.pending),
+                    reason=error.detail,
+                )
+                return
--- /dev/null
+++ b/oleanderdrift/gateway/event_log.py
@@ -0,0 +1,89 @@
+"""Writes log lines without ever waiting for whoever reads them.
+
+Lines go through a bounded queue to a thread that writes them.  Each kind
+of line has a limit a second; one line tells how many were left out.
+"""
+
+import collections
+import queue
+import sys
+import threading
+import typing
+
+import attrs
+
+from oleanderdrift import logs
+from oleanderdrift.gateway import clock
+
+# Twice the requests an instance gets at its share of a burst.
+LINES_PER_S: typing.Final = 60
+QUEUE_LINES: typing.Final = 2_000
+
+
+@attrs.define(kw_only=True)
+class _Window:
+    """The lines of one kind in the present second."""
+
+    second: int = 0
+    written: int = 0
+    left_out: int = 0
+
+
+class BoundedOutput:
+    """A text file whose writes never wait; what it cannot hold is lost."""
+
+    def __init__(self, file: typing.TextIO) -> None:
+        self.file = file
+        self.lines: queue.Queue[str] = queue.Queue(QUEUE_LINES)
+        self.lost = 0
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def write(self, text: str) -> int:
+        """Queues a text, or counts it as lost."""
+        try:
+            self.lines.put_nowait(text)
+        except queue.Full:
+            self.lost += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Does nothing; the thread flushes."""
+
+    def run(self) -> None:
+        """Writes queued texts for ever."""
+        while True:
+            text = self.lines.get()
+            self.file.write(text)
+            if self.lines.empty():
+                self.file.flush()
+
+
+class EventLog:
+    """Writes bounded numbers of lines of each kind."""
+
+    def __init__(self) -> None:
+        self.windows: collections.defaultdict[str, _Window] = (
+            collections.defaultdict(lambda: _Window())
+        )
+
+    def info(self, event: str, **values: object) -> None:
+        """Logs an event unless its kind is over its limit."""
+        second = int(clock.monotonic())
+        window = self.windows[event]
+        if window.second != second:
+            if window.left_out:
+                logs.info('lines-left-out', kind=event, n=window.left_out)
+            window.second = second
+            window.written = window.left_out = 0
+        if window.written >= LINES_PER_S:
+            window.left_out += 1
+            return
+        window.written += 1
+        logs.info(event, **values)
+
+
+def set_up() -> None:
+    """Sends log lines to standard output, without waiting for it."""
+    output = typing.cast(typing.TextIO, BoundedOutput(sys.stdout))
+    logs.set_up(output)
--- /dev/null
+++ b/oleanderdrift/gateway/follow.py
@@ -0,0 +1,161 @@
+"""Follows the operators' configuration and the upstreams' entries."""
+
+import asyncio
+import typing
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import ports
+
+# A read that waits longer for news could hide a silent connection.
+CONFIG_WAIT_S: typing.Final = 0.5
+UPSTREAMS_WAIT_S: typing.Final = 0.5
+# Upstreams renew their entries all the time; reading in batches saves
+# calls.
+UPSTREAMS_PAUSE_S: typing.Final = 0.2
+RETRY_S: typing.Final = 0.1
+
+
+class Follower:
+    """Keeps the board up to date with the store."""
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        codec: ports.Codec,
+        log: ports.Log,
+        events: event_log.EventLog,
+    ) -> None:
+        self.board = board
+        self.codec = codec
+        self.log = log
+        self.events = events
+        self.lost = False
+
+    async def follow_config(self) -> None:
+        """Follows the configuration for ever."""
+        position: int | None = None
+        while True:
+            sent = clock.boot()
+            try:
+                if position is None:
+                    found = await self.log.newest(self.codec.config_topic)
+                else:
+                    read = await self.log.read_keyed(
+                        self.codec.config_topic,
+                        position,
+                        wait_s=CONFIG_WAIT_S,
+                    )
+                    if read is None:
+                        position = None
+                        continue
+                    found = read
+            except errors.ResultError as error:
+                self.note_lost(error)
+                await asyncio.sleep(RETRY_S)
+                continue
+            was_start = position is None
+            position = found.end
+            for record in found.records:
+                if record.key == self.codec.config_key and record.value:
+                    self.take_config(record.value)
+            self.note_news(sent)
+            if was_start and self.board.config is None:
+                await asyncio.sleep(RETRY_S)
+
+    def take_config(self, value: bytes) -> None:
+        """Puts a configuration in force if it is newer."""
+        try:
+            config = self.codec.configuration(value)
+        except errors.ResultError as error:
+            self.events.info('config-refused', reason=error.detail)
+            return
+        known = self.board.config
+        if known is not None and config.version <= known.version:
+            return
+        self.board.config = config
+        self.events.info(
+            'config-in-force',
+            version=config.version,
+            routes=len(config.routes),
+        )
+
+    def note_lost(self, error: errors.ResultError) -> None:
+        """Logs that the store is lost, once."""
+        if not self.lost:
+            self.lost = True
+            self.events.info(
+                'store-lost', code=error.code.number, detail=error.detail
+            )
+
+    def note_news(self, sent: float) -> None:
+        """Notes that the store was heard of."""
+        if self.board.freshness.confirm(sent, clock.boot()) or self.lost:
+            self.lost = False
+            self.events.info('store-regained')
+
+    async def follow_upstreams(self) -> None:
+        """Follows the upstreams' entries for ever."""
+        position: int | None = None
+        while True:
+            try:
+                if position is None:
+                    found = await self.log.newest(self.codec.upstreams_topic)
+                    self.take_all(found)
+                else:
+                    read = await self.log.read_keyed(
+                        self.codec.upstreams_topic,
+                        position,
+                        wait_s=UPSTREAMS_WAIT_S,
+                    )
+                    if read is None:
+                        position = None
+                        continue
+                    found = read
+            except errors.ResultError as error:
+                self.events.info(
+                    'upstreams-unread',
+                    code=error.code.number,
+                    detail=error.detail,
+                )
+                await asyncio.sleep(RETRY_S)
+                continue
+            position = found.end
+            for record in found.records:
+                self.take_entry(record)
+            self.board.upstreams_known = bool(self.board.upstreams.by_id)
+            await asyncio.sleep(UPSTREAMS_PAUSE_S)
+
+    def take_all(self, found: ports.KeyedRecords) -> None:
+        """Removes the upstreams that the newest records do not name."""
+        ids = {record.key for record in found.records}
+        for upstream_id in self.board.upstreams.keep_only(
+            ids, clock.monotonic()
+        ):
+            self.events.info('upstream-removed', upstream=upstream_id)
+
+    def take_entry(self, record: ports.KeyedRecord) -> None:
+        """Takes one entry, or its removal, in."""
+        if record.value is None:
+            if self.board.upstreams.remove(record.key, clock.monotonic()):
+                self.events.info('upstream-removed', upstream=record.key)
+            return
+        entry = self.codec.upstream_entry(record.key, record.value)
+        if entry is None:
+            self.events.info(
+                'entry-unreadable',
+                upstream=record.key,
+                code=codes.CONFIG_INVALID.number,
+            )
+            return
+        change = self.board.upstreams.put(entry)
+        if change is not None:
+            self.events.info(
+                'upstream-' + change,
+                upstream=record.key,
+                service=entry.service,
+                born_ms=entry.born_ms,
+            )
--- /dev/null
+++ b/oleanderdrift/gateway/forwarder.py
@@ -0,0 +1,461 @@
+"""Takes one request from admission to the end of its answer."""
+
+import asyncio
+import typing
+
+import attrs
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import budget_log
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import events
+from oleanderdrift.gateway import exchange
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import placement
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import records
+from oleanderdrift.gateway import reply as reply_lib
+from oleanderdrift.gateway import turn_log
+from oleanderdrift.gateway import turns
+from oleanderdrift.gateway import upstreams
+
+# A reservation that takes longer is given up: the store is away.
+PREPARE_S: typing.Final = 1.0
+# How long the end of an answer waits for the store.
+END_TURN_S: typing.Final = 1.5
+RETRY_AFTER_S: typing.Final = 0.1
+MAX_TRIES: typing.Final = 4
+
+
+@attrs.define(kw_only=True)
+class Progress:
+    """How far a request has come.
+
+    body is what upstreams receive.  sent says that an upstream may have
+    run it; runs counts upstreams that may have.  tokens are those handed
+    to the caller.
+    """
+
+    admitted: admission.Admitted
+    body: bytes
+    deadline: float
+    reserved: bool = False
+    sent: bool = False
+    tokens: int = 0
+    last_event_id: str | None = None
+    output: list[bytes] = attrs.field(factory=list)
+    input_place: asyncio.Task[records.InputPlace] | None = None
+    tried: set[str] = attrs.field(factory=set)
+    upstream: str = ''
+    last_reason: str = ''
+
+
+class Forwarder:
+    """Serves requests with what the board knows."""
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        codec: ports.Codec,
+        log: ports.Log,
+        event_log: event_log.EventLog,
+    ) -> None:
+        self.board = board
+        self.codec = codec
+        self.pool = channel.Pool()
+        self.budgets = budget_log.BudgetLog(log)
+        self.turns = turn_log.TurnLog(log, board.settings.instance)
+        self.events = event_log
+
+    async def serve(
+        self, request: model.Request, reply: reply_lib.Reply
+    ) -> None:
+        """Answers one request; ends when the answer has."""
+        progress = None
+        self.board.open_requests += 1
+        result = codes.OK
+        detail = ''
+        try:
+            admitted = admission.admit(
+                self.board, request, clock.monotonic(), clock.boot()
+            )
+            progress = Progress(
+                admitted=admitted,
+                body=request.body,
+                deadline=min(
+                    request.deadline,
+                    request.received + admitted.route.timeout_s,
+                ),
+            )
+            async with asyncio.timeout_at(progress.deadline):
+                if admitted.is_turn():
+                    await self.prepare_turn(progress)
+                await self.run(progress, reply)
+        except errors.ResultError as error:
+            result, detail = error.code, error.detail
+            await self.refuse(request, reply, error)
+        except TimeoutError:
+            result = await self.time_out(progress, request, reply)
+        except reply_lib.CallerGoneError:
+            detail = 'the caller left'
+        except asyncio.CancelledError:
+            detail = 'cancelled'
+            raise
+        finally:
+            self.board.open_requests -= 1
+            if progress is not None:
+                self.settle(progress)
+            self.log_end(request, progress, result, detail)
+
+    async def time_out(
+        self,
+        progress: Progress | None,
+        request: model.Request,
+        reply: reply_lib.Reply,
+    ) -> codes.Result:
+        """Answers a request whose time is over."""
+        sent = progress is not None and progress.sent
+        code = codes.UPSTREAM_TIMEOUT if sent else codes.OVERLOADED
+        await self.refuse(request, reply, errors.ResultError(code))
+        return code
+
+    async def refuse(
+        self,
+        request: model.Request,
+        reply: reply_lib.Reply,
+        error: errors.ResultError,
+    ) -> None:
+        """Sends an answer of the gateway's own, or cuts one that began."""
+        if reply.started:
+            reply.abort()
+            return
+        headers = self.codec.refusal_headers(
+            request.request_id, error.retry_after_s
+        )
+        try:
+            await reply.whole(error.code.status, headers, b'')
+        except reply_lib.CallerGoneError:
+            return
+
+    def settle(self, progress: Progress) -> None:
+        """Gives back what a turn set aside and did not use."""
+        if progress.input_place is not None:
+            progress.input_place.cancel()
+        if not progress.reserved:
+            return
+        request = progress.admitted.request
+        self.budgets.settle(
+            request.program_id, request.request_id, progress.tokens
+        )
+
+    async def prepare_turn(self, progress: Progress) -> None:
+        """Reserves a turn's tokens and gathers its conversation.
+
+        Raises ResultError, where the turn surely was not run.
+        """
+        request = progress.admitted.request
+        budget = request.token_budget or 0
+        if self.budgets.is_spent(request.program_id, budget):
+            raise errors.ResultError(codes.TOKENS_SPENT)
+        if progress.admitted.route.retains:
+            progress.input_place = asyncio.create_task(
+                self.turns.append_input(request.body)
+            )
+            progress.input_place.add_done_callback(_retrieve)
+        try:
+            async with asyncio.timeout(PREPARE_S):
+                chain, valid = await asyncio.gather(
+                    self.chain(progress), self.reserve(progress)
+                )
+        except TimeoutError as error:
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE,
+                'the store is slow',
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        except errors.ResultError as error:
+            if error.code.status == codes.UNKNOWN_TURN.status:
+                raise
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE,
+                error.detail,
+                retry_after_s=RETRY_AFTER_S,
+            ) from error
+        if not valid:
+            raise errors.ResultError(codes.TOKENS_SPENT)
+        pieces = [piece for one in chain for piece in (one.input, one.output)]
+        progress.body = b''.join([*pieces, request.body])
+
+    async def chain(self, progress: Progress) -> list[turns.Turn]:
+        """Returns the turns that a request goes on from."""
+        request = progress.admitted.request
+        if not progress.admitted.route.retains or not request.previous_turn:
+            return []
+        return await self.turns.chain(
+            request.previous_turn, _account_name(progress)
+        )
+
+    async def reserve(self, progress: Progress) -> bool:
+        """Sets a turn's tokens aside; returns whether the budget held."""
+        request = progress.admitted.request
+        # From here on the record may be in the store.
+        progress.reserved = True
+        return await self.budgets.reserve(
+            request.program_id,
+            request.request_id,
+            request.max_tokens,
+            request.token_budget or 0,
+            clock.monotonic(),
+        )
+
+    async def run(self, progress: Progress, reply: reply_lib.Reply) -> None:
+        """Sends a request to upstreams until one has answered.
+
+        Raises ResultError with what is known of its execution.
+        """
+        for _ in range(MAX_TRIES):
+            upstream = self.choose(progress)
+            if upstream is None:
+                break
+            progress.upstream = upstream.entry.upstream_id
+            upstream.ours += 1
+            try:
+                done = await self.try_one(progress, upstream, reply)
+            finally:
+                upstream.ours -= 1
+            if done:
+                return
+        if progress.sent:
+            raise errors.ResultError(
+                codes.UPSTREAM_FAILED, progress.last_reason
+            )
+        raise errors.ResultError(
+            codes.NO_UPSTREAM,
+            progress.last_reason,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def choose(self, progress: Progress) -> upstreams.Upstream | None:
+        """Returns the upstream to try next."""
+        admitted = progress.admitted
+        candidates = self.board.upstreams.of_service(
+            admitted.service.name,
+            self.board.freshness.in_lapse_grace(clock.boot()),
+        )
+        return placement.choose(
+            candidates,
+            admitted.request,
+            self.board.settings.data_centre,
+            clock.monotonic(),
+            progress.tried,
+        )
+
+    async def try_one(
+        self,
+        progress: Progress,
+        upstream: upstreams.Upstream,
+        reply: reply_lib.Reply,
+    ) -> bool:
+        """Tries one upstream; returns whether the request has its answer."""
+        began = clock.monotonic()
+        # Set before the first byte may leave.
+        was_sent = progress.sent
+        progress.sent = True
+        progress.tried.add(upstream.entry.upstream_id)
+        outcome = await exchange.begin(
+            self.pool,
+            self.codec,
+            upstream,
+            progress.admitted,
+            progress.body,
+            progress.deadline,
+            progress.last_event_id,
+        )
+        match outcome:
+            case exchange.NotConnected():
+                progress.sent = was_sent
+                upstream.note_failure(clock.monotonic())
+                self.note_try(progress, upstream, outcome.reason)
+                return False
+            case exchange.NotRun():
+                progress.sent = was_sent
+                if outcome.status == exchange.MISDIRECTED:
+                    self.board.upstreams.remove(
+                        upstream.entry.upstream_id, clock.monotonic()
+                    )
+                self.note_try(progress, upstream, f'status {outcome.status}')
+                return False
+            case exchange.Broken():
+                return self.after_break(progress, upstream, outcome.reason)
+            case exchange.Answering():
+                return await self.pass_on(
+                    progress, upstream, outcome, reply, began
+                )
+
+    def note_try(
+        self, progress: Progress, upstream: upstreams.Upstream, reason: str
+    ) -> None:
+        """Notes why an upstream did not answer."""
+        progress.last_reason = reason
+        self.events.info(
+            'upstream-failed',
+            request=progress.admitted.request.request_id,
+            upstream=upstream.entry.upstream_id,
+            reason=reason,
+        )
+
+    def after_break(
+        self, progress: Progress, upstream: upstreams.Upstream, reason: str
+    ) -> bool:
+        """Decides what follows a broken exchange.
+
+        Raises ResultError where the request must not be sent again.
+        """
+        upstream.note_failure(clock.monotonic())
+        self.note_try(progress, upstream, reason)
+        if not progress.admitted.may_repeat():
+            raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
+        return False
+
+    async def pass_on(
+        self,
+        progress: Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.Answering,
+        reply: reply_lib.Reply,
+        began: float,
+    ) -> bool:
+        """Passes an answer on; returns whether it was whole."""
+        head, link = outcome.head, outcome.link
+        streams = (
+            head.status == 200
+            and progress.admitted.route.kind is model.Kind.STREAMING
+        )
+        try:
+            if streams:
+                await self.stream(progress, upstream, outcome, reply, began)
+            else:
+                body = await link.read_body()
+                if head.status < 300 and not head.sealed:
+                    raise channel.ChannelError(
+                        channel.Failure.MALFORMED, 'no proof of origin'
+                    )
+                took_s = clock.monotonic() - began
+                upstream.note_work(took_s, placement.CALL_S)
+                await reply.whole(head.status, head.headers, body)
+        except channel.ChannelError as error:
+            link.close()
+            return self.after_break(progress, upstream, str(error))
+        except BaseException:
+            # Closing the connection is what stops the upstream.
+            link.close()
+            raise
+        upstream.note_success()
+        self.pool.give_back(upstream.key(), link, clock.monotonic())
+        return True
+
+    async def stream(
+        self,
+        progress: Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.Answering,
+        reply: reply_lib.Reply,
+        began: float,
+    ) -> None:
+        """Passes a stream's events on as they come."""
+        if not outcome.head.sealed and not reply.started:
+            raise channel.ChannelError(
+                channel.Failure.MALFORMED, 'no proof of origin'
+            )
+        reader = events.EventReader()
+        prompt = progress.admitted.request.prompt
+        expected_s = placement.expected_work_s(upstream, prompt)
+        upstream.note_parts(prompt)
+        first = True
+        while chunk := await outcome.link.read_chunk():
+            for event in reader.feed(chunk):
+                if first:
+                    first = False
+                    took_s = clock.monotonic() - began
+                    upstream.note_work(took_s, expected_s)
+                await self.pass_event(progress, outcome, event, reply)
+        if not reply.started:
+            await reply.start(outcome.head.status, outcome.head.headers)
+        if reader.rest:
+            await reply.write(reader.rest)
+        await self.end_turn(progress)
+        await reply.finish()
+
+    async def pass_event(
+        self,
+        progress: Progress,
+        outcome: exchange.Answering,
+        event: events.Event,
+        reply: reply_lib.Reply,
+    ) -> None:
+        """Passes one event on."""
+        admitted = progress.admitted
+        progress.tokens += admitted.service.tokens_per_event
+        progress.last_event_id = event.event_id or progress.last_event_id
+        if admitted.route.retains:
+            progress.output.append(event.data + b'\n')
+        if not reply.started:
+            await reply.start(outcome.head.status, outcome.head.headers)
+        await reply.write(event.raw)
+
+    async def end_turn(self, progress: Progress) -> None:
+        """Makes a turn last before its caller sees the end."""
+        if progress.input_place is None:
+            return
+        request = progress.admitted.request
+        try:
+            async with asyncio.timeout(END_TURN_S):
+                place = await asyncio.shield(progress.input_place)
+                turn = turns.Turn(
+                    turn=request.request_id,
+                    previous=request.previous_turn,
+                    account=_account_name(progress),
+                    input=request.body,
+                    output=b''.join(progress.output),
+                )
+                await self.turns.end_turn(turn, place, clock.unix_ms())
+        except TimeoutError as error:
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE, 'the turn could not be kept'
+            ) from error
+
+    def log_end(
+        self,
+        request: model.Request,
+        progress: Progress | None,
+        result: codes.Result,
+        detail: str,
+    ) -> None:
+        """Logs what became of a request."""
+        self.events.info(
+            'request',
+            request=request.request_id,
+            program=request.program_id,
+            route=progress.admitted.route.name if progress else '',
+            version=progress.admitted.config_version if progress else '',
+            upstream=progress.upstream if progress else '',
+            code=result.number,
+            detail=detail,
+            ms=round((clock.monotonic() - request.received) * 1_000),
+        )
+
+
+def _account_name(progress: Progress) -> str:
+    account = progress.admitted.account
+    return account.name if account is not None else ''
+
+
+def _retrieve(task: asyncio.Task[records.InputPlace]) -> None:
+    """Marks a failed task's exception as seen; end_turn raises it."""
+    if not task.cancelled():
+        task.exception()
--- /dev/null
+++ b/oleanderdrift/gateway/freshness.py
@@ -0,0 +1,59 @@
+"""What an instance may still do on news of the store of a given age.
+
+Answers an outage of the store, or a cut from it: at first requests are
+served on what is known; then the instance leaves the balancer's rotation
+and sends its callers elsewhere; before a key that may have been withdrawn
+could still be used, it refuses.  Times are on a clock that goes on while
+the machine is suspended.
+"""
+
+import typing
+
+import attrs
+
+# Readers hear of the store twice a second; three misses in a row.
+UNREADY_AFTER_S: typing.Final = 1.8
+# Requests at an instance that has lost the store this long ago are better
+# sent to another one.
+REFUSE_AFTER_S: typing.Final = 2.6
+# How long entries that lapsed while the store was away may take to return.
+LAPSE_GRACE_S: typing.Final = 2.0
+OUTAGE_S: typing.Final = 1.5
+
+
+@attrs.define(kw_only=True)
+class Freshness:
+    """When the store was last heard of.
+
+    confirmed is when the latest read that was answered had been sent.
+    returned is when the store came back from its last outage.
+    """
+
+    confirmed: float = float('-inf')
+    returned: float = float('-inf')
+
+    def confirm(self, sent: float, now: float) -> bool:
+        """Notes an answer; returns whether it ends an outage."""
+        ended = self.confirmed > float('-inf') and (
+            now - self.confirmed > OUTAGE_S
+        )
+        if ended:
+            self.returned = now
+        self.confirmed = max(self.confirmed, sent)
+        return ended
+
+    def age_s(self, now: float) -> float:
+        """Returns the age of the news in seconds."""
+        return now - self.confirmed
+
+    def is_ready(self, now: float) -> bool:
+        """Tells whether the balancer should send new connections."""
+        return self.age_s(now) < UNREADY_AFTER_S
+
+    def may_serve(self, now: float, key_grace_s: float) -> bool:
+        """Tells whether requests with keys may be served."""
+        return self.age_s(now) < min(REFUSE_AFTER_S, key_grace_s)
+
+    def in_lapse_grace(self, now: float) -> bool:
+        """Tells whether vanished entries may still come back."""
+        return now - self.returned < LAPSE_GRACE_S
--- /dev/null
+++ b/oleanderdrift/gateway/gossip.py
@@ -0,0 +1,171 @@
+"""Tells the other instances what this one asks for and runs.
+
+Every instance publishes a small message several times a second and
+subscribes to all others, which it finds by their records in the store.
+"""
+
+import asyncio
+import typing
+
+import attrs
+import msgspec
+import zmq
+import zmq.asyncio
+
+from oleanderdrift import errors
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import records
+
+TELL_EVERY_S: typing.Final = 0.2
+FIND_EVERY_S: typing.Final = 1.0
+HEARTBEAT_MS: typing.Final = 500
+HEARTBEAT_TIMEOUT_MS: typing.Final = 1_500
+# Messages to a peer that does not read; each makes the one before stale.
+QUEUE_MESSAGES: typing.Final = 8
+# What a peer said it runs is void after this long.
+STALE_S: typing.Final = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class News:
+    """What an instance tells its peers.
+
+    demands are requests a second by client account; running are open
+    requests by upstream.
+    """
+
+    instance: str
+    demands: dict[str, float]
+    running: dict[str, int]
+    leaving: bool = False
+
+
+_DECODER: typing.Final = msgspec.msgpack.Decoder(News)
+
+
+class Gossip:
+    """The exchange of news with all other instances."""
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        log: ports.Log,
+        events: event_log.EventLog,
+    ) -> None:
+        self.board = board
+        self.log = log
+        self.events = events
+        self.context = zmq.asyncio.Context()
+        self.out = self.context.socket(zmq.PUB)
+        self.into = self.context.socket(zmq.SUB)
+        self.into.subscribe(b'')
+        for each in (self.out, self.into):
+            each.linger = 0
+            each.sndhwm = QUEUE_MESSAGES
+            each.heartbeat_ivl = HEARTBEAT_MS
+            each.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
+        self.connected: dict[str, str] = {}
+        self.heard: dict[str, float] = {}
+
+    def bind(self) -> None:
+        """Starts to listen; raises zmq.ZMQError."""
+        self.out.bind(f'tcp://{self.board.settings.peer_listen}')
+
+    async def announce(self) -> None:
+        """Leaves this instance's record until it is in the store."""
+        record = records.InstanceRecord(
+            peer_address=self.board.settings.peer_listen,
+            started_ms=clock.unix_ms(),
+        )
+        await self.put(records.encode_instance(record))
+
+    async def put(self, value: bytes | None) -> None:
+        """Writes this instance's record until that succeeds."""
+        while True:
+            try:
+                await self.log.put(
+                    records.INSTANCE_TOPIC,
+                    self.board.settings.instance,
+                    value,
+                )
+                return
+            except errors.ResultError as error:
+                self.events.info('announce-failed', detail=error.detail)
+                await asyncio.sleep(FIND_EVERY_S)
+
+    async def find(self) -> None:
+        """Connects to the instances that have records, for ever."""
+        while True:
+            try:
+                found = await self.log.newest(records.INSTANCE_TOPIC)
+            except errors.ResultError as error:
+                self.events.info('peers-unread', detail=error.detail)
+            else:
+                for record in found.records:
+                    self.connect(record)
+            await asyncio.sleep(FIND_EVERY_S)
+
+    def connect(self, record: ports.KeyedRecord) -> None:
+        """Subscribes to one instance."""
+        name = record.key
+        if record.value is None or name == self.board.settings.instance:
+            return
+        peer = records.decode_instance(record.value)
+        if peer is None or self.connected.get(name) == peer.peer_address:
+            return
+        self.connected[name] = peer.peer_address
+        self.into.connect(f'tcp://{peer.peer_address}')
+        self.events.info('peer-found', peer=name)
+
+    async def tell(self) -> None:
+        """Publishes news for ever."""
+        while True:
+            await self.publish()
+            await asyncio.sleep(TELL_EVERY_S)
+
+    async def publish(self) -> None:
+        """Publishes news once."""
+        news = News(
+            instance=self.board.settings.instance,
+            demands=self.board.allotments.demands(clock.monotonic()),
+            running={
+                name: one.ours
+                for name, one in self.board.upstreams.by_id.items()
+                if one.ours
+            },
+            leaving=self.board.stopping,
+        )
+        await self.out.send(msgspec.msgpack.encode(news))
+
+    async def hear(self) -> None:
+        """Takes the others' news in for ever."""
+        while True:
+            data = await self.into.recv()
+            try:
+                news = _DECODER.decode(data)
+            except msgspec.MsgspecError as error:
+                self.events.info('news-unreadable', reason=error)
+                continue
+            self.take(news, clock.monotonic())
+
+    def take(self, news: News, now: float) -> None:
+        """Takes one instance's news in."""
+        if news.instance not in self.heard:
+            self.events.info('peer-heard', peer=news.instance)
+        self.heard[news.instance] = now
+        self.board.allotments.hear(news.instance, news.demands, now)
+        self.board.peer_running[news.instance] = news.running
+        for name, since in list(self.heard.items()):
+            if now - since > STALE_S:
+                del self.heard[name]
+                self.board.peer_running.pop(name, None)
+                self.events.info('peer-silent', peer=name)
+        totals: dict[str, int] = {}
+        for running in self.board.peer_running.values():
+            for name, count in running.items():
+                totals[name] = totals.get(name, 0) + count
+        for name, one in self.board.upstreams.by_id.items():
+            one.theirs = totals.get(name, 0)
--- /dev/null
+++ b/oleanderdrift/gateway/ports.py
@@ -0,0 +1,147 @@
+"""What the gateway needs from the platform: a log, and a codec.
+
+The adapter in `oleanderdrift.platform` implements these protocols.
+"""
+
+import collections.abc
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import model
+
+
+@attrs.frozen(kw_only=True)
+class LogRecords:
+    """Records of one partition, the oldest first.
+
+    start is the offset of the first record; end and first are the
+    partition's end and its oldest offset.  trimmed says that records
+    from the wanted offset on are gone.
+    """
+
+    start: int
+    records: tuple[bytes, ...]
+    end: int
+    first: int
+    trimmed: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class KeyedRecord:
+    """The newest record of a key; value is None where it was removed."""
+
+    key: str
+    value: bytes | None
+
+
+@attrs.frozen(kw_only=True)
+class KeyedRecords:
+    """Records of a keyed partition and the offset at which to go on."""
+
+    records: tuple[KeyedRecord, ...]
+    end: int
+
+
+class Log(typing.Protocol):
+    """The platform's append-only log.
+
+    Calls raise errors.ResultError: LOG_UNAVAILABLE where nothing was
+    done, APPEND_UNCONFIRMED where the append may have happened or may
+    happen later.
+    """
+
+    partitions: int
+    record_bytes: int
+
+    async def append(
+        self, topic: str, part: int, records: collections.abc.Sequence[bytes]
+    ) -> int:
+        """Appends all records or none; returns the first one's offset."""
+
+    async def read(
+        self,
+        topic: str,
+        part: int,
+        start: int,
+        *,
+        wait_s: float = 0.0,
+        max_bytes: int = 1_048_576,
+    ) -> LogRecords:
+        """Reads records from start on, waiting wait_s for the first."""
+
+    async def newest(self, topic: str) -> KeyedRecords:
+        """Returns the newest record of each key of a keyed topic."""
+
+    async def read_keyed(
+        self, topic: str, start: int, *, wait_s: float
+    ) -> KeyedRecords | None:
+        """Reads keyed records from start on; None where they are gone."""
+
+    async def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Writes the newest record of a key; None removes the key."""
+
+
+@attrs.frozen(kw_only=True)
+class UpstreamHead:
+    """The head of an upstream's answer, decoded.
+
+    headers are those that go back to the caller.  not_run is the
+    upstream's own word that it did not run the request; sealed says
+    that the answer bears the upstream's proof of origin.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    request_id: str | None
+    not_run: bool
+    sealed: bool
+    upstream_id: str | None
+
+
+class Codec(typing.Protocol):
+    """Translates between the wire and the gateway's types."""
+
+    config_topic: str
+    config_key: str
+    upstreams_topic: str
+
+    def request(
+        self,
+        method: str,
+        target: str,
+        headers: collections.abc.Sequence[tuple[str, str]],
+        body: bytes,
+        now: float,
+    ) -> model.Request:
+        """Decodes a caller's request; raises ResultError BAD_REQUEST."""
+
+    def upstream_headers(
+        self,
+        request: model.Request,
+        upstream: model.UpstreamEntry,
+        account: model.ClientAccount | None,
+        left_s: float,
+        last_event_id: str | None,
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of the request to the upstream."""
+
+    def upstream_head(
+        self,
+        status: int,
+        headers: collections.abc.Sequence[tuple[str, str]],
+    ) -> UpstreamHead:
+        """Decodes the head of an upstream's answer."""
+
+    def refusal_headers(
+        self, request_id: str | None, retry_after_s: float | None
+    ) -> list[tuple[str, str]]:
+        """Returns the headers of an answer of the gateway's own."""
+
+    def configuration(self, value: bytes) -> model.Configuration:
+        """Decodes a configuration; raises ResultError CONFIG_INVALID."""
+
+    def upstream_entry(
+        self, upstream_id: str, value: bytes
+    ) -> model.UpstreamEntry | None:
+        """Decodes an upstream's entry; None where it names none."""
--- /dev/null
+++ b/oleanderdrift/gateway/server.py
@@ -0,0 +1,186 @@
+"""Builds a gateway instance from its parts and runs it until SIGTERM."""
+
+import asyncio
+import collections.abc
+import signal
+import typing
+
+import attrs
+from tornado import httpserver
+from tornado import web
+
+from oleanderdrift import errors
+from oleanderdrift import logs
+from oleanderdrift.gateway import allotments
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import follow
+from oleanderdrift.gateway import forwarder
+from oleanderdrift.gateway import gossip
+from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import settings as settings_lib
+
+HOUSEKEEPING_S: typing.Final = 0.3
+# Vanished upstreams are remembered this long, for late answers.
+FORGET_S: typing.Final = 5.0
+# The balancer notices within two of its questions, one a second.
+LEAVE_ROTATION_S: typing.Final = 3.0
+# Left of the time to stop for the last writes.
+STOP_MARGIN_S: typing.Final = 0.8
+POLL_S: typing.Final = 0.05
+SETTINGS_POLL_S: typing.Final = 1.0
+
+LoadSettings: typing.TypeAlias = collections.abc.Callable[
+    [], settings_lib.GatewaySettings
+]
+
+
+@attrs.define(kw_only=True)
+class Gateway:
+    """One instance: its board and the parts around it."""
+
+    board: board_lib.Board
+    log: ports.Log
+    forwarder: forwarder.Forwarder
+    ingress: ingress.Ingress
+    follower: follow.Follower
+    gossip: gossip.Gossip
+    events: event_log.EventLog
+    load_settings: LoadSettings
+    ready_path: str
+    tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+
+    def listen(self) -> None:
+        """Opens all sockets; raises OSError."""
+        settings = self.board.settings
+        host, port = split_address(settings.listen)
+        self.ingress.server.listen(port, host)
+        host, port = split_address(settings.ready_listen)
+        application = web.Application(
+            [(self.ready_path, _ReadyHandler, {'board': self.board})],
+            log_function=_log_nothing,
+        )
+        httpserver.HTTPServer(application).listen(port, host)
+        self.gossip.bind()
+
+    def start(self) -> None:
+        """Starts everything that goes on by itself."""
+        for part in (
+            self.follower.follow_config(),
+            self.follower.follow_upstreams(),
+            self.gossip.announce(),
+            self.gossip.find(),
+            self.gossip.tell(),
+            self.gossip.hear(),
+            self.keep_house(),
+        ):
+            task = asyncio.create_task(part)
+            task.add_done_callback(self.note_end)
+            self.tasks.append(task)
+
+    def note_end(self, task: asyncio.Task[None]) -> None:
+        """Logs a part that failed, which is a fault of the program."""
+        if not task.cancelled() and task.exception() is not None:
+            logs.warning('part-failed', reason=repr(task.exception()))
+
+    async def keep_house(self) -> None:
+        """Writes settlements and forgets what is old, for ever."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            now = clock.monotonic()
+            await self.forwarder.budgets.flush(now)
+            for gone in self.board.upstreams.forget(now, FORGET_S):
+                self.forwarder.pool.drop(gone.key())
+            retention_ms = int(self.board.settings.turn_retention_s * 1_000)
+            self.forwarder.turns.forget(clock.unix_ms() - retention_ms)
+            if self.board.config is not None:
+                self.ingress.follow_limits(self.board.config.limits)
+
+    async def run(self) -> None:
+        """Serves until the signal to stop, then drains."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.listen()
+        self.start()
+        logs.info('start', instance=self.board.settings.instance)
+        await stop.wait()
+        await self.drain()
+        logs.info('stop', instance=self.board.settings.instance)
+
+    def reload(self) -> None:
+        """Reads the settings file again."""
+        try:
+            self.board.settings = self.load_settings()
+        except errors.ResultError as error:
+            logs.warning('reload-failed', reason=error.detail)
+            return
+        logs.info('reload', instance=self.board.settings.instance)
+
+    async def drain(self) -> None:
+        """Leaves the rotation, ends what is open and gives all back."""
+        began = clock.monotonic()
+        self.board.stopping = True
+        self.ingress.closing = True
+        logs.info('draining', open=self.board.open_requests)
+        last = began + self.board.settings.stop_s - STOP_MARGIN_S
+        while clock.monotonic() < last:
+            waited_s = clock.monotonic() - began
+            if waited_s > LEAVE_ROTATION_S and not self.board.open_requests:
+                break
+            await asyncio.sleep(POLL_S)
+        self.ingress.server.stop()
+        await self.forwarder.budgets.flush(clock.monotonic())
+
+
+def _log_nothing(handler: web.RequestHandler) -> None:
+    """Leaves the balancer's questions out of the log."""
+
+
+class _ReadyHandler(web.RequestHandler):
+    """Tells the balancer whether to send new connections."""
+
+    def initialize(self, board: board_lib.Board) -> None:
+        """Takes the board."""
+        self.board = board
+
+    def get(self) -> None:
+        """Answers 200 where the instance is ready, else 503."""
+        ready = self.board.is_ready(clock.boot())
+        self.set_status(200 if ready else 503)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Returns host and port of a HOST:PORT text."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def build(
+    settings: settings_lib.GatewaySettings,
+    load_settings: LoadSettings,
+    codec: ports.Codec,
+    log: ports.Log,
+    ready_path: str,
+) -> Gateway:
+    """Returns an instance that does not listen yet."""
+    board = board_lib.Board(
+        settings=settings,
+        allotments=allotments.Allotments(started=clock.monotonic()),
+    )
+    events = event_log.EventLog()
+    forward = forwarder.Forwarder(board, codec, log, events)
+    return Gateway(
+        board=board,
+        log=log,
+        forwarder=forward,
+        ingress=ingress.Ingress(forward, codec),
+        follower=follow.Follower(board, codec, log, events),
+        gossip=gossip.Gossip(board, log, events),
+        events=events,
+        load_settings=load_settings,
+        ready_path=ready_path,
+    )
--- /dev/null
+++ b/oleanderdrift/gateway/turns.py
@@ -0,0 +1,82 @@
+"""Keeps conversations' turns, and the index of those in the store."""
+
+import collections
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import records
+
+# Turns that are held in memory, whole, by all instances together many
+# times; the store has them all.
+CACHE_BYTES: typing.Final = 24_000_000
+
+
+@attrs.frozen(kw_only=True)
+class Turn:
+    """A whole turn with its input and output."""
+
+    turn: str
+    previous: str | None
+    account: str
+    input: bytes
+    output: bytes
+
+
+@attrs.define(kw_only=True)
+class TurnCache:
+    """Whole turns, the latest used last."""
+
+    turns: collections.OrderedDict[str, Turn] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    size: int = 0
+    limit: int = CACHE_BYTES
+
+    def get(self, turn: str) -> Turn | None:
+        """Returns a turn, if it is here."""
+        found = self.turns.get(turn)
+        if found is not None:
+            self.turns.move_to_end(turn)
+        return found
+
+    def put(self, turn: Turn) -> None:
+        """Keeps a turn and drops the least used ones over the limit."""
+        if turn.turn in self.turns:
+            return
+        self.turns[turn.turn] = turn
+        self.size += len(turn.input) + len(turn.output)
+        while self.size > self.limit and len(self.turns) > 1:
+            _, old = self.turns.popitem(last=False)
+            self.size -= len(old.input) + len(old.output)
+
+
+@attrs.define(kw_only=True)
+class TurnIndex:
+    """The ended turns of one partition, folded up to the offset `end`.
+
+    read says that the partition has been read from its start.
+    """
+
+    end: int = 0
+    read: bool = False
+    ends: dict[str, records.TurnEnd] = attrs.field(factory=dict)
+
+    def fold(self, start: int, data: tuple[bytes, ...]) -> None:
+        """Folds records from offset start on."""
+        for place, each in enumerate(data):
+            if start + place < self.end:
+                continue
+            record = records.decode_turn(each)
+            if record is not None:
+                self.ends[record.turn] = record
+        self.end = max(self.end, start + len(data))
+
+    def forget(self, before_ms: int) -> None:
+        """Drops turns that ended before a Unix time."""
+        for name in [
+            name
+            for name, record in self.ends.items()
+            if record.ended_ms < before_ms
+        ]:
+            del self.ends[name]
--- a/oleanderdrift/logs.py
+++ b/oleanderdrift/logs.py
@@ -7,6 +7,7 @@
 import logging as standard_logging
 import typing
 
+from absl import flags
 from absl import logging
 
 
@@ -24,12 +25,20 @@
         return head + record.getMessage()
 
 
-def set_up() -> None:
-    """Sends events to standard error from now on, one line each."""
+def set_up(output: typing.TextIO | None = None) -> None:
+    """Sends events to output from now on, one line each.
+
+    Without an output they go to standard error.
+    """
+    # absl writes a warning of its own until its flags are parsed; the
+    # command line here is not absl's.
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(logging.INFO)
     handler = logging.get_absl_handler()
     handler.setFormatter(_Formatter())
+    if output is not None:
+        handler.python_handler.stream = output
     # Tornado logs refused requests of its own; codes tell them here.
     for name in ('tornado.access', 'tornado.general'):
         standard_logging.getLogger(name).setLevel(standard_logging.ERROR)
--- /dev/null
+++ b/oleanderdrift/platform/operator.py
@@ -0,0 +1,194 @@
+"""Decodes what operators and upstreams write to the platform's store."""
+
+import typing
+
+import msgspec
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import model
+
+MS_PER_S: typing.Final = 1_000.0
+_KINDS: typing.Final = {
+    'idempotent': model.Kind.IDEMPOTENT,
+    'streaming': model.Kind.STREAMING,
+}
+_STATES: typing.Final = {'ready': False, 'draining': True}
+
+
+class _Split(msgspec.Struct):
+    Service: str
+    Weight: float
+
+
+class _Route(msgspec.Struct):
+    Host: str
+    PathPrefix: str
+    Kind: str
+    Name: str = ''
+    TimeoutMs: float = 30_000
+    # The time within which an answer is worth most: a target, no limit.
+    GoalMs: float = 1_000
+    Priority: int = 0
+    Service: str | None = None
+    Split: list[_Split] | None = None
+    Attempts: int = 1
+    Retain: bool = False
+    # Here the seconds that turns are kept; the settings use the name for
+    # the seconds that the store keeps records.
+    RetainS: float = 60.0
+    Public: bool = False
+    Resumable: bool = False
+
+
+class _Engine(msgspec.Struct):
+    # Tokens that one stream event stands for.
+    Stride: int = 1
+
+
+class _Service(msgspec.Struct):
+    Name: str
+    MaxConns: int = 64
+    Engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    HeaderBytes: int = 16_384
+    MaxBodyBytes: int = 4_194_304
+    HeaderTimeoutMs: float = 3_000
+    IdleTimeoutMs: float = 15_000
+
+
+class _Tenant(msgspec.Struct):
+    Name: str
+    ApiKeys: list[str] = []
+    Priority: int | None = None
+    RatePerS: float = 0
+    Burst: float = 0
+
+
+class _Config(msgspec.Struct):
+    Version: int
+    Routes: list[_Route]
+    Services: list[_Service]
+    Limits: _Limits = msgspec.field(default_factory=_Limits)
+    Tenants: list[_Tenant] | None = None
+
+
+class _Entry(msgspec.Struct):
+    Service: str
+    Address: str
+    Zone: str
+    State: str
+    Slots: int
+    # How much longer the upstream is slow after its start.
+    ColdLeftMs: float = 0
+    born: int = 0
+
+
+_CONFIG: typing.Final = msgspec.json.Decoder(_Config)
+_ENTRY: typing.Final = msgspec.json.Decoder(_Entry)
+
+
+def configuration(value: bytes) -> model.Configuration:
+    """Decodes a configuration; raises ResultError CONFIG_INVALID."""
+    try:
+        found = _CONFIG.decode(value)
+    except msgspec.MsgspecError as error:
+        raise errors.ResultError(codes.CONFIG_INVALID, str(error)) from error
+    limits = found.Limits
+    return model.Configuration(
+        version=found.Version,
+        routes=tuple(_route(route) for route in found.Routes),
+        services={one.Name: _service(one) for one in found.Services},
+        accounts_by_key=_accounts(found.Tenants),
+        limits=model.Limits(
+            header_bytes=limits.HeaderBytes,
+            body_bytes=limits.MaxBodyBytes,
+            header_timeout_s=limits.HeaderTimeoutMs / MS_PER_S,
+            idle_timeout_s=limits.IdleTimeoutMs / MS_PER_S,
+        ),
+    )
+
+
+def _route(found: _Route) -> model.Route:
+    if found.Split:
+        services = tuple(
+            model.WeightedService(service=one.Service, weight=one.Weight)
+            for one in found.Split
+        )
+    else:
+        name = found.Service or ''
+        services = (model.WeightedService(service=name, weight=1.0),)
+    return model.Route(
+        name=found.Name,
+        host=found.Host.lower(),
+        path_prefix=found.PathPrefix,
+        # A kind that is not known here may not be repeated.
+        kind=_KINDS.get(found.Kind, model.Kind.NON_IDEMPOTENT),
+        timeout_s=found.TimeoutMs / MS_PER_S,
+        target_s=found.GoalMs / MS_PER_S,
+        priority=found.Priority,
+        services=services,
+        attempts=max(found.Attempts, 1),
+        public=found.Public,
+        resumable=found.Resumable,
+        retains=found.Retain,
+        retention_s=found.RetainS,
+    )
+
+
+def _service(found: _Service) -> model.Service:
+    engine = found.Engine
+    return model.Service(
+        name=found.Name,
+        max_connections=found.MaxConns,
+        tokens_per_event=engine.Stride if engine else 1,
+        is_engine=engine is not None,
+    )
+
+
+def _accounts(
+    found: list[_Tenant] | None,
+) -> dict[str, model.ClientAccount] | None:
+    if found is None:
+        return None
+    accounts = {}
+    for tenant in found:
+        account = model.ClientAccount(
+            name=tenant.Name,
+            priority=tenant.Priority,
+            rate_per_s=tenant.RatePerS,
+            burst=tenant.Burst,
+        )
+        for key in tenant.ApiKeys:
+            accounts[key] = account
+    return accounts
+
+
+def upstream_entry(
+    upstream_id: str, value: bytes
+) -> model.UpstreamEntry | None:
+    """Decodes an entry; None where it names no upstream to use.
+
+    Other writers leave entries with missing fields, wrong types, unknown
+    states or bytes that cannot be read.
+    """
+    try:
+        found = _ENTRY.decode(value)
+    except msgspec.MsgspecError:
+        return None
+    host, _, port = found.Address.rpartition(':')
+    if found.State not in _STATES or not port.isdigit() or not host:
+        return None
+    return model.UpstreamEntry(
+        upstream_id=upstream_id,
+        service=found.Service,
+        data_centre=found.Zone,
+        host=host,
+        port=int(port),
+        slots=max(found.Slots, 1),
+        draining=_STATES[found.State],
+        born_ms=found.born,
+        cold_s=found.ColdLeftMs / MS_PER_S,
+    )
--- /dev/null
+++ b/oleanderdrift/platform/run.py
@@ -0,0 +1,38 @@
+"""Runs a gateway instance on the users' platform."""
+
+import asyncio
+import typing
+
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import server
+from oleanderdrift.platform import codec
+from oleanderdrift.platform import settings as settings_lib
+from oleanderdrift.platform import store
+
+READY_PATH: typing.Final = '/-/ready'
+
+
+def run() -> None:
+    """Runs until SIGTERM; raises ResultError for faults in settings."""
+    event_log.set_up()
+    path = settings_lib.path()
+    settings = settings_lib.load(path)
+    asyncio.run(
+        _serve(
+            server.build(
+                settings,
+                lambda: settings_lib.load(path),
+                codec.PlatformCodec(),
+                store.Store(
+                    settings.store,
+                    settings.store_partitions,
+                    settings.store_record_bytes,
+                ),
+                READY_PATH,
+            )
+        )
+    )
+
+
+async def _serve(gateway: server.Gateway) -> None:
+    await gateway.run()
--- /dev/null
+++ b/oleanderdrift/platform/settings.py
@@ -0,0 +1,109 @@
+"""Decodes the platform's settings file.
+
+Fields that are not read here are ignored, since the platform adds some
+over time.
+"""
+
+import os
+import pathlib
+import tomllib
+import typing
+
+import msgspec
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import settings
+
+PATH_VARIABLE: typing.Final = 'OLEANDERDRIFT_CONFIG'
+MS_PER_S: typing.Final = 1_000.0
+# The first ports of the range that is free for use between instances.
+_PEER_PORT: typing.Final = 0
+_METRICS_PORT: typing.Final = 1
+# Requests sent later than RevokeMs after a key was taken away must not
+# run; the margin covers a request's way to the upstream.
+_KEY_MARGIN_S: typing.Final = 0.5
+
+
+class _Listen(msgspec.Struct):
+    Front: str
+    ReadyAddr: str
+
+
+class _Limits(msgspec.Struct):
+    MemoryMb: int
+
+
+class _Bounds(msgspec.Struct):
+    DrainMs: float = 2_000
+    ConfigMs: float = 2_000
+    RevokeMs: float = 5_000
+    GraceS: float = 8
+    QuotaWindowS: float = 5
+
+
+class _Platform(msgspec.Struct):
+    Address: str
+    parts: int = 12
+    RecordBytes: int = 262_144
+    # How long the store keeps records, not how long turns are kept.
+    RetainS: float = 300
+
+
+class _File(msgspec.Struct):
+    # The name of the machine, which the process takes as its own.
+    Node: str
+    Ip: str
+    Zone: str
+    PortRange: tuple[int, int]
+    Listen: _Listen
+    Limits: _Limits
+    Platform: _Platform
+    Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def path() -> pathlib.Path:
+    """Returns the path of the settings file from the environment."""
+    found = os.environ.get(PATH_VARIABLE)
+    if found is None:
+        raise errors.ResultError(
+            codes.SETTINGS_INVALID, f'{PATH_VARIABLE} is not set'
+        )
+    return pathlib.Path(found)
+
+
+def load(file: pathlib.Path) -> settings.GatewaySettings:
+    """Reads a settings file; raises ResultError SETTINGS_INVALID."""
+    try:
+        return decode(file.read_bytes())
+    except OSError as error:
+        raise errors.ResultError(codes.SETTINGS_INVALID, str(error)) from error
+
+
+def decode(text: bytes) -> settings.GatewaySettings:
+    """Decodes the file's text; raises ResultError SETTINGS_INVALID."""
+    try:
+        table = tomllib.loads(text.decode())
+        found = msgspec.convert(table, _File)
+    except (ValueError, msgspec.ValidationError) as error:
+        raise errors.ResultError(codes.SETTINGS_INVALID, str(error)) from error
+    ports = found.PortRange
+    bounds = found.Bounds
+    return settings.GatewaySettings(
+        instance=found.Node,
+        data_centre=found.Zone,
+        listen=found.Listen.Front,
+        ready_listen=found.Listen.ReadyAddr,
+        peer_listen=f'{found.Ip}:{ports[0] + _PEER_PORT}',
+        metrics_listen=f'{found.Ip}:{ports[0] + _METRICS_PORT}',
+        store=found.Platform.Address,
+        store_partitions=found.Platform.parts,
+        store_record_bytes=found.Platform.RecordBytes,
+        memory_mb=found.Limits.MemoryMb,
+        drain_s=bounds.DrainMs / MS_PER_S,
+        config_s=bounds.ConfigMs / MS_PER_S,
+        key_grace_s=bounds.RevokeMs / MS_PER_S - _KEY_MARGIN_S,
+        stop_s=bounds.GraceS,
+        account_window_s=bounds.QuotaWindowS,
+        turn_retention_s=found.Platform.RetainS,
+    )
--- /dev/null
+++ b/oleanderdrift/platform/store.py
@@ -0,0 +1,226 @@
+"""Calls the platform's store, which is an append-only log over HTTP."""
+
+import asyncio
+import base64
+import collections.abc
+import struct
+import time
+import typing
+import urllib.parse
+
+import msgspec
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import ports
+
+# Answers take 4 ms in calm times; some hundred ms where the store is slow.
+CALL_TIMEOUT_S: typing.Final = 1.2
+CONNECT_TIMEOUT_S: typing.Final = 0.5
+_LENGTH: typing.Final = struct.Struct('>I')
+_OFFSETS: typing.Final = struct.Struct('>QQ')
+_KEPT: typing.Final = 'store'
+KB: typing.Final = 1024
+
+
+class _Appended(msgspec.Struct):
+    Offset: int
+    EndOffset: int = 0
+
+
+class _Trimmed(msgspec.Struct):
+    FirstOffset: int = 0
+
+
+class _Item(msgspec.Struct):
+    Key: str
+    Value: str = ''
+    Offset: int = 0
+
+
+class _Newest(msgspec.Struct):
+    # Records here, while stream events bear the same name elsewhere.
+    items: list[_Item] = []
+    HasMore: bool = False
+    EndOffset: int = 0
+
+
+class Store:
+    """The client of the store; one for each instance.
+
+    failing_since is when calls began to fail, None while they succeed.
+    """
+
+    def __init__(
+        self, address: str, partitions: int, record_bytes: int
+    ) -> None:
+        host, _, port = address.rpartition(':')
+        self.host = host
+        self.port = int(port)
+        self.partitions = partitions
+        self.record_bytes = record_bytes
+        self.pool = channel.Pool()
+        self.calls = 0
+        self.failures = 0
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str | int],
+        body: bytes = b'',
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, bytes]:
+        """Makes one call over a kept connection.
+
+        Raises ResultError LOG_UNAVAILABLE where it was not sent, else
+        APPEND_UNCONFIRMED.
+        """
+        self.calls += 1
+        now = time.monotonic()
+        try:
+            link = await self.pool.take(
+                _KEPT, self.host, self.port, CONNECT_TIMEOUT_S, now
+            )
+        except (OSError, TimeoutError) as error:
+            self.failures += 1
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE, f'no connection: {error!r}'
+            ) from error
+        target = f'{path}?{urllib.parse.urlencode(query)}'
+        headers = [('Host', f'{self.host}:{self.port}')]
+        try:
+            async with asyncio.timeout(timeout_s):
+                await link.send(method, target, headers, body)
+                head = await link.read_head(time.monotonic())
+                answer = await link.read_body()
+        except (channel.ChannelError, TimeoutError) as error:
+            self.failures += 1
+            # Connections can go silent while new ones work.
+            self.pool.drop(_KEPT)
+            raise errors.ResultError(
+                codes.APPEND_UNCONFIRMED, f'{path}: {error!r}'
+            ) from error
+        finally:
+            self.pool.give_back(_KEPT, link, time.monotonic())
+        if head.status in (429, 503, 507):
+            self.failures += 1
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE, f'{path}: status {head.status}'
+            )
+        return head.status, answer
+
+    async def append(
+        self, topic: str, part: int, records: collections.abc.Sequence[bytes]
+    ) -> int:
+        """Appends all records or none; returns the first one's offset."""
+        body = b''.join(
+            _LENGTH.pack(len(record)) + record for record in records
+        )
+        status, answer = await self.call(
+            'POST', '/-/log-append', {'Topic': topic, 'part': part}, body
+        )
+        _expect(status, '/-/log-append')
+        return msgspec.json.decode(answer, type=_Appended).Offset
+
+    async def read(
+        self,
+        topic: str,
+        part: int,
+        start: int,
+        *,
+        wait_s: float = 0.0,
+        max_bytes: int = 1_048_576,
+    ) -> ports.LogRecords:
+        """Reads records from start on, waiting wait_s for the first."""
+        query: dict[str, str | int] = {
+            'Topic': topic,
+            'part': part,
+            'From': start,
+            'MaxKb': max(1, -(-max_bytes // KB)),
+            'WaitMs': int(wait_s * 1_000),
+        }
+        status, answer = await self.call(
+            'GET', '/-/log-read', query, timeout_s=CALL_TIMEOUT_S + wait_s
+        )
+        if status == 410:
+            first = msgspec.json.decode(answer, type=_Trimmed).FirstOffset
+            return ports.LogRecords(
+                start=first, records=(), end=first, first=first, trimmed=True
+            )
+        if status == 404:
+            # Nobody has written to the topic yet.
+            return ports.LogRecords(start=0, records=(), end=0, first=0)
+        _expect(status, '/-/log-read')
+        return _records(answer, start)
+
+    async def newest(self, topic: str) -> ports.KeyedRecords:
+        """Returns the newest record of each key of a keyed topic."""
+        found: list[ports.KeyedRecord] = []
+        end: int | None = None
+        query: dict[str, str | int] = {'Topic': topic, 'part': 0}
+        while True:
+            status, answer = await self.call('GET', '/-/log-newest', query)
+            if status == 404:
+                break
+            _expect(status, '/-/log-newest')
+            page = msgspec.json.decode(answer, type=_Newest)
+            # Later pages may be newer; reading goes on from the first.
+            end = page.EndOffset if end is None else end
+            found += [
+                ports.KeyedRecord(
+                    key=item.Key, value=base64.b64decode(item.Value)
+                )
+                for item in page.items
+            ]
+            if not page.HasMore or not page.items:
+                break
+            query['after'] = page.items[-1].Key
+        return ports.KeyedRecords(records=tuple(found), end=end or 0)
+
+    async def read_keyed(
+        self, topic: str, start: int, *, wait_s: float
+    ) -> ports.KeyedRecords | None:
+        """Reads keyed records from start on; None where they are gone."""
+        read = await self.read(topic, 0, start, wait_s=wait_s)
+        if read.trimmed or read.end < start:
+            return None
+        return ports.KeyedRecords(
+            records=tuple(_keyed(record) for record in read.records),
+            end=read.start + len(read.records),
+        )
+
+    async def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Writes the newest record of a key; None removes the key."""
+        name = key.encode()
+        record = bytes([len(name)]) + name + (value or b'')
+        await self.append(topic, 0, [record])
+
+
+def _expect(status: int, path: str) -> None:
+    if status != 200:
+        raise errors.ResultError(
+            codes.APPEND_UNCONFIRMED, f'{path}: status {status}'
+        )
+
+
+def _records(data: bytes, start: int) -> ports.LogRecords:
+    end, first = _OFFSETS.unpack_from(data)
+    at = _OFFSETS.size
+    records = []
+    while at + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, at)
+        at += _LENGTH.size
+        records.append(data[at : at + length])
+        at += length
+    return ports.LogRecords(
+        start=start, records=tuple(records), end=end, first=first
+    )
+
+
+def _keyed(record: bytes) -> ports.KeyedRecord:
+    length = record[0]
+    key = record[1 : 1 + length].decode('utf-8', 'replace')
+    value = record[1 + length :]
+    return ports.KeyedRecord(key=key, value=value or None)
