--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -1,5 +1,7 @@
 """Decides whether a request may go on, from what the instance knows."""
 
+import typing
+
 import attrs
 
 from oleanderdrift import codes
@@ -10,7 +12,9 @@
 
 # Callers come back after this long when the instance cannot serve; another
 # instance may serve them at once.
-ELSEWHERE_S = 0.05
+ELSEWHERE_S: typing.Final = 0.05
+# Outages of the store last some seconds, and callers try a few times.
+OUTAGE_RETRY_S: typing.Final = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -33,6 +37,14 @@
             self.route.kind is model.Kind.STREAMING and self.route.resumable
         )
 
+    def may_break_off(self) -> bool:
+        """Tells whether an unreachable upstream may be given up.
+
+        A program sends a failed turn again, but not a failed call of a
+        tool that must not be repeated.
+        """
+        return self.may_repeat() or self.is_turn()
+
 
 def admit(
     board: board_lib.Board,
@@ -47,12 +59,15 @@
     config = board.config
     if config is None or not board.upstreams_known:
         raise errors.ResultError(codes.NOT_READY, retry_after_s=ELSEWHERE_S)
-    if not board.freshness.may_serve(boot_now, board.settings.key_grace_s):
+    elsewhere = board.reachability.others_have_store(now)
+    if not board.freshness.may_serve(
+        boot_now, board.settings.key_grace_s, elsewhere
+    ):
         age_s = board.freshness.age_s(boot_now)
         raise errors.ResultError(
             codes.KEYS_UNVERIFIABLE,
             f'news of the store is {age_s:.2f} s old',
-            retry_after_s=ELSEWHERE_S,
+            retry_after_s=store_retry_s(elsewhere, request.request_id),
         )
     route = routing.find_route(config, request.host, request.target)
     account = routing.find_account(config, route, request.key)
@@ -82,6 +97,17 @@
     )
 
 
+def store_retry_s(elsewhere: bool, request_id: str) -> float:
+    """Returns when a caller that needs the store should come back.
+
+    Where the whole fleet has lost the store, callers come back over a
+    second's span, so that their few tries last through an outage.
+    """
+    if elsewhere:
+        return ELSEWHERE_S
+    return OUTAGE_RETRY_S * (1 + routing.fraction(request_id) / 2)
+
+
 def _has_begun(board: board_lib.Board, request: model.Request) -> bool:
     return (
         request.previous_turn is not None
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -7,6 +7,7 @@
 from oleanderdrift.gateway import allotments as allotments_lib
 from oleanderdrift.gateway import freshness as freshness_lib
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
@@ -20,10 +21,13 @@
 
     programs holds the ids of programs that had a request admitted here,
     the latest last.  stopping is set from the signal to stop on.
+    silent names the data centres that cannot be reached.  peer_work
+    holds, by peer and upstream, its open requests and unread tokens.
     """
 
     settings: settings_lib.GatewaySettings
     allotments: allotments_lib.Allotments
+    reachability: reachability_lib.Reachability
     config: model.Configuration | None = None
     upstreams: upstreams_lib.UpstreamSet = attrs.field(
         factory=upstreams_lib.UpstreamSet
@@ -36,8 +40,11 @@
         factory=collections.OrderedDict
     )
     stopping: bool = False
+    silent: frozenset[str] = frozenset()
     open_requests: int = 0
-    peer_running: dict[str, dict[str, int]] = attrs.field(factory=dict)
+    peer_work: dict[str, dict[str, tuple[int, int]]] = attrs.field(
+        factory=dict
+    )
 
     def note_program(self, program: str) -> None:
         """Remembers that a program has begun."""
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -84,13 +84,17 @@
             request, entry, admitted.account, left_s, last_event_id
         )
         await link.send(request.method, request.target, headers, body)
+        if admitted.may_break_off():
+            upstream.waiting[link] = clock.monotonic()
         head = await _own_head(link, codec, request.request_id)
+        upstream.heard = clock.monotonic()
         if head is None:
             return Broken(reason='only answers to other requests came')
         if head.not_run:
             await link.read_body()
             pool.give_back(upstream.key(), link, clock.monotonic())
             answered = True
+            upstream.waiting.pop(link, None)
             return NotRun(status=head.status)
         answered = True
         return Answering(head=head, link=link)
@@ -100,6 +104,7 @@
         raise
     finally:
         if not answered:
+            upstream.waiting.pop(link, None)
             link.close()
 
 
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -29,6 +29,8 @@
 # How long the end of an answer waits for the store.
 END_TURN_S: typing.Final = 1.5
 RETRY_AFTER_S: typing.Final = 0.1
+# Shorter streams tell little of an engine's speed.
+MIN_EVENTS_MEASURED: typing.Final = 4
 MAX_TRIES: typing.Final = 4
 
 
@@ -36,9 +38,10 @@
 class Progress:
     """How far a request has come.
 
-    body is what upstreams receive.  sent says that an upstream may have
-    run it; runs counts upstreams that may have.  tokens are those handed
-    to the caller.
+    body is what upstreams receive.  ran holds the upstreams that may have
+    run it and are not known to have ended.  sent says that one may have.
+    tokens are those handed to the caller.  missing and running are what
+    the placement assumed, first_ms the time until the first event.
     """
 
     admitted: admission.Admitted
@@ -51,6 +54,10 @@
     output: list[bytes] = attrs.field(factory=list)
     input_place: asyncio.Task[records.InputPlace] | None = None
     tried: set[str] = attrs.field(factory=set)
+    ran: set[str] = attrs.field(factory=set)
+    missing: int = 0
+    running: int = 0
+    first_ms: int = -1
     upstream: str = ''
     last_reason: str = ''
 
@@ -67,6 +74,7 @@
     ) -> None:
         self.board = board
         self.codec = codec
+        self.log = log
         self.pool = channel.Pool()
         self.budgets = budget_log.BudgetLog(log)
         self.turns = turn_log.TurnLog(log, board.settings.instance)
@@ -166,6 +174,8 @@
         budget = request.token_budget or 0
         if self.budgets.is_spent(request.program_id, budget):
             raise self.tokens_spent(request)
+        if self.log.is_failing:
+            raise self.store_away(request, 'the store fails')
         if progress.admitted.route.retains:
             progress.input_place = asyncio.create_task(
                 self.turns.append_input(request.body)
@@ -177,24 +187,31 @@
                     self.chain(progress), self.reserve(progress)
                 )
         except TimeoutError as error:
-            raise errors.ResultError(
-                codes.LOG_UNAVAILABLE,
-                'the store is slow',
-                retry_after_s=RETRY_AFTER_S,
-            ) from error
+            raise self.store_away(request, 'the store is slow') from error
         except errors.ResultError as error:
             if error.code.status == codes.UNKNOWN_TURN.status:
                 raise
-            raise errors.ResultError(
-                codes.LOG_UNAVAILABLE,
-                error.detail,
-                retry_after_s=RETRY_AFTER_S,
-            ) from error
+            raise self.store_away(request, error.detail) from error
         if not valid:
             raise self.tokens_spent(request)
         pieces = [piece for one in chain for piece in (one.input, one.output)]
         progress.body = b''.join([*pieces, request.body])
 
+    def store_away(
+        self, request: model.Request, reason: str
+    ) -> errors.ResultError:
+        """Returns the refusal of a turn that the store cannot serve."""
+        elsewhere = self.board.reachability.others_have_store(
+            clock.monotonic()
+        )
+        return errors.ResultError(
+            codes.LOG_UNAVAILABLE,
+            reason,
+            retry_after_s=admission.store_retry_s(
+                elsewhere, request.request_id
+            ),
+        )
+
     def tokens_spent(self, request: model.Request) -> errors.ResultError:
         """Returns the refusal of a turn over its program's budget."""
         held = self.budgets.describe(request.program_id)
@@ -236,10 +253,17 @@
                 break
             progress.upstream = upstream.entry.upstream_id
             upstream.ours += 1
+            request = progress.admitted.request
+            if progress.admitted.service.is_engine:
+                upstream.silence_s = upstreams.SILENCE_S
+            progress.missing = upstream.missing_tokens(request.prompt)
+            progress.running = upstream.ours + upstream.theirs
+            upstream.note_sent(request.request_id, request.prompt)
             try:
                 done = await self.try_one(progress, upstream, reply)
             finally:
                 upstream.ours -= 1
+                upstream.note_read(request.request_id)
             if done:
                 return
         if progress.sent:
@@ -259,12 +283,20 @@
             admitted.service.name,
             self.board.freshness.in_lapse_grace(clock.boot()),
         )
+        if len(progress.ran) >= admitted.route.attempts:
+            # Only one that may have run it already may get it again.
+            candidates = [
+                one
+                for one in candidates
+                if one.entry.upstream_id in progress.ran
+            ]
         return placement.choose(
             candidates,
             admitted.request,
             self.board.settings.data_centre,
             clock.monotonic(),
             progress.tried,
+            self.board.silent,
         )
 
     async def try_one(
@@ -278,7 +310,11 @@
         # Set before the first byte may leave.
         was_sent = progress.sent
         progress.sent = True
-        progress.tried.add(upstream.entry.upstream_id)
+        upstream_id = upstream.entry.upstream_id
+        again = upstream_id in progress.ran
+        if again:
+            progress.tried.add(upstream_id)
+        progress.ran.add(upstream_id)
         outcome = await exchange.begin(
             self.pool,
             self.codec,
@@ -291,11 +327,17 @@
         match outcome:
             case exchange.NotConnected():
                 progress.sent = was_sent
+                # Where it may have run the request, it has ended since.
+                progress.ran.discard(upstream_id)
+                progress.tried.add(upstream_id)
                 upstream.note_failure(clock.monotonic())
                 self.note_try(progress, upstream, outcome.reason)
                 return False
             case exchange.NotRun():
                 progress.sent = was_sent
+                progress.tried.add(upstream_id)
+                if not again:
+                    progress.ran.discard(upstream_id)
                 if outcome.status == exchange.MISDIRECTED:
                     self.board.upstreams.remove(
                         upstream.entry.upstream_id, clock.monotonic()
@@ -332,6 +374,10 @@
         self.note_try(progress, upstream, reason)
         if not progress.admitted.may_repeat():
             raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
+        if upstream.entry.data_centre in self.board.silent:
+            # It was cut off, so another one may run the request.
+            progress.ran.discard(upstream.entry.upstream_id)
+            progress.tried.add(upstream.entry.upstream_id)
         return False
 
     async def pass_on(
@@ -357,8 +403,8 @@
                     raise channel.ChannelError(
                         channel.Failure.MALFORMED, 'no proof of origin'
                     )
-                took_s = clock.monotonic() - began
-                upstream.note_work(took_s, placement.CALL_S)
+                now = clock.monotonic()
+                upstream.note_work(now - began, placement.CALL_S, now)
                 await reply.whole(head.status, head.headers, body)
         except channel.ChannelError as error:
             link.close()
@@ -367,6 +413,8 @@
             # Closing the connection is what stops the upstream.
             link.close()
             raise
+        finally:
+            upstream.waiting.pop(link, None)
         upstream.note_success()
         self.pool.give_back(upstream.key(), link, clock.monotonic())
         return True
@@ -386,16 +434,24 @@
             )
         reader = events.EventReader()
         prompt = progress.admitted.request.prompt
-        expected_s = placement.expected_work_s(upstream, prompt)
-        upstream.note_parts(prompt)
-        first = True
+        counted, first_at, last_at = 0, began, began
         while chunk := await outcome.link.read_chunk():
+            last_at = upstream.heard = clock.monotonic()
             for event in reader.feed(chunk):
-                if first:
-                    first = False
-                    took_s = clock.monotonic() - began
-                    upstream.note_work(took_s, expected_s)
+                upstream.note_read(progress.admitted.request.request_id)
+                upstream.note_parts(prompt)
+                counted += 1
+                if counted == 1:
+                    first_at = last_at
                 await self.pass_event(progress, outcome, event, reply)
+        upstream.waiting.pop(outcome.link, None)
+        if counted >= MIN_EVENTS_MEASURED:
+            tokens = progress.admitted.service.tokens_per_event
+            upstream.note_work(
+                (last_at - first_at) / (counted - 1),
+                tokens * placement.TOKEN_S,
+                last_at,
+            )
         if not reply.started:
             await reply.start(outcome.head.status, outcome.head.headers)
         if reader.rest:
@@ -412,6 +468,9 @@
     ) -> None:
         """Passes one event on."""
         admitted = progress.admitted
+        if progress.first_ms < 0:
+            waited_s = clock.monotonic() - admitted.request.received
+            progress.first_ms = round(waited_s * 1_000)
         progress.tokens += admitted.service.tokens_per_event
         progress.last_event_id = event.event_id or progress.last_event_id
         if admitted.route.retains:
@@ -456,6 +515,9 @@
             route=progress.admitted.route.name if progress else '',
             version=progress.admitted.config_version if progress else '',
             upstream=progress.upstream if progress else '',
+            missing=progress.missing if progress else 0,
+            running=progress.running if progress else 0,
+            first_ms=progress.first_ms if progress else -1,
             code=result.number,
             detail=detail,
             ms=round((clock.monotonic() - request.received) * 1_000),
--- a/oleanderdrift/gateway/freshness.py
+++ b/oleanderdrift/gateway/freshness.py
@@ -11,10 +11,11 @@
 
 import attrs
 
-# Readers hear of the store twice a second; three misses in a row.
-UNREADY_AFTER_S: typing.Final = 1.8
-# Requests at an instance that has lost the store this long ago are better
-# sent to another one.
+# Readers hear of the store twice a second, and a slow store answers in a
+# quarter of a second.
+UNREADY_AFTER_S: typing.Final = 1.2
+# Requests at an instance that alone has lost the store this long ago are
+# better sent to another one.
 REFUSE_AFTER_S: typing.Final = 2.6
 # How long entries that lapsed while the store was away may take to return.
 LAPSE_GRACE_S: typing.Final = 2.0
@@ -50,9 +51,18 @@
         """Tells whether the balancer should send new connections."""
         return self.age_s(now) < UNREADY_AFTER_S
 
-    def may_serve(self, now: float, key_grace_s: float) -> bool:
-        """Tells whether requests with keys may be served."""
-        return self.age_s(now) < min(REFUSE_AFTER_S, key_grace_s)
+    def may_serve(
+        self, now: float, key_grace_s: float, others_have_store: bool
+    ) -> bool:
+        """Tells whether requests with keys may be served.
+
+        Where the others have lost the store too, a refusal would help
+        nobody, so keys are used as long as they may be.
+        """
+        limit_s = key_grace_s
+        if others_have_store:
+            limit_s = min(limit_s, REFUSE_AFTER_S)
+        return self.age_s(now) < limit_s
 
     def in_lapse_grace(self, now: float) -> bool:
         """Tells whether vanished entries may still come back."""
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -18,6 +18,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import records
 
 # At this pace nine instances hear of an account at eight times its rate
@@ -28,24 +29,43 @@
 FIND_EVERY_S: typing.Final = 1.0
 HEARTBEAT_MS: typing.Final = 500
 HEARTBEAT_TIMEOUT_MS: typing.Final = 1_500
+# What is cached is told in so many messages at most, since some get lost.
+TELL_SHARED_AGAIN: typing.Final = 10
+# Stands for no news at all.
+LONG_AGO_S: typing.Final = 1e6
 # Messages to a peer that does not read; each makes the one before stale.
 QUEUE_MESSAGES: typing.Final = 8
 # What a peer said it runs is void after this long.
 STALE_S: typing.Final = 1.0
 
 
+@attrs.frozen(kw_only=True)
+class Work:
+    """What an instance has at one upstream.
+
+    running are its open requests, pending the prompt tokens that wait to
+    be read, and shared first parts of prompts that it found cached.
+    """
+
+    running: int
+    pending: int
+    shared: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class News:
     """What an instance tells its peers.
 
-    usage is by client account; running are open requests by upstream.
+    usage is by client account; work is by upstream.
     started_ms tells the lifetimes of an instance apart.
     """
 
     instance: str
+    data_centre: str
     started_ms: int
+    store_age_s: float
     usage: dict[str, allotments.Usage]
-    running: dict[str, int]
+    work: dict[str, Work]
     leaving: bool = False
 
 
@@ -74,6 +94,7 @@
             each.heartbeat_ivl = HEARTBEAT_MS
             each.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
         self.started_ms = clock.unix_ms()
+        self.told = 0
         self.connected: dict[str, str] = {}
         self.heard: dict[str, float] = {}
 
@@ -132,22 +153,35 @@
         while True:
             await self.publish()
             slower = max(len(self.heard) / PEERS_AT_FULL_PACE, 1.0)
+            self.board.reachability.pace_s = TELL_EVERY_S * slower
             await asyncio.sleep(TELL_EVERY_S * slower)
 
     async def publish(self) -> None:
         """Publishes news once."""
         news = News(
             instance=self.board.settings.instance,
+            data_centre=self.board.settings.data_centre,
             started_ms=self.started_ms,
+            store_age_s=min(
+                self.board.freshness.age_s(clock.boot()), LONG_AGO_S
+            ),
             usage=self.board.allotments.usage(clock.monotonic()),
-            running={
-                name: one.ours
+            work={
+                name: Work(
+                    running=one.ours,
+                    pending=one.pending_tokens,
+                    shared=tuple(one.shared),
+                )
                 for name, one in self.board.upstreams.by_id.items()
-                if one.ours
+                if one.ours or one.shared
             },
             leaving=self.board.stopping,
         )
         await self.out.send(msgspec.msgpack.encode(news))
+        self.told += 1
+        if self.told % TELL_SHARED_AGAIN == 0:
+            for one in self.board.upstreams.by_id.values():
+                one.shared.clear()
 
     async def hear(self) -> None:
         """Takes the others' news in for ever."""
@@ -165,18 +199,41 @@
         if news.instance not in self.heard:
             self.events.info('peer-heard', peer=news.instance)
         self.heard[news.instance] = now
+        if news.leaving:
+            self.board.reachability.forget(news.instance)
+        else:
+            self.board.reachability.hear(
+                news.instance,
+                reachability.Heard(
+                    data_centre=news.data_centre,
+                    at=now,
+                    store_age_s=news.store_age_s,
+                ),
+            )
         self.board.allotments.hear(
             news.instance, news.started_ms, news.usage, now
         )
-        self.board.peer_running[news.instance] = news.running
+        self.board.peer_work[news.instance] = {
+            name: (work.running, work.pending)
+            for name, work in news.work.items()
+        }
+        for name, work in news.work.items():
+            upstream = self.board.upstreams.by_id.get(name)
+            if upstream is not None:
+                upstream.note_shared(work.shared)
         for name, since in list(self.heard.items()):
             if now - since > STALE_S:
                 del self.heard[name]
-                self.board.peer_running.pop(name, None)
+                self.board.peer_work.pop(name, None)
                 self.events.info('peer-silent', peer=name)
-        totals: dict[str, int] = {}
-        for running in self.board.peer_running.values():
-            for name, count in running.items():
-                totals[name] = totals.get(name, 0) + count
+        self.add_up()
+
+    def add_up(self) -> None:
+        """Adds up what the peers have at each upstream."""
+        totals: dict[str, tuple[int, int]] = {}
+        for work in self.board.peer_work.values():
+            for name, (running, pending) in work.items():
+                before = totals.get(name, (0, 0))
+                totals[name] = (before[0] + running, before[1] + pending)
         for name, one in self.board.upstreams.by_id.items():
-            one.theirs = totals.get(name, 0)
+            one.theirs, one.their_pending_tokens = totals.get(name, (0, 0))
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -29,8 +29,7 @@
         self.forwarder = target
         self.codec = codec
         self.tasks: set[asyncio.Task[None]] = set()
-        self.closing = False
-        self.idle: set[httputil.HTTPConnection] = set()
+        self.waiting: dict[object, _Message] = {}
         self.server = make_server(self, model.Limits())
 
     def start_request(
@@ -39,7 +38,19 @@
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
         """Returns the reader of one request."""
-        return _Message(self, request_conn)
+        message = _Message(self, request_conn)
+        self.waiting[server_conn] = message
+        return message
+
+    def on_close(self, server_conn: object) -> None:
+        """Forgets a connection."""
+        self.waiting.pop(server_conn, None)
+
+    def close_idle(self) -> None:
+        """Closes the connections on which no request has begun."""
+        for message in list(self.waiting.values()):
+            if not message.received:
+                ConnectionReply(message.conn, self).abort()
 
     def follow_limits(self, limits: model.Limits) -> None:
         """Takes the configuration's limits over for connections."""
@@ -138,11 +149,12 @@
         self.conn = conn
         self.ingress = ingress
         self.started = False
-        self.last: asyncio.Future[None] | None = None
+        self.said_close = False
 
     def closes(self) -> bool:
         """Tells whether the caller is to use another connection next."""
-        return self.ingress.closing
+        board = self.ingress.forwarder.board
+        return not board.is_ready(clock.boot())
 
     async def head(
         self, status: int, headers: reply_lib.Headers, body: bytes | None
@@ -154,7 +166,8 @@
             fields.add(name, value)
         if body is not None:
             fields['Content-Length'] = str(len(body))
-        if self.closes():
+        self.said_close = self.closes()
+        if self.said_close:
             fields['Connection'] = 'close'
         line = httputil.ResponseStartLine('HTTP/1.1', status, 'Answer')
         await self.sent(self.conn.write_headers(line, fields, body or None))
@@ -184,7 +197,8 @@
     async def finish(self) -> None:
         """Ends the answer as complete."""
         self.conn.finish()
-        if self.closes():
+        # A caller that was not told may have sent its next request.
+        if self.said_close:
             self.abort()
 
     def abort(self) -> None:
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -1,9 +1,12 @@
 """Chooses the upstream for a request.
 
 Answers uneven upstreams under load: speeds that differ by a factor of
-two, prompts that are cached on some, and plain services with few places.
-The choice is the least expected time until the answer, where a request
-waits for those before it and reads what is not cached.
+two, prompts that are cached on some only, and engines on which reading
+one long prompt holds up everybody's tokens.  The choice is the least
+delay in all: the expected time of this request, from the tokens that wait
+to be read and those of its prompt that are not cached, and the time by
+which it holds up the requests that run; both by how much slower than
+expected the upstream was lately.
 """
 
 import collections.abc
@@ -15,44 +18,42 @@
 
 # Reading a prompt on an engine of usual speed.
 PREFILL_S_PER_TOKEN: typing.Final = 1 / 200_000
-# An engine's first token of a prompt that is all cached.
-FIRST_S: typing.Final = 0.01
-# What one more running request adds to the others of an engine.
-BATCH_S: typing.Final = 0.002
+# An engine's work on a request beside reading: a turn of usual length.
+TURN_S: typing.Final = 0.33
+# The time between two events of a stream on an idle engine, by token.
+TOKEN_S: typing.Final = 0.0013
+# What each running request adds to a turn.
+BATCH_S: typing.Final = 0.003
 # A plain call of usual length.
 CALL_S: typing.Final = 0.04
 # A hop to another data centre and back, with the price of its bytes.
-REMOTE_S: typing.Final = 0.003
+REMOTE_S: typing.Final = 0.004
 # Keeps requests with equal prompts together where times are equal.
-TIE_S: typing.Final = 0.001
+TIE_S: typing.Final = 0.002
 
 
-def expected_s(
+def delay_s(
     upstream: upstreams.Upstream,
     request: model.Request,
     data_centre: str,
+    now: float,
 ) -> float:
-    """Returns the expected seconds until the answer begins."""
+    """Returns the expected seconds of this request and of others."""
     entry = upstream.entry
     running = upstream.ours + upstream.theirs
     queued = max(running + 1 - entry.slots, 0)
     if request.prompt:
-        work_s = expected_work_s(upstream, request.prompt)
-        work_s += queued * CALL_S
+        waiting = upstream.pending_tokens + upstream.their_pending_tokens
+        missing = upstream.missing_tokens(request.prompt)
+        reading_s = missing * PREFILL_S_PER_TOKEN
+        own_s = TURN_S + reading_s + waiting * PREFILL_S_PER_TOKEN
+        own_s += running * BATCH_S + queued * TURN_S / entry.slots
+        busy_s = own_s + running * (reading_s + BATCH_S)
     else:
         load = running / entry.slots
-        work_s = CALL_S * (1 + load / 2 + queued / entry.slots * 2)
+        busy_s = CALL_S * (1 + load / 2 + queued / entry.slots * 2)
     away_s = 0.0 if entry.data_centre == data_centre else REMOTE_S
-    return work_s * upstream.slowness + away_s
-
-
-def expected_work_s(
-    upstream: upstreams.Upstream, prompt: tuple[model.PromptPart, ...]
-) -> float:
-    """Returns an engine's expected seconds until the first token."""
-    missing = upstream.missing_tokens(prompt)
-    running = upstream.ours + upstream.theirs
-    return FIRST_S + missing * PREFILL_S_PER_TOKEN + running * BATCH_S
+    return busy_s * upstream.present_slowness(now) + away_s
 
 
 def choose(
@@ -61,18 +62,24 @@
     data_centre: str,
     now: float,
     tried: collections.abc.Container[str] = (),
+    silent: collections.abc.Container[str] = (),
 ) -> upstreams.Upstream | None:
     """Returns the best upstream, None where every one was tried.
 
-    Upstreams that are set aside are chosen only where no other is left.
+    Upstreams that are set aside, or whose data centre is among the
+    silent ones, are chosen only where no other is left.
     """
     left = [one for one in candidates if one.entry.upstream_id not in tried]
-    sound = [one for one in left if not one.is_aside(now)]
+    sound = [
+        one
+        for one in left
+        if not one.is_aside(now) and one.entry.data_centre not in silent
+    ]
     first_part = request.prompt[0].part_id if request.prompt else ''
     name = first_part or request.request_id
 
     def order(one: upstreams.Upstream) -> float:
         tie = routing.fraction(f'{name} {one.entry.upstream_id}') * TIE_S
-        return expected_s(one, request, data_centre) + tie
+        return delay_s(one, request, data_centre, now) + tie
 
     return min(sound or left, key=order, default=None)
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -53,6 +53,7 @@
 
     partitions: int
     record_bytes: int
+    is_failing: bool
 
     async def append(
         self, topic: str, part: int, records: collections.abc.Sequence[bytes]
--- /dev/null
+++ b/oleanderdrift/gateway/reachability.py
@@ -0,0 +1,73 @@
+"""Tells which data centres cannot be reached, from peers' silence.
+
+Answers a partition, in which connections hang without an error: peers
+send news ten times a second, so a data centre whose instances all fall
+silent at once is cut off long before a connection to it times out.
+"""
+
+import typing
+
+import attrs
+
+# Four messages in a row that did not come.
+SILENT_S: typing.Final = 0.45
+# A peer that was heard within this time shows that news still arrives.
+ALIVE_S: typing.Final = 0.3
+# Peers that have been silent for long are gone and show nothing.
+GONE_S: typing.Final = 10.0
+
+
+@attrs.frozen(kw_only=True)
+class Heard:
+    """When a peer was last heard, and what it said of the store.
+
+    store_age_s is the age of its news of the store at that time.
+    """
+
+    data_centre: str
+    at: float
+    store_age_s: float
+
+
+@attrs.define(kw_only=True)
+class Reachability:
+    """The latest news of each peer, by its name.
+
+    pace_s is the time between two messages of a peer.
+    """
+
+    data_centre: str
+    peers: dict[str, Heard] = attrs.field(factory=dict)
+    pace_s: float = 0.1
+
+    def hear(self, peer: str, heard: Heard) -> None:
+        """Takes a peer's news in."""
+        self.peers[peer] = heard
+
+    def forget(self, peer: str) -> None:
+        """Drops a peer that leaves."""
+        self.peers.pop(peer, None)
+
+    def silent_data_centres(self, now: float) -> frozenset[str]:
+        """Returns other data centres whose instances are all silent."""
+        extra_s = max(self.pace_s - 0.1, 0.0) * 4
+        latest: dict[str, float] = {}
+        for heard in self.peers.values():
+            if now - heard.at < GONE_S:
+                before = latest.get(heard.data_centre, heard.at)
+                latest[heard.data_centre] = max(before, heard.at)
+        if not any(now - at < ALIVE_S + extra_s for at in latest.values()):
+            # Nobody is heard: this instance may have stood still.
+            return frozenset()
+        return frozenset(
+            name
+            for name, at in latest.items()
+            if name != self.data_centre and now - at > SILENT_S + extra_s
+        )
+
+    def others_have_store(self, now: float) -> bool:
+        """Tells whether a peer has fresh news of the store."""
+        return any(
+            now - heard.at < 2 * SILENT_S and heard.store_age_s < 1.0
+            for heard in self.peers.values()
+        )
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -20,8 +20,10 @@
 from oleanderdrift.gateway import gossip
 from oleanderdrift.gateway import ingress
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import settings as settings_lib
 
+WATCH_S: typing.Final = 0.1
 HOUSEKEEPING_S: typing.Final = 0.3
 # Vanished upstreams are remembered this long, for late answers.
 FORGET_S: typing.Final = 5.0
@@ -75,6 +77,7 @@
             self.gossip.tell(),
             self.gossip.hear(),
             self.keep_house(),
+            self.watch_upstreams(),
         ):
             task = asyncio.create_task(part)
             task.add_done_callback(self.note_end)
@@ -98,6 +101,20 @@
             if self.board.config is not None:
                 self.ingress.follow_limits(self.board.config.limits)
 
+    async def watch_upstreams(self) -> None:
+        """Sets silent upstreams aside and breaks what waits, for ever."""
+        while True:
+            await asyncio.sleep(WATCH_S)
+            now = clock.monotonic()
+            silent = self.board.reachability.silent_data_centres(now)
+            if silent != self.board.silent:
+                logs.info('data-centres-silent', names=','.join(silent))
+                self.board.silent = silent
+            for one in self.board.upstreams.by_id.values():
+                away = one.entry.data_centre in silent
+                for link in one.silent_links(now, away):
+                    link.close()
+
     async def run(self) -> None:
         """Serves until the signal to stop, then drains."""
         stop = asyncio.Event()
@@ -124,15 +141,16 @@
         """Leaves the rotation, ends what is open and gives all back."""
         began = clock.monotonic()
         self.board.stopping = True
-        self.ingress.closing = True
         logs.info('draining', open=self.board.open_requests)
         last = began + self.board.settings.stop_s - STOP_MARGIN_S
-        while clock.monotonic() < last:
-            waited_s = clock.monotonic() - began
-            if waited_s > LEAVE_ROTATION_S and not self.board.open_requests:
-                break
-            await asyncio.sleep(POLL_S)
+        await asyncio.sleep(LEAVE_ROTATION_S)
+        # Nobody opens connections any more; callers that kept one idle
+        # have nothing under way on it.
         self.ingress.server.stop()
+        self.ingress.close_idle()
+        while clock.monotonic() < last and self.board.open_requests:
+            await asyncio.sleep(POLL_S)
+            self.ingress.close_idle()
         await self.forwarder.budgets.flush(float('inf'))
 
 
@@ -170,6 +188,9 @@
     board = board_lib.Board(
         settings=settings,
         allotments=allotments.Allotments(started=clock.monotonic()),
+        reachability=reachability.Reachability(
+            data_centre=settings.data_centre
+        ),
     )
     events = event_log.EventLog()
     forward = forwarder.Forwarder(board, codec, log, events)
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -5,16 +5,26 @@
 """
 
 import collections
+import collections.abc
+import math
 import typing
 
 import attrs
 
+from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import model
 
+# Longer than a slow engine needs for a long prompt.
+SILENCE_S: typing.Final = 0.9
+# Where other signs say that the upstream is cut off.
+AWAY_SILENCE_S: typing.Final = 0.4
 FIRST_ASIDE_S: typing.Final = 0.5
 MAX_ASIDE_S: typing.Final = 4.0
 # Weight of the newest measurement in a moving average.
 SMOOTHING: typing.Final = 0.2
+MAX_SLOWNESS: typing.Final = 10.0
+# Time constant with which a measurement loses its weight.
+FORGET_S: typing.Final = 4.0
 # Prompt parts remembered for each upstream.
 MAX_PARTS: typing.Final = 4_096
 
@@ -25,18 +35,32 @@
 
     ours is the number of this instance's requests there, theirs that of
     the other instances by their latest news.  slowness is the measured
-    time of its work in relation to what is expected.  parts are the
+    time of its work in relation to what is expected, as of `measured`.
+    pending_tokens are prompt tokens that wait to be read, by request in
+    reading.  shared holds the first parts of prompts that it has cached
+    by this instance's own requests,
+    which it tells its peers once.  parts are the
     prompt parts that requests brought there, the latest last.
-    removed_at is when the entry vanished.
+    removed_at is when the entry vanished.  heard is when bytes last came
+    from it; waiting are the connections with requests that may be broken
+    off, and when each was sent.  silence_s is how long it may say nothing
+    while requests wait; only engines send something all the time.
     """
 
     entry: model.UpstreamEntry
     ours: int = 0
     theirs: int = 0
+    pending_tokens: int = 0
+    their_pending_tokens: int = 0
     slowness: float = 1.0
-    samples: int = 0
+    measured: float = float('-inf')
     failures: int = 0
     aside_until: float = float('-inf')
+    heard: float = float('-inf')
+    shared: dict[str, None] = attrs.field(factory=dict)
+    reading: dict[str, int] = attrs.field(factory=dict)
+    waiting: dict[channel.Channel, float] = attrs.field(factory=dict)
+    silence_s: float = float('inf')
     removed_at: float | None = None
     parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
@@ -57,26 +81,72 @@
         self.failures += 1
         self.aside_until = now + pause_s
 
+    def silent_links(self, now: float, away: bool) -> list[channel.Channel]:
+        """Returns connections that wait in vain, and sets it aside.
+
+        away says that its data centre cannot be reached.
+        """
+        limit_s = AWAY_SILENCE_S if away else self.silence_s
+        silent = [
+            link
+            for link, sent in self.waiting.items()
+            if now - max(sent, self.heard) > limit_s
+            and not link.protocol.received
+        ]
+        if silent and not self.is_aside(now):
+            self.note_failure(now)
+        return silent
+
     def note_success(self) -> None:
         """Forgets earlier failures."""
         self.failures = 0
         self.aside_until = float('-inf')
 
-    def note_work(self, measured_s: float, expected_s: float) -> None:
+    def note_work(
+        self, measured_s: float, expected_s: float, now: float
+    ) -> None:
         """Takes a measurement into the slowness."""
-        ratio = min(max(measured_s / max(expected_s, 1e-3), 0.2), 20.0)
-        weight = max(SMOOTHING, 1 / (self.samples + 1))
-        self.slowness += weight * (ratio - self.slowness)
-        self.samples += 1
+        ratio = min(max(measured_s / expected_s, 0.2), MAX_SLOWNESS)
+        known = self.present_slowness(now)
+        self.slowness = known + SMOOTHING * (ratio - known)
+        self.measured = now
+
+    def present_slowness(self, now: float) -> float:
+        """Returns the slowness; old measurements lose their weight.
+
+        So an upstream that was slow is tried again after a while.
+        """
+        weight = math.exp(-max(now - self.measured, 0.0) / FORGET_S)
+        return 1.0 + (self.slowness - 1.0) * weight
+
+    def note_sent(
+        self, request_id: str, prompt: tuple[model.PromptPart, ...]
+    ) -> None:
+        """Counts the tokens of a prompt that are to be read."""
+        missing = self.missing_tokens(prompt)
+        if missing:
+            self.reading[request_id] = missing
+            self.pending_tokens += missing
+
+    def note_read(self, request_id: str) -> None:
+        """Notes that a prompt is read, or given up."""
+        self.pending_tokens -= self.reading.pop(request_id, 0)
 
     def note_parts(self, parts: tuple[model.PromptPart, ...]) -> None:
         """Remembers a prompt's parts as cached there."""
+        if parts:
+            self.shared[parts[0].part_id] = None
         for part in parts:
             self.parts[part.part_id] = None
             self.parts.move_to_end(part.part_id)
         while len(self.parts) > MAX_PARTS:
             self.parts.popitem(last=False)
 
+    def note_shared(self, part_ids: collections.abc.Iterable[str]) -> None:
+        """Remembers what peers found cached there."""
+        for part_id in part_ids:
+            self.parts[part_id] = None
+
     def missing_tokens(self, parts: tuple[model.PromptPart, ...]) -> int:
         """Returns the prompt tokens that are not cached there."""
         for place, part in enumerate(parts):
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -15,8 +15,12 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import ports
 
-# Answers take 4 ms in calm times; some hundred ms where the store is slow.
-CALL_TIMEOUT_S: typing.Final = 1.2
+# Calls are given up after several times their usual time, within bounds:
+# the store may be slow by a factor of sixty.
+MIN_TIMEOUT_S: typing.Final = 0.4
+MAX_TIMEOUT_S: typing.Final = 1.6
+TIMEOUT_FACTOR: typing.Final = 8.0
+SMOOTHING: typing.Final = 0.2
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 _LENGTH: typing.Final = struct.Struct('>I')
 _OFFSETS: typing.Final = struct.Struct('>QQ')
@@ -49,7 +53,7 @@
 class Store:
     """The client of the store; one for each instance.
 
-    failing_since is when calls began to fail, None while they succeed.
+    is_failing says that the latest call failed.
     """
 
     def __init__(
@@ -63,6 +67,8 @@
         self.pool = channel.Pool()
         self.calls = 0
         self.failures = 0
+        self.usual_s = 0.01
+        self.is_failing = False
 
     async def call(
         self,
@@ -70,7 +76,7 @@
         path: str,
         query: dict[str, str | int],
         body: bytes = b'',
-        timeout_s: float = CALL_TIMEOUT_S,
+        wait_s: float = 0.0,
     ) -> tuple[int, bytes]:
         """Makes one call over a kept connection.
 
@@ -84,19 +90,21 @@
                 _KEPT, self.host, self.port, CONNECT_TIMEOUT_S, now
             )
         except (OSError, TimeoutError) as error:
-            self.failures += 1
+            self.fail()
             raise errors.ResultError(
                 codes.LOG_UNAVAILABLE, f'no connection: {error!r}'
             ) from error
         target = f'{path}?{urllib.parse.urlencode(query)}'
         headers = [('Host', f'{self.host}:{self.port}')]
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(wait_s + self.timeout_s()):
                 await link.send(method, target, headers, body)
                 head = await link.read_head(time.monotonic())
                 answer = await link.read_body()
         except (channel.ChannelError, TimeoutError) as error:
-            self.failures += 1
+            self.fail()
+            if isinstance(error, TimeoutError):
+                self.usual_s *= 2
             # Connections can go silent while new ones work.
             self.pool.drop(_KEPT)
             raise errors.ResultError(
@@ -105,12 +113,26 @@
         finally:
             self.pool.give_back(_KEPT, link, time.monotonic())
         if head.status in (429, 503, 507):
-            self.failures += 1
+            self.fail()
             raise errors.ResultError(
                 codes.LOG_UNAVAILABLE, f'{path}: status {head.status}'
             )
+        self.is_failing = False
+        if not wait_s:
+            took_s = time.monotonic() - now
+            self.usual_s += SMOOTHING * (took_s - self.usual_s)
         return head.status, answer
 
+    def timeout_s(self) -> float:
+        """Returns how long an answer may take."""
+        usual_s = self.usual_s * TIMEOUT_FACTOR
+        return min(max(usual_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S)
+
+    def fail(self) -> None:
+        """Notes a call that failed."""
+        self.failures += 1
+        self.is_failing = True
+
     async def append(
         self, topic: str, part: int, records: collections.abc.Sequence[bytes]
     ) -> int:
@@ -142,7 +164,7 @@
             'WaitMs': int(wait_s * 1_000),
         }
         status, answer = await self.call(
-            'GET', '/-/log-read', query, timeout_s=CALL_TIMEOUT_S + wait_s
+            'GET', '/-/log-read', query, wait_s=wait_s
         )
         if status == 410:
             first = msgspec.json.decode(answer, type=_Trimmed).FirstOffset
