--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -46,10 +46,11 @@
         """Forgets a connection."""
         self.waiting.pop(server_conn, None)
 
-    def close_idle(self) -> None:
-        """Closes the connections on which no request has begun."""
+    def close_idle(self, now: float, idle_s: float) -> None:
+        """Closes the connections that have been idle for so long."""
         for message in list(self.waiting.values()):
-            if not message.received:
+            if not message.received and now - message.waits_since >= idle_s:
+                message.closed = True
                 ConnectionReply(message.conn, self).abort()
 
     def follow_limits(self, limits: model.Limits) -> None:
@@ -83,6 +84,8 @@
         self.conn = conn
         self.pieces: list[bytes] = []
         self.received = 0.0
+        self.waits_since = clock.monotonic()
+        self.closed = False
         self.task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -102,6 +105,9 @@
 
     def finish(self) -> None:
         """Starts the answer to a whole request."""
+        if self.closed:
+            # Bytes that crossed the close; nobody waits for the answer.
+            return
         self.task = asyncio.create_task(self.answer())
         self.ingress.tasks.add(self.task)
         self.task.add_done_callback(self.ingress.tasks.discard)
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -29,6 +29,8 @@
 FORGET_S: typing.Final = 5.0
 # The balancer notices within two of its questions, one a second.
 LEAVE_ROTATION_S: typing.Final = 3.0
+# A connection on which nothing came for so long is closed at the end.
+IDLE_S: typing.Final = 1.0
 # Left of the time to stop for the last writes.
 STOP_MARGIN_S: typing.Final = 0.8
 POLL_S: typing.Final = 0.05
@@ -144,13 +146,12 @@
         logs.info('draining', open=self.board.open_requests)
         last = began + self.board.settings.stop_s - STOP_MARGIN_S
         await asyncio.sleep(LEAVE_ROTATION_S)
-        # Nobody opens connections any more; callers that kept one idle
-        # have nothing under way on it.
+        # Nobody opens connections any more.  Callers in the middle of their
+        # work learn from their next answer that this one closes.
         self.ingress.server.stop()
-        self.ingress.close_idle()
-        while clock.monotonic() < last and self.board.open_requests:
+        while clock.monotonic() < last and self.ingress.waiting:
+            self.ingress.close_idle(clock.monotonic(), IDLE_S)
             await asyncio.sleep(POLL_S)
-            self.ingress.close_idle()
         await self.forwarder.budgets.flush(float('inf'))
 
 
