--- /dev/null
+++ b/standins/replica.py
@@ -0,0 +1,205 @@
+"""A stand-in for a replica of the users' platform, with faults to order.
+
+Each request is answered by the next behaviour of a list, the last one
+for ever.  What was received is kept, so that a test can tell what ran.
+"""
+
+import asyncio
+import typing
+
+import attrs
+
+Behaviour: typing.TypeAlias = 'Whole | Stream | Raw | Silent | Reset'
+
+
+@attrs.frozen(kw_only=True)
+class Whole:
+    """A whole answer; extra is sent after it."""
+
+    status: int = 200
+    body: bytes = b'done'
+    headers: tuple[tuple[str, str], ...] = ()
+    sealed: bool = True
+    request_id: str | None = None
+    extra: bytes = b''
+
+
+@attrs.frozen(kw_only=True)
+class Stream:
+    """Events numbered from 1, or from after the one that is named.
+
+    cut_after ends the connection after so many events, in the middle of
+    the next one.  unframed sends no length and ends with the connection.
+    """
+
+    events: int = 4
+    cut_after: int | None = None
+    unframed: bool = False
+    pause_s: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Raw:
+    """Bytes that need not be an answer; then the connection ends."""
+
+    data: bytes
+
+
+@attrs.frozen(kw_only=True)
+class Silent:
+    """Nothing at all."""
+
+
+@attrs.frozen(kw_only=True)
+class Reset:
+    """The connection is reset once the request was read."""
+
+
+@attrs.frozen(kw_only=True)
+class Received:
+    """A request as the replica got it; names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.define(kw_only=True)
+class Replica:
+    """One replica; closed counts connections that callers closed."""
+
+    behaviours: list[Behaviour]
+    received: list[Received] = attrs.field(factory=list)
+    connections: int = 0
+    closed: int = 0
+    port: int = 0
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listens on a port of its own."""
+        self.server = await asyncio.start_server(self.serve, '127.0.0.1', 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Closes the listening socket."""
+        if self.server is not None:
+            self.server.close()
+
+    def behaviour(self) -> Behaviour:
+        """Returns the behaviour for the next request."""
+        if len(self.behaviours) > 1:
+            return self.behaviours.pop(0)
+        return self.behaviours[0]
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection."""
+        self.connections += 1
+        try:
+            while True:
+                request = await read_request(reader)
+                self.received.append(request)
+                if not await self.answer(request, reader, writer):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+        except asyncio.CancelledError:
+            # The loop ends with the test.
+            return
+        finally:
+            writer.close()
+
+    async def answer(
+        self,
+        request: Received,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Answers a request; returns whether the connection goes on."""
+        behaviour = self.behaviour()
+        match behaviour:
+            case Whole():
+                writer.write(whole(behaviour, request) + behaviour.extra)
+            case Stream():
+                return await self.stream(behaviour, request, writer)
+            case Raw():
+                writer.write(behaviour.data)
+                return False
+            case Silent():
+                await reader.readexactly(1)
+            case Reset():
+                writer.transport.abort()
+                return False
+        await writer.drain()
+        return True
+
+    async def stream(
+        self,
+        behaviour: Stream,
+        request: Received,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Sends a stream; returns whether the connection goes on."""
+        fields = '' if behaviour.unframed else 'Transfer-Encoding: chunked\r\n'
+        writer.write(
+            f'HTTP/1.1 200 OK\r\nAttempt-Id: '
+            f'{request.headers.get("attempt-id", "")}\r\n'
+            f'Response-Seal: s\r\nContent-Type: text/event-stream\r\n'
+            f'{fields}\r\n'.encode()
+        )
+        first = int(request.headers.get('last-event-id', '0')) + 1
+        for number in range(first, behaviour.events + 1):
+            event = f'id: {number}\ndata: e{number}\n\n'.encode()
+            if behaviour.cut_after is not None:
+                if number > behaviour.cut_after:
+                    writer.write(framed(event[:5], behaviour.unframed))
+                    await writer.drain()
+                    return False
+            writer.write(framed(event, behaviour.unframed))
+            await writer.drain()
+            await asyncio.sleep(behaviour.pause_s)
+        if behaviour.unframed:
+            return False
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+        return True
+
+
+def framed(data: bytes, unframed: bool) -> bytes:
+    """Returns data as a chunk, or as it is."""
+    if unframed:
+        return data
+    return f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+
+
+def whole(behaviour: Whole, request: Received) -> bytes:
+    """Returns the bytes of a whole answer."""
+    request_id = behaviour.request_id
+    if request_id is None:
+        request_id = request.headers.get('attempt-id', '')
+    lines = [
+        f'HTTP/1.1 {behaviour.status} Answer',
+        f'Attempt-Id: {request_id}',
+        f'Content-Length: {len(behaviour.body)}',
+        *(f'{name}: {value}' for name, value in behaviour.headers),
+    ]
+    if behaviour.sealed:
+        lines.append('Response-Seal: s')
+    return '\r\n'.join([*lines, '', '']).encode() + behaviour.body
+
+
+async def read_request(reader: asyncio.StreamReader) -> Received:
+    """Reads a request whose body has a length."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
+    first, *lines = head.split('\r\n')
+    method, target, _ = first.split(' ')
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(': ')
+        if name:
+            headers[name.lower()] = value
+    length = int(headers.get('content-length', '0'))
+    body = await reader.readexactly(length)
+    return Received(method=method, target=target, headers=headers, body=body)
--- /dev/null
+++ b/tests/gateway_support.py
@@ -0,0 +1,226 @@
+"""Shared parts for the gateway's tests: a log in memory, and makers."""
+
+import asyncio
+import collections
+import collections.abc
+import typing
+
+import attrs
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import allotments
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import reachability
+from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift.gateway import upstreams
+
+SETTINGS: typing.Final = settings_lib.GatewaySettings(
+    instance='north-1',
+    data_centre='north',
+    listen='127.0.0.1:0',
+    ready_listen='127.0.0.1:0',
+    peer_listen='127.0.0.1:0',
+    metrics_listen='127.0.0.1:0',
+    store='127.0.0.1:1',
+    store_partitions=4,
+    store_record_bytes=4_096,
+    memory_mb=180,
+    drain_s=2.0,
+    config_s=2.0,
+    key_grace_s=4.5,
+    stop_s=8.0,
+    account_window_s=5.0,
+    turn_retention_s=300.0,
+)
+
+
+@attrs.define(kw_only=True)
+class MemoryLog:
+    """A log in memory.
+
+    failure, where set, is raised by every call; lost_answers counts
+    appends that take effect and are not answered.
+    """
+
+    partitions: int = 4
+    record_bytes: int = 4_096
+    is_failing: bool = False
+    failure: errors.ResultError | None = None
+    lost_answers: int = 0
+    data: collections.defaultdict[tuple[str, int], list[bytes]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
+    appends: int = 0
+    reads: int = 0
+
+    async def append(
+        self, topic: str, part: int, records: collections.abc.Sequence[bytes]
+    ) -> int:
+        """Appends all records; returns the first one's offset."""
+        self.appends += 1
+        await asyncio.sleep(0)
+        if self.failure is not None:
+            raise self.failure
+        found = self.data[topic, part]
+        start = len(found)
+        found.extend(records)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            raise errors.ResultError(codes.APPEND_UNCONFIRMED, 'lost')
+        return start
+
+    async def read(
+        self,
+        topic: str,
+        part: int,
+        start: int,
+        *,
+        wait_s: float = 0.0,
+        max_bytes: int = 1_048_576,
+    ) -> ports.LogRecords:
+        """Reads records from start on."""
+        self.reads += 1
+        await asyncio.sleep(0)
+        if self.failure is not None:
+            raise self.failure
+        found = self.data[topic, part]
+        return ports.LogRecords(
+            start=start,
+            records=tuple(found[start:]),
+            end=len(found),
+            first=0,
+        )
+
+    async def newest(self, topic: str) -> ports.KeyedRecords:
+        """Returns nothing; keyed topics are not used here."""
+        return ports.KeyedRecords(records=(), end=0)
+
+    async def read_keyed(
+        self, topic: str, start: int, *, wait_s: float
+    ) -> ports.KeyedRecords | None:
+        """Returns nothing; keyed topics are not used here."""
+        return None
+
+    async def put(self, topic: str, key: str, value: bytes | None) -> None:
+        """Drops the record; keyed topics are not used here."""
+
+
+def account(
+    name: str = 'ward', rate: float = 20.0, burst: float = 20.0
+) -> model.ClientAccount:
+    """Returns a client account."""
+    return model.ClientAccount(
+        name=name, priority=None, rate_per_s=rate, burst=burst
+    )
+
+
+def route(**changes: typing.Any) -> model.Route:
+    """Returns a route of an engine, with changes."""
+    usual = model.Route(
+        name='r',
+        host='desk.example',
+        path_prefix='/a/',
+        kind=model.Kind.STREAMING,
+        timeout_s=5.0,
+        target_s=0.2,
+        priority=0,
+        services=(model.WeightedService(service='guide', weight=1.0),),
+        attempts=1,
+        public=False,
+        resumable=False,
+        retains=False,
+        retention_s=60.0,
+    )
+    return attrs.evolve(usual, **changes)
+
+
+def request(**changes: typing.Any) -> model.Request:
+    """Returns a request, with changes."""
+    usual = model.Request(
+        request_id='q1',
+        method='POST',
+        target='/a/b',
+        host='desk.example',
+        headers=(('Host', 'desk.example'), ('Attempt-Id', 'q1')),
+        body=b'',
+        key='key',
+        deadline=5.0,
+        received=0.0,
+    )
+    return attrs.evolve(usual, **changes)
+
+
+def entry(
+    upstream_id: str = 'u1', **changes: typing.Any
+) -> model.UpstreamEntry:
+    """Returns an upstream's entry, with changes."""
+    usual = model.UpstreamEntry(
+        upstream_id=upstream_id,
+        service='guide',
+        data_centre='north',
+        host='127.0.0.1',
+        port=1,
+        slots=64,
+        draining=False,
+        born_ms=1,
+        cold_s=0.0,
+    )
+    return attrs.evolve(usual, **changes)
+
+
+def upstream(
+    upstream_id: str = 'u1', **changes: typing.Any
+) -> upstreams.Upstream:
+    """Returns an upstream, with changes to its entry."""
+    return upstreams.Upstream(entry=entry(upstream_id, **changes))
+
+
+def config(**changes: typing.Any) -> model.Configuration:
+    """Returns a configuration of one route and account, with changes."""
+    usual = model.Configuration(
+        version=1,
+        routes=(route(),),
+        services={
+            'guide': model.Service(
+                name='guide',
+                max_connections=64,
+                tokens_per_event=14,
+                is_engine=True,
+            )
+        },
+        accounts_by_key={'key': account()},
+        limits=model.Limits(),
+    )
+    return attrs.evolve(usual, **changes)
+
+
+def board(now: float = 0.0) -> board_lib.Board:
+    """Returns a board with news of the store as of now."""
+    made = board_lib.Board(
+        settings=SETTINGS,
+        allotments=allotments.Allotments(started=now - 100.0),
+        reachability=reachability.Reachability(data_centre='north'),
+        config=config(),
+        upstreams_known=True,
+    )
+    assert made.config is not None
+    accounts = made.config.accounts_by_key or {}
+    made.allotments.configure(accounts.values())
+    made.freshness.confirm(now, now)
+    return made
+
+
+def admitted(**changes: typing.Any) -> admission.Admitted:
+    """Returns an admitted request, with changes."""
+    usual = admission.Admitted(
+        request=request(),
+        route=route(),
+        service=config().services['guide'],
+        account=account(),
+        config_version=1,
+    )
+    return attrs.evolve(usual, **changes)
--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,308 @@
+"""Small cases of the gateway's deciding modules."""
+
+import typing
+
+import pytest
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import events
+from oleanderdrift.gateway import freshness
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import placement
+from oleanderdrift.gateway import reachability
+from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import upstreams
+from tests import gateway_support
+
+
+@pytest.mark.parametrize(
+    ('host', 'target', 'found'),
+    [
+        ('desk.example', '/a/x', 'short'),
+        ('desk.example', '/a/b/x?q=/a/', 'long'),
+        ('desk.example', '/a', None),
+        ('desk.example', '/b/', None),
+        ('other.example', '/a/x', None),
+    ],
+)
+def test_longest_prefix_wins(
+    host: str, target: str, found: str | None
+) -> None:
+    config = gateway_support.config(
+        routes=(
+            gateway_support.route(name='short'),
+            gateway_support.route(name='long', path_prefix='/a/b/'),
+        )
+    )
+    if found is None:
+        with pytest.raises(errors.ResultError) as caught:
+            routing.find_route(config, host, target)
+        assert caught.value.code is codes.UNKNOWN_ROUTE
+    else:
+        assert routing.find_route(config, host, target).name == found
+
+
+@pytest.mark.parametrize(
+    ('key', 'public', 'found'),
+    [
+        ('key', False, 'ward'),
+        (None, False, codes.MISSING_KEY),
+        ('old', False, codes.UNKNOWN_KEY),
+        ('old', True, None),
+    ],
+)
+def test_key_names_the_account(
+    key: str | None, public: bool, found: typing.Any
+) -> None:
+    config = gateway_support.config()
+    route = gateway_support.route(public=public)
+    try:
+        account = routing.find_account(config, route, key)
+    except errors.ResultError as error:
+        assert error.code is found
+    else:
+        assert (account.name if account else None) == found
+
+
+def test_split_follows_the_weights() -> None:
+    route = gateway_support.route(
+        services=(
+            model.WeightedService(service='a', weight=90),
+            model.WeightedService(service='b', weight=10),
+        )
+    )
+    names = [
+        routing.choose_service(
+            route, gateway_support.request(request_id=str(number))
+        )
+        for number in range(1_000)
+    ]
+    assert 50 < names.count('b') < 150
+
+
+@pytest.mark.parametrize(
+    ('age_s', 'others', 'ready', 'serves'),
+    [
+        (0.6, True, True, True),
+        (1.5, True, False, True),
+        (3.0, True, False, False),
+        # Where nobody has the store, keys are used while they may be.
+        (3.0, False, False, True),
+        (4.6, False, False, False),
+    ],
+)
+def test_age_of_the_news_decides(
+    age_s: float, others: bool, ready: bool, serves: bool
+) -> None:
+    fresh = freshness.Freshness()
+    fresh.confirm(10.0, 10.0)
+    assert fresh.is_ready(10.0 + age_s) is ready
+    assert fresh.may_serve(10.0 + age_s, 4.5, others) is serves
+
+
+def test_late_answer_does_not_make_news_fresh() -> None:
+    fresh = freshness.Freshness()
+    fresh.confirm(1.0, 9.0)
+    assert fresh.age_s(9.0) == 8.0
+
+
+def test_entries_get_a_grace_after_an_outage() -> None:
+    fresh = freshness.Freshness()
+    fresh.confirm(0.0, 0.0)
+    assert not fresh.in_lapse_grace(0.5)
+    assert fresh.confirm(4.0, 4.0)
+    assert fresh.in_lapse_grace(5.9)
+    assert not fresh.in_lapse_grace(6.1)
+
+
+def heard(data_centre: str, at: float) -> reachability.Heard:
+    """Returns news of a peer with fresh news of the store."""
+    return reachability.Heard(data_centre=data_centre, at=at, store_age_s=0.1)
+
+
+@pytest.mark.parametrize(
+    ('peers', 'silent'),
+    [
+        ({'n2': ('north', 9.9), 's1': ('south', 9.9)}, set()),
+        ({'n2': ('north', 9.9), 's1': ('south', 9.4)}, {'south'}),
+        # One instance died, its data centre is there.
+        ({'s1': ('south', 9.0), 's2': ('south', 9.9)}, set()),
+        # Cut off with its own data centre.
+        (
+            {'n2': ('north', 9.9), 's1': ('south', 9.4), 'e': ('east', 9.4)},
+            {'south', 'east'},
+        ),
+        # Nobody is heard: this instance stood still.
+        ({'n2': ('north', 9.0), 's1': ('south', 9.0)}, set()),
+    ],
+)
+def test_silence_of_all_peers_shows_a_partition(
+    peers: dict[str, tuple[str, float]], silent: set[str]
+) -> None:
+    reach = reachability.Reachability(data_centre='north')
+    for name, (data_centre, at) in peers.items():
+        reach.hear(name, heard(data_centre, at))
+    assert reach.silent_data_centres(10.0) == silent
+
+
+@pytest.mark.parametrize(
+    ('change', 'expected'),
+    [
+        ({}, None),
+        ({'draining': True}, 'draining'),
+        ({'born_ms': 2}, 'restarted'),
+        ({'port': 2}, 'restarted'),
+        ({'born_ms': 0}, None),
+    ],
+)
+def test_entries_tell_lifetimes_apart(
+    change: dict[str, typing.Any], expected: str | None
+) -> None:
+    known = upstreams.UpstreamSet()
+    assert known.put(gateway_support.entry()) == 'added'
+    known.by_id['u1'].ours = 1
+    assert known.put(gateway_support.entry(**change)) == expected
+    kept = known.by_id['u1'].ours == 1
+    assert kept == (expected != 'restarted')
+
+
+def test_vanished_upstream_gets_work_in_lapse_grace_only() -> None:
+    known = upstreams.UpstreamSet()
+    known.put(gateway_support.entry())
+    known.remove('u1', 1.0)
+    assert known.of_service('guide', lapse_grace=False) == []
+    assert len(known.of_service('guide', lapse_grace=True)) == 1
+    assert known.put(gateway_support.entry()) == 'returned'
+
+
+def prompt(*parts: tuple[str, int]) -> tuple[model.PromptPart, ...]:
+    """Returns a prompt's parts."""
+    return tuple(
+        model.PromptPart(part_id=name, tokens=tokens) for name, tokens in parts
+    )
+
+
+SHARED = ('shared', 12_600)
+
+
+def chosen(candidates: list[upstreams.Upstream], now: float = 0.0) -> str:
+    """Returns where a turn with a shared prompt goes."""
+    request = gateway_support.request(prompt=prompt(SHARED, ('own', 1_680)))
+    found = placement.choose(candidates, request, 'north', now)
+    assert found is not None
+    return found.entry.upstream_id
+
+
+def test_turn_goes_where_its_prompt_is_cached() -> None:
+    cold = gateway_support.upstream('cold')
+    warm = gateway_support.upstream('warm')
+    warm.note_parts(prompt(SHARED))
+    warm.ours = 3
+    assert chosen([cold, warm]) == 'warm'
+
+
+def test_reading_a_long_prompt_counts_for_all_that_run() -> None:
+    # On a full engine, reading holds up everybody's tokens: a turn whose
+    # prompt is cached on the busier one stays there.
+    cold = gateway_support.upstream('cold')
+    cold.ours = 12
+    warm = gateway_support.upstream('warm')
+    warm.note_parts(prompt(SHARED))
+    warm.ours = 16
+    assert chosen([cold, warm]) == 'warm'
+
+
+def test_backlog_of_unread_tokens_sends_turns_elsewhere() -> None:
+    busy = gateway_support.upstream('busy')
+    free = gateway_support.upstream('free')
+    for one in (busy, free):
+        one.note_parts(prompt(SHARED))
+    busy.note_sent('q0', prompt(('long', 60_000)))
+    assert chosen([busy, free]) == 'free'
+
+
+def test_slow_upstream_is_left_and_tried_again_later() -> None:
+    slow = gateway_support.upstream('slow')
+    fast = gateway_support.upstream('fast')
+    for _ in range(20):
+        slow.note_work(0.1, 0.02, 0.0)
+        fast.note_work(0.012, 0.02, 0.0)
+    fast.ours = 12
+    assert chosen([slow, fast]) == 'fast'
+    assert chosen([slow, fast], now=60.0) == 'slow'
+
+
+def test_tokens_are_released_when_read() -> None:
+    one = gateway_support.upstream()
+    one.note_sent('q1', prompt(SHARED))
+    assert one.pending_tokens == 12_600
+    one.note_read('q1')
+    one.note_read('q1')
+    assert one.pending_tokens == 0
+
+
+def test_upstream_set_aside_is_the_last_resort() -> None:
+    failed = gateway_support.upstream('failed')
+    failed.note_failure(0.0)
+    sound = gateway_support.upstream('sound')
+    sound.ours = 60
+    assert chosen([failed, sound]) == 'sound'
+    assert chosen([failed]) == 'failed'
+
+
+def test_plain_calls_spread_over_few_places() -> None:
+    # Six places each; nine instances tell each other what they run.
+    full = gateway_support.upstream('full', slots=6)
+    full.theirs = 6
+    free = gateway_support.upstream('free', slots=6)
+    free.theirs = 2
+    request = gateway_support.request()
+    found = placement.choose([full, free], request, 'north', 0.0)
+    assert found is free
+
+
+@pytest.mark.parametrize(
+    ('chunks', 'data', 'rest'),
+    [
+        ([b'id: 1\ndata: a\n\n'], [b'a'], b''),
+        ([b'id: 1\nda', b'ta: a\n', b'\nid: 2'], [b'a'], b'id: 2'),
+        ([b'weight-versions: 3\ndata: a\ndata: b\n\n'], [b'a\nb'], b''),
+    ],
+)
+def test_only_whole_events_come_out(
+    chunks: list[bytes], data: list[bytes], rest: bytes
+) -> None:
+    reader = events.EventReader()
+    found = [event for chunk in chunks for event in reader.feed(chunk)]
+    assert [event.data for event in found] == data
+    assert reader.rest == rest
+
+
+@pytest.mark.parametrize(
+    ('known', 'age_s', 'code'),
+    [
+        (False, 0.1, codes.NOT_READY),
+        (True, 9.0, codes.KEYS_UNVERIFIABLE),
+    ],
+)
+def test_refused_before_any_work(
+    known: bool, age_s: float, code: codes.Result
+) -> None:
+    board = gateway_support.board()
+    board.upstreams_known = known
+    with pytest.raises(errors.ResultError) as caught:
+        admission.admit(board, gateway_support.request(), age_s, age_s)
+    assert caught.value.code is code
+    assert caught.value.code.execution is codes.Execution.NOT_RUN
+
+
+def test_callers_spread_their_return_through_an_outage() -> None:
+    waits = [
+        admission.store_retry_s(False, str(number)) for number in range(100)
+    ]
+    assert min(waits) >= 1.0
+    assert max(waits) <= 1.5
+    assert max(waits) - min(waits) > 0.4
+    assert admission.store_retry_s(True, 'q1') < 0.1
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,242 @@
+"""What the adapter makes of the platform's names and formats."""
+
+import json
+import typing
+
+import pytest
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import model
+from oleanderdrift.platform import codec
+from oleanderdrift.platform import operator
+from oleanderdrift.platform import settings
+from tests import gateway_support
+
+ENTRY: dict[str, typing.Any] = {
+    'Service': 'guide',
+    'Address': '10.0.0.1:80',
+    'Zone': 'north',
+    'Version': 'v1',
+    'Slots': 6,
+    'State': 'ready',
+    'ColdLeftMs': 0,
+    'Seq': 4,
+    'born': 7,
+}
+CONFIG: dict[str, typing.Any] = {
+    'Version': 7,
+    'Routes': [
+        {
+            'Name': 'r',
+            'Host': 'Desk.example',
+            'PathPrefix': '/a/',
+            'Kind': 'streaming',
+            'TimeoutMs': 5000,
+            'GoalMs': 200,
+            'Priority': 1,
+            'Split': [
+                {'Service': 'guide', 'Weight': 90},
+                {'Service': 'desk', 'Weight': 10},
+            ],
+            'Attempts': 1,
+            'Retain': True,
+            'RetainS': 60.0,
+            'Resumable': False,
+        }
+    ],
+    'Services': [
+        {'Name': 'guide', 'MaxConns': 360, 'Engine': {'Stride': 14}},
+        {'Name': 'desk', 'MaxConns': 96},
+    ],
+    'Tenants': [
+        {'Name': 'ward', 'ApiKeys': ['k1', 'k2'], 'RatePerS': 5, 'Burst': 6}
+    ],
+}
+SETTINGS = """
+Node = "n1"
+Ip = "10.1.0.11"
+Zone = "north"
+PortRange = [7780, 7795]
+Unknown = true
+[Listen]
+Front = "10.1.0.11:8368"
+ReadyAddr = "10.1.0.11:8369"
+[Limits]
+MemoryMb = 180
+[Bounds]
+RevokeMs = 5000
+[Platform]
+Address = "10.200.1.7:8362"
+parts = 12
+"""
+
+
+def test_configuration_is_decoded() -> None:
+    config = operator.configuration(json.dumps(CONFIG).encode())
+    route = config.routes[0]
+    assert config.version == 7
+    assert route.host == 'desk.example'
+    assert route.kind is model.Kind.STREAMING
+    assert route.timeout_s == 5.0
+    assert route.retains
+    assert [one.weight for one in route.services] == [90, 10]
+    assert config.services['guide'].tokens_per_event == 14
+    assert config.services['guide'].is_engine
+    assert not config.services['desk'].is_engine
+    accounts = config.accounts_by_key
+    assert accounts is not None
+    assert accounts['k2'].rate_per_s == 5
+
+
+def test_unknown_kind_may_not_be_repeated() -> None:
+    found = operator.configuration(
+        json.dumps(CONFIG).replace('"streaming"', '"new"').encode()
+    )
+    assert found.routes[0].kind is model.Kind.NON_IDEMPOTENT
+
+
+@pytest.mark.parametrize('value', [b'', b'{}', b'[]', b'{"Version": "x"}'])
+def test_unreadable_configuration_has_a_code(value: bytes) -> None:
+    with pytest.raises(errors.ResultError) as caught:
+        operator.configuration(value)
+    assert caught.value.code is codes.CONFIG_INVALID
+
+
+def test_entry_is_decoded() -> None:
+    found = operator.upstream_entry('u1', json.dumps(ENTRY).encode())
+    assert found == gateway_support.entry(
+        host='10.0.0.1', port=80, slots=6, born_ms=7
+    )
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'Service': None},
+        {'Address': 5},
+        {'Address': 'nowhere'},
+        {'Address': ':80'},
+        {'State': 'sleeping'},
+        {'State': None},
+        {'Slots': 'many'},
+        {'born': 1.5},
+    ],
+)
+def test_malformed_entry_names_no_upstream(
+    change: dict[str, typing.Any],
+) -> None:
+    value = json.dumps({**ENTRY, **change}).encode()
+    assert operator.upstream_entry('u1', value) is None
+
+
+@pytest.mark.parametrize('value', [b'', b'\xff\xfe', b'null', b'[1]'])
+def test_unreadable_entry_names_no_upstream(value: bytes) -> None:
+    assert operator.upstream_entry('u1', value) is None
+
+
+HEADERS = [
+    ('Host', 'Desk.example'),
+    ('Attempt-Id', 'q1'),
+    ('Credential', 'k1'),
+    ('Deadline-Ms', '1500'),
+    ('Token-Count', '1460,80'),
+    ('Token-Budget', '900'),
+    ('Prompt-Prefix', '5c:800,91:410'),
+    ('Program-Id', 'p'),
+    ('Session-Id', 's'),
+    ('Tenant', 'forged'),
+    ('Kv-Hold', 'forged'),
+    ('Connection', 'keep-alive, X-Hop'),
+    ('X-Hop', '1'),
+    ('X-End', '2'),
+]
+
+
+def decoded(**changes: str | None) -> model.Request:
+    """Returns the request of HEADERS with some changed or left out."""
+    named = dict(HEADERS)
+    for name, value in changes.items():
+        key = name.replace('_', '-')
+        if value is None:
+            del named[key]
+        else:
+            named[key] = value
+    return codec.PlatformCodec().request(
+        'POST', '/a/b?c', list(named.items()), b'body', 10.0
+    )
+
+
+def test_request_is_decoded() -> None:
+    found = decoded()
+    assert found.request_id == 'q1'
+    assert found.host == 'desk.example'
+    assert found.key == 'k1'
+    assert found.deadline == 11.5
+    assert found.max_tokens == 80
+    assert found.token_budget == 900
+    assert [part.tokens for part in found.prompt] == [800, 410]
+
+
+def test_callers_cannot_set_what_is_ours() -> None:
+    found = decoded()
+    sent = codec.PlatformCodec().upstream_headers(
+        found, gateway_support.entry(), gateway_support.account(), 1.0, None
+    )
+    named = {name.lower(): value for name, value in sent}
+    assert named['tenant'] == 'ward'
+    assert named['expect-instance'] == 'u1'
+    assert named['deadline-ms'] == '1000'
+    assert named['x-end'] == '2'
+    assert named['attempt-id'] == 'q1'
+    assert not {'credential', 'kv-hold', 'connection', 'x-hop'} & set(named)
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'Attempt_Id': None},
+        {'Deadline_Ms': 'soon'},
+        {'Deadline_Ms': 'nan'},
+        {'Deadline_Ms': '-1'},
+        {'Token_Budget': 'x'},
+    ],
+)
+def test_bad_request_has_a_code(changes: dict[str, str | None]) -> None:
+    with pytest.raises(errors.ResultError) as caught:
+        decoded(**changes)
+    assert caught.value.code is codes.BAD_REQUEST
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'not_run'),
+    [
+        (503, [('Not-Executed', '1')], True),
+        (503, [], False),
+        (421, [], True),
+        (200, [('Response-Seal', 'x')], False),
+    ],
+)
+def test_only_the_upstreams_word_means_not_run(
+    status: int, headers: list[tuple[str, str]], not_run: bool
+) -> None:
+    head = codec.PlatformCodec().upstream_head(status, headers)
+    assert head.not_run is not_run
+
+
+def test_settings_are_decoded() -> None:
+    found = settings.decode(SETTINGS.encode())
+    assert found.instance == 'n1'
+    assert found.peer_listen == '10.1.0.11:7780'
+    assert found.store_partitions == 12
+    assert found.key_grace_s == 4.5
+
+
+@pytest.mark.parametrize(
+    'text',
+    ['', 'Node = 5', SETTINGS.replace('Zone', 'Area'), '\x00', 'a = ['],
+)
+def test_bad_settings_have_a_code(text: str) -> None:
+    with pytest.raises(errors.ResultError) as caught:
+        settings.decode(text.encode())
+    assert caught.value.code is codes.SETTINGS_INVALID
