Let a program's first turn set tokens aside for its later turns here

Cause: each turn needed an append and a read, so programs stood still in an outage of the store, and calls were the dearest price after the machines. News between instances is read in batches.

--- a/oleanderdrift/gateway/budget_log.py
+++ b/oleanderdrift/gateway/budget_log.py
@@ -1,8 +1,9 @@
 """Reserves turns' tokens in the store, whose order decides.
 
 A reservation is one append to the program's partition and, where others
-wrote there meanwhile, one read.  What ended turns really used goes along
-with the next append, or by itself soon after.
+wrote there meanwhile, one read.  It sets more aside than one turn needs,
+for the program's next turns here.  What was really used goes along with a
+later append, or by itself soon after.
 """
 
 import asyncio
@@ -13,10 +14,14 @@
 from oleanderdrift import errors
 from oleanderdrift import logs
 from oleanderdrift.gateway import budgets
+from oleanderdrift.gateway import grants
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import routing
 
+# A program uses a quarter of its budget as a rule; a third of it is enough
+# for the turns to come, and leaves room for its other instances.
+SPARE_PARTS: typing.Final = 3
 # Half of the time in which the end of a turn is to be known to all.
 SETTLE_AFTER_S: typing.Final = 0.5
 # Reads of one partition: some thousand records.
@@ -42,6 +47,7 @@
 
     def __init__(self, log: ports.Log) -> None:
         self.log = log
+        self.grants = grants.Grants()
         self.partitions = [
             Partition(number=number) for number in range(log.partitions)
         ]
@@ -57,8 +63,9 @@
         if known is None:
             return 'unknown'
         return (
-            f'{known.total} tokens in {len(known.turns)} turns, '
-            f'{len(known.settled)} ended'
+            f'{known.total} tokens in {len(known.reservations)} '
+            f'reservations, {known.unsettled_spare()} of them spare, '
+            f'{known.used()} used'
         )
 
     def is_spent(self, program: str, budget: int) -> bool:
@@ -67,31 +74,53 @@
 
     async def reserve(
         self, program: str, turn: str, tokens: int, budget: int, now: float
-    ) -> bool:
+    ) -> budgets.Verdict:
         """Sets a turn's tokens aside; returns whether the budget held.
 
         Raises ResultError where the store cannot tell.
         """
+        if self.grants.take(program, turn, tokens, now):
+            return budgets.Verdict.VALID
         part = self.partition_of(program)
         record = records.Reserve(
-            program=program, turn=turn, tokens=tokens, budget=budget
+            program=program,
+            turn=turn,
+            tokens=tokens,
+            budget=budget,
+            spare=budget // SPARE_PARTS,
         )
         try:
             end = await self.append(part, [record], now)
             await self.read_up_to(part, end, now)
-        except errors.ResultError:
+        except BaseException:
             # The record may still come into force.
-            self.settle(program, turn, 0, now)
+            self.note_used(program, turn, 0, now)
             raise
-        program_state = part.ledger.program(program, now)
-        return program_state.turns.get(turn) is not None
-
-    def settle(self, program: str, turn: str, tokens: int, now: float) -> None:
-        """Notes what a turn used; the store hears of it soon."""
+        state = part.ledger.program(program, now)
+        verdict = state.verdict(turn)
+        if verdict is budgets.Verdict.VALID:
+            held = state.reservations[turn].held
+            before = self.grants.add(program, turn, tokens, held, now)
+            self.close(before, now)
+        return verdict
+
+    def settle(self, turn: str, tokens: int, now: float) -> None:
+        """Notes what a turn used, if it had tokens set aside."""
+        self.close(self.grants.end(turn, tokens, now), now)
+
+    def close(self, grant: grants.Grant | None, now: float) -> None:
+        """Gives back what is left of a grant."""
+        if grant is not None:
+            self.note_used(grant.program, grant.reservation, grant.used, now)
+
+    def note_used(
+        self, program: str, reservation: str, tokens: int, now: float
+    ) -> None:
+        """Notes what a reservation used; the store hears of it soon."""
         part = self.partition_of(program)
         part.pending_since = min(part.pending_since, now)
         part.pending.append(
-            records.Settle(program=program, turn=turn, tokens=tokens)
+            records.Settle(program=program, turn=reservation, tokens=tokens)
         )
 
     async def append(
@@ -108,7 +137,7 @@
             start = await self.log.append(
                 records.BUDGET_TOPIC, part.number, data
             )
-        except errors.ResultError:
+        except BaseException:
             # Settling twice does no harm.
             part.pending = settled + part.pending
             part.pending_since = min(part.pending_since, since)
@@ -137,6 +166,8 @@
 
         A now in the far future appends all.
         """
+        for grant in self.grants.close_idle(now):
+            self.close(grant, now)
         for part in self.partitions:
             part.ledger.forget(now)
             if now - part.pending_since < SETTLE_AFTER_S:
--- a/oleanderdrift/gateway/budgets.py
+++ b/oleanderdrift/gateway/budgets.py
@@ -5,6 +5,7 @@
 below the budget.  Answers programs that loop over many instances at once.
 """
 
+import enum
 import typing
 
 import attrs
@@ -15,19 +16,58 @@
 KEEP_PROGRAM_S: typing.Final = 400.0
 
 
+class Verdict(enum.Enum):
+    """What the records say of a reservation.
+
+    UNSETTLED means that the budget is held by reservations whose spare
+    tokens may come back, so that a later try may succeed.
+    """
+
+    VALID = 'valid'
+    UNSETTLED = 'unsettled'
+    SPENT = 'spent'
+
+
+@attrs.define(kw_only=True)
+class Reservation:
+    """What one reservation holds, in tokens, of which spare is extra."""
+
+    held: int
+    spare: int
+    settled: bool = False
+
+
 @attrs.define(kw_only=True)
 class Program:
-    """What a program's turns have set aside or used, by turn.
+    """A program's reservations and their sum.
 
-    Refused turns are kept with None, so that a repeated record gets the
+    refused reservations are kept, so that a repeated record gets the
     same verdict.
     """
 
-    turns: dict[str, int | None] = attrs.field(factory=dict)
-    settled: set[str] = attrs.field(factory=set)
+    reservations: dict[str, Reservation] = attrs.field(factory=dict)
+    refused: dict[str, Verdict] = attrs.field(factory=dict)
     total: int = 0
     touched: float
 
+    def verdict(self, turn: str) -> Verdict:
+        """Returns the verdict on a reservation that was folded."""
+        if turn in self.reservations:
+            return Verdict.VALID
+        return self.refused.get(turn, Verdict.UNSETTLED)
+
+    def unsettled_spare(self) -> int:
+        """Returns spare tokens that may come back."""
+        return sum(
+            one.spare for one in self.reservations.values() if not one.settled
+        )
+
+    def used(self) -> int:
+        """Returns what reservations that have ended used."""
+        return sum(
+            one.held for one in self.reservations.values() if one.settled
+        )
+
 
 @attrs.define(kw_only=True)
 class BudgetLedger:
@@ -36,26 +76,18 @@
     end: int = 0
     programs: dict[str, Program] = attrs.field(factory=dict)
 
-    def fold(
-        self, start: int, data: tuple[bytes, ...], now: float
-    ) -> list[tuple[str, bool]]:
-        """Folds records from offset start on; returns new verdicts.
-
-        A verdict is a turn and whether its reservation is valid.
-        """
-        verdicts = []
+    def fold(self, start: int, data: tuple[bytes, ...], now: float) -> None:
+        """Folds records from offset start on."""
         for place, each in enumerate(data):
             if start + place < self.end:
                 continue
             record = records.decode_budget(each)
             match record:
                 case records.Reserve():
-                    valid = self.reserve(record, now)
-                    verdicts.append((record.turn, valid))
+                    self.reserve(record, now)
                 case records.Settle():
                     self.settle(record, now)
         self.end = max(self.end, start + len(data))
-        return verdicts
 
     def program(self, name: str, now: float) -> Program:
         """Returns a program, new where it is not known."""
@@ -65,34 +97,46 @@
         found.touched = now
         return found
 
-    def reserve(self, record: records.Reserve, now: float) -> bool:
-        """Folds a reservation and returns whether it is valid."""
+    def reserve(self, record: records.Reserve, now: float) -> None:
+        """Folds a reservation."""
         program = self.program(record.program, now)
-        if record.turn in program.turns:
-            return program.turns[record.turn] is not None
-        valid = program.total < record.budget
-        program.turns[record.turn] = record.tokens if valid else None
-        program.total += record.tokens if valid else 0
-        return valid
+        if record.turn in program.reservations:
+            return
+        if record.turn in program.refused:
+            return
+        if program.total >= record.budget:
+            certain = program.total - program.unsettled_spare()
+            program.refused[record.turn] = (
+                Verdict.SPENT
+                if certain >= record.budget
+                else Verdict.UNSETTLED
+            )
+            return
+        left = record.budget - program.total - record.tokens
+        spare = min(record.spare, max(left // 2, 0))
+        held = record.tokens + spare
+        program.reservations[record.turn] = Reservation(held=held, spare=spare)
+        program.total += held
 
     def settle(self, record: records.Settle, now: float) -> None:
-        """Folds what a turn has used."""
+        """Folds what a reservation's turns have used."""
         program = self.program(record.program, now)
+        if record.turn in program.refused:
+            return
         # A delayed reservation may follow; it is void then.
-        held = program.turns.get(record.turn, 0)
-        if held is None or record.turn in program.settled:
+        found = program.reservations.setdefault(
+            record.turn, Reservation(held=0, spare=0)
+        )
+        if found.settled:
             return
-        program.settled.add(record.turn)
-        program.total += record.tokens - held
-        program.turns[record.turn] = record.tokens
+        program.total += record.tokens - found.held
+        found.held = record.tokens
+        found.settled = True
 
     def is_spent(self, name: str, budget: int) -> bool:
         """Tells whether turns that have ended used the budget up."""
         program = self.programs.get(name)
-        if program is None:
-            return False
-        used = sum(program.turns[turn] or 0 for turn in program.settled)
-        return used >= budget
+        return program is not None and program.used() >= budget
 
     def forget(self, now: float) -> None:
         """Drops programs without records for long."""
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -15,7 +15,9 @@
 import attrs
 import h11
 
-READ_BYTES: typing.Final = 65_536
+from oleanderdrift import codes
+from oleanderdrift import errors
+
 # Unacknowledged bytes for this long mean that the peer is cut off.
 UNACKED_MS: typing.Final = 2_000
 KEEPALIVE_IDLE_S: typing.Final = 1
@@ -121,7 +123,11 @@
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
-        """Sends a whole request."""
+        """Sends a whole request.
+
+        Raises ResultError BAD_REQUEST where the headers cannot be sent;
+        then nothing was.
+        """
         if self.uses:
             self.wire.start_next_cycle()
         self.uses += 1
@@ -129,7 +135,10 @@
         head = [*headers, ('content-length', str(len(body)))]
         if not body and method in ('GET', 'HEAD', 'DELETE'):
             head.pop()
-        request = h11.Request(method=method, target=target, headers=head)
+        try:
+            request = h11.Request(method=method, target=target, headers=head)
+        except h11.LocalProtocolError as error:
+            raise errors.ResultError(codes.BAD_REQUEST, str(error)) from error
         data = self.wire.send(request) or b''
         if body:
             data += self.wire.send(h11.Data(data=body)) or b''
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -1,6 +1,5 @@
 """One exchange with one upstream, up to the head of its answer."""
 
-import asyncio
 import typing
 
 import attrs
@@ -100,8 +99,6 @@
         return Answering(head=head, link=link)
     except channel.ChannelError as error:
         return Broken(reason=str(error))
-    except asyncio.CancelledError:
-        raise
     finally:
         if not answered:
             upstream.waiting.pop(link, None)
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -10,6 +10,7 @@
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import budget_log
+from oleanderdrift.gateway import budgets
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
@@ -28,6 +29,8 @@
 PREPARE_S: typing.Final = 1.0
 # How long the end of an answer waits for the store.
 END_TURN_S: typing.Final = 1.5
+# Other instances give back what a program did not use after two seconds.
+UNSETTLED_RETRY_S: typing.Final = 0.7
 RETRY_AFTER_S: typing.Final = 0.1
 # Shorter streams tell little of an engine's speed.
 MIN_EVENTS_MEASURED: typing.Final = 4
@@ -159,10 +162,7 @@
             return
         request = progress.admitted.request
         self.budgets.settle(
-            request.program_id,
-            request.request_id,
-            progress.tokens,
-            clock.monotonic(),
+            request.request_id, progress.tokens, clock.monotonic()
         )
 
     async def prepare_turn(self, progress: Progress) -> None:
@@ -174,6 +174,16 @@
         budget = request.token_budget or 0
         if self.budgets.is_spent(request.program_id, budget):
             raise self.tokens_spent(request)
+        held = self.budgets.grants.take(
+            request.program_id,
+            request.request_id,
+            request.max_tokens,
+            clock.monotonic(),
+        )
+        progress.reserved = held
+        retains = progress.admitted.route.retains
+        if held and not retains:
+            return
         if self.log.is_failing:
             raise self.store_away(request, 'the store fails')
         if progress.admitted.route.retains:
@@ -183,7 +193,7 @@
             progress.input_place.add_done_callback(_retrieve)
         try:
             async with asyncio.timeout(PREPARE_S):
-                chain, valid = await asyncio.gather(
+                chain, verdict = await asyncio.gather(
                     self.chain(progress), self.reserve(progress)
                 )
         except TimeoutError as error:
@@ -192,8 +202,17 @@
             if error.code.status == codes.UNKNOWN_TURN.status:
                 raise
             raise self.store_away(request, error.detail) from error
-        if not valid:
-            raise self.tokens_spent(request)
+        match verdict:
+            case budgets.Verdict.SPENT:
+                raise self.tokens_spent(request)
+            case budgets.Verdict.UNSETTLED:
+                raise errors.ResultError(
+                    codes.OVERLOADED,
+                    self.budgets.describe(request.program_id),
+                    retry_after_s=UNSETTLED_RETRY_S,
+                )
+            case budgets.Verdict.VALID:
+                pass
         pieces = [piece for one in chain for piece in (one.input, one.output)]
         progress.body = b''.join([*pieces, request.body])
 
@@ -229,9 +248,11 @@
             request.previous_turn, _account_name(progress)
         )
 
-    async def reserve(self, progress: Progress) -> bool:
+    async def reserve(self, progress: Progress) -> budgets.Verdict:
         """Sets a turn's tokens aside; returns whether the budget held."""
         request = progress.admitted.request
+        if progress.reserved:
+            return budgets.Verdict.VALID
         # From here on the record may be in the store.
         progress.reserved = True
         return await self.budgets.reserve(
@@ -518,6 +539,9 @@
             missing=progress.missing if progress else 0,
             running=progress.running if progress else 0,
             first_ms=progress.first_ms if progress else -1,
+            tokens=progress.tokens if progress else 0,
+            most=request.max_tokens,
+            budget=request.token_budget,
             code=result.number,
             detail=detail,
             ms=round((clock.monotonic() - request.received) * 1_000),
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -10,7 +10,6 @@
 import attrs
 import msgspec
 import zmq
-import zmq.asyncio
 
 from oleanderdrift import errors
 from oleanderdrift.gateway import allotments
@@ -26,7 +25,10 @@
 TELL_EVERY_S: typing.Final = 0.1
 # More instances tell less often, so that each hears as much.
 PEERS_AT_FULL_PACE: typing.Final = 12
-FIND_EVERY_S: typing.Final = 1.0
+# Reading in batches costs a fraction of a wake-up for each message.
+HEAR_EVERY_S: typing.Final = 0.05
+MESSAGES_AT_ONCE: typing.Final = 2_000
+FIND_EVERY_S: typing.Final = 2.0
 HEARTBEAT_MS: typing.Final = 500
 HEARTBEAT_TIMEOUT_MS: typing.Final = 1_500
 # What is cached is told in so many messages at most, since some get lost.
@@ -84,7 +86,7 @@
         self.board = board
         self.log = log
         self.events = events
-        self.context = zmq.asyncio.Context()
+        self.context = zmq.Context()
         self.out = self.context.socket(zmq.PUB)
         self.into = self.context.socket(zmq.SUB)
         self.into.subscribe(b'')
@@ -151,12 +153,12 @@
     async def tell(self) -> None:
         """Publishes news for ever."""
         while True:
-            await self.publish()
+            self.publish()
             slower = max(len(self.heard) / PEERS_AT_FULL_PACE, 1.0)
             self.board.reachability.pace_s = TELL_EVERY_S * slower
             await asyncio.sleep(TELL_EVERY_S * slower)
 
-    async def publish(self) -> None:
+    def publish(self) -> None:
         """Publishes news once."""
         news = News(
             instance=self.board.settings.instance,
@@ -177,7 +179,8 @@
             },
             leaving=self.board.stopping,
         )
-        await self.out.send(msgspec.msgpack.encode(news))
+        # A publisher drops messages for peers that do not read.
+        self.out.send(msgspec.msgpack.encode(news), zmq.NOBLOCK)
         self.told += 1
         if self.told % TELL_SHARED_AGAIN == 0:
             for one in self.board.upstreams.by_id.values():
@@ -186,13 +189,24 @@
     async def hear(self) -> None:
         """Takes the others' news in for ever."""
         while True:
-            data = await self.into.recv()
+            await asyncio.sleep(HEAR_EVERY_S)
+            self.read_all(clock.monotonic())
+
+    def read_all(self, now: float) -> None:
+        """Takes the news in that have come."""
+        for _ in range(MESSAGES_AT_ONCE):
+            try:
+                data = self.into.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                break
             try:
                 news = _DECODER.decode(data)
             except msgspec.MsgspecError as error:
                 self.events.info('news-unreadable', reason=error)
                 continue
-            self.take(news, clock.monotonic())
+            self.take(news, now)
+        self.note_silent(now)
+        self.add_up()
 
     def take(self, news: News, now: float) -> None:
         """Takes one instance's news in."""
@@ -221,12 +235,14 @@
             upstream = self.board.upstreams.by_id.get(name)
             if upstream is not None:
                 upstream.note_shared(work.shared)
+
+    def note_silent(self, now: float) -> None:
+        """Forgets what peers run that have fallen silent."""
         for name, since in list(self.heard.items()):
             if now - since > STALE_S:
                 del self.heard[name]
                 self.board.peer_work.pop(name, None)
                 self.events.info('peer-silent', peer=name)
-        self.add_up()
 
     def add_up(self) -> None:
         """Adds up what the peers have at each upstream."""
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -12,16 +12,24 @@
 
 
 class Reserve(msgspec.Struct, tag='r', array_like=True, frozen=True):
-    """Sets a turn's most tokens aside; valid if the budget holds it."""
+    """Sets a turn's most tokens aside; valid if the budget holds it.
+
+    spare are further tokens that the writer would like to have for later
+    turns of the program; it gets at most half of what is left.
+    """
 
     program: str
     turn: str
     tokens: int
     budget: int
+    spare: int = 0
 
 
 class Settle(msgspec.Struct, tag='s', array_like=True, frozen=True):
-    """Replaces what a turn had set aside by what it generated."""
+    """Replaces what a reservation had set aside by what was generated.
+
+    turn is the one that the reservation names.
+    """
 
     program: str
     turn: str
