--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -7,9 +7,9 @@
 
 Every instance keeps an estimate of the account's one bucket: it spends
 its own requests at once and subtracts what its peers say they have spent,
-several times a second.  While the account asks for less than its rate, an
-instance may spend all that is there; over the rate, only its part by
-demand between two messages of its own.  A peer that falls silent is
+several times a second.  An instance may spend what is there beyond what
+the others are likely to spend before it hears of it; of the rest only its
+part by demand between two messages of its own.  A peer that falls silent is
 taken to go on as before until it must have stopped serving.  A bucket
 starts empty, so a restart grants nothing twice.
 """
@@ -30,8 +30,14 @@
 SILENT_S: typing.Final = 6.0
 # What an instance without demand may begin with, in requests a second.
 IDLE_RATE: typing.Final = 0.3
-# The part of the burst that is kept for programs that have begun.
+# The part of the burst that is kept for programs that have begun, and
+# while the account asks for more than its rate.
 RESERVE: typing.Final = 0.3
+BUSY_RESERVE: typing.Final = 0.6
+# How old the others' spending may be: a message's pace and its way.
+LAG_S: typing.Final = 0.2
+# A program has few tries; they should not all fall into one moment.
+MIN_RETRY_S: typing.Final = 0.2
 
 
 @attrs.frozen(kw_only=True)
@@ -220,20 +226,21 @@
         bucket = self.bucket(account.name)
         self.refill(account.name, bucket, now)
         bucket.demand += 1 / DEMAND_S
-        total = bucket.demand + sum(self.others_demand(account.name))
+        others = sum(self.others_demand(account.name))
+        total = bucket.demand + others
         part = self.part(account.name, now)
-        room = bucket.tokens
-        if total > account.rate_per_s:
-            # All instances may spend at the same time, each its part; one
-            # request is let through where the part is less.
-            untold = bucket.spent - bucket.told
-            limit = max(part * (bucket.tokens + untold), 1.0)
-            room = min(room, limit - untold)
-        floor = 0.0 if begun else RESERVE * account.burst
+        # All instances may spend at the same time, each its part; one
+        # request is let through where the part is less.
+        untold = bucket.spent - bucket.told
+        limit = max(part * (bucket.tokens + untold), 1.0) - untold
+        room = max(bucket.tokens - others * LAG_S, limit)
+        room = min(room, bucket.tokens)
+        reserve = BUSY_RESERVE if total > account.rate_per_s else RESERVE
+        floor = 0.0 if begun else reserve * account.burst
         if room < 1 or bucket.tokens - 1 < floor:
             missing = max(1 - room, floor + 1 - bucket.tokens)
             return Refusal(
-                retry_after_s=missing / account.rate_per_s,
+                retry_after_s=MIN_RETRY_S + missing / account.rate_per_s,
                 tokens=bucket.tokens,
                 part=part,
                 demand=total,
