--- /dev/null
+++ b/oleanderdrift/gateway/attempts.py
@@ -0,0 +1,288 @@
+"""Sends a request to upstreams until one has answered it."""
+
+import typing
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import events
+from oleanderdrift.gateway import exchange
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import placement
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import reply as reply_lib
+from oleanderdrift.gateway import turn_flow
+from oleanderdrift.gateway import upstreams
+
+RETRY_AFTER_S: typing.Final = 0.1
+# Shorter streams tell little of an engine's speed.
+MIN_EVENTS_MEASURED: typing.Final = 4
+MAX_TRIES: typing.Final = 4
+
+
+class Attempts:
+    """Tries upstreams with what the board knows."""
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        codec: ports.Codec,
+        turns: turn_flow.TurnFlow,
+        event_log: event_log.EventLog,
+    ) -> None:
+        self.board = board
+        self.codec = codec
+        self.turns = turns
+        self.events = event_log
+        self.pool = channel.Pool()
+
+    async def run(
+        self, progress: progress_lib.Progress, reply: reply_lib.Reply
+    ) -> None:
+        """Sends a request to upstreams until one has answered.
+
+        Raises ResultError with what is known of its execution.
+        """
+        for _ in range(MAX_TRIES):
+            upstream = self.choose(progress)
+            if upstream is None:
+                break
+            progress.upstream = upstream.entry.upstream_id
+            upstream.ours += 1
+            request = progress.admitted.request
+            if progress.admitted.service.is_engine:
+                upstream.silence_s = upstreams.SILENCE_S
+            progress.missing = upstream.missing_tokens(request.prompt)
+            progress.running = upstream.ours + upstream.theirs
+            upstream.note_sent(request.request_id, request.prompt)
+            try:
+                done = await self.try_one(progress, upstream, reply)
+            finally:
+                upstream.ours -= 1
+                upstream.note_read(request.request_id)
+            if done:
+                return
+        if progress.sent:
+            raise errors.ResultError(
+                codes.UPSTREAM_FAILED, progress.last_reason
+            )
+        raise errors.ResultError(
+            codes.NO_UPSTREAM,
+            progress.last_reason,
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    def choose(
+        self, progress: progress_lib.Progress
+    ) -> upstreams.Upstream | None:
+        """Returns the upstream to try next."""
+        admitted = progress.admitted
+        candidates = self.board.upstreams.of_service(
+            admitted.service.name,
+            self.board.freshness.in_lapse_grace(clock.boot()),
+        )
+        if len(progress.ran) >= admitted.route.attempts:
+            # Only one that may have run it already may get it again.
+            candidates = [
+                one
+                for one in candidates
+                if one.entry.upstream_id in progress.ran
+            ]
+        return placement.choose(
+            candidates,
+            admitted.request,
+            self.board.settings.data_centre,
+            clock.monotonic(),
+            progress.tried,
+            self.board.silent,
+        )
+
+    async def try_one(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        reply: reply_lib.Reply,
+    ) -> bool:
+        """Tries one upstream; returns whether the request has its answer."""
+        began = clock.monotonic()
+        # Set before the first byte may leave.
+        was_sent = progress.sent
+        progress.sent = True
+        upstream_id = upstream.entry.upstream_id
+        again = upstream_id in progress.ran
+        if again:
+            progress.tried.add(upstream_id)
+        progress.ran.add(upstream_id)
+        outcome = await exchange.begin(
+            self.pool,
+            self.codec,
+            upstream,
+            progress.admitted,
+            progress.body,
+            progress.deadline,
+            progress.last_event_id,
+        )
+        match outcome:
+            case exchange.NotConnected():
+                progress.sent = was_sent
+                # Where it may have run the request, it has ended since.
+                progress.ran.discard(upstream_id)
+                progress.tried.add(upstream_id)
+                upstream.note_failure(clock.monotonic())
+                self.note_try(progress, upstream, outcome.reason)
+                return False
+            case exchange.NotRun():
+                progress.sent = was_sent
+                progress.tried.add(upstream_id)
+                if not again:
+                    progress.ran.discard(upstream_id)
+                if outcome.status == exchange.MISDIRECTED:
+                    self.board.upstreams.remove(
+                        upstream.entry.upstream_id, clock.monotonic()
+                    )
+                self.note_try(progress, upstream, f'status {outcome.status}')
+                return False
+            case exchange.Broken():
+                return self.after_break(progress, upstream, outcome.reason)
+            case exchange.Answering():
+                return await self.pass_on(
+                    progress, upstream, outcome, reply, began
+                )
+
+    def note_try(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        reason: str,
+    ) -> None:
+        """Notes why an upstream did not answer."""
+        progress.last_reason = reason
+        self.events.info(
+            'upstream-failed',
+            request=progress.admitted.request.request_id,
+            upstream=upstream.entry.upstream_id,
+            reason=reason,
+        )
+
+    def after_break(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        reason: str,
+    ) -> bool:
+        """Decides what follows a broken exchange.
+
+        Raises ResultError where the request must not be sent again.
+        """
+        upstream.note_failure(clock.monotonic())
+        self.note_try(progress, upstream, reason)
+        if not progress.admitted.may_repeat():
+            raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
+        if upstream.entry.data_centre in self.board.silent:
+            # It was cut off, so another one may run the request.
+            progress.ran.discard(upstream.entry.upstream_id)
+            progress.tried.add(upstream.entry.upstream_id)
+        return False
+
+    async def pass_on(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.Answering,
+        reply: reply_lib.Reply,
+        began: float,
+    ) -> bool:
+        """Passes an answer on; returns whether it was whole."""
+        head, link = outcome.head, outcome.link
+        streams = (
+            head.status == 200
+            and progress.admitted.route.kind is model.Kind.STREAMING
+        )
+        try:
+            if streams:
+                await self.stream(progress, upstream, outcome, reply, began)
+            else:
+                body = await link.read_body()
+                if head.status < 300 and not head.sealed:
+                    raise channel.ChannelError(
+                        channel.Failure.MALFORMED, 'no proof of origin'
+                    )
+                now = clock.monotonic()
+                upstream.note_work(now - began, placement.CALL_S, now)
+                await reply.whole(head.status, head.headers, body)
+        except channel.ChannelError as error:
+            link.close()
+            return self.after_break(progress, upstream, str(error))
+        except BaseException:
+            # Closing the connection is what stops the upstream.
+            link.close()
+            raise
+        finally:
+            upstream.waiting.pop(link, None)
+        upstream.note_success()
+        self.pool.give_back(upstream.key(), link, clock.monotonic())
+        return True
+
+    async def stream(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.Answering,
+        reply: reply_lib.Reply,
+        began: float,
+    ) -> None:
+        """Passes a stream's events on as they come."""
+        if not outcome.head.sealed and not reply.started:
+            raise channel.ChannelError(
+                channel.Failure.MALFORMED, 'no proof of origin'
+            )
+        reader = events.EventReader()
+        prompt = progress.admitted.request.prompt
+        counted, first_at, last_at = 0, began, began
+        while chunk := await outcome.link.read_chunk():
+            last_at = upstream.heard = clock.monotonic()
+            for event in reader.feed(chunk):
+                upstream.note_read(progress.admitted.request.request_id)
+                upstream.note_parts(prompt)
+                counted += 1
+                if counted == 1:
+                    first_at = last_at
+                await self.pass_event(progress, outcome, event, reply)
+        upstream.waiting.pop(outcome.link, None)
+        if counted >= MIN_EVENTS_MEASURED:
+            tokens = progress.admitted.service.tokens_per_event
+            upstream.note_work(
+                (last_at - first_at) / (counted - 1),
+                tokens * placement.TOKEN_S,
+                last_at,
+            )
+        if not reply.started:
+            await reply.start(outcome.head.status, outcome.head.headers)
+        if reader.rest:
+            await reply.write(reader.rest)
+        await self.turns.end(progress)
+        await reply.finish()
+
+    async def pass_event(
+        self,
+        progress: progress_lib.Progress,
+        outcome: exchange.Answering,
+        event: events.Event,
+        reply: reply_lib.Reply,
+    ) -> None:
+        """Passes one event on."""
+        admitted = progress.admitted
+        if progress.first_ms < 0:
+            waited_s = clock.monotonic() - admitted.request.received
+            progress.first_ms = round(waited_s * 1_000)
+        progress.tokens += admitted.service.tokens_per_event
+        progress.last_event_id = event.event_id or progress.last_event_id
+        if admitted.route.retains:
+            progress.output.append(event.data + b'\n')
+        if not reply.started:
+            await reply.start(outcome.head.status, outcome.head.headers)
+        await reply.write(event.raw)
--- a/oleanderdrift/gateway/budget_log.py
+++ b/oleanderdrift/gateway/budget_log.py
@@ -12,12 +12,12 @@
 import attrs
 
 from oleanderdrift import errors
-from oleanderdrift import logs
 from oleanderdrift.gateway import budgets
 from oleanderdrift.gateway import grants
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import routing
+from oleanderdrift import logs
 
 # A program uses a quarter of its budget as a rule; a third of it is enough
 # for the turns to come, and leaves room for its other instances.
--- a/oleanderdrift/gateway/event_log.py
+++ b/oleanderdrift/gateway/event_log.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-from oleanderdrift import logs
 from oleanderdrift.gateway import clock
+from oleanderdrift import logs
 
 # Twice the requests an instance gets at its share of a burst.
 LINES_PER_S: typing.Final = 60
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -54,6 +54,8 @@
     partitions: int
     record_bytes: int
     is_failing: bool
+    calls: int
+    failures: int
 
     async def append(
         self, topic: str, part: int, records: collections.abc.Sequence[bytes]
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -10,7 +10,6 @@
 from tornado import web
 
 from oleanderdrift import errors
-from oleanderdrift import logs
 from oleanderdrift.gateway import allotments
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
@@ -22,6 +21,8 @@
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift import logs
+from oleanderdrift import metrics
 
 WATCH_S: typing.Final = 0.1
 HOUSEKEEPING_S: typing.Final = 0.3
@@ -34,6 +35,7 @@
 # Left of the time to stop for the last writes.
 STOP_MARGIN_S: typing.Final = 0.8
 POLL_S: typing.Final = 0.05
+METRICS_PATH: typing.Final = '/metrics'
 SETTINGS_POLL_S: typing.Final = 1.0
 
 LoadSettings: typing.TypeAlias = collections.abc.Callable[
@@ -67,8 +69,30 @@
             log_function=_log_nothing,
         )
         httpserver.HTTPServer(application).listen(port, host)
+        host, port = split_address(settings.metrics_listen)
+        application = web.Application(
+            [(METRICS_PATH, _MetricsHandler, {'gateway': self})],
+            log_function=_log_nothing,
+        )
+        httpserver.HTTPServer(application).listen(port, host)
         self.gossip.bind()
 
+    def gauges(self, boot_now: float) -> dict[str, float]:
+        """Returns what the instance holds at present."""
+        board = self.board
+        config = board.config
+        return {
+            'open_requests': board.open_requests,
+            'config_version': config.version if config else 0,
+            'store_age_seconds': board.freshness.age_s(boot_now),
+            'upstreams': len(board.upstreams.by_id),
+            'peers': len(self.gossip.heard),
+            'silent_data_centres': len(board.silent),
+            'upstream_connections_opened': self.forwarder.attempts.pool.opened,
+            'store_calls': self.log.calls,
+            'store_failures': self.log.failures,
+        }
+
     def start(self) -> None:
         """Starts everything that goes on by itself."""
         for part in (
@@ -79,6 +103,7 @@
             self.gossip.tell(),
             self.gossip.hear(),
             self.keep_house(),
+            self.follow_settings(),
             self.watch_upstreams(),
         ):
             task = asyncio.create_task(part)
@@ -95,14 +120,23 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             now = clock.monotonic()
-            await self.forwarder.budgets.flush(now)
+            await self.forwarder.turns.budgets.flush(now)
             for gone in self.board.upstreams.forget(now, FORGET_S):
-                self.forwarder.pool.drop(gone.key())
+                self.forwarder.attempts.pool.drop(gone.key())
             retention_ms = int(self.board.settings.turn_retention_s * 1_000)
-            self.forwarder.turns.forget(clock.unix_ms() - retention_ms)
+            self.forwarder.turns.turns.forget(clock.unix_ms() - retention_ms)
             if self.board.config is not None:
                 self.ingress.follow_limits(self.board.config.limits)
 
+    async def follow_settings(self) -> None:
+        """Reads the settings again now and then, for ever.
+
+        The file may change without a signal.
+        """
+        while True:
+            await asyncio.sleep(SETTINGS_POLL_S)
+            self.reload()
+
     async def watch_upstreams(self) -> None:
         """Sets silent upstreams aside and breaks what waits, for ever."""
         while True:
@@ -125,19 +159,32 @@
         loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.listen()
         self.start()
-        logs.info('start', instance=self.board.settings.instance)
+        settings = self.board.settings
+        logs.info(
+            'start',
+            instance=settings.instance,
+            data_centre=settings.data_centre,
+            listen=settings.listen,
+            metrics=settings.metrics_listen,
+            store=settings.store,
+        )
         await stop.wait()
         await self.drain()
         logs.info('stop', instance=self.board.settings.instance)
 
     def reload(self) -> None:
-        """Reads the settings file again."""
+        """Reads the settings file again.
+
+        Addresses are those of the start until the next one.
+        """
         try:
-            self.board.settings = self.load_settings()
+            settings = self.load_settings()
         except errors.ResultError as error:
-            logs.warning('reload-failed', reason=error.detail)
+            self.events.info('reload-failed', reason=error.detail)
             return
-        logs.info('reload', instance=self.board.settings.instance)
+        if settings != self.board.settings:
+            self.board.settings = settings
+            logs.info('reload', instance=settings.instance)
 
     async def drain(self) -> None:
         """Leaves the rotation, ends what is open and gives all back."""
@@ -152,13 +199,28 @@
         while clock.monotonic() < last and self.ingress.waiting:
             self.ingress.close_idle(clock.monotonic(), IDLE_S)
             await asyncio.sleep(POLL_S)
-        await self.forwarder.budgets.flush(float('inf'))
+        await self.forwarder.turns.budgets.flush(float('inf'))
 
 
 def _log_nothing(handler: web.RequestHandler) -> None:
     """Leaves the balancer's questions out of the log."""
 
 
+class _MetricsHandler(web.RequestHandler):
+    """Shows counters and latency histograms."""
+
+    def initialize(self, gateway: Gateway) -> None:
+        """Takes the instance."""
+        self.gateway = gateway
+
+    def get(self) -> None:
+        """Answers with all metrics as text."""
+        found = self.gateway.forwarder.metrics
+        found.gauges.update(self.gateway.gauges(clock.boot()))
+        self.set_header('Content-Type', metrics.CONTENT_TYPE)
+        self.finish(found.exposition())
+
+
 class _ReadyHandler(web.RequestHandler):
     """Tells the balancer whether to send new connections."""
 
--- /dev/null
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -0,0 +1,173 @@
+"""What a program's turn needs before it runs and after it has run."""
+
+import asyncio
+import typing
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import budget_log
+from oleanderdrift.gateway import budgets
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import records
+from oleanderdrift.gateway import turn_log
+from oleanderdrift.gateway import turns
+
+# A reservation that takes longer is given up: the store is away.
+PREPARE_S: typing.Final = 1.0
+# How long the end of an answer waits for the store.
+END_TURN_S: typing.Final = 1.5
+# Other instances give back what a program did not use after two seconds.
+UNSETTLED_RETRY_S: typing.Final = 0.7
+
+
+class TurnFlow:
+    """Budgets and conversations of the turns at one instance."""
+
+    def __init__(self, board: board_lib.Board, log: ports.Log) -> None:
+        self.board = board
+        self.log = log
+        self.budgets = budget_log.BudgetLog(log)
+        self.turns = turn_log.TurnLog(log, board.settings.instance)
+
+    async def prepare(self, progress: progress_lib.Progress) -> None:
+        """Reserves a turn's tokens and gathers its conversation.
+
+        Raises ResultError, where the turn surely was not run.
+        """
+        request = progress.admitted.request
+        budget = request.token_budget or 0
+        if self.budgets.is_spent(request.program_id, budget):
+            raise self.tokens_spent(request)
+        held = self.budgets.grants.take(
+            request.program_id,
+            request.request_id,
+            request.max_tokens,
+            clock.monotonic(),
+        )
+        progress.reserved = held
+        retains = progress.admitted.route.retains
+        if held and not retains:
+            return
+        if self.log.is_failing:
+            raise self.store_away(request, 'the store fails')
+        if progress.admitted.route.retains:
+            progress.input_place = asyncio.create_task(
+                self.turns.append_input(request.body)
+            )
+            progress.input_place.add_done_callback(_retrieve)
+        try:
+            async with asyncio.timeout(PREPARE_S):
+                chain, verdict = await asyncio.gather(
+                    self.chain(progress), self.reserve(progress)
+                )
+        except TimeoutError as error:
+            raise self.store_away(request, 'the store is slow') from error
+        except errors.ResultError as error:
+            if error.code.status == codes.UNKNOWN_TURN.status:
+                raise
+            raise self.store_away(request, error.detail) from error
+        match verdict:
+            case budgets.Verdict.SPENT:
+                raise self.tokens_spent(request)
+            case budgets.Verdict.UNSETTLED:
+                raise errors.ResultError(
+                    codes.OVERLOADED,
+                    self.budgets.describe(request.program_id),
+                    retry_after_s=UNSETTLED_RETRY_S,
+                )
+            case budgets.Verdict.VALID:
+                pass
+        pieces = [piece for one in chain for piece in (one.input, one.output)]
+        progress.body = b''.join([*pieces, request.body])
+
+    def store_away(
+        self, request: model.Request, reason: str
+    ) -> errors.ResultError:
+        """Returns the refusal of a turn that the store cannot serve."""
+        elsewhere = self.board.reachability.others_have_store(
+            clock.monotonic()
+        )
+        return errors.ResultError(
+            codes.LOG_UNAVAILABLE,
+            reason,
+            retry_after_s=admission.store_retry_s(
+                elsewhere, request.request_id
+            ),
+        )
+
+    def tokens_spent(self, request: model.Request) -> errors.ResultError:
+        """Returns the refusal of a turn over its program's budget."""
+        held = self.budgets.describe(request.program_id)
+        return errors.ResultError(
+            codes.TOKENS_SPENT,
+            f'{held}; {request.max_tokens} more of {request.token_budget}',
+        )
+
+    async def chain(self, progress: progress_lib.Progress) -> list[turns.Turn]:
+        """Returns the turns that a request goes on from."""
+        request = progress.admitted.request
+        if not progress.admitted.route.retains or not request.previous_turn:
+            return []
+        return await self.turns.chain(
+            request.previous_turn, progress.account_name()
+        )
+
+    async def reserve(
+        self, progress: progress_lib.Progress
+    ) -> budgets.Verdict:
+        """Sets a turn's tokens aside; returns whether the budget held."""
+        request = progress.admitted.request
+        if progress.reserved:
+            return budgets.Verdict.VALID
+        # From here on the record may be in the store.
+        progress.reserved = True
+        return await self.budgets.reserve(
+            request.program_id,
+            request.request_id,
+            request.max_tokens,
+            request.token_budget or 0,
+            clock.monotonic(),
+        )
+
+    async def end(self, progress: progress_lib.Progress) -> None:
+        """Makes a turn last before its caller sees the end."""
+        if progress.input_place is None:
+            return
+        request = progress.admitted.request
+        try:
+            async with asyncio.timeout(END_TURN_S):
+                place = await asyncio.shield(progress.input_place)
+                turn = turns.Turn(
+                    turn=request.request_id,
+                    previous=request.previous_turn,
+                    account=progress.account_name(),
+                    input=request.body,
+                    output=b''.join(progress.output),
+                )
+                await self.turns.end_turn(turn, place, clock.unix_ms())
+        except TimeoutError as error:
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE, 'the turn could not be kept'
+            ) from error
+
+    def settle(self, progress: progress_lib.Progress) -> None:
+        """Gives back what a turn set aside and did not use."""
+        if progress.input_place is not None:
+            progress.input_place.cancel()
+        if not progress.reserved:
+            return
+        request = progress.admitted.request
+        self.budgets.settle(
+            request.request_id, progress.tokens, clock.monotonic()
+        )
+
+
+def _retrieve(task: asyncio.Task[records.InputPlace]) -> None:
+    """Marks a failed task's exception as seen; end_turn raises it."""
+    if not task.cancelled():
+        task.exception()
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -17,9 +17,8 @@
 
 PATH_VARIABLE: typing.Final = 'OLEANDERDRIFT_CONFIG'
 MS_PER_S: typing.Final = 1_000.0
-# The first ports of the range that is free for use between instances.
-_PEER_PORT: typing.Final = 0
-_METRICS_PORT: typing.Final = 1
+# Named in deploy/system.toml too; the port that exporters commonly use.
+METRICS_PORT: typing.Final = 9464
 # Requests sent later than RevokeMs after a key was taken away must not
 # run; the margin covers a request's way to the upstream.
 _KEY_MARGIN_S: typing.Final = 0.5
@@ -87,15 +86,14 @@
         found = msgspec.convert(table, _File)
     except (ValueError, msgspec.ValidationError) as error:
         raise errors.ResultError(codes.SETTINGS_INVALID, str(error)) from error
-    ports = found.PortRange
     bounds = found.Bounds
     return settings.GatewaySettings(
         instance=found.Node,
         data_centre=found.Zone,
         listen=found.Listen.Front,
         ready_listen=found.Listen.ReadyAddr,
-        peer_listen=f'{found.Ip}:{ports[0] + _PEER_PORT}',
-        metrics_listen=f'{found.Ip}:{ports[0] + _METRICS_PORT}',
+        peer_listen=f'{found.Ip}:{found.PortRange[0]}',
+        metrics_listen=f'{found.Ip}:{METRICS_PORT}',
         store=found.Platform.Address,
         store_partitions=found.Platform.parts,
         store_record_bytes=found.Platform.RecordBytes,
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -54,6 +54,8 @@
     data: collections.defaultdict[tuple[str, int], list[bytes]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
+    calls: int = 0
+    failures: int = 0
     appends: int = 0
     reads: int = 0
 
