--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -53,11 +53,12 @@
         if len(self.programs) > MAX_PROGRAMS:
             self.programs.popitem(last=False)
 
-    def is_ready(self, boot_now: float) -> bool:
+    def is_ready(self, now: float, boot_now: float) -> bool:
         """Tells whether the balancer should send new connections."""
         return (
             self.config is not None
             and self.upstreams_known
             and not self.stopping
             and self.freshness.is_ready(boot_now)
+            and not self.reachability.is_cut_off(now)
         )
--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -48,7 +48,8 @@
                     read = await self.log.read_keyed(
                         self.codec.config_topic,
                         position,
-                        wait_s=CONFIG_WAIT_S,
+                        # An empty answer at once shows that it is back.
+                        wait_s=0.0 if self.lost else CONFIG_WAIT_S,
                     )
                     if read is None:
                         position = None
--- a/oleanderdrift/gateway/freshness.py
+++ b/oleanderdrift/gateway/freshness.py
@@ -13,7 +13,7 @@
 
 # Readers hear of the store twice a second, and a slow store answers in a
 # quarter of a second.
-UNREADY_AFTER_S: typing.Final = 1.2
+UNREADY_AFTER_S: typing.Final = 0.9
 # Requests at an instance that alone has lost the store this long ago are
 # better sent to another one.
 REFUSE_AFTER_S: typing.Final = 2.6
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -160,7 +160,7 @@
     def closes(self) -> bool:
         """Tells whether the caller is to use another connection next."""
         board = self.ingress.forwarder.board
-        return not board.is_ready(clock.boot())
+        return not board.is_ready(clock.monotonic(), clock.boot())
 
     async def head(
         self, status: int, headers: reply_lib.Headers, body: bytes | None
--- a/oleanderdrift/gateway/reachability.py
+++ b/oleanderdrift/gateway/reachability.py
@@ -65,8 +65,24 @@
             if name != self.data_centre and now - at > SILENT_S + extra_s
         )
 
+    def is_cut_off(self, now: float) -> bool:
+        """Tells whether all other data centres are out of reach.
+
+        The partition is then around this instance's own data centre.
+        """
+        others = {
+            heard.data_centre
+            for heard in self.peers.values()
+            if heard.data_centre != self.data_centre
+            and now - heard.at < GONE_S
+        }
+        silent = self.silent_data_centres(now)
+        return len(others) > 1 and others <= silent
+
     def others_have_store(self, now: float) -> bool:
-        """Tells whether a peer has fresh news of the store."""
+        """Tells whether a peer in reach has fresh news of the store."""
+        if self.is_cut_off(now):
+            return False
         return any(
             now - heard.at < 2 * SILENT_S and heard.store_age_s < 1.0
             for heard in self.peers.values()
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -230,7 +230,7 @@
 
     def get(self) -> None:
         """Answers 200 where the instance is ready, else 503."""
-        ready = self.board.is_ready(clock.boot())
+        ready = self.board.is_ready(clock.monotonic(), clock.boot())
         self.set_status(200 if ready else 503)
 
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -85,7 +85,7 @@
 @pytest.mark.parametrize(
     ('age_s', 'others', 'ready', 'serves'),
     [
-        (0.6, True, True, True),
+        (0.8, True, True, True),
         (1.5, True, False, True),
         (3.0, True, False, False),
         # Where nobody has the store, keys are used while they may be.
@@ -147,6 +147,24 @@
     assert reach.silent_data_centres(10.0) == silent
 
 
+@pytest.mark.parametrize(
+    ('south', 'east', 'cut_off'),
+    [(9.9, 9.9, False), (9.4, 9.9, False), (9.4, 9.4, True)],
+)
+def test_data_centre_that_is_cut_off_knows_it(
+    south: float, east: float, cut_off: bool
+) -> None:
+    reach = reachability.Reachability(data_centre='north')
+    for name, at in (('north', 9.9), ('south', south), ('east', east)):
+        reach.hear(name, heard(name, at))
+    assert reach.is_cut_off(10.0) is cut_off
+    # News from before the cut is no reason to send callers elsewhere.
+    assert reach.others_have_store(10.0) is not cut_off
+    board = gateway_support.board(now=10.0)
+    board.reachability = reach
+    assert board.is_ready(10.0, 10.0) is not cut_off
+
+
 @pytest.mark.parametrize(
     ('change', 'expected'),
     [
