--- a/oleanderdrift/gateway/event_log.py
+++ b/oleanderdrift/gateway/event_log.py
@@ -8,6 +8,7 @@
 import queue
 import sys
 import threading
+import time
 import typing
 
 import attrs
@@ -18,6 +19,8 @@
 # Twice the requests an instance gets at its share of a burst.
 LINES_PER_S: typing.Final = 60
 QUEUE_LINES: typing.Final = 2_000
+# One write for several lines costs one wake-up.
+BATCH_S: typing.Final = 0.05
 
 
 @attrs.define(kw_only=True)
@@ -51,12 +54,21 @@
         """Does nothing; the thread flushes."""
 
     def run(self) -> None:
-        """Writes queued texts for ever."""
+        """Writes queued texts for ever, in batches."""
         while True:
-            text = self.lines.get()
-            self.file.write(text)
-            if self.lines.empty():
+            texts = [self.lines.get()]
+            time.sleep(BATCH_S)
+            while not self.lines.empty():
+                texts.append(self.lines.get())
+            if self.lost:
+                texts.append(f'event=lines-lost n={self.lost}\n')
+                self.lost = 0
+            try:
+                self.file.write(''.join(texts))
                 self.file.flush()
+            except OSError:
+                # Nobody reads any more; there is nowhere to say so.
+                self.lost += len(texts)
 
 
 class EventLog:
--- /dev/null
+++ b/tests/test_gateway_event_log.py
@@ -0,0 +1,66 @@
+"""Log lines whose volume is bounded and that never wait."""
+
+import io
+import os
+import threading
+import time
+
+import pytest
+
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift import logs
+
+
+def test_output_that_nobody_reads_does_not_block() -> None:
+    reader, writer = os.pipe()
+    with os.fdopen(writer, 'w') as file:
+        output = event_log.BoundedOutput(file)
+        began = time.monotonic()
+        for _ in range(event_log.QUEUE_LINES * 3):
+            output.write('x' * 200 + '\n')
+        assert time.monotonic() - began < 5.0
+        assert output.lost > 0
+        # Lets the thread end its write.
+        drain = threading.Thread(target=os.read, args=(reader, 1 << 20))
+        drain.start()
+        drain.join()
+        os.close(reader)
+
+
+def test_lost_lines_are_counted_in_a_line() -> None:
+    written = threading.Event()
+
+    class File(io.StringIO):
+        """Tells when a batch was written."""
+
+        def flush(self) -> None:
+            """Tells that the batch is there."""
+            written.set()
+
+    file = File()
+    output = event_log.BoundedOutput(file)
+    output.lost = 3
+    output.write('event=a\n')
+    assert written.wait(10)
+    assert file.getvalue() == 'event=a\nevent=lines-lost n=3\n'
+
+
+def test_each_kind_of_line_is_limited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    lines: list[str] = []
+    now = [100.0]
+    monkeypatch.setattr(clock, 'monotonic', lambda: now[0])
+    monkeypatch.setattr(
+        logs, 'info', lambda event, **values: lines.append(event)
+    )
+    events = event_log.EventLog()
+    for _ in range(event_log.LINES_PER_S + 40):
+        events.info('request')
+    events.info('other')
+    assert lines.count('request') == event_log.LINES_PER_S
+    assert lines[-1] == 'other'
+    now[0] = 101.0
+    events.info('request')
+    assert lines[-2:] == ['lines-left-out', 'request']
