An empty long read confirms the store until its end

Ruled out: load of the machine, since each instance flapped at the pace of its reads. A stand-in for the store, its client's tests, and an instance whole over loopback.

--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -35,12 +35,15 @@
         self.log = log
         self.events = events
         self.lost = False
+        self.reads = 0
 
     async def follow_config(self) -> None:
         """Follows the configuration for ever."""
         position: int | None = None
         while True:
             sent = clock.boot()
+            # An empty answer at once shows that the store is back.
+            wait_s = 0.0 if self.lost else CONFIG_WAIT_S
             try:
                 if position is None:
                     found = await self.log.newest(self.codec.config_topic)
@@ -48,8 +51,7 @@
                     read = await self.log.read_keyed(
                         self.codec.config_topic,
                         position,
-                        # An empty answer at once shows that it is back.
-                        wait_s=0.0 if self.lost else CONFIG_WAIT_S,
+                        wait_s=wait_s,
                     )
                     if read is None:
                         position = None
@@ -59,12 +61,16 @@
                 self.note_lost(error)
                 await asyncio.sleep(RETRY_S)
                 continue
+            if position is not None and not found.records:
+                # The store has waited for news in vain until then.
+                sent = min(sent + wait_s, clock.boot())
             was_start = position is None
             position = found.end
             for record in found.records:
                 if record.key == self.codec.config_key and record.value:
                     self.take_config(record.value)
             self.note_news(sent)
+            self.reads += 1
             if was_start and self.board.config is None:
                 await asyncio.sleep(RETRY_S)
 
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -104,6 +104,10 @@
         """Starts to listen; raises zmq.ZMQError."""
         self.out.bind(f'tcp://{self.board.settings.peer_listen}')
 
+    def close(self) -> None:
+        """Closes all connections at once."""
+        self.context.destroy(linger=0)
+
     async def announce(self) -> None:
         """Leaves this instance's record until it is in the store."""
         record = records.InstanceRecord(
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -200,6 +200,9 @@
             self.ingress.close_idle(clock.monotonic(), IDLE_S)
             await asyncio.sleep(POLL_S)
         await self.forwarder.turns.budgets.flush(float('inf'))
+        for task in self.tasks:
+            task.cancel()
+        self.gossip.close()
 
 
 def _log_nothing(handler: web.RequestHandler) -> None:
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,127 @@
+"""The store's client, against a store with faults to order."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import pytest
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.platform import store
+from standins import platform_store
+
+
+@contextlib.asynccontextmanager
+async def running() -> collections.abc.AsyncIterator[
+    tuple[store.Store, platform_store.Store]
+]:
+    """Runs a store; returns its client and itself."""
+    found = platform_store.start()
+    client = store.Store(f'127.0.0.1:{found.port}', 4, 4_096)
+    yield client, found.store
+    found.stop()
+
+
+def test_records_come_back_in_order() -> None:
+    async def play() -> None:
+        async with running() as (client, _):
+            assert await client.append('t', 1, [b'a', b'']) == 0
+            assert await client.append('t', 1, [b'c']) == 2
+            read = await client.read('t', 1, 1)
+            assert read.records == (b'', b'c')
+            assert (read.start, read.end, read.first) == (1, 3, 0)
+
+    asyncio.run(play())
+
+
+def test_read_of_an_unknown_topic_is_empty() -> None:
+    async def play() -> None:
+        async with running() as (client, _):
+            assert (await client.read('t', 0, 0)).records == ()
+            assert (await client.newest('keyed.t')).records == ()
+
+    asyncio.run(play())
+
+
+def test_newest_reads_all_pages() -> None:
+    async def play() -> None:
+        async with running() as (client, _):
+            for key in 'abcde':
+                await client.put('keyed.t', key, key.encode())
+            await client.put('keyed.t', 'c', None)
+            found = await client.newest('keyed.t')
+            assert [one.key for one in found.records] == list('abde')
+            assert found.end == 6
+
+    asyncio.run(play())
+
+
+def test_removed_key_is_read_as_removed() -> None:
+    async def play() -> None:
+        async with running() as (client, _):
+            await client.put('keyed.t', 'a', b'1')
+            await client.put('keyed.t', 'a', None)
+            found = await client.read_keyed('keyed.t', 0, wait_s=0.0)
+            assert found is not None
+            values = [one.value for one in found.records]
+            assert values == [b'1', None]
+
+    asyncio.run(play())
+
+
+def test_dropped_history_is_told_apart() -> None:
+    async def play() -> None:
+        async with running() as (client, there):
+            await client.put('keyed.t', 'a', b'1')
+            there.drop_history('keyed.t')
+            assert await client.read_keyed('keyed.t', 0, wait_s=0) is None
+            assert len((await client.newest('keyed.t')).records) == 1
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ('fault', 'code'),
+    [
+        (platform_store.Fault.BUSY, codes.LOG_UNAVAILABLE),
+        (platform_store.Fault.SILENT, codes.APPEND_UNCONFIRMED),
+        (platform_store.Fault.LOST, codes.APPEND_UNCONFIRMED),
+    ],
+)
+def test_failure_says_whether_it_may_have_happened(
+    fault: platform_store.Fault, code: codes.Result
+) -> None:
+    async def play() -> None:
+        async with running() as (client, there):
+            await client.append('t', 0, [b'a'])
+            there.fault = fault
+            with pytest.raises(errors.ResultError) as caught:
+                await client.append('t', 0, [b'b'])
+            assert caught.value.code is code
+            assert client.is_failing
+            there.fault = platform_store.Fault.NONE
+            # Over a new connection, since the old one may be silent.
+            await client.append('t', 0, [b'c'])
+            assert not client.is_failing
+
+    asyncio.run(play())
+
+
+def test_store_that_does_not_listen_did_nothing() -> None:
+    async def play() -> None:
+        client = store.Store('127.0.0.1:1', 4, 4_096)
+        with pytest.raises(errors.ResultError) as caught:
+            await client.append('t', 0, [b'a'])
+        assert caught.value.code is codes.LOG_UNAVAILABLE
+
+    asyncio.run(play())
+
+
+def test_slow_store_gets_more_patience() -> None:
+    client = store.Store('127.0.0.1:1', 4, 4_096)
+    assert client.timeout_s() == store.MIN_TIMEOUT_S
+    client.usual_s = 0.15
+    assert client.timeout_s() == pytest.approx(1.2)
+    client.usual_s = 5.0
+    assert client.timeout_s() == store.MAX_TIMEOUT_S
