Keep turns without a budget; cancel a reservation that a refusal overtakes

Found by reading: a kept route's turn without a token budget skipped its history; a reservation that came after an unknown earlier turn was refused held its tokens for ever. Callers can no longer have the host or the request's id dropped by naming them in a connection header.

--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -28,8 +28,9 @@
     config_version: int
 
     def is_turn(self) -> bool:
-        """Tells whether the request spends a program's token budget."""
-        return self.request.token_budget is not None
+        """Tells whether the request has a token budget or is kept."""
+        has_budget = self.request.token_budget is not None
+        return has_budget or self.route.retains
 
     def may_repeat(self) -> bool:
         """Tells whether the request may run more than once."""
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -29,6 +29,9 @@
 HEAR_EVERY_S: typing.Final = 0.05
 MESSAGES_AT_ONCE: typing.Final = 2_000
 FIND_EVERY_S: typing.Final = 2.0
+# An instance that went for good must not be called ten times a second.
+RECONNECT_MS: typing.Final = 100
+MAX_RECONNECT_MS: typing.Final = 2_000
 HEARTBEAT_MS: typing.Final = 500
 HEARTBEAT_TIMEOUT_MS: typing.Final = 1_500
 # What is cached is told in so many messages at most, since some get lost.
@@ -93,6 +96,8 @@
         for each in (self.out, self.into):
             each.linger = 0
             each.sndhwm = QUEUE_MESSAGES
+            each.reconnect_ivl = RECONNECT_MS
+            each.reconnect_ivl_max = MAX_RECONNECT_MS
             each.heartbeat_ivl = HEARTBEAT_MS
             each.heartbeat_timeout = HEARTBEAT_TIMEOUT_MS
         self.started_ms = clock.unix_ms()
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -13,7 +13,6 @@
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
-from oleanderdrift.gateway import records
 from oleanderdrift.gateway import turn_log
 from oleanderdrift.gateway import turns
 
@@ -40,10 +39,12 @@
         Raises ResultError, where the turn surely was not run.
         """
         request = progress.admitted.request
-        budget = request.token_budget or 0
-        if self.budgets.is_spent(request.program_id, budget):
+        budget = request.token_budget
+        if budget is not None and self.budgets.is_spent(
+            request.program_id, budget
+        ):
             raise self.tokens_spent(request)
-        held = self.budgets.grants.take(
+        held = request.token_budget is None or self.budgets.grants.take(
             request.program_id,
             request.request_id,
             request.max_tokens,
@@ -55,22 +56,14 @@
             return
         if self.log.is_failing:
             raise self.store_away(request, 'the store fails')
-        if progress.admitted.route.retains:
+        if retains:
             progress.input_place = asyncio.create_task(
                 self.turns.append_input(request.body)
             )
             progress.input_place.add_done_callback(_retrieve)
-        try:
-            async with asyncio.timeout(PREPARE_S):
-                chain, verdict = await asyncio.gather(
-                    self.chain(progress), self.reserve(progress)
-                )
-        except TimeoutError as error:
-            raise self.store_away(request, 'the store is slow') from error
-        except errors.ResultError as error:
-            if error.code.status == codes.UNKNOWN_TURN.status:
-                raise
-            raise self.store_away(request, error.detail) from error
+        chain, verdict = await self.ask_store(progress)
+        pieces = [piece for one in chain for piece in (one.input, one.output)]
+        progress.body = b''.join([*pieces, request.body])
         match verdict:
             case budgets.Verdict.SPENT:
                 raise self.tokens_spent(request)
@@ -82,8 +75,31 @@
                 )
             case budgets.Verdict.VALID:
                 pass
-        pieces = [piece for one in chain for piece in (one.input, one.output)]
-        progress.body = b''.join([*pieces, request.body])
+
+    async def ask_store(
+        self, progress: progress_lib.Progress
+    ) -> tuple[list[turns.Turn], budgets.Verdict]:
+        """Returns a turn's conversation and the verdict on its budget.
+
+        Raises ResultError where the store does not know or cannot tell.
+        """
+        request = progress.admitted.request
+        reserving = asyncio.create_task(self.reserve(progress))
+        reserving.add_done_callback(_retrieve)
+        try:
+            async with asyncio.timeout(PREPARE_S):
+                chain = await self.chain(progress)
+                return chain, await reserving
+        except TimeoutError as error:
+            raise self.store_away(request, 'the store is slow') from error
+        except errors.ResultError as error:
+            if error.code is codes.UNKNOWN_TURN:
+                raise
+            raise self.store_away(request, error.detail) from error
+        finally:
+            # A reservation that comes after a refusal would be held for
+            # nothing.
+            reserving.cancel()
 
     def store_away(
         self, request: model.Request, reason: str
@@ -167,7 +183,7 @@
         )
 
 
-def _retrieve(task: asyncio.Task[records.InputPlace]) -> None:
-    """Marks a failed task's exception as seen; end_turn raises it."""
+def _retrieve(task: asyncio.Task[typing.Any]) -> None:
+    """Marks a failed task's exception as seen; whoever waits raises it."""
     if not task.cancelled():
         task.exception()
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -38,6 +38,7 @@
         'expect',
     )
 )
+_KEPT: typing.Final = frozenset(('host', REQUEST_ID, SEAL))
 # Set by the gateway alone, whatever the caller sent.
 _OURS: typing.Final = frozenset(
     (
@@ -127,9 +128,7 @@
     ) -> ports.UpstreamHead:
         """Decodes the head of an upstream's answer."""
         named = {name.lower(): value for name, value in headers}
-        connection = named.get('connection', '').lower()
-        dropped = {one.strip() for one in connection.split(',')}
-        dropped |= _PER_CONNECTION
+        dropped = _named_by_connection(named) | _PER_CONNECTION
         return ports.UpstreamHead(
             status=status,
             headers=tuple(
@@ -184,14 +183,21 @@
 def _forwarded(
     named: dict[str, str], headers: Headers
 ) -> tuple[tuple[str, str], ...]:
-    connection = named.get('connection', '').lower()
-    dropped = {one.strip() for one in connection.split(',')}
-    dropped |= _PER_CONNECTION | _OURS
+    dropped = _named_by_connection(named) | _PER_CONNECTION | _OURS
     return tuple(
         (name, value) for name, value in headers if name.lower() not in dropped
     )
 
 
+def _named_by_connection(named: dict[str, str]) -> frozenset[str]:
+    """Returns the headers that concern this connection only.
+
+    A peer cannot have those dropped that say what a message is.
+    """
+    listed = named.get('connection', '').lower().split(',')
+    return frozenset(one.strip() for one in listed) - _KEPT
+
+
 def _prompt(text: str) -> tuple[model.PromptPart, ...]:
     parts = []
     for entry in text.split(','):
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -43,7 +43,8 @@
     """A log in memory.
 
     failure, where set, is raised by every call; lost_answers counts
-    appends that take effect and are not answered.
+    appends that take effect and are not answered.  Appends to slow_topic
+    wait for the gate.
     """
 
     partitions: int = 4
@@ -51,6 +52,8 @@
     is_failing: bool = False
     failure: errors.ResultError | None = None
     lost_answers: int = 0
+    slow_topic: str = ''
+    gate: asyncio.Event = attrs.field(factory=asyncio.Event)
     data: collections.defaultdict[tuple[str, int], list[bytes]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
@@ -65,6 +68,8 @@
         """Appends all records; returns the first one's offset."""
         self.appends += 1
         await asyncio.sleep(0)
+        if topic == self.slow_topic:
+            await self.gate.wait()
         if self.failure is not None:
             raise self.failure
         found = self.data[topic, part]
--- a/tests/test_gateway_forwarder.py
+++ b/tests/test_gateway_forwarder.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import records
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.platform import codec
 from standins import replica
@@ -88,7 +89,7 @@
 
 @contextlib.asynccontextmanager
 async def desk(
-    *behaviours: list[replica.Behaviour],
+    *behaviours: collections.abc.Sequence[replica.Behaviour],
     route: dict[str, typing.Any] | None = None,
 ) -> collections.abc.AsyncIterator[Desk]:
     """Runs replicas that behave as listed, with a forwarder before them."""
@@ -320,6 +321,34 @@
     asyncio.run(play())
 
 
+def test_turn_without_a_budget_is_kept_too() -> None:
+    async def play() -> None:
+        async with desk([replica.Stream()], route=RETAINED) as at:
+            await at.ask(request_id='t1', body=b'one')
+            await at.ask(request_id='t2', body=b'two', previous_turn='t1')
+            told = at.replicas[0].received[1].body
+            assert told == b'onee1\ne2\ne3\ne4\ntwo'
+
+    asyncio.run(play())
+
+
+def test_refused_turn_leaves_no_tokens_set_aside() -> None:
+    async def play() -> None:
+        async with desk([replica.Stream()], route=RETAINED) as at:
+            turn = {'token_budget': 900, 'max_tokens': 80, 'program_id': 'p'}
+            at.log.slow_topic = records.BUDGET_TOPIC
+            caller = await at.ask(previous_turn='unknown', **turn)
+            assert caller.status == 404
+            at.log.gate.set()
+            for _ in range(20):
+                await asyncio.sleep(0)
+            held = at.forwarder.turns.budgets.grants
+            assert held.by_turn == {}
+            assert not any(one.open for one in held.by_program.values())
+
+    asyncio.run(play())
+
+
 def test_turn_that_cannot_be_kept_does_not_look_whole() -> None:
     async def play() -> None:
         slow = replica.Stream(pause_s=0.05)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -192,6 +192,12 @@
     assert not {'credential', 'kv-hold', 'connection', 'x-hop'} & set(named)
 
 
+def test_callers_cannot_drop_what_names_a_request() -> None:
+    found = decoded(Connection='close, Host, Attempt-Id')
+    names = {name.lower() for name, _ in found.headers}
+    assert {'host', 'attempt-id'} <= names
+
+
 @pytest.mark.parametrize(
     'changes',
     [
