--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -163,8 +163,11 @@
                     raise ChannelError(Failure.MALFORMED, 'paused')
                 return event
             except h11.RemoteProtocolError as error:
-                failure = self.protocol.closed or Failure.MALFORMED
-                raise ChannelError(failure, str(error)) from error
+                closed = self.protocol.closed
+                if closed is not None:
+                    detail = 'before the answer was whole'
+                    raise ChannelError(closed, detail) from error
+                raise ChannelError(Failure.MALFORMED, str(error)) from error
 
     async def read_head(self, now: float) -> Head:
         """Returns the head of the answer."""
--- /dev/null
+++ b/tests/test_gateway_operations.py
@@ -0,0 +1,90 @@
+"""From a failed request's id to its cause, as docs/OPERATIONS.md tells."""
+
+import asyncio
+import typing
+
+import pytest
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import model
+from oleanderdrift import logs
+from standins import replica
+from tests import gateway_support
+from tests import test_gateway_forwarder as desks
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    """Returns the lines that are logged from now on."""
+    found: list[str] = []
+
+    def keep(event: str, **values: typing.Any) -> None:
+        found.append(logs.line(event, **values))
+
+    monkeypatch.setattr(logs, 'info', keep)
+    monkeypatch.setattr(logs, 'warning', keep)
+    return found
+
+
+def grep(lines: list[str], text: str) -> list[str]:
+    """Returns the lines with a text."""
+    return [line for line in lines if text in line]
+
+
+def test_refusal_over_the_allotment_shows_its_inputs(
+    lines: list[str],
+) -> None:
+    async def play() -> None:
+        route = {'kind': model.Kind.NON_IDEMPOTENT}
+        async with desks.desk([replica.Whole()], route=route) as at:
+            board = at.forwarder.board
+            account = gateway_support.account(rate=1.0, burst=1.0)
+            assert board.config is not None
+            board.config = gateway_support.config(
+                routes=board.config.routes,
+                accounts_by_key={'key': account},
+            )
+            board.allotments.configure([account])
+            for number in range(3):
+                await at.ask(request_id=f'q{number}')
+
+    asyncio.run(play())
+    (found,) = grep(lines, 'request=q2 ')
+    assert f'code={codes.RATE_EXCEEDED.number}' in found
+    assert 'ward: tokens' in found
+    assert 'of 1/s' in found
+    assert '0 peers' in found
+
+
+def test_failed_call_names_its_upstream_and_the_reason(
+    lines: list[str],
+) -> None:
+    async def play() -> None:
+        route = {'kind': model.Kind.NON_IDEMPOTENT}
+        async with desks.desk([replica.Reset()], route=route) as at:
+            await at.ask(request_id='q7')
+
+    asyncio.run(play())
+    first, last = grep(lines, 'request=q7 ')
+    assert 'event=upstream-failed' in first
+    assert 'upstream=u0' in first
+    assert 'before the answer was whole' in first
+    assert f'code={codes.UPSTREAM_FAILED.number}' in last
+    assert codes.UPSTREAM_FAILED.execution is codes.Execution.UNKNOWN
+
+
+def test_turn_refused_in_an_outage_says_so(lines: list[str]) -> None:
+    async def play() -> None:
+        route = {'kind': model.Kind.STREAMING, 'retains': True}
+        async with desks.desk([replica.Stream()], route=route) as at:
+            at.log.failure = errors.ResultError(
+                codes.LOG_UNAVAILABLE, 'status 503'
+            )
+            await at.ask(request_id='t1', token_budget=900, program_id='p')
+
+    asyncio.run(play())
+    (found,) = grep(lines, 'request=t1 ')
+    assert f'code={codes.LOG_UNAVAILABLE.number}' in found
+    assert 'status 503' in found
+    assert 'program=p' in found
