--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -8,7 +8,7 @@
 BUDGET_TOPIC: typing.Final = 'budgets'
 TURN_TOPIC: typing.Final = 'turns'
 INPUT_TOPIC: typing.Final = 'inputs'
-INSTANCE_TOPIC: typing.Final = 'keyed.instances'
+INSTANCE_TOPIC: typing.Final = 'instances'
 
 
 class Reserve(msgspec.Struct, tag='r', array_like=True, frozen=True):
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -62,9 +62,9 @@
 class PlatformCodec:
     """The codec of the users' platform."""
 
-    config_topic = 'keyed.op'
+    config_topic = 'op'
     config_key = 'config'
-    upstreams_topic = 'keyed.servers'
+    upstreams_topic = 'servers'
 
     def request(
         self,
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -25,6 +25,8 @@
 _LENGTH: typing.Final = struct.Struct('>I')
 _OFFSETS: typing.Final = struct.Struct('>QQ')
 _KEPT: typing.Final = 'store'
+# Topics whose newest record of each key is kept.
+KEYED_PREFIX: typing.Final = 'keyed.'
 KB: typing.Final = 1024
 
 
@@ -181,7 +183,10 @@
         """Returns the newest record of each key of a keyed topic."""
         found: list[ports.KeyedRecord] = []
         end: int | None = None
-        query: dict[str, str | int] = {'Topic': topic, 'part': 0}
+        query: dict[str, str | int] = {
+            'Topic': KEYED_PREFIX + topic,
+            'part': 0,
+        }
         while True:
             status, answer = await self.call('GET', '/-/log-newest', query)
             if status == 404:
@@ -205,7 +210,7 @@
         self, topic: str, start: int, *, wait_s: float
     ) -> ports.KeyedRecords | None:
         """Reads keyed records from start on; None where they are gone."""
-        read = await self.read(topic, 0, start, wait_s=wait_s)
+        read = await self.read(KEYED_PREFIX + topic, 0, start, wait_s=wait_s)
         if read.trimmed or read.end < start:
             return None
         return ports.KeyedRecords(
@@ -217,7 +222,7 @@
         """Writes the newest record of a key; None removes the key."""
         name = key.encode()
         record = bytes([len(name)]) + name + (value or b'')
-        await self.append(topic, 0, [record])
+        await self.append(KEYED_PREFIX + topic, 0, [record])
 
 
 def _expect(status: int, path: str) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -39,7 +39,7 @@
     async def play() -> None:
         async with running() as (client, _):
             assert (await client.read('t', 0, 0)).records == ()
-            assert (await client.newest('keyed.t')).records == ()
+            assert (await client.newest('t')).records == ()
 
     asyncio.run(play())
 
@@ -48,9 +48,9 @@
     async def play() -> None:
         async with running() as (client, _):
             for key in 'abcde':
-                await client.put('keyed.t', key, key.encode())
-            await client.put('keyed.t', 'c', None)
-            found = await client.newest('keyed.t')
+                await client.put('t', key, key.encode())
+            await client.put('t', 'c', None)
+            found = await client.newest('t')
             assert [one.key for one in found.records] == list('abde')
             assert found.end == 6
 
@@ -60,9 +60,9 @@
 def test_removed_key_is_read_as_removed() -> None:
     async def play() -> None:
         async with running() as (client, _):
-            await client.put('keyed.t', 'a', b'1')
-            await client.put('keyed.t', 'a', None)
-            found = await client.read_keyed('keyed.t', 0, wait_s=0.0)
+            await client.put('t', 'a', b'1')
+            await client.put('t', 'a', None)
+            found = await client.read_keyed('t', 0, wait_s=0.0)
             assert found is not None
             values = [one.value for one in found.records]
             assert values == [b'1', None]
@@ -73,10 +73,10 @@
 def test_dropped_history_is_told_apart() -> None:
     async def play() -> None:
         async with running() as (client, there):
-            await client.put('keyed.t', 'a', b'1')
+            await client.put('t', 'a', b'1')
             there.drop_history('keyed.t')
-            assert await client.read_keyed('keyed.t', 0, wait_s=0) is None
-            assert len((await client.newest('keyed.t')).records) == 1
+            assert await client.read_keyed('t', 0, wait_s=0) is None
+            assert len((await client.newest('t')).records) == 1
 
     asyncio.run(play())
 
