Give unreadable answers of the store a code; run failed parts again

Found by reading: bytes from the store that could not be decoded would have ended a follower for good, and the instance would have served on beliefs that nobody renews. Six tests, which failed first.

--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -36,8 +36,12 @@
 STOP_MARGIN_S: typing.Final = 0.8
 POLL_S: typing.Final = 0.05
 METRICS_PATH: typing.Final = '/metrics'
+RESTART_S: typing.Final = 0.5
 SETTINGS_POLL_S: typing.Final = 1.0
 
+Part: typing.TypeAlias = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
 LoadSettings: typing.TypeAlias = collections.abc.Callable[
     [], settings_lib.GatewaySettings
 ]
@@ -96,24 +100,34 @@
     def start(self) -> None:
         """Starts everything that goes on by itself."""
         for part in (
-            self.follower.follow_config(),
-            self.follower.follow_upstreams(),
-            self.gossip.announce(),
-            self.gossip.find(),
-            self.gossip.tell(),
-            self.gossip.hear(),
-            self.keep_house(),
-            self.follow_settings(),
-            self.watch_upstreams(),
+            self.follower.follow_config,
+            self.follower.follow_upstreams,
+            self.gossip.announce,
+            self.gossip.find,
+            self.gossip.tell,
+            self.gossip.hear,
+            self.keep_house,
+            self.follow_settings,
+            self.watch_upstreams,
         ):
-            task = asyncio.create_task(part)
-            task.add_done_callback(self.note_end)
+            task = asyncio.create_task(self.keep_going(part))
             self.tasks.append(task)
 
-    def note_end(self, task: asyncio.Task[None]) -> None:
-        """Logs a part that failed, which is a fault of the program."""
-        if not task.cancelled() and task.exception() is not None:
-            logs.warning('part-failed', reason=repr(task.exception()))
+    async def keep_going(self, part: Part) -> None:
+        """Runs a part to its end, again where a fault of ours ends it.
+
+        An instance that went on without one of its parts would serve on
+        beliefs that nobody renews.
+        """
+        while True:
+            try:
+                await part()
+                return
+            except Exception as error:
+                self.events.info(
+                    'part-failed', part=part.__name__, reason=repr(error)
+                )
+                await asyncio.sleep(RESTART_S)
 
     async def keep_house(self) -> None:
         """Writes settlements and forgets what is old, for ever."""
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -28,6 +28,7 @@
 # Topics whose newest record of each key is kept.
 KEYED_PREFIX: typing.Final = 'keyed.'
 KB: typing.Final = 1024
+_T = typing.TypeVar('_T')
 
 
 class _Appended(msgspec.Struct):
@@ -146,7 +147,7 @@
             'POST', '/-/log-append', {'Topic': topic, 'part': part}, body
         )
         _expect(status, '/-/log-append')
-        return msgspec.json.decode(answer, type=_Appended).Offset
+        return _decoded(answer, _Appended).Offset
 
     async def read(
         self,
@@ -169,7 +170,7 @@
             'GET', '/-/log-read', query, wait_s=wait_s
         )
         if status == 410:
-            first = msgspec.json.decode(answer, type=_Trimmed).FirstOffset
+            first = _decoded(answer, _Trimmed).FirstOffset
             return ports.LogRecords(
                 start=first, records=(), end=first, first=first, trimmed=True
             )
@@ -192,7 +193,7 @@
             if status == 404:
                 break
             _expect(status, '/-/log-newest')
-            page = msgspec.json.decode(answer, type=_Newest)
+            page = _decoded(answer, _Newest)
             # Later pages may be newer; reading goes on from the first.
             end = page.EndOffset if end is None else end
             found += [
@@ -225,6 +226,16 @@
         await self.append(KEYED_PREFIX + topic, 0, [record])
 
 
+def _decoded(answer: bytes, kind: type[_T]) -> _T:
+    """Returns a decoded answer; raises ResultError APPEND_UNCONFIRMED."""
+    try:
+        return msgspec.json.decode(answer, type=kind)
+    except msgspec.MsgspecError as error:
+        raise errors.ResultError(
+            codes.APPEND_UNCONFIRMED, f'unreadable answer: {error}'
+        ) from error
+
+
 def _expect(status: int, path: str) -> None:
     if status != 200:
         raise errors.ResultError(
@@ -233,6 +244,10 @@
 
 
 def _records(data: bytes, start: int) -> ports.LogRecords:
+    if len(data) < _OFFSETS.size:
+        raise errors.ResultError(
+            codes.APPEND_UNCONFIRMED, 'the answer has no offsets'
+        )
     end, first = _OFFSETS.unpack_from(data)
     at = _OFFSETS.size
     records = []
@@ -247,7 +262,7 @@
 
 
 def _keyed(record: bytes) -> ports.KeyedRecord:
-    length = record[0]
+    length = record[0] if record else 0
     key = record[1 : 1 + length].decode('utf-8', 'replace')
     value = record[1 + length :]
     return ports.KeyedRecord(key=key, value=value or None)
--- a/tests/test_gateway_whole.py
+++ b/tests/test_gateway_whole.py
@@ -254,6 +254,26 @@
     asyncio.run(play())
 
 
+def test_part_that_fails_begins_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        monkeypatch.setattr(server, 'RESTART_S', 0.001)
+        async with site() as at:
+            began = 0
+
+            async def failing() -> None:
+                nonlocal began
+                began += 1
+                raise ValueError('a fault of the program')
+
+            task = asyncio.create_task(at.gateway.keep_going(failing))
+            await at.until(lambda: began > 2)
+            task.cancel()
+
+    asyncio.run(play())
+
+
 def test_outage_sends_callers_away_and_ends() -> None:
     async def play() -> None:
         async with site() as at:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -108,6 +108,41 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize('answer', [b'', b'x', b'{}', b'[1]'])
+def test_unreadable_answer_has_a_code(
+    monkeypatch: pytest.MonkeyPatch, answer: bytes
+) -> None:
+    async def garbled(*given: object, **more: object) -> tuple[int, bytes]:
+        return 200, answer
+
+    async def play() -> None:
+        client = store.Store('127.0.0.1:1', 4, 4_096)
+        monkeypatch.setattr(client, 'call', garbled)
+        calls = (
+            client.append('t', 0, [b'a']),
+            client.read('t', 0, 0),
+            client.read_keyed('t', 0, wait_s=0.0),
+        )
+        for call in calls:
+            with pytest.raises(errors.ResultError) as caught:
+                await call
+            assert caught.value.code is codes.APPEND_UNCONFIRMED
+
+    asyncio.run(play())
+
+
+def test_record_without_a_key_disturbs_nothing() -> None:
+    async def play() -> None:
+        async with running() as (client, there):
+            there.partition('keyed.t', 0).records.extend([b'', b'\xff'])
+            await client.put('t', 'a', b'1')
+            found = await client.read_keyed('t', 0, wait_s=0.0)
+            assert found is not None
+            assert found.records[-1].key == 'a'
+
+    asyncio.run(play())
+
+
 def test_store_that_does_not_listen_did_nothing() -> None:
     async def play() -> None:
         client = store.Store('127.0.0.1:1', 4, 4_096)
