--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -253,7 +253,7 @@
         event_count, first_at, last_at = 0, started, started
         while chunk := await outcome.connection.read_chunk():
             last_at = upstream.last_received = clock.monotonic()
-            for event in reader.feed(chunk):
+            for event in _read_events(reader, chunk):
                 upstream.clear_pending_tokens(
                     progress.admitted.request.request_id
                 )
@@ -273,7 +273,7 @@
         if not reply.started:
             await reply.start(outcome.head.status, outcome.head.headers)
         if reader.rest:
-            await reply.write(reader.rest)
+            await reply.write(bytes(reader.rest))
         await self.turns.store_turn(progress)
         await reply.finish()
 
@@ -296,3 +296,15 @@
         if not reply.started:
             await reply.start(outcome.head.status, outcome.head.headers)
         await reply.write(event.raw)
+
+
+def _read_events(
+    reader: events.EventReader, chunk: bytes
+) -> list[events.Event]:
+    """Returns the events that a chunk completes; raises ChannelError."""
+    try:
+        return reader.feed(chunk)
+    except events.EventTooLongError as error:
+        raise channel.ChannelError(
+            channel.Failure.MALFORMED, 'an event of the stream has no end'
+        ) from error
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -2,7 +2,8 @@
 
 A request is never sent twice.  A connection that received bytes while no
 response was outstanding, or that its peer has closed, is not reused, so
-no request goes into a connection that is known to be unusable.
+no request goes into a connection that is known to be unusable.  An upstream
+may also send bytes without end, so all that is read has a limit.
 """
 
 import asyncio
@@ -27,6 +28,17 @@
 # For peers whose responses announce no idle timeout.
 DEFAULT_IDLE_TIMEOUT_S: typing.Final = 4.0
 MAX_HEAD_BYTES: typing.Final = 65_536
+# A connection with more unread bytes is not read until its reader catches up.
+MAX_BUFFERED: typing.Final = 65_536
+# The largest response that is read as a whole; the store sends up to 1 MiB.
+MAX_BODY_BYTES: typing.Final = 4_194_304
+# A body in more chunks takes too much CPU time to parse.
+MAX_BODY_CHUNKS: typing.Final = 16_384
+# A larger response to another request is not worth reading past.
+MAX_SKIPPED_BYTES: typing.Final = 262_144
+MAX_INTERIM_RESPONSES: typing.Final = 8
+# Other tasks run after this many events that were parsed without waiting.
+EVENTS_PER_TURN: typing.Final = 256
 _KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout\s*=\s*(\d+)')
 
 Headers: typing.TypeAlias = list[tuple[str, str]]
@@ -57,10 +69,17 @@
 
 
 class _Protocol(asyncio.Protocol):
-    """Buffers received bytes for a Channel."""
+    """Buffers received bytes for a Channel.
+
+    idle says that no response is outstanding; bytes that arrive then belong
+    to no request and close the connection.
+    """
 
     def __init__(self) -> None:
         self.received: list[bytes] = []
+        self.buffered_bytes = 0
+        self.paused = False
+        self.idle = False
         self.closed: Failure | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.transport: asyncio.Transport | None = None
@@ -71,7 +90,16 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffers bytes until they are read."""
+        assert self.transport is not None
+        if self.idle:
+            self.closed = self.closed or Failure.MALFORMED
+            self.transport.abort()
+            return
         self.received.append(data)
+        self.buffered_bytes += len(data)
+        if self.buffered_bytes > MAX_BUFFERED:
+            self.paused = True
+            self.transport.pause_reading()
         self.wake()
 
     def eof_received(self) -> bool:
@@ -105,6 +133,10 @@
             await self.waiter
         data = b''.join(self.received)
         self.received.clear()
+        self.buffered_bytes = 0
+        if self.paused and self.transport is not None:
+            self.paused = False
+            self.transport.resume_reading()
         return data
 
 
@@ -119,6 +151,7 @@
         self.idle_deadline = float('inf')
         self.request_count = 0
         self.response_complete = True
+        self.events_this_turn = 0
 
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes
@@ -132,6 +165,7 @@
             self.h11_connection.start_next_cycle()
         self.request_count += 1
         self.response_complete = False
+        self.protocol.idle = False
         head = [*headers, ('content-length', str(len(body)))]
         if not body and method in ('GET', 'HEAD', 'DELETE'):
             head.pop()
@@ -163,6 +197,7 @@
                     continue
                 if event is h11.PAUSED:
                     raise ChannelError(Failure.MALFORMED, 'paused')
+                await self.let_others_run()
                 return event
             except h11.RemoteProtocolError as error:
                 closed = self.protocol.closed
@@ -171,10 +206,27 @@
                     raise ChannelError(closed, detail) from error
                 raise ChannelError(Failure.MALFORMED, str(error)) from error
 
+    async def let_others_run(self) -> None:
+        """Yields to other tasks after many events of one connection.
+
+        Bytes that are already buffered are parsed without waiting, so an
+        upstream that sends many small chunks would block the event loop.
+        """
+        self.events_this_turn += 1
+        if self.events_this_turn >= EVENTS_PER_TURN:
+            self.events_this_turn = 0
+            await asyncio.sleep(0)
+
     async def read_head(self, now: float) -> Head:
         """Returns the status and headers of the response."""
         event = await self.next_event()
+        interim_count = 0
         while isinstance(event, h11.InformationalResponse):
+            interim_count += 1
+            if interim_count > MAX_INTERIM_RESPONSES:
+                raise ChannelError(
+                    Failure.MALFORMED, 'too many interim responses'
+                )
             event = await self.next_event()
         if not isinstance(event, h11.Response):
             raise ChannelError(Failure.CLOSED, 'no response')
@@ -192,7 +244,7 @@
 
         The response to the current request may follow on the connection.
         """
-        await self.read_body()
+        await self.read_body(MAX_SKIPPED_BYTES)
         rest = self.h11_connection.trailing_data[0]
         self.h11_connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -235,12 +287,20 @@
             case _:
                 raise ChannelError(Failure.CLOSED, 'response body truncated')
 
-    async def read_body(self) -> bytes:
-        """Returns the rest of the body."""
-        chunks = []
+    async def read_body(self, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Returns the rest of the body; raises ChannelError if too long."""
+        body = bytearray()
+        chunk_count = 0
         while chunk := await self.read_chunk():
-            chunks.append(chunk)
-        return b''.join(chunks)
+            body += chunk
+            chunk_count += 1
+            if len(body) > max_bytes or chunk_count > MAX_BODY_CHUNKS:
+                raise ChannelError(
+                    Failure.MALFORMED,
+                    f'the body exceeds {max_bytes} bytes or '
+                    f'{MAX_BODY_CHUNKS} chunks',
+                )
+        return bytes(body)
 
     def is_reusable(self, now: float) -> bool:
         """Returns whether another request may be sent."""
@@ -317,6 +377,7 @@
     ) -> None:
         """Pools a connection for reuse, or closes it if not reusable."""
         if channel.is_reusable(now):
+            channel.protocol.idle = True
             self.idle.setdefault(key, []).append(channel)
         else:
             channel.close()
--- a/oleanderdrift/gateway/events.py
+++ b/oleanderdrift/gateway/events.py
@@ -4,9 +4,16 @@
 only complete events to the client.
 """
 
+import typing
+
 import attrs
 
-_END = b'\n\n'
+MAX_EVENT_BYTES: typing.Final = 65_536
+_END: typing.Final = b'\n\n'
+
+
+class EventTooLongError(Exception):
+    """An event has no end within MAX_EVENT_BYTES."""
 
 
 @attrs.frozen(kw_only=True)
@@ -22,12 +29,25 @@
 class EventReader:
     """Incremental parser; rest holds the start of the next event."""
 
-    rest: bytes = b''
+    rest: bytearray = attrs.field(factory=bytearray)
 
     def feed(self, chunk: bytes) -> list[Event]:
-        """Adds a chunk and returns the events that it completes."""
-        *complete, self.rest = (self.rest + chunk).split(_END)
-        return [parse(raw + _END) for raw in complete]
+        """Adds a chunk and returns the events that it completes.
+
+        Raises EventTooLongError if an event has no end.
+        """
+        # The separator may have begun with the last byte of the rest.
+        searched = max(len(self.rest) - len(_END) + 1, 0)
+        self.rest += chunk
+        found = []
+        while (end := self.rest.find(_END, searched)) >= 0:
+            end += len(_END)
+            found.append(parse(bytes(self.rest[:end])))
+            del self.rest[:end]
+            searched = 0
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise EventTooLongError
+        return found
 
 
 def parse(raw: bytes) -> Event:
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -95,7 +95,7 @@
                 reason='received only responses to other requests'
             )
         if head.not_run:
-            await connection.read_body()
+            await connection.read_body(channel.MAX_SKIPPED_BYTES)
             pool.release(upstream.key(), connection, clock.monotonic())
             handed_over = True
             upstream.abortable.pop(connection, None)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,7 +10,7 @@
 import attrs
 
 Behaviour: typing.TypeAlias = (
-    'CompleteResponse | Stream | Raw | Silent | Reset'
+    'CompleteResponse | Stream | Raw | Endless | Silent | Reset'
 )
 
 
@@ -52,6 +52,18 @@
     data: bytes
 
 
+@attrs.frozen(kw_only=True)
+class Endless:
+    """Bytes, then one block of bytes again and again, until closed.
+
+    limit is the number of bytes after which the stand-in gives up.
+    """
+
+    data: bytes
+    block: bytes
+    limit: int
+
+
 @attrs.frozen(kw_only=True)
 class Silent:
     """No answer; the connection stays open."""
@@ -74,12 +86,17 @@
 
 @attrs.define(kw_only=True)
 class Replica:
-    """A replica; closed counts the connections that clients closed."""
+    """A replica; closed counts the connections that clients closed.
+
+    endless_bytes counts the bytes of Endless answers that were accepted by
+    the connection.
+    """
 
     behaviours: list[Behaviour]
     received: list[Received] = attrs.field(factory=list)
     connections: int = 0
     closed: int = 0
+    endless_bytes: int = 0
     port: int = 0
     server: asyncio.Server | None = None
 
@@ -136,6 +153,8 @@
             case Raw():
                 writer.write(behaviour.data)
                 return False
+            case Endless():
+                return await self.send_endlessly(behaviour, request, writer)
             case Silent():
                 await reader.readexactly(1)
             case Reset():
@@ -144,6 +163,21 @@
         await writer.drain()
         return True
 
+    async def send_endlessly(
+        self,
+        behaviour: Endless,
+        request: Received,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Sends bytes until the client closes the connection."""
+        request_id = request.headers.get('attempt-id', '')
+        writer.write(behaviour.data.replace(b'$ID', request_id.encode()))
+        while self.endless_bytes < behaviour.limit:
+            writer.write(behaviour.block)
+            await writer.drain()
+            self.endless_bytes += len(behaviour.block)
+        return False
+
     async def stream(
         self,
         behaviour: Stream,
