--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -22,6 +22,7 @@
 import typing
 
 import attrs
+import msgspec
 
 from oleanderdrift.gateway import model
 
@@ -76,8 +77,7 @@
         )
 
 
-@attrs.frozen(kw_only=True)
-class Usage:
+class Usage(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """An instance's requests for one account.
 
     spent counts the requests admitted since the instance started; demand is
@@ -97,7 +97,7 @@
     charged_until is the time up to which its spending was subtracted.
     """
 
-    started_ms: int
+    incarnation: int
     spent: dict[str, int] = attrs.field(factory=dict)
     demand: dict[str, float] = attrs.field(factory=dict)
     complete: bool
@@ -158,6 +158,13 @@
         """Returns whether the next update names all accounts."""
         return self.updates_sent % FULL_UPDATE_EVERY == 0
 
+    def has_unannounced(self) -> bool:
+        """Returns whether peers have not been told of all requests."""
+        return any(
+            bucket.spent != bucket.announced
+            for bucket in self.buckets.values()
+        )
+
     def usage_update(self, now: float) -> dict[str, Usage]:
         """Returns the usage that peers may not know yet, by account."""
         full = self.next_is_full()
@@ -178,25 +185,27 @@
     def apply_update(
         self,
         name: str,
-        started_ms: int,
+        incarnation: int,
         usage: dict[str, Usage],
         full: bool,
         now: float,
     ) -> None:
-        """Applies a peer's update; full if it names all accounts."""
+        """Applies a peer's update; full if it names all accounts.
+
+        Updates come in the order in which the peer sent them, and none from
+        an earlier incarnation follows one from a later.
+        """
         known = self.peers.get(name)
-        if known is not None and started_ms < known.started_ms:
-            return
         for account, reported in usage.items():
             before = self.already_subtracted(
-                known, started_ms, account, reported
+                known, incarnation, account, reported
             )
             self.bucket(account).tokens -= max(reported.spent - before, 0)
-        if known is None or known.started_ms != started_ms:
+        if known is None or known.incarnation != incarnation:
             # A restarted peer's counts began at 0 while this instance ran.
             full = full or known is not None
             known = self.peers[name] = Peer(
-                started_ms=started_ms,
+                incarnation=incarnation,
                 complete=full,
                 last_update=now,
                 charged_until=now,
@@ -208,7 +217,7 @@
     def already_subtracted(
         self,
         known: Peer | None,
-        started_ms: int,
+        incarnation: int,
         account: str,
         reported: Usage,
     ) -> float:
@@ -216,7 +225,7 @@
         if known is None:
             # Those requests precede the start of this instance's bucket.
             return reported.spent
-        if known.started_ms != started_ms:
+        if known.incarnation != incarnation:
             return 0
         if account not in known.spent:
             return 0 if known.complete else reported.spent
--- /dev/null
+++ b/oleanderdrift/gateway/directory.py
@@ -0,0 +1,123 @@
+"""Registers this instance in the store and follows the other instances.
+
+Each instance writes one record under its name.  The records are read once
+and then followed, so that a fleet at rest costs the store little.
+"""
+
+import asyncio
+import typing
+
+from oleanderdrift import errors
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import records
+from oleanderdrift.gateway import relays
+
+# How long one read waits for a change.
+WAIT_S: typing.Final = 10.0
+# All instances start at once; their records are read together.
+PAUSE_S: typing.Final = 0.5
+RETRY_S: typing.Final = 2.0
+
+
+class Directory:
+    """The registered instances by name, including this one.
+
+    changes counts the changes of instances.
+    """
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        log: ports.Log,
+        events: event_log.EventLog,
+    ) -> None:
+        settings = board.settings
+        self.log = log
+        self.events = events
+        self.own = relays.Instance(
+            name=settings.instance,
+            data_centre=settings.data_centre,
+            address=settings.peer_listen,
+            cores=settings.cores,
+        )
+        self.instances: dict[str, relays.Instance] = {}
+        self.changes = 0
+
+    def others(self) -> list[relays.Instance]:
+        """Returns the other instances."""
+        return [
+            one for one in self.instances.values() if one.name != self.own.name
+        ]
+
+    async def register(self) -> None:
+        """Writes this instance's record, retrying until it succeeds."""
+        value = records.encode_instance(
+            records.InstanceRecord(
+                peer_address=self.own.address,
+                data_centre=self.own.data_centre,
+                cores=self.own.cores,
+            )
+        )
+        while True:
+            try:
+                await self.log.put(
+                    records.INSTANCE_TOPIC, self.own.name, value
+                )
+                return
+            except errors.ResultError as error:
+                self.events.info('registration-failed', detail=error.detail)
+                await asyncio.sleep(RETRY_S)
+
+    async def follow(self) -> None:
+        """Applies the changes of all records until cancelled."""
+        position: int | None = None
+        while True:
+            try:
+                position = await self.read(position)
+            except errors.ResultError as error:
+                self.events.info('peer-discovery-failed', detail=error.detail)
+                await asyncio.sleep(RETRY_S)
+            else:
+                await asyncio.sleep(PAUSE_S)
+
+    async def read(self, position: int | None) -> int | None:
+        """Reads and applies changes from a position, or all records.
+
+        Returns the position to go on from; None if the store has dropped
+        the records there.
+        """
+        if position is None:
+            found = await self.log.newest(records.INSTANCE_TOPIC)
+        else:
+            changed = await self.log.read_keyed(
+                records.INSTANCE_TOPIC, position, wait_s=WAIT_S
+            )
+            if changed is None:
+                return None
+            found = changed
+        for record in found.records:
+            self.apply(record)
+        return found.end
+
+    def apply(self, record: ports.KeyedRecord) -> None:
+        """Applies one record."""
+        if record.value is None:
+            if self.instances.pop(record.key, None) is not None:
+                self.changes += 1
+            return
+        decoded = records.decode_instance(record.value)
+        if decoded is None:
+            self.events.info('instance-unreadable', peer=record.key)
+            return
+        instance = relays.Instance(
+            name=record.key,
+            data_centre=decoded.data_centre,
+            address=decoded.peer_address,
+            cores=decoded.cores,
+        )
+        if self.instances.get(record.key) != instance:
+            self.instances[record.key] = instance
+            self.changes += 1
+            self.events.info('peer-found', peer=record.key)
--- /dev/null
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -0,0 +1,138 @@
+"""The messages that instances exchange, and their codec.
+
+An instance publishes its own state as an envelope.  Relays forward envelopes
+unchanged, so that a state that arrives twice is recognised by its sequence
+number, whichever relays it came through.
+"""
+
+import enum
+import typing
+
+import attrs
+import msgspec
+
+from oleanderdrift.gateway import allotments
+
+# Retired incarnations of an instance whose late messages are recognised.
+MAX_RETIRED: typing.Final = 4
+
+
+class Topic(enum.Enum):
+    """What a publisher sends; the value is the prefix of the message.
+
+    OWN is the publisher's own state.  DATA_CENTRE are the states of the
+    publisher's data centre, for other data centres.  FLEET are all states
+    that the publisher receives, for its own data centre.
+    """
+
+    OWN = b'o'
+    DATA_CENTRE = b'd'
+    FLEET = b'f'
+
+
+class UpstreamLoad(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """The load that an instance puts on one upstream.
+
+    running is the number of its open requests, and pending the number of
+    their prompt tokens that the upstream has not processed yet.  shared
+    holds the first parts of its prompts that the upstream has cached.
+    """
+
+    running: int
+    pending: int
+    shared: tuple[str, ...] = ()
+
+
+class StateUpdate(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """The state that an instance publishes to its peers.
+
+    usage is keyed by client account; whole says that it names every
+    account that was ever requested.  work is keyed by upstream and complete.
+    """
+
+    data_centre: str
+    store_age_s: float
+    usage: dict[str, allotments.Usage]
+    whole: bool
+    work: dict[str, UpstreamLoad]
+    leaving: bool = False
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """One instance's encoded state, with its place in the order of states.
+
+    incarnation is random: the time of day may be stepped between two starts
+    of an instance.
+    """
+
+    instance: str
+    incarnation: int
+    sequence: int
+    state: msgspec.Raw
+
+
+class Bundle(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """The envelopes that one publisher sends at once."""
+
+    publisher: str
+    envelopes: list[Envelope]
+
+
+_BUNDLE_DECODER: typing.Final = msgspec.msgpack.Decoder(Bundle)
+_STATE_DECODER: typing.Final = msgspec.msgpack.Decoder(StateUpdate)
+
+
+def encode_state(state: StateUpdate) -> msgspec.Raw:
+    """Encodes a state for an envelope."""
+    return msgspec.Raw(msgspec.msgpack.encode(state))
+
+
+def decode_state(envelope: Envelope) -> StateUpdate:
+    """Decodes an envelope's state; raises msgspec.MsgspecError."""
+    return _STATE_DECODER.decode(envelope.state)
+
+
+def encode_bundle(topic: Topic, bundle: Bundle) -> bytes:
+    """Encodes a bundle with its topic."""
+    return topic.value + msgspec.msgpack.encode(bundle)
+
+
+def decode_bundle(data: bytes) -> Bundle:
+    """Decodes a message; raises msgspec.MsgspecError."""
+    return _BUNDLE_DECODER.decode(memoryview(data)[1:])
+
+
+@attrs.define(kw_only=True)
+class Newest:
+    """The newest state that was received of one instance."""
+
+    incarnation: int
+    sequence: int
+    retired: tuple[int, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class Sequences:
+    """Tells new states from those received before, by instance."""
+
+    newest: dict[str, Newest] = attrs.field(factory=dict)
+
+    def accept(self, envelope: Envelope) -> bool:
+        """Records an envelope; returns whether its state is new."""
+        known = self.newest.get(envelope.instance)
+        if known is None:
+            self.newest[envelope.instance] = Newest(
+                incarnation=envelope.incarnation, sequence=envelope.sequence
+            )
+            return True
+        if envelope.incarnation == known.incarnation:
+            if envelope.sequence <= known.sequence:
+                return False
+            known.sequence = envelope.sequence
+            return True
+        if envelope.incarnation in known.retired:
+            return False
+        known.retired = (*known.retired, known.incarnation)[-MAX_RETIRED:]
+        known.incarnation = envelope.incarnation
+        known.sequence = envelope.sequence
+        return True
--- a/oleanderdrift/gateway/reachability.py
+++ b/oleanderdrift/gateway/reachability.py
@@ -13,8 +13,12 @@
 SILENT_S: typing.Final = 0.45
 # An update within this time shows that this instance receives updates.
 ALIVE_S: typing.Final = 0.3
-# Peers silent for longer have left and are ignored.
-PEER_EXPIRY_S: typing.Final = 10.0
+# A data centre that is silent for longer has been removed.
+EXPIRY_S: typing.Final = 10.0
+# A peer whose last answered read of the store is older has lost the store,
+# and so has a data centre without news of a later read.
+FRESH_STORE_AGE_S: typing.Final = 1.0
+STORE_NEWS_S: typing.Final = 0.45
 
 
 @attrs.frozen(kw_only=True)
@@ -29,41 +33,72 @@
     store_age_s: float
 
 
+@attrs.define(kw_only=True)
+class DataCentre:
+    """What the reports of one data centre's instances say together.
+
+    heard_at is the time of the latest report, and store_at that of the
+    latest from an instance that has the store.  members are the instances
+    that have not said that they leave.
+    """
+
+    heard_at: float
+    store_at: float = float('-inf')
+    members: set[str] = attrs.field(factory=set)
+
+
 @attrs.define(kw_only=True)
 class Reachability:
-    """The latest report of each peer, by name.
+    """The latest reports, by the data centre that they came from.
 
-    update_interval_s is the time between two updates of a peer.
+    Every response asks whether this instance is ready, so the cost must not
+    grow with the number of peers.
     """
 
     data_centre: str
-    peers: dict[str, PeerReport] = attrs.field(factory=dict)
-    update_interval_s: float = 0.1
+    data_centres: dict[str, DataCentre] = attrs.field(factory=dict)
 
     def note_report(self, peer: str, report: PeerReport) -> None:
         """Records a peer's report."""
-        self.peers[peer] = report
+        found = self.data_centres.get(report.data_centre)
+        if found is None:
+            found = self.data_centres[report.data_centre] = DataCentre(
+                heard_at=report.at
+            )
+        found.heard_at = max(found.heard_at, report.at)
+        found.members.add(peer)
+        if report.store_age_s < FRESH_STORE_AGE_S:
+            found.store_at = max(found.store_at, report.at)
 
     def forget(self, peer: str) -> None:
-        """Removes a peer that is shutting down."""
-        self.peers.pop(peer, None)
+        """Removes a peer that is shutting down.
+
+        A data centre that all its instances have left is not silent.
+        """
+        for name, found in list(self.data_centres.items()):
+            found.members.discard(peer)
+            if not found.members:
+                del self.data_centres[name]
+
+    def current(self, now: float) -> dict[str, DataCentre]:
+        """Returns the data centres that have not been removed."""
+        return {
+            name: one
+            for name, one in self.data_centres.items()
+            if now - one.heard_at < EXPIRY_S
+        }
 
     def silent_data_centres(self, now: float) -> frozenset[str]:
         """Returns other data centres whose instances are all silent."""
-        extra_s = max(self.update_interval_s - 0.1, 0.0) * 4
-        latest: dict[str, float] = {}
-        for report in self.peers.values():
-            if now - report.at < PEER_EXPIRY_S:
-                previous = latest.get(report.data_centre, report.at)
-                latest[report.data_centre] = max(previous, report.at)
-        if not any(now - at < ALIVE_S + extra_s for at in latest.values()):
+        current = self.current(now)
+        if not any(now - one.heard_at < ALIVE_S for one in current.values()):
             # No peer at all is heard: this instance itself may have been
             # suspended.
             return frozenset()
         return frozenset(
             name
-            for name, at in latest.items()
-            if name != self.data_centre and now - at > SILENT_S + extra_s
+            for name, one in current.items()
+            if name != self.data_centre and now - one.heard_at > SILENT_S
         )
 
     def is_isolated(self, now: float) -> bool:
@@ -71,12 +106,7 @@
 
         This instance's own data centre is then the one that is cut off.
         """
-        others = {
-            report.data_centre
-            for report in self.peers.values()
-            if report.data_centre != self.data_centre
-            and now - report.at < PEER_EXPIRY_S
-        }
+        others = self.current(now).keys() - {self.data_centre}
         silent = self.silent_data_centres(now)
         return len(others) > 1 and others <= silent
 
@@ -85,6 +115,6 @@
         if self.is_isolated(now):
             return False
         return any(
-            now - report.at < 2 * SILENT_S and report.store_age_s < 1.0
-            for report in self.peers.values()
+            now - one.store_at < STORE_NEWS_S
+            for one in self.data_centres.values()
         )
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -68,10 +68,11 @@
 
 @attrs.frozen(kw_only=True)
 class InstanceRecord:
-    """An instance's address for peers, and its start time (Unix time)."""
+    """An instance's address for peers, and its share of processor cores."""
 
     peer_address: str
-    started_ms: int
+    data_centre: str
+    cores: float
 
 
 _INSTANCE_DECODER: typing.Final = msgspec.json.Decoder(InstanceRecord)
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -13,11 +13,13 @@
 from oleanderdrift.gateway import allotments
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import directory
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import follow
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import gossip
 from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import peer_sockets
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import settings as settings_lib
@@ -57,6 +59,7 @@
     forwarder: forwarder.Forwarder
     ingress: ingress.Ingress
     store_watcher: follow.StoreWatcher
+    directory: directory.Directory
     gossip: gossip.Gossip
     events: event_log.EventLog
     load_settings: LoadSettings
@@ -91,7 +94,8 @@
             'config_version': config.version if config else 0,
             'store_age_seconds': board.freshness.age_s(boot_now),
             'upstreams': len(board.upstreams.by_id),
-            'peers': len(self.gossip.last_heard),
+            'peers_subscribed': len(self.gossip.sockets.addresses),
+            'peers': len(self.gossip.peer_load.last_heard),
             'silent_data_centres': len(board.silent_data_centres),
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
             'store_calls': self.log.calls,
@@ -106,10 +110,9 @@
         for function in (
             self.store_watcher.watch_config,
             self.store_watcher.watch_upstreams,
-            self.gossip.register,
-            self.gossip.discover_peers,
-            self.gossip.publish_periodically,
-            self.gossip.receive_periodically,
+            self.directory.register,
+            self.directory.follow,
+            self.gossip.exchange_periodically,
             self.run_housekeeping,
             self.poll_settings,
             self.monitor_upstreams,
@@ -284,6 +287,7 @@
         ),
     )
     events = event_log.EventLog()
+    fleet = directory.Directory(board, log, events)
     request_forwarder = forwarder.Forwarder(board, codec, log, events)
     return Gateway(
         board=board,
@@ -291,7 +295,8 @@
         forwarder=request_forwarder,
         ingress=ingress.Ingress(request_forwarder, codec),
         store_watcher=follow.StoreWatcher(board, codec, log, events),
-        gossip=gossip.Gossip(board, log, events),
+        directory=fleet,
+        gossip=gossip.Gossip(board, fleet, events, peer_sockets.PeerSockets()),
         events=events,
         load_settings=load_settings,
         ready_path=ready_path,
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -7,6 +7,7 @@
 class GatewaySettings:
     """Addresses are HOST:PORT strings; times are in seconds.
 
+    cores is the share of processors that the instance may use.
     key_grace_s is how long after the last response from the store API
     keys are still accepted.  stop_s is the time between SIGTERM and
     SIGKILL.
@@ -23,4 +24,5 @@
     store_record_bytes: int
     key_grace_s: float
     stop_s: float
+    cores: float
     turn_retention_s: float
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -34,6 +34,12 @@
     GraceS: float = 8
 
 
+class _Limits(msgspec.Struct):
+    # The share of one core, and how many times as fast that core is.
+    CpuShare: float = 1.0
+    Cores: float = 1.0
+
+
 class _Platform(msgspec.Struct):
     Address: str
     parts: int = 12
@@ -51,6 +57,7 @@
     Listen: _Listen
     Platform: _Platform
     Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    Limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def path() -> pathlib.Path:
@@ -81,6 +88,7 @@
     except (ValueError, msgspec.ValidationError) as error:
         raise errors.ResultError(codes.SETTINGS_INVALID, str(error)) from error
     bounds = file_settings.Bounds
+    limits = file_settings.Limits
     return settings.GatewaySettings(
         instance=file_settings.Node,
         data_centre=file_settings.Zone,
@@ -93,5 +101,6 @@
         store_record_bytes=file_settings.Platform.RecordBytes,
         key_grace_s=bounds.RevokeMs / MS_PER_S - _KEY_MARGIN_S,
         stop_s=bounds.GraceS,
+        cores=limits.CpuShare * limits.Cores,
         turn_retention_s=file_settings.Platform.RetainS,
     )
