--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Sends a request to upstreams until one has answered."""
 
+import random
 import typing
 
 from oleanderdrift import codes
@@ -39,6 +40,7 @@
         self.turns = turns
         self.events = event_log
         self.pool = channel.Pool()
+        self.chance = random.Random()
 
     async def run(
         self, progress: progress_lib.Progress, reply: reply_lib.Reply
@@ -98,10 +100,14 @@
         return placement.choose(
             candidates,
             admitted.request,
-            self.board.settings.data_centre,
+            placement.Place(
+                data_centre=self.board.settings.data_centre,
+                instances=self.board.instances,
+                silent_data_centres=self.board.silent_data_centres,
+            ),
             clock.monotonic(),
+            self.chance,
             progress.excluded,
-            self.board.silent_data_centres,
         )
 
     async def try_one(
@@ -221,6 +227,10 @@
                     )
                 now = clock.monotonic()
                 upstream.note_work(now - started, placement.CALL_S, now)
+                if progress.admitted.route.sticky:
+                    upstream.note_warm_object(
+                        progress.admitted.request.affinity_key
+                    )
                 await reply.send_complete(head.status, head.headers, body)
         except channel.ChannelError as error:
             connection.close()
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -23,6 +23,7 @@
     started_programs holds the ids of programs that had a request admitted
     here, the latest last.  stopping is set by the signal to stop.
     silent_data_centres names the data centres that cannot be reached.
+    instances is the number of instances that are heard, with this one.
     """
 
     settings: settings_lib.GatewaySettings
@@ -42,6 +43,7 @@
     stopping: bool = False
     silent_data_centres: frozenset[str] = frozenset()
     open_requests: int = 0
+    instances: int = 1
 
     def note_started_program(self, program: str) -> None:
         """Records that a program has had a request admitted here."""
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -324,3 +324,4 @@
         """Drops the load of peers whose states have stopped."""
         for name in self.peer_load.expire(now):
             self.events.info('peer-silent', peer=name)
+        self.board.instances = len(self.peer_load.last_heard) + 1
--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -30,7 +30,8 @@
 
     attempts is the most upstreams that may run one request.  retains says
     that the gateway stores the conversation's turns, for retention_s.
-    Resumable streams may be continued by another upstream.
+    Resumable streams may be continued by another upstream.  sticky says that
+    an upstream is faster with an object that it handled lately.
     """
 
     name: str
@@ -46,6 +47,7 @@
     resumable: bool
     retains: bool
     retention_s: float
+    sticky: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -126,7 +128,7 @@
 
     headers are forwarded to the upstream unchanged.  deadline is when the
     caller stops waiting.  program_id and session_id are empty outside
-    programs.
+    programs.  affinity_key names the object that the request is about.
     """
 
     request_id: str
@@ -145,3 +147,4 @@
     prompt: tuple[PromptPart, ...] = ()
     previous_turn: str | None = None
     last_event_id: str | None = None
+    affinity_key: str | None = None
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -6,19 +6,26 @@
 total cost: the expected time of this request, from the tokens that wait for
 prefill and the uncached tokens of its prompt, plus the delay that it causes
 for running requests.  Both are multiplied by the upstream's recent slowness.
+
+In a large fleet many instances place requests before any of them hears of
+the others' choices.  If each took the best upstream, they would all take the
+same one, and fill it.  So the more instances share an upstream, the fewer
+upstreams an instance compares, drawn at random for each request.
 """
 
 import collections.abc
+import math
+import random
 import typing
 
+import attrs
+
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import routing
 from oleanderdrift.gateway import upstreams
 
 # Prefill on an engine of usual speed.
 PREFILL_S_PER_TOKEN: typing.Final = 1 / 200_000
-# An engine's time for a turn of usual length, without prefill.
-TURN_DECODE_S: typing.Final = 0.33
 # The time between two events of a stream on an idle engine, per token.
 TOKEN_S: typing.Final = 0.0013
 # What each running request adds to the time of a turn.
@@ -27,11 +34,30 @@
 CALL_S: typing.Final = 0.04
 # A round trip to another data centre, including the price of its traffic.
 REMOTE_S: typing.Final = 0.004
+# What remains of a call's time at an upstream that handled its object lately.
+WARM_CALL_RATIO: typing.Final = 0.6
+# So many instances may compare an upstream within the age of its load.
+INSTANCES_PER_UPSTREAM: typing.Final = 10
+# Two random choices already spread requests far better than one.
+MIN_COMPARED: typing.Final = 2
 # Upper bound of a hash-based cost that keeps requests with equal prompts
 # together when costs are equal.
 TIE_BREAK_S: typing.Final = 0.002
 
 
+@attrs.frozen(kw_only=True)
+class Place:
+    """Where a request is placed from.
+
+    instances is the number of instances that place requests on the same
+    upstreams.  silent_data_centres cannot be reached.
+    """
+
+    data_centre: str
+    instances: int
+    silent_data_centres: frozenset[str] = frozenset()
+
+
 def delay_s(
     upstream: upstreams.Upstream,
     request: model.Request,
@@ -46,14 +72,19 @@
         pending = upstream.pending_tokens + upstream.peer_pending_tokens
         uncached = upstream.uncached_tokens(request.prompt)
         prefill_s = uncached * PREFILL_S_PER_TOKEN
-        request_s = TURN_DECODE_S + prefill_s + pending * PREFILL_S_PER_TOKEN
+        request_s = (
+            upstreams.TURN_DECODE_S + prefill_s + pending * PREFILL_S_PER_TOKEN
+        )
         request_s += (
-            running * BATCH_SLOWDOWN_S + queued * TURN_DECODE_S / entry.slots
+            running * BATCH_SLOWDOWN_S
+            + queued * upstreams.TURN_DECODE_S / entry.slots
         )
         work_s = request_s + running * (prefill_s + BATCH_SLOWDOWN_S)
     else:
         load = running / entry.slots
         work_s = CALL_S * (1 + load / 2 + queued / entry.slots * 2)
+        if upstream.is_warm_for(request.affinity_key):
+            work_s -= CALL_S * (1 - WARM_CALL_RATIO)
     remote_s = 0.0 if entry.data_centre == data_centre else REMOTE_S
     return work_s * upstream.current_slowness(now) + remote_s
 
@@ -61,10 +92,10 @@
 def choose(
     candidates: collections.abc.Sequence[upstreams.Upstream],
     request: model.Request,
-    data_centre: str,
+    place: Place,
     now: float,
+    chance: random.Random,
     excluded: collections.abc.Container[str] = (),
-    silent_data_centres: collections.abc.Container[str] = (),
 ) -> upstreams.Upstream | None:
     """Returns the best upstream, or None if all are excluded.
 
@@ -78,16 +109,54 @@
         one
         for one in remaining
         if not one.is_ejected(now)
-        and one.entry.data_centre not in silent_data_centres
+        and one.entry.data_centre not in place.silent_data_centres
     ]
     first_part = request.prompt[0].part_id if request.prompt else ''
-    name = first_part or request.request_id
+    name = request.affinity_key or first_part or request.request_id
 
     def score(one: upstreams.Upstream) -> float:
         tie = (
             routing.hash_fraction(f'{name} {one.entry.upstream_id}')
             * TIE_BREAK_S
         )
-        return delay_s(one, request, data_centre, now) + tie
+        return delay_s(one, request, place.data_centre, now) + tie
+
+    compared = draw(healthy or remaining, request, place.instances, chance)
+    return min(compared, key=score, default=None)
+
+
+def draw(
+    candidates: list[upstreams.Upstream],
+    request: model.Request,
+    instances: int,
+    chance: random.Random,
+) -> list[upstreams.Upstream]:
+    """Returns the upstreams that are compared for a request.
 
-    return min(healthy or remaining, key=score, default=None)
+    Beside those drawn at random, these are the upstream with most of the
+    request's own conversation in its cache, and those that handled its
+    object lately.
+    """
+    share = INSTANCES_PER_UPSTREAM / max(instances, 1)
+    count = max(math.ceil(len(candidates) * share), MIN_COMPARED)
+    if count >= len(candidates):
+        return candidates
+    drawn = chance.sample(candidates, count)
+    if request.affinity_key is not None:
+        drawn += [
+            one for one in candidates if one.is_warm_for(request.affinity_key)
+        ]
+    if request.prompt:
+        uncached = [one.uncached_tokens(request.prompt) for one in candidates]
+        fewest = min(uncached)
+        # Several that have the same parts are as good as each other.
+        drawn.append(
+            chance.choice(
+                [
+                    one
+                    for one, tokens in zip(candidates, uncached, strict=True)
+                    if tokens == fewest
+                ]
+            )
+        )
+    return drawn
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -17,6 +17,8 @@
 
 # Silence time-out of engines: longer than a slow one needs for a long prompt.
 ENGINE_SILENCE_S: typing.Final = 0.9
+# An engine's time for a turn of usual length, without prefill.
+TURN_DECODE_S: typing.Final = 0.33
 # Silence time-out if the upstream's data centre is unreachable.
 UNREACHABLE_SILENCE_S: typing.Final = 0.4
 FIRST_EJECTION_S: typing.Final = 0.5
@@ -28,6 +30,8 @@
 SLOWNESS_DECAY_S: typing.Final = 4.0
 # Prompt parts recorded for each upstream.
 MAX_CACHED_PARTS: typing.Final = 4_096
+# Objects recorded for each upstream; those of some minutes.
+MAX_WARM_OBJECTS: typing.Final = 1_024
 
 
 @attrs.define(kw_only=True)
@@ -42,10 +46,12 @@
     new_prefixes holds the first parts of prompts that this instance's
     requests brought into its cache and that peers are still to hear of.
     cached_parts are all prompt parts assumed to be cached, the most recent
-    last.  abortable maps connections whose requests may be aborted to when
-    these were sent.  last_received is when bytes last came from it, and
-    silence_timeout_s how long it may send nothing while such requests wait:
-    only engines send all the time.  removed_at is when the entry was removed.
+    last.  warm_objects holds the affinity keys of requests that it handled
+    for this instance, the most recent last.  abortable maps connections
+    whose requests may be aborted to when these were sent.  last_received is
+    when bytes last came from it, and silence_timeout_s how long it may send
+    nothing while such requests wait: only engines send all the time.
+    removed_at is when the entry was removed.
     """
 
     entry: model.UpstreamEntry
@@ -66,6 +72,9 @@
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
+    warm_objects: collections.OrderedDict[str, None] = attrs.field(
+        factory=collections.OrderedDict
+    )
 
     def key(self) -> tuple[str, int, str, int]:
         """Returns the identity of this incarnation."""
@@ -87,11 +96,12 @@
     ) -> list[channel.Channel]:
         """Ejects it if requests time out; returns their connections.
 
-        unreachable says that its data centre cannot be reached.
+        unreachable says that its data centre cannot be reached.  One whose
+        slots are all taken has to end other requests first.
         """
-        limit_s = (
-            UNREACHABLE_SILENCE_S if unreachable else self.silence_timeout_s
-        )
+        limit_s = self.silence_timeout_s + self.queue_s(now)
+        if unreachable:
+            limit_s = UNREACHABLE_SILENCE_S
         silent = [
             connection
             for connection, sent in self.abortable.items()
@@ -102,6 +112,12 @@
             self.note_failure(now)
         return silent
 
+    def queue_s(self, now: float) -> float:
+        """Returns how long a request waits for a slot, by its load."""
+        running = self.own_requests + self.peer_requests
+        rounds = max(running - self.entry.slots, 0) / self.entry.slots
+        return rounds * TURN_DECODE_S * self.current_slowness(now)
+
     def note_success(self) -> None:
         """Resets the failures."""
         self.failures = 0
@@ -147,6 +163,19 @@
         while len(self.cached_parts) > MAX_CACHED_PARTS:
             self.cached_parts.popitem(last=False)
 
+    def note_warm_object(self, affinity_key: str | None) -> None:
+        """Records that it handled a request about an object."""
+        if affinity_key is None:
+            return
+        self.warm_objects[affinity_key] = None
+        self.warm_objects.move_to_end(affinity_key)
+        if len(self.warm_objects) > MAX_WARM_OBJECTS:
+            self.warm_objects.popitem(last=False)
+
+    def is_warm_for(self, affinity_key: str | None) -> bool:
+        """Returns whether it handled a request about an object lately."""
+        return affinity_key is not None and affinity_key in self.warm_objects
+
     def note_peer_prefixes(
         self, part_ids: collections.abc.Iterable[str]
     ) -> None:
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+from tornado import httputil
+
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import model
@@ -12,6 +14,10 @@
 MS_PER_S: typing.Final = 1_000.0
 # For requests without a deadline; the longest that callers usually set.
 DEFAULT_DEADLINE_S: typing.Final = 30.0
+# The cookie whose value is the same for requests about the same object.
+AFFINITY_COOKIE: typing.Final = 'Affinity-Key'
+# Longer values are not used; they would cost memory for each object.
+MAX_AFFINITY_LENGTH: typing.Final = 128
 REQUEST_ID_HEADER: typing.Final = 'attempt-id'
 KEY_HEADER: typing.Final = 'credential'
 DEADLINE_HEADER: typing.Final = 'deadline-ms'
@@ -107,6 +113,7 @@
             prompt=_parse_prompt(by_name.get('prompt-prefix', '')),
             previous_turn=by_name.get('previous-turn') or None,
             last_event_id=by_name.get(LAST_EVENT_HEADER),
+            affinity_key=_affinity_key(headers),
         )
 
     def upstream_headers(
@@ -206,6 +213,17 @@
     return frozenset(one.strip() for one in options) - _NEVER_DROPPED
 
 
+def _affinity_key(headers: Headers) -> str | None:
+    """Returns the affinity cookie's value, read as browsers' servers do."""
+    lines = [value for name, value in headers if name.lower() == 'cookie']
+    if not lines:
+        return None
+    value = httputil.parse_cookie('; '.join(lines)).get(AFFINITY_COOKIE, '')
+    if not 0 < len(value) <= MAX_AFFINITY_LENGTH:
+        return None
+    return value
+
+
 def _parse_prompt(text: str) -> tuple[model.PromptPart, ...]:
     parts = []
     for entry in text.split(','):
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -42,6 +42,7 @@
     RetainS: float = 60.0
     Public: bool = False
     Resumable: bool = False
+    Sticky: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -137,6 +138,7 @@
         resumable=route.Resumable,
         retains=route.Retain,
         retention_s=route.RetainS,
+        sticky=route.Sticky,
     )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -246,3 +246,32 @@
     with pytest.raises(errors.ResultError) as raised:
         settings.decode(text.encode())
     assert raised.value.code is codes.SETTINGS_INVALID
+
+
+@pytest.mark.parametrize(
+    ('cookies', 'expected'),
+    [
+        ([], None),
+        (['Affinity-Key=17'], '17'),
+        (['a=b; Affinity-Key=17; c=d'], '17'),
+        (['a=b;Affinity-Key = 17 ;c'], '17'),
+        (['Affinity-Key="17"'], '17'),
+        (['a=b', 'Affinity-Key=17'], '17'),
+        (['Affinity-Key='], None),
+        (['Affinity-Key'], None),
+        (['Affinity-Key=' + 'x' * 129], None),
+        (['=;;=a;"; Affinity-Key=17'], '17'),
+        (['affinity-key=17'], None),
+    ],
+)
+def test_affinity_cookie_is_read_and_forwarded(
+    cookies: list[str], expected: str | None
+) -> None:
+    headers = [('Attempt-Id', 'q1')]
+    headers += [('Cookie', value) for value in cookies]
+    request = codec.PlatformCodec().decode_request('GET', '/', headers, b'', 0)
+    assert request.affinity_key == expected
+    sent = codec.PlatformCodec().upstream_headers(
+        request, gateway_support.entry(), None, 1.0, None
+    )
+    assert [value for name, value in sent if name == 'Cookie'] == cookies
