--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -13,6 +13,8 @@
 # Callers retry after this when only this instance cannot serve; another one
 # may serve them at once.
 RETRY_ELSEWHERE_S: typing.Final = 0.05
+# A stopping instance refuses what it might not complete in time.
+MIN_SERVICE_S: typing.Final = 1.2
 # Outages of the store last some seconds, and callers retry only a few times.
 OUTAGE_RETRY_S: typing.Final = 1.0
 # A long outage is likely to continue: the next try comes after this fraction
@@ -68,6 +70,12 @@
         raise errors.ResultError(
             codes.NOT_READY, retry_after_s=RETRY_ELSEWHERE_S
         )
+    if now > board.stop_deadline - MIN_SERVICE_S:
+        raise errors.ResultError(
+            codes.NOT_READY,
+            'the instance stops',
+            retry_after_s=RETRY_ELSEWHERE_S,
+        )
     peers_have_store = board.reachability.others_have_store(now)
     if not board.freshness.may_serve(
         boot_now, board.settings.key_grace_s, peers_have_store
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -22,6 +22,7 @@
 
     started_programs holds the ids of programs that had a request admitted
     here, the latest last.  stopping is set by the signal to stop.
+    stop_deadline is when a stopping instance ends its open requests.
     silent_data_centres names the data centres that cannot be reached.
     instances is the number of instances that are heard, with this one.
     """
@@ -41,6 +42,7 @@
         factory=collections.OrderedDict
     )
     stopping: bool = False
+    stop_deadline: float = float('inf')
     silent_data_centres: frozenset[str] = frozenset()
     open_requests: int = 0
     instances: int = 1
--- a/oleanderdrift/gateway/budget_log.py
+++ b/oleanderdrift/gateway/budget_log.py
@@ -183,17 +183,26 @@
         """
         for grant in self.grants.close_idle(now):
             self.settle_grant(grant, now)
+        due = []
         for partition in self.partitions:
             partition.ledger.forget(now)
-            if now - partition.pending_since < SETTLE_DELAY_S:
-                continue
-            try:
-                await self.append(partition, [], now)
-            except errors.ResultError as error:
-                logs.warning(
-                    'settlements-not-appended',
-                    partition=partition.number,
-                    count=len(partition.pending),
-                    reason=error.detail,
-                )
-                return
+            if now - partition.pending_since >= SETTLE_DELAY_S:
+                due.append(partition)
+        # Together, as a slow store would answer too late one by one.
+        await asyncio.gather(
+            *(self.append_settlements(partition, now) for partition in due)
+        )
+
+    async def append_settlements(
+        self, partition: Partition, now: float
+    ) -> None:
+        """Appends a partition's queued settlements, or logs why not."""
+        try:
+            await self.append(partition, [], now)
+        except errors.ResultError as error:
+            logs.warning(
+                'settlements-not-appended',
+                partition=partition.number,
+                count=len(partition.pending),
+                reason=error.detail,
+            )
--- /dev/null
+++ b/oleanderdrift/gateway/drain.py
@@ -0,0 +1,79 @@
+"""Stops an instance without cutting off a request.
+
+The instance first reports that it is not ready, so that the load balancer
+sends no new connections.  Callers on open connections are told to reconnect
+with each response.  Connections that were already on their way when the
+listener closes are accepted and served.
+"""
+
+import asyncio
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import budget_log
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import ingress as ingress_lib
+from oleanderdrift import logs
+
+# The load balancer probes readiness once a second and notices a change
+# within two probes.
+LOAD_BALANCER_GRACE_S: typing.Final = 3.0
+# During a drain, client connections idle for this long are closed.
+IDLE_TIMEOUT_S: typing.Final = 1.0
+# The part of the time to stop that is reserved for the last writes and the
+# end of the process.
+STOP_MARGIN_S: typing.Final = 0.8
+# The last writes, to a store that may be slow or silent.
+FLUSH_TIMEOUT_S: typing.Final = 0.6
+POLL_INTERVAL_S: typing.Final = 0.05
+# Accepting a connection that is on its way takes one turn of the loop.
+ACCEPT_TURNS: typing.Final = 3
+
+
+@attrs.define(kw_only=True)
+class Drain:
+    """Stops the parts of an instance that serve requests."""
+
+    board: board_lib.Board
+    ingress: ingress_lib.Ingress
+    budgets: budget_log.BudgetLog
+
+    async def run(self) -> None:
+        """Completes the open requests within the time to stop."""
+        started = clock.monotonic()
+        deadline = started + self.board.settings.stop_s - STOP_MARGIN_S
+        self.board.stopping = True
+        self.board.stop_deadline = deadline
+        logs.info('draining', open=self.board.open_requests)
+        await asyncio.sleep(LOAD_BALANCER_GRACE_S)
+        await close_listener(self.ingress)
+        while clock.monotonic() < deadline and self.ingress.readers:
+            self.ingress.close_idle(clock.monotonic(), IDLE_TIMEOUT_S)
+            await asyncio.sleep(POLL_INTERVAL_S)
+        if self.board.open_requests:
+            logs.warning('requests-cut', open=self.board.open_requests)
+        await self.flush()
+
+    async def flush(self) -> None:
+        """Returns unused token reservations to the store."""
+        try:
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                await self.budgets.flush(float('inf'))
+        except TimeoutError:
+            logs.warning('settlements-not-appended', reason='timeout at stop')
+
+
+async def close_listener(ingress: ingress_lib.Ingress) -> None:
+    """Stops listening; accepts the connections of the backlog first.
+
+    Closing a listening socket resets those, with the requests that their
+    clients have sent.  With the smallest backlog the kernel completes no
+    further ones meanwhile.
+    """
+    for listener in ingress.listeners:
+        listener.listen(0)
+    for _ in range(ACCEPT_TURNS):
+        await asyncio.sleep(0)
+    ingress.server.stop()
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -1,11 +1,13 @@
 """Tornado HTTP server: reads client requests and writes responses."""
 
 import asyncio
+import socket
 import typing
 
 from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
+from tornado import netutil
 
 from oleanderdrift import codes
 from oleanderdrift import errors
@@ -21,7 +23,8 @@
 class Ingress(httputil.HTTPServerConnectionDelegate):
     """Creates a request reader for each request on a connection.
 
-    readers holds the current request reader of each open connection.
+    readers holds the current request reader of each open connection, and
+    listeners the listening sockets.
     """
 
     def __init__(
@@ -33,8 +36,14 @@
         self.codec = codec
         self.tasks: set[asyncio.Task[None]] = set()
         self.readers: dict[object, _RequestReader] = {}
+        self.listeners: list[socket.socket] = []
         self.server = make_server(self, model.Limits())
 
+    def listen(self, host: str, port: int) -> None:
+        """Starts listening; raises OSError."""
+        self.listeners = netutil.bind_sockets(port, host)
+        self.server.add_sockets(self.listeners)
+
     def start_request(
         self,
         server_conn: object,
@@ -224,8 +233,18 @@
         # Without a Connection: close header the client may already have
         # sent its next request, so the connection stays open.
         if self.close_announced:
+            await self.flush()
             self.abort()
 
+    async def flush(self) -> None:
+        """Waits until all that was written is handed to the kernel.
+
+        Closing the connection drops what is not.
+        """
+        stream = getattr(self.conn, 'stream', None)
+        if stream is not None:
+            await self.wait_until_sent(stream.write(b''))
+
     def abort(self) -> None:
         """Closes the connection at once."""
         stream = getattr(self.conn, 'stream', None)
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -14,6 +14,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import directory
+from oleanderdrift.gateway import drain
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import follow
 from oleanderdrift.gateway import forwarder
@@ -30,14 +31,6 @@
 HOUSEKEEPING_INTERVAL_S: typing.Final = 0.3
 # Removed upstreams are kept this long for responses still under way.
 REMOVED_UPSTREAM_RETENTION_S: typing.Final = 5.0
-# The load balancer probes readiness once a second and notices a change
-# within two probes.
-LOAD_BALANCER_GRACE_S: typing.Final = 3.0
-# During a drain, client connections idle for this long are closed.
-DRAIN_IDLE_TIMEOUT_S: typing.Final = 1.0
-# The part of stop_s that is reserved for the last writes to the store.
-STOP_MARGIN_S: typing.Final = 0.8
-DRAIN_POLL_INTERVAL_S: typing.Final = 0.05
 METRICS_PATH: typing.Final = '/metrics'
 RESTART_DELAY_S: typing.Final = 0.5
 SETTINGS_POLL_INTERVAL_S: typing.Final = 1.0
@@ -69,8 +62,7 @@
     def listen(self) -> None:
         """Opens all sockets; raises OSError."""
         settings = self.board.settings
-        host, port = split_address(settings.listen)
-        self.ingress.server.listen(port, host)
+        self.ingress.listen(*split_address(settings.listen))
         host, port = split_address(settings.ready_listen)
         application = web.Application(
             [(self.ready_path, _ReadyHandler, {'board': self.board})],
@@ -210,24 +202,12 @@
             logs.info('reload', instance=settings.instance)
 
     async def drain(self) -> None:
-        """Stops serving: completes open requests and ends the tasks.
-
-        The instance first reports not ready, so that the load balancer
-        stops sending connections.  Unused token reservations are returned
-        to the store.
-        """
-        started = clock.monotonic()
-        self.board.stopping = True
-        logs.info('draining', open=self.board.open_requests)
-        deadline = started + self.board.settings.stop_s - STOP_MARGIN_S
-        await asyncio.sleep(LOAD_BALANCER_GRACE_S)
-        # The load balancer sends no new connections by now.  Clients on open
-        # connections get Connection: close with their next response.
-        self.ingress.server.stop()
-        while clock.monotonic() < deadline and self.ingress.readers:
-            self.ingress.close_idle(clock.monotonic(), DRAIN_IDLE_TIMEOUT_S)
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-        await self.forwarder.turns.budgets.flush(float('inf'))
+        """Completes the open requests and ends the background tasks."""
+        await drain.Drain(
+            board=self.board,
+            ingress=self.ingress,
+            budgets=self.forwarder.turns.budgets,
+        ).run()
         for task in self.tasks:
             task.cancel()
         self.gossip.close()
--- /dev/null
+++ b/tests/test_gateway_drain.py
@@ -0,0 +1,188 @@
+"""Planned stops under load: no request that was sent is cut off."""
+
+import asyncio
+import socket
+import typing
+
+import pytest
+from tornado import httputil
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import budget_log
+from oleanderdrift.gateway import drain
+from oleanderdrift.gateway import ingress
+from standins import platform_store
+from standins import replica
+from tests import gateway_support
+from tests import test_gateway_whole as whole
+
+TURN: typing.Final = (
+    b'POST /a/b HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: %s\r\n'
+    b'Credential: k1\r\nProgram-Id: p%s\r\nToken-Budget: 9000\r\n'
+    b'Token-Count: 10,588\r\nDeadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n'
+)
+CLIENTS: typing.Final = 40
+
+
+def send_blocking(port: int, name: bytes) -> socket.socket:
+    """Connects and sends a turn without running the event loop."""
+    sock = socket.create_connection(('127.0.0.1', port))
+    sock.sendall(TURN % (name, name))
+    sock.setblocking(False)
+    return sock
+
+
+async def read_all(sock: socket.socket) -> bytes:
+    """Returns all that arrives until the connection closes."""
+    loop = asyncio.get_running_loop()
+    received = b''
+    async with asyncio.timeout(whole.WAIT_S):
+        while data := await loop.sock_recv(sock, 65_536):
+            received += data
+    sock.close()
+    return received
+
+
+@pytest.mark.parametrize('stop', range(10))
+def test_connections_in_the_backlog_are_served(stop: int) -> None:
+    """Clients connect in the turn of the loop that closes the listener."""
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            env.gateway.board.stopping = True
+            clients = [
+                send_blocking(env.port, b'q%d' % number)
+                for number in range(CLIENTS + stop)
+            ]
+            await drain.close_listener(env.gateway.ingress)
+            for found in await asyncio.gather(*map(read_all, clients)):
+                assert found.startswith(b'HTTP/1.1 200')
+                assert found.endswith(b'0\r\n\r\n')
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(('127.0.0.1', env.port))
+
+    asyncio.run(play())
+
+
+def test_stop_ends_in_time_whatever_the_store_does(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        monkeypatch.setattr(drain, 'LOAD_BALANCER_GRACE_S', 0.0)
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            budgets = env.gateway.forwarder.turns.budgets
+            loop = asyncio.get_running_loop()
+            for number in range(200):
+                budgets.queue_settlement(f'p{number}', f't{number}', 1, 0.0)
+            env.store.fault = platform_store.Fault.SILENT
+            started = loop.time()
+            await env.gateway.drain()
+            assert loop.time() - started < drain.FLUSH_TIMEOUT_S + 0.3
+
+    asyncio.run(play())
+
+
+def test_settlements_of_all_partitions_are_written_together() -> None:
+    """One slow partition does not hold up the others at the end."""
+
+    async def play() -> None:
+        log = gateway_support.MemoryLog(partitions=8)
+        budgets = budget_log.BudgetLog(log)
+        for number in range(64):
+            budgets.queue_settlement(f'p{number}', f't{number}', 1, 0.0)
+        log.hanging_appends = 1
+        flushing = asyncio.create_task(budgets.flush(float('inf')))
+        await asyncio.sleep(0.01)
+        assert log.appends == 8
+        flushing.cancel()
+
+    asyncio.run(play())
+
+
+class FakeStream:
+    """A stream whose peer does not read for a while."""
+
+    def __init__(self) -> None:
+        self.unsent: asyncio.Future[None] = asyncio.Future()
+        self.closed = False
+
+    def write(self, data: bytes) -> 'asyncio.Future[None]':
+        """Returns when all bytes are with the kernel."""
+        return self.unsent
+
+    def close(self) -> None:
+        """Drops what is unsent."""
+        self.closed = True
+
+
+class FakeConnection:
+    """The connection of a stream."""
+
+    def __init__(self) -> None:
+        self.stream = FakeStream()
+
+    def finish(self) -> None:
+        """Writes the end of the response."""
+
+
+def test_response_is_sent_whole_before_its_connection_closes() -> None:
+    async def play() -> None:
+        conn = FakeConnection()
+        reply = ingress.ConnectionReply(
+            typing.cast(httputil.HTTPConnection, conn),
+            typing.cast(ingress.Ingress, None),
+        )
+        reply.close_announced = True
+        finishing = asyncio.create_task(reply.finish())
+        await asyncio.sleep(0)
+        assert not conn.stream.closed
+        conn.stream.unsent.set_result(None)
+        await finishing
+        assert conn.stream.closed
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ('now', 'refused'), [(10.0, False), (12.0, False), (14.5, True)]
+)
+def test_request_that_would_be_cut_is_refused(
+    now: float, refused: bool
+) -> None:
+    board = gateway_support.board()
+    board.freshness.confirm(now, now)
+    board.config = gateway_support.config()
+    board.stopping = True
+    board.stop_deadline = 15.0
+    request = gateway_support.request()
+    if not refused:
+        admission.admit(board, request, now, now)
+        return
+    with pytest.raises(errors.ResultError) as caught:
+        admission.admit(board, request, now, now)
+    assert caught.value.code is codes.NOT_READY
+    assert caught.value.code.execution is codes.Execution.NOT_RUN
+    assert caught.value.retry_after_s == admission.RETRY_ELSEWHERE_S
+
+
+def test_second_signal_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        monkeypatch.setattr(drain, 'LOAD_BALANCER_GRACE_S', 0.2)
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [replica.Stream(pause_s=0.1)]
+            await whole.make_ready(env)
+            turn = asyncio.create_task(env.send_turn('t1'))
+            await env.wait_until(lambda: bool(env.replica.received))
+            stops = [
+                asyncio.create_task(env.gateway.drain()) for _ in range(2)
+            ]
+            assert (await turn).endswith(b'0\r\n\r\n')
+            await asyncio.gather(*stops)
+
+    asyncio.run(play())
