--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -26,13 +26,18 @@
 
 @attrs.frozen(kw_only=True)
 class Admitted:
-    """An admitted request with its route, service and account."""
+    """An admitted request with its route, service and account.
+
+    suspended_s was the total time that the machine had been suspended when
+    the request was admitted.
+    """
 
     request: model.Request
     route: model.Route
     service: model.Service
     account: model.ClientAccount | None
     config_version: int
+    suspended_s: float
 
     def is_turn(self) -> bool:
         """Returns whether it has a token budget or a retained conversation."""
@@ -97,6 +102,7 @@
             codes.NO_UPSTREAM, f'no service {name} is configured'
         )
     if account is not None:
+        board.check_pause(now, boot_now)
         program_started = _has_started(board, request)
         refusal = board.rate_limiter.admit(account, now, program_started)
         if refusal is not None:
@@ -113,9 +119,50 @@
         service=service,
         account=account,
         config_version=config.version,
+        suspended_s=boot_now - now,
     )
 
 
+def remaining_s(
+    board: board_lib.Board,
+    admitted: Admitted,
+    deadline: float,
+    now: float,
+    boot_now: float,
+) -> float:
+    """Returns the time left for a request that is about to be sent.
+
+    The process may have been paused since the request was admitted, so all
+    that allowed it is checked again.  The monotonic clock, which deadline is
+    on, stands still while the machine is suspended.  Raises ResultError if
+    the request may not be sent any more.
+    """
+    peers_have_store = board.reachability.others_have_store(now)
+    if not board.freshness.may_serve(
+        boot_now, board.settings.key_grace_s, peers_have_store
+    ):
+        raise errors.ResultError(
+            codes.KEYS_UNVERIFIABLE,
+            'the store was lost while the request was prepared',
+            retry_after_s=RETRY_ELSEWHERE_S,
+        )
+    config, account = board.config, admitted.account
+    if account is not None and config is not None:
+        accounts = config.accounts_by_key or {}
+        holder = accounts.get(admitted.request.key or '')
+        if holder is None or holder.name != account.name:
+            raise errors.ResultError(
+                codes.UNKNOWN_KEY,
+                'the key was withdrawn while the request was prepared',
+            )
+    left_s = deadline - now - (boot_now - now - admitted.suspended_s)
+    if left_s <= 0:
+        raise errors.ResultError(
+            codes.OVERLOADED, 'the deadline passed before the request was sent'
+        )
+    return left_s
+
+
 def store_retry_s(
     peers_have_store: bool, age_s: float, request_id: str
 ) -> float:
--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -154,6 +154,18 @@
         """Sets the accounts and their limits."""
         self.accounts = {one.name: one for one in accounts}
 
+    def restart(self, now: float) -> None:
+        """Starts again with empty buckets.
+
+        After a pause, this instance does not know what its peers have spent
+        meanwhile, and they counted on it to spend nothing.
+        """
+        self.peers.clear()
+        for bucket in self.buckets.values():
+            bucket.tokens = min(bucket.tokens, 0.0)
+            bucket.updated = now
+        self.started = now
+
     def next_is_full(self) -> bool:
         """Returns whether the next update names all accounts."""
         return self.updates_sent % FULL_UPDATE_EVERY == 0
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -129,13 +129,24 @@
         outcome = await exchange.send_request(
             self.pool,
             self.codec,
+            self.board,
             upstream,
-            progress.admitted,
-            progress.body,
-            progress.deadline,
-            progress.last_event_id,
+            exchange.Outgoing(
+                admitted=progress.admitted,
+                body=progress.body,
+                deadline=progress.deadline,
+                last_event_id=progress.last_event_id,
+            ),
         )
         match outcome:
+            case exchange.NotSent():
+                progress.sent = was_sent
+                self.note_failed_try(progress, upstream, outcome.error.detail)
+                if was_sent:
+                    raise errors.ResultError(
+                        codes.UPSTREAM_FAILED, outcome.error.detail
+                    )
+                raise outcome.error
             case exchange.NotConnected():
                 progress.sent = was_sent
                 # If it ran the request earlier, it is gone now.
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -14,6 +14,8 @@
 
 # Enough for the programs that start within some minutes.
 MAX_STARTED_PROGRAMS: typing.Final = 20_000
+# After a longer pause, what is known of the peers' spending is too old.
+MAX_PAUSE_S: typing.Final = 1.0
 
 
 @attrs.define(kw_only=True)
@@ -25,6 +27,8 @@
     stop_deadline is when a stopping instance ends its open requests.
     silent_data_centres names the data centres that cannot be reached.
     instances is the number of instances that are heard, with this one.
+    exchanged_at is when states were last exchanged with peers, on the clock
+    that also advances while the machine is suspended.
     """
 
     settings: settings_lib.GatewaySettings
@@ -46,6 +50,7 @@
     silent_data_centres: frozenset[str] = frozenset()
     open_requests: int = 0
     instances: int = 1
+    exchanged_at: float = float('inf')
 
     def note_started_program(self, program: str) -> None:
         """Records that a program has had a request admitted here."""
@@ -54,6 +59,12 @@
         if len(self.started_programs) > MAX_STARTED_PROGRAMS:
             self.started_programs.popitem(last=False)
 
+    def check_pause(self, now: float, boot_now: float) -> None:
+        """Empties the token buckets if this process has been paused."""
+        if boot_now - self.exchanged_at > MAX_PAUSE_S:
+            self.rate_limiter.restart(now)
+            self.exchanged_at = boot_now
+
     def is_ready(self, now: float, boot_now: float) -> bool:
         """Returns whether the load balancer should send new connections."""
         return (
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -4,7 +4,9 @@
 
 import attrs
 
+from oleanderdrift import errors
 from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import ports
@@ -25,6 +27,13 @@
     reason: str
 
 
+@attrs.frozen(kw_only=True)
+class NotSent:
+    """The request may not be sent any more, for the reason of the error."""
+
+    error: errors.ResultError
+
+
 @attrs.frozen(kw_only=True)
 class NotRun:
     """The upstream reported that it did not execute the request."""
@@ -48,18 +57,26 @@
 
 
 Outcome: typing.TypeAlias = (
-    NotConnected | NotRun | MayHaveRun | ResponseStarted
+    NotConnected | NotSent | NotRun | MayHaveRun | ResponseStarted
 )
 
 
+@attrs.frozen(kw_only=True)
+class Outgoing:
+    """What is sent to an upstream; deadline is that of the caller."""
+
+    admitted: admission.Admitted
+    body: bytes
+    deadline: float
+    last_event_id: str | None
+
+
 async def send_request(
     pool: channel.Pool,
     codec: ports.Codec,
+    board: board_lib.Board,
     upstream: upstreams.Upstream,
-    admitted: admission.Admitted,
-    body: bytes,
-    deadline: float,
-    last_event_id: str | None,
+    outgoing: Outgoing,
 ) -> Outcome:
     """Sends a request and reads the response headers.
 
@@ -68,6 +85,7 @@
     also on cancellation.
     """
     entry = upstream.entry
+    admitted = outgoing.admitted
     request = admitted.request
     try:
         connection = await pool.acquire(
@@ -81,11 +99,22 @@
         return NotConnected(reason=repr(error))
     handed_over = False
     try:
-        left_s = deadline - clock.monotonic()
+        try:
+            left_s = admission.remaining_s(
+                board,
+                admitted,
+                outgoing.deadline,
+                clock.monotonic(),
+                clock.boot(),
+            )
+        except errors.ResultError as error:
+            return NotSent(error=error)
         headers = codec.upstream_headers(
-            request, entry, admitted.account, left_s, last_event_id
+            request, entry, admitted.account, left_s, outgoing.last_event_id
+        )
+        await connection.send(
+            request.method, request.target, headers, outgoing.body
         )
-        await connection.send(request.method, request.target, headers, body)
         if admitted.may_abort():
             upstream.abortable[connection] = clock.monotonic()
         head = await _read_own_head(connection, codec, request.request_id)
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -99,7 +99,10 @@
     async def exchange_periodically(self) -> None:
         """Receives, publishes and forwards states until cancelled."""
         while True:
-            self.exchange(clock.monotonic())
+            now, boot_now = clock.monotonic(), clock.boot()
+            self.board.check_pause(now, boot_now)
+            self.exchange(now)
+            self.board.exchanged_at = boot_now
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
 
     def exchange(self, now: float) -> None:
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -239,5 +239,6 @@
         service=config().services['guide'],
         account=account(),
         config_version=1,
+        suspended_s=0.0,
     )
     return attrs.evolve(default, **changes)
