--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -65,6 +65,18 @@
             self.rate_limiter.restart(now)
             self.exchanged_at = boot_now
 
+    def unreachable_data_centres(self, now: float) -> frozenset[str]:
+        """Returns the data centres that are silent in every way.
+
+        Where only the instances are silent or slow to report, the upstreams
+        go on, and so does their work.
+        """
+        silent = self.reachability.silent_data_centres(now)
+        if not silent:
+            return silent
+        since = now - reachability_lib.SILENT_S
+        return silent - self.upstreams.data_centres_heard(since)
+
     def is_ready(self, now: float, boot_now: float) -> bool:
         """Returns whether the load balancer should send new connections."""
         return (
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -157,7 +157,7 @@
         while True:
             await asyncio.sleep(UPSTREAM_CHECK_INTERVAL_S)
             now = clock.monotonic()
-            silent = self.board.reachability.silent_data_centres(now)
+            silent = self.board.unreachable_data_centres(now)
             if silent != self.board.silent_data_centres:
                 logs.info('data-centres-silent', names=','.join(silent))
                 self.board.silent_data_centres = silent
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -241,6 +241,14 @@
             del self.by_id[one.entry.upstream_id]
         return gone
 
+    def data_centres_heard(self, since: float) -> frozenset[str]:
+        """Returns the data centres whose upstreams sent bytes since then."""
+        return frozenset(
+            one.entry.data_centre
+            for one in self.by_id.values()
+            if one.last_received >= since
+        )
+
     def of_service(self, service: str, include_lapsed: bool) -> list[Upstream]:
         """Returns the upstreams of a service that may get new requests.
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -192,6 +192,22 @@
     assert board.is_ready(10.0, 10.0) is not isolated
 
 
+@pytest.mark.parametrize(
+    ('last_received', 'unreachable'), [(9.0, {'south'}), (9.7, set())]
+)
+def test_data_centre_whose_upstreams_answer_is_reachable(
+    last_received: float, unreachable: set[str]
+) -> None:
+    """Its instances are slow to report; streams from there must go on."""
+    board = gateway_support.board()
+    board.upstreams.put(gateway_support.entry('u1', data_centre='south'))
+    board.upstreams.by_id['u1'].last_received = last_received
+    for name, at in (('north', 9.9), ('south', 9.4), ('east', 9.9)):
+        board.reachability.note_report(name, report_of(name, at))
+    assert board.reachability.silent_data_centres(10.0) == {'south'}
+    assert board.unreachable_data_centres(10.0) == unreachable
+
+
 @pytest.mark.parametrize(
     ('change', 'expected'),
     [
