--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -77,8 +77,7 @@
         )
     if now > board.stop_deadline - MIN_SERVICE_S:
         raise errors.ResultError(
-            codes.NOT_READY,
-            'the instance stops',
+            codes.SHUTTING_DOWN,
             retry_after_s=RETRY_ELSEWHERE_S,
         )
     peers_have_store = board.reachability.others_have_store(now)
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -106,7 +106,7 @@
                 request, 'the store did not answer in time'
             ) from error
         except errors.ResultError as error:
-            if error.code is codes.UNKNOWN_TURN:
+            if error.code in (codes.UNKNOWN_TURN, codes.BAD_REQUEST):
                 raise
             raise self.store_unavailable_error(
                 request, error.detail
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -147,12 +147,18 @@
     async def chain(self, last: str, account: str) -> list[turns.Turn]:
         """Returns a turn and all turns before it, oldest first.
 
-        Raises ResultError UNKNOWN_TURN if the account has no such turn, and
-        the store's ResultError if that cannot be determined.
+        Raises ResultError UNKNOWN_TURN if the account has no such turn,
+        BAD_REQUEST if the conversation is too long, and the store's
+        ResultError if that cannot be determined.
         """
         found: list[turns.Turn] = []
         name: str | None = last
-        while name is not None and len(found) < MAX_CHAIN:
+        while name is not None:
+            if len(found) >= MAX_CHAIN:
+                raise errors.ResultError(
+                    codes.BAD_REQUEST,
+                    f'the conversation has more than {MAX_CHAIN} turns',
+                )
             turn = self.cache.get(name) or await self.fetch(name)
             if turn.account != account:
                 raise errors.ResultError(codes.UNKNOWN_TURN)
--- a/tests/test_gateway_kept_turns.py
+++ b/tests/test_gateway_kept_turns.py
@@ -7,8 +7,11 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import records
+from oleanderdrift.gateway import turn_log
+from oleanderdrift.gateway import turns
 from standins import replica
 from tests import gateway_desk
 
@@ -48,6 +51,60 @@
     asyncio.run(scenario())
 
 
+def test_conversation_that_is_too_long_is_refused_and_not_cut(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(turn_log, 'MAX_CHAIN', 2)
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route=RETAINED
+        ) as harness:
+            previous = None
+            for name, status in (
+                ('t1', 200),
+                ('t2', 200),
+                ('t3', 200),
+                ('t4', 400),
+            ):
+                reply = await harness.send_request(
+                    request_id=name, body=b'x', previous_turn=previous
+                )
+                assert reply.status == status
+                previous = name
+            assert len(harness.replicas[0].received) == 3
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('step_s', [-30, 30])
+def test_stepped_time_of_day_forgets_no_turn(
+    monkeypatch: pytest.MonkeyPatch, step_s: int
+) -> None:
+    """Turns are stored with the time of day, for their retention."""
+
+    async def scenario() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route=RETAINED
+        ) as harness:
+            await harness.send_request(request_id='t1', body=b'one')
+            real_ms = clock.unix_ms()
+            monkeypatch.setattr(
+                clock, 'unix_ms', lambda: real_ms + step_s * 1_000
+            )
+            kept = harness.forwarder.turns.turns
+            retention_ms = (
+                int(harness.forwarder.board.settings.turn_retention_s) * 1_000
+            )
+            kept.forget(clock.unix_ms() - retention_ms)
+            kept.cache = turns.TurnCache()
+            reply = await harness.send_request(
+                request_id='t2', body=b'two', previous_turn='t1'
+            )
+            assert reply.status == 200
+
+    asyncio.run(scenario())
+
+
 def test_refused_turn_leaves_no_tokens_reserved() -> None:
     async def scenario() -> None:
         async with gateway_desk.run_harness(
