--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -15,9 +15,12 @@
 # connection that has gone silent.
 CONFIG_POLL_TIMEOUT_S: typing.Final = 0.5
 UPSTREAMS_POLL_TIMEOUT_S: typing.Final = 0.5
-# Upstreams renew their entries continually; reading them in batches saves
-# calls to the store.
-UPSTREAMS_POLL_INTERVAL_S: typing.Final = 0.2
+# Upstreams renew their entries continually, so each read returns at once;
+# reading them in batches saves calls to the store.
+MIN_UPSTREAMS_INTERVAL_S: typing.Final = 0.2
+MAX_UPSTREAMS_INTERVAL_S: typing.Final = 1.0
+# Reads in the time within which no more work may go to a leaving upstream.
+READS_PER_DRAIN: typing.Final = 4
 RETRY_DELAY_S: typing.Final = 0.1
 
 
@@ -147,7 +150,21 @@
             for record in found.records:
                 self.apply_entry(record)
             self.board.upstreams_known = bool(self.board.upstreams.by_id)
-            await asyncio.sleep(UPSTREAMS_POLL_INTERVAL_S)
+            await asyncio.sleep(self.upstreams_interval_s(clock.boot()))
+
+    def upstreams_interval_s(self, boot_now: float) -> float:
+        """Returns the time until the next read of the upstreams' entries.
+
+        It is short while entries that are needed at once may be written.
+        """
+        if not self.board.upstreams_known:
+            return MIN_UPSTREAMS_INTERVAL_S
+        if self.board.freshness.in_lapse_grace(boot_now):
+            return MIN_UPSTREAMS_INTERVAL_S
+        interval_s = self.board.settings.upstream_drain_s / READS_PER_DRAIN
+        return min(
+            max(interval_s, MIN_UPSTREAMS_INTERVAL_S), MAX_UPSTREAMS_INTERVAL_S
+        )
 
     def remove_unlisted(self, found: ports.KeyedRecords) -> None:
         """Removes the upstreams that are missing from a full read."""
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -7,7 +7,8 @@
 class GatewaySettings:
     """Addresses are HOST:PORT strings; times are in seconds.
 
-    cores is the share of processors that the instance may use.
+    upstream_drain_s is the time after which a leaving upstream may get no
+    more requests.  cores is the share of processors that the instance may use.
     key_grace_s is how long after the last response from the store API
     keys are still accepted.  stop_s is the time between SIGTERM and
     SIGKILL.
@@ -24,5 +25,6 @@
     store_record_bytes: int
     key_grace_s: float
     stop_s: float
+    upstream_drain_s: float
     cores: float
     turn_retention_s: float
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -32,6 +32,7 @@
 class _Bounds(msgspec.Struct):
     RevokeMs: float = 5_000
     GraceS: float = 8
+    DrainMs: float = 2_000
 
 
 class _Limits(msgspec.Struct):
@@ -101,6 +102,7 @@
         store_record_bytes=file_settings.Platform.RecordBytes,
         key_grace_s=bounds.RevokeMs / MS_PER_S - _KEY_MARGIN_S,
         stop_s=bounds.GraceS,
+        upstream_drain_s=bounds.DrainMs / MS_PER_S,
         cores=limits.CpuShare * limits.Cores,
         turn_retention_s=file_settings.Platform.RetainS,
     )
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -30,6 +30,7 @@
     store_record_bytes=4_096,
     key_grace_s=4.5,
     stop_s=8.0,
+    upstream_drain_s=2.0,
     cores=1.0,
     turn_retention_s=300.0,
 )
--- a/tests/test_gateway_whole.py
+++ b/tests/test_gateway_whole.py
@@ -11,6 +11,7 @@
 import pytest
 
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import follow
 from oleanderdrift.gateway import server
 from oleanderdrift.platform import codec
@@ -240,6 +241,35 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(
+    ('known', 'recovered_at', 'drain_s', 'interval_s'),
+    [
+        (True, 0.0, 2.0, 0.5),
+        (True, 0.0, 4.0, 1.0),
+        (True, 0.0, 20.0, 1.0),
+        (True, 0.0, 0.4, 0.2),
+        # Nothing can be served yet.
+        (False, 0.0, 4.0, 0.2),
+        # Entries that expired in an outage are being written again.
+        (True, 99.0, 4.0, 0.2),
+    ],
+)
+def test_entries_are_read_several_times_while_an_upstream_drains(
+    known: bool, recovered_at: float, drain_s: float, interval_s: float
+) -> None:
+    board = gateway_support.board()
+    board.upstreams_known = known
+    board.freshness.recovered_at = recovered_at
+    board.settings = attrs.evolve(board.settings, upstream_drain_s=drain_s)
+    watcher = follow.StoreWatcher(
+        board,
+        codec.PlatformCodec(),
+        gateway_support.MemoryLog(),
+        event_log.EventLog(),
+    )
+    assert watcher.upstreams_interval_s(100.0) == interval_s
+
+
 def test_store_age_stays_low_without_changes() -> None:
     # Without changes, a long poll is answered only after half a second.
     async def play() -> None:
