--- a/oleanderdrift/share_loans.py
+++ b/oleanderdrift/share_loans.py
@@ -14,15 +14,14 @@
 from oleanderdrift import messages
 from oleanderdrift import model
 from oleanderdrift import outbound
-from oleanderdrift import share_ledger
 from oleanderdrift import share_lenders
 from oleanderdrift import share_lending
 from oleanderdrift import share_parts
+from oleanderdrift import share_queues
 from oleanderdrift import share_state
 from oleanderdrift import share_types
 from oleanderdrift import share_verdicts
 
-MAX_WAIT_S: typing.Final = 0.25
 LOAN_REQUEST_TIMEOUT_S: typing.Final = 0.05
 # A lender that did not answer in time is not asked again for this long.
 AVOID_LENDER_S: typing.Final = 5.0
@@ -31,12 +30,10 @@
 # LOW_WATER_S of it, and as many as cover BORROW_AHEAD_S.
 BORROW_AHEAD_S: typing.Final = 0.5
 LOW_WATER_S: typing.Final = 0.1
-DEMAND_WINDOW_S: typing.Final = 1.0
 # Below this demand an instance borrows only for waiting requests.
 MIN_DEMAND_PER_S: typing.Final = 4.0
 MIN_BACKOFF_S: typing.Final = 0.02
 MAX_BACKOFF_S: typing.Final = 0.25
-MAX_RETRY_AFTER_S: typing.Final = 60.0
 
 
 def request(
@@ -48,17 +45,19 @@
     """Decides on one request; ticket identifies it while it waits."""
     share_state.activate_due_units(shares, now)
     queue = shares.queues.setdefault(account.name, share_types.AccountQueue())
-    _note_demand(queue, now)
+    share_queues.note_demand(queue, now)
     outcome = share_verdicts.Outcome()
     share_lending.note_use(shares, now, account, outcome)
     if not queue.waiting and _spend(shares, now, account, queue, outcome):
         _borrow_ahead(shares, now, account, queue, outcome)
         return share_verdicts.Admitted(sends=tuple(outcome.sends))
-    if queue.waiting and len(queue.waiting) >= _max_waiting(
+    if queue.waiting and len(queue.waiting) >= share_queues.max_waiting(
         shares, now, account, queue
     ):
-        return share_verdicts.Refused(retry_after_s=_retry_after_s(account))
-    deadline_s = now + MAX_WAIT_S
+        return share_verdicts.Refused(
+            retry_after_s=share_queues.retry_after_s(account)
+        )
+    deadline_s = now + share_queues.MAX_WAIT_S
     queue.waiting[ticket] = deadline_s
     shares.active_queues.add(account.name)
     if queue.pending_loan is None and now >= queue.backoff_until_s:
@@ -164,7 +163,7 @@
             del queue.waiting[ticket]
             outcome.refused.append(ticket)
     if outcome.refused:
-        outcome.retry_after_s = _retry_after_s(account)
+        outcome.retry_after_s = share_queues.retry_after_s(account)
 
 
 def _available_tokens(
@@ -276,30 +275,6 @@
     queue.backoff_until_s = now + queue.backoff_s
 
 
-def _max_waiting(
-    shares: share_types.Shares,
-    now: float,
-    account: model.ClientAccount,
-    queue: share_types.AccountQueue,
-) -> float:
-    """Returns how many requests may wait for tokens.
-
-    That is the estimate of the tokens that all lenders have now, plus the
-    tokens that the account gains in MAX_WAIT_S.
-    """
-    tokens = account.rate_per_s * MAX_WAIT_S
-    slot = share_ledger.slot_of(account.name)
-    home = share_parts.find_home(shares, now, account)
-    for name, units in shares.ledger.by_slot.get(slot, {}).items():
-        fraction = 1.0 if name == home else units / share_ledger.UNITS
-        lender = shares.ledger.holders[name].instance
-        if lender != shares.instance:
-            tokens += share_lenders.estimate_tokens(
-                queue, now, account, lender, fraction
-            )
-    return tokens
-
-
 def _request_loan(
     shares: share_types.Shares,
     now: float,
@@ -382,22 +357,6 @@
     return loan_request.sent_s + loan_s
 
 
-def _note_demand(queue: share_types.AccountQueue, now: float) -> None:
-    elapsed_s = max(0.0, now - queue.demand_updated_s)
-    queue.demand_per_s *= math.exp(-elapsed_s / DEMAND_WINDOW_S)
-    queue.demand_per_s += 1.0 / DEMAND_WINDOW_S
-    queue.demand_updated_s = now
-
-
-def _retry_after_s(account: model.ClientAccount) -> float:
-    if account.rate_per_s <= 0.0:
-        return MAX_RETRY_AFTER_S
-    wait_s = 1.0 / account.rate_per_s
-    return min(
-        MAX_RETRY_AFTER_S, max(share_verdicts.MIN_RETRY_AFTER_S, wait_s)
-    )
-
-
 def _drop_expired_requests(shares: share_types.Shares, now: float) -> None:
     expired = [
         loan_number
