--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -97,15 +97,21 @@
                 for one in candidates
                 if one.entry.upstream_id in progress.possibly_ran
             ]
+        now = clock.monotonic()
         return placement.choose(
             candidates,
             admitted.request,
             placement.Place(
                 data_centre=self.board.settings.data_centre,
                 instances=self.board.instances,
+                connected=frozenset(
+                    one.entry.upstream_id
+                    for one in candidates
+                    if self.pool.has_idle(one.key(), now)
+                ),
                 silent_data_centres=self.board.silent_data_centres,
             ),
-            clock.monotonic(),
+            now,
             self.chance,
             progress.excluded,
         )
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -372,6 +372,12 @@
         self.opened += 1
         return await connect(host, port, timeout_s)
 
+    def has_idle(self, key: collections.abc.Hashable, now: float) -> bool:
+        """Returns whether a connection is open and waits for a request."""
+        return any(
+            channel.is_reusable(now) for channel in self.idle.get(key, ())
+        )
+
     def release(
         self, key: collections.abc.Hashable, channel: Channel, now: float
     ) -> None:
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -36,6 +36,8 @@
 REMOTE_S: typing.Final = 0.004
 # What remains of a call's time at an upstream that handled its object lately.
 WARM_CALL_RATIO: typing.Final = 0.6
+# A new connection takes round trips and, for a moment, a slot of its upstream.
+NEW_CONNECTION_S: typing.Final = 0.01
 # So many instances may compare an upstream within the age of its load.
 INSTANCES_PER_UPSTREAM: typing.Final = 10
 # Two random choices already spread requests far better than one.
@@ -50,11 +52,13 @@
     """Where a request is placed from.
 
     instances is the number of instances that place requests on the same
-    upstreams.  silent_data_centres cannot be reached.
+    upstreams.  connected holds the ids of those with an idle connection.
+    silent_data_centres cannot be reached.
     """
 
     data_centre: str
     instances: int
+    connected: frozenset[str] = frozenset()
     silent_data_centres: frozenset[str] = frozenset()
 
 
@@ -119,29 +123,38 @@
             routing.hash_fraction(f'{name} {one.entry.upstream_id}')
             * TIE_BREAK_S
         )
-        return delay_s(one, request, place.data_centre, now) + tie
+        is_connected = one.entry.upstream_id in place.connected
+        connect_s = 0.0 if is_connected else NEW_CONNECTION_S
+        delay = delay_s(one, request, place.data_centre, now)
+        return delay + connect_s + tie
 
-    compared = draw(healthy or remaining, request, place.instances, chance)
+    compared = draw(healthy or remaining, request, place, chance)
     return min(compared, key=score, default=None)
 
 
 def draw(
     candidates: list[upstreams.Upstream],
     request: model.Request,
-    instances: int,
+    place: Place,
     chance: random.Random,
 ) -> list[upstreams.Upstream]:
     """Returns the upstreams that are compared for a request.
 
-    Beside those drawn at random, these are the upstream with most of the
-    request's own conversation in its cache, and those that handled its
-    object lately.
+    Beside those drawn at random, these are some that an idle connection
+    leads to, the upstream with most of the request's own conversation in its
+    cache, and those that handled its object lately.  An instance of a large
+    fleet sends an upstream few requests, and would else open a connection
+    for most of them.
     """
-    share = INSTANCES_PER_UPSTREAM / max(instances, 1)
+    share = INSTANCES_PER_UPSTREAM / max(place.instances, 1)
     count = max(math.ceil(len(candidates) * share), MIN_COMPARED)
     if count >= len(candidates):
         return candidates
     drawn = chance.sample(candidates, count)
+    connected = [
+        one for one in candidates if one.entry.upstream_id in place.connected
+    ]
+    drawn += chance.sample(connected, min(len(connected), MIN_COMPARED))
     if request.affinity_key is not None:
         drawn += [
             one for one in candidates if one.is_warm_for(request.affinity_key)
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -170,6 +170,32 @@
     assert len(unlucky) <= 15
 
 
+def test_calls_of_a_large_fleet_use_open_connections() -> None:
+    """Two calls a second of one instance, among ten upstreams."""
+    known = [gateway_support.upstream(f'u{n}', slots=6) for n in range(10)]
+    place = placement.Place(
+        data_centre='north',
+        instances=195,
+        connected=frozenset(('u4', 'u7')),
+    )
+    chance = random.Random(1)
+    requests = [
+        gateway_support.request(request_id=f'q{number}')
+        for number in range(50)
+    ]
+    chosen = [
+        placement.choose(known, request, place, 0.0, chance)
+        for request in requests
+    ]
+    assert {one.entry.upstream_id for one in chosen if one} == {'u4', 'u7'}
+    # A busy upstream is not worth the connection that is saved.
+    for name in ('u4', 'u7'):
+        known[int(name[1:])].peer_requests = 9
+    found = placement.choose(known, requests[0], place, 0.0, chance)
+    assert found is not None
+    assert found.entry.upstream_id not in place.connected
+
+
 def test_conversation_returns_to_its_engine_in_a_large_fleet() -> None:
     place = placement.Place(data_centre='north', instances=195)
     known = engines(47, 8)
