--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -8,6 +8,7 @@
 from oleanderdrift import errors
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import program_admission
 from oleanderdrift.gateway import routing
 
 # Callers retry after this when only this instance cannot serve; another one
@@ -100,9 +101,11 @@
         raise errors.ResultError(
             codes.NO_UPSTREAM, f'no service {name} is configured'
         )
+    program_started = _has_started(board, request)
+    if service.is_engine and request.program_id and not program_started:
+        _check_engines(board, request, route, account, now)
     if account is not None:
         board.check_pause(now, boot_now)
-        program_started = _has_started(board, request)
         refusal = board.rate_limiter.admit(account, now, program_started)
         if refusal is not None:
             raise errors.ResultError(
@@ -180,9 +183,35 @@
     return delay_s * (1 + routing.hash_fraction(request_id) / 2)
 
 
+def _check_engines(
+    board: board_lib.Board,
+    request: model.Request,
+    route: model.Route,
+    account: model.ClientAccount | None,
+    now: float,
+) -> None:
+    """Raises ResultError if the engines cannot carry a new program."""
+    priority = route.priority
+    if account is not None and account.priority is not None:
+        priority = account.priority
+    service = routing.choose_service(route, request)
+    refusal = program_admission.refuse_program(
+        board.upstreams.of_service(service, include_lapsed=False),
+        priority,
+        request.request_id,
+        now,
+    )
+    if refusal is not None:
+        raise errors.ResultError(
+            codes.OVERLOADED,
+            refusal.text(),
+            retry_after_s=refusal.retry_after_s,
+        )
+
+
 def _has_started(board: board_lib.Board, request: model.Request) -> bool:
     return (
-        request.previous_turn is not None
+        program_admission.is_later_turn(request)
         or request.token_budget is None
         or request.program_id in board.started_programs
     )
