--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -140,20 +140,25 @@
 ) -> list[upstreams.Upstream]:
     """Returns the upstreams that are compared for a request.
 
-    Beside those drawn at random, these are some that an idle connection
-    leads to, the upstream with most of the request's own conversation in its
-    cache, and those that handled its object lately.  An instance of a large
-    fleet sends an upstream few requests, and would else open a connection
-    for most of them.
+    Beside those drawn at random, some of them in the instance's own data
+    centre, these are some that an idle connection leads to, the upstream with
+    most of the request's own conversation in its cache, and those that handled
+    its object lately.  An instance of a large fleet sends an upstream few
+    requests, and would else open a connection for most of them; and what
+    stays in a data centre is not lost when another one is cut off.
     """
     share = INSTANCES_PER_UPSTREAM / max(place.instances, 1)
     count = max(math.ceil(len(candidates) * share), MIN_COMPARED)
     if count >= len(candidates):
         return candidates
-    drawn = chance.sample(candidates, count)
+    local = [
+        one for one in candidates if one.entry.data_centre == place.data_centre
+    ]
     connected = [
         one for one in candidates if one.entry.upstream_id in place.connected
     ]
+    drawn = chance.sample(local, min(len(local), MIN_COMPARED))
+    drawn += chance.sample(candidates, max(count - len(drawn), 1))
     drawn += chance.sample(connected, min(len(connected), MIN_COMPARED))
     if request.affinity_key is not None:
         drawn += [
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -196,6 +196,35 @@
     assert found.entry.upstream_id not in place.connected
 
 
+def test_requests_of_a_large_fleet_stay_in_their_data_centre() -> None:
+    places = ['north', 'south', 'east', 'west', 'hub']
+    known = [
+        gateway_support.upstream(
+            f'u{n}', slots=8, data_centre=places[n % len(places)]
+        )
+        for n in range(45)
+    ]
+    for one in known:
+        one.note_cached_parts(prompt(SHARED))
+    place = placement.Place(data_centre='north', instances=195)
+    chance = random.Random(1)
+    request = gateway_support.request(prompt=prompt(SHARED, ('own', 840)))
+
+    def share_of_north() -> float:
+        chosen = [
+            placement.choose(known, request, place, 0.0, chance)
+            for _ in range(200)
+        ]
+        north = [one for one in chosen if one in known[::5]]
+        return len(north) / len(chosen)
+
+    assert share_of_north() > 0.9
+    # Unless the engines there are busier.
+    for one in known[::5]:
+        one.peer_requests = 12
+    assert share_of_north() < 0.1
+
+
 def test_conversation_returns_to_its_engine_in_a_large_fleet() -> None:
     place = placement.Place(data_centre='north', instances=195)
     known = engines(47, 8)
