--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -239,10 +239,11 @@
     async def flush(self) -> None:
         """Waits until all that was written is handed to the kernel.
 
-        Closing the connection drops what is not.
+        Closing the connection drops what is not.  Tornado may have closed it
+        already, once all was written.
         """
         stream = getattr(self.conn, 'stream', None)
-        if stream is not None:
+        if stream is not None and not stream.closed():
             await self.wait_until_sent(stream.write(b''))
 
     def abort(self) -> None:
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -6,6 +6,7 @@
 
 import pytest
 from tornado import httputil
+from tornado import iostream
 
 from oleanderdrift import codes
 from oleanderdrift import errors
@@ -108,15 +109,21 @@
 
     def __init__(self) -> None:
         self.unsent: asyncio.Future[None] = asyncio.Future()
-        self.closed = False
+        self.is_closed = False
+
+    def closed(self) -> bool:
+        """Returns whether the stream is closed."""
+        return self.is_closed
 
     def write(self, data: bytes) -> 'asyncio.Future[None]':
         """Returns when all bytes are with the kernel."""
+        if self.is_closed:
+            raise iostream.StreamClosedError
         return self.unsent
 
     def close(self) -> None:
         """Drops what is unsent."""
-        self.closed = True
+        self.is_closed = True
 
 
 class FakeConnection:
@@ -139,10 +146,26 @@
         reply.close_announced = True
         finishing = asyncio.create_task(reply.finish())
         await asyncio.sleep(0)
-        assert not conn.stream.closed
+        assert not conn.stream.is_closed
         conn.stream.unsent.set_result(None)
         await finishing
-        assert conn.stream.closed
+        assert conn.stream.is_closed
+
+    asyncio.run(play())
+
+
+def test_connection_that_is_closed_already_is_left_alone() -> None:
+    """Tornado closes one whose request asked for that."""
+
+    async def play() -> None:
+        conn = FakeConnection()
+        conn.stream.is_closed = True
+        reply = ingress.ConnectionReply(
+            typing.cast(httputil.HTTPConnection, conn),
+            typing.cast(ingress.Ingress, None),
+        )
+        reply.close_announced = True
+        await reply.finish()
 
     asyncio.run(play())
 
