--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -10,13 +10,12 @@
 own requests at once, and its peers' requests as they report them, several
 times a second.  An instance may spend the tokens beyond what its peers are
 likely to spend before their next reports arrive.  Of the remaining tokens
-it may spend only its share by demand between two of its own updates.  In a
-large fleet that is less than one request, which a random draw for each
-update then allows or not: one for each instance would be far too many.  A
-peer without updates is assumed to continue at its last demand until it must
-have stopped serving.  Buckets start empty, so that a restart grants
-nothing twice.  To keep updates small with many instances and accounts, an
-update names only accounts with recent requests.
+each request of any instance has the same chance, so that all together spend
+what there is, however many instances there are.  A peer without updates is
+assumed to continue at its last demand until it must have stopped serving.
+Buckets start empty, so that a restart grants nothing twice.  To keep updates
+small with many instances and accounts, an update names only accounts with
+recent requests.
 """
 
 import collections.abc
@@ -46,15 +45,12 @@
 # By then an instance that has lost its peers and the store has stopped
 # serving.
 PEER_EXPIRY_S: typing.Final = 6.0
-# Added to each instance's demand, so that one without demand has a share to
-# start with, in requests per second.
-IDLE_RATE: typing.Final = 0.3
 # Fractions of the burst that are reserved for programs under way: normally,
 # and while the account's demand exceeds its rate.
 RESERVE_FRACTION: typing.Final = 0.3
 BUSY_RESERVE_FRACTION: typing.Final = 0.6
-# Most age of peers' reported spending: update interval plus transit time.
-UPDATE_LAG_S: typing.Final = 0.2
+# The time that a peer's update takes, with the intervals of relays.
+TRANSIT_S: typing.Final = 0.1
 # A program retries only a few times, so retries must not follow each other
 # at once.
 MIN_RETRY_S: typing.Final = 0.2
@@ -124,8 +120,7 @@
     tokens falls below 0 if instances spent the same tokens concurrently.
     announced is the number of spent requests that were sent to the peers.
     sends_left is the number of further updates that name the account after
-    its demand has ended.  draw is a random number in [0, 1), new with each
-    update, by which a part of a request is rounded.
+    its demand has ended.
     """
 
     tokens: float = 0.0
@@ -134,7 +129,6 @@
     spent: int = 0
     announced: int = 0
     sends_left: int = 0
-    draw: float = 0.0
 
 
 @attrs.define(kw_only=True)
@@ -193,7 +187,6 @@
                 continue
             self.refill(name, bucket, now)
             bucket.announced = bucket.spent
-            bucket.draw = self.chance.random()
             demand = round(bucket.demand, 2)
             if demand < MIN_REPORTED_DEMAND:
                 demand = 0.0
@@ -256,9 +249,7 @@
         """Returns an account's bucket, new if there was none."""
         found = self.buckets.get(account)
         if found is None:
-            found = self.buckets[account] = Bucket(
-                updated=self.started, draw=self.chance.random()
-            )
+            found = self.buckets[account] = Bucket(updated=self.started)
         return found
 
     def refill(self, name: str, bucket: Bucket, now: float) -> None:
@@ -301,14 +292,9 @@
             peer.demand.get(account, 0.0) for peer in self.peers.values()
         )
 
-    def share(self, account: str, peers_demand: float) -> float:
-        """Returns this instance's share of the demand, 0 to 1.
-
-        peers_demand is the sum of the peers' demand for the account.
-        """
-        mine = self.bucket(account).demand + IDLE_RATE
-        total = mine + peers_demand + IDLE_RATE * len(self.peers)
-        return mine / total
+    def update_lag_s(self) -> float:
+        """Returns the most age of peers' reported spending."""
+        return self.update_interval_s + TRANSIT_S
 
     def admit(
         self, account: model.ClientAccount, now: float, program_started: bool
@@ -329,25 +315,25 @@
         bucket.sends_left = SENDS_PER_CHANGE
         peers_demand = self.peers_demand(account.name)
         total = bucket.demand + peers_demand
-        share = self.share(account.name, peers_demand)
-        # All instances may spend at the same time, each its share.
-        unannounced = bucket.spent - bucket.announced
-        whole_share = share * (bucket.tokens + unannounced) + bucket.draw
-        limit = math.floor(whole_share) - unannounced
-        available = max(bucket.tokens - peers_demand * UPDATE_LAG_S, limit)
-        available = min(available, bucket.tokens)
+        # What peers may ask for before this instance hears of it.
+        unheard = peers_demand * self.update_lag_s()
+        admitted_share = min(bucket.tokens / max(unheard, 1.0), 1.0)
+        may_spend = (
+            bucket.tokens - unheard >= 1
+            or self.chance.random() < admitted_share
+        )
         reserve = (
             BUSY_RESERVE_FRACTION
             if total > account.rate_per_s
             else RESERVE_FRACTION
         )
         floor = 0.0 if program_started else reserve * account.burst
-        if available < 1 or bucket.tokens - 1 < floor:
-            missing = max(1 - available, floor + 1 - bucket.tokens)
+        if not may_spend or bucket.tokens - 1 < floor:
+            missing = max(floor + 1 - bucket.tokens, unheard / total)
             return Refusal(
                 retry_after_s=MIN_RETRY_S + missing / account.rate_per_s,
                 tokens=bucket.tokens,
-                share=share,
+                share=admitted_share,
                 demand=total,
                 rate_per_s=account.rate_per_s,
                 peers=len(self.peers),
