--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -315,11 +315,11 @@
         bucket.sends_left = SENDS_PER_CHANGE
         peers_demand = self.peers_demand(account.name)
         total = bucket.demand + peers_demand
-        # What peers may ask for before this instance hears of it.
-        unheard = peers_demand * self.update_lag_s()
-        admitted_share = min(bucket.tokens / max(unheard, 1.0), 1.0)
+        # What peers may spend before their reports arrive.
+        unreported = peers_demand * self.update_lag_s()
+        admitted_share = min(bucket.tokens / max(unreported, 1.0), 1.0)
         may_spend = (
-            bucket.tokens - unheard >= 1
+            bucket.tokens - unreported >= 1
             or self.chance.random() < admitted_share
         )
         reserve = (
@@ -329,7 +329,7 @@
         )
         floor = 0.0 if program_started else reserve * account.burst
         if not may_spend or bucket.tokens - 1 < floor:
-            missing = max(floor + 1 - bucket.tokens, unheard / total)
+            missing = max(floor + 1 - bucket.tokens, unreported / total)
             return Refusal(
                 retry_after_s=MIN_RETRY_S + missing / account.rate_per_s,
                 tokens=bucket.tokens,
