--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -38,7 +38,7 @@
 MAX_FORWARDED: typing.Final = 4_000
 # A cached prompt part is published in at most this many messages; it is
 # repeated because messages can be lost.
-MAX_SHARED_REPEATS: typing.Final = 10
+PART_REPEATS: typing.Final = 4
 # Published as the store's age if it has never been read.
 MAX_STORE_AGE_S: typing.Final = 1e6
 MAX_INCARNATION: typing.Final = 2**63 - 1
@@ -179,10 +179,10 @@
             name: peer_messages.UpstreamLoad(
                 running=one.own_requests,
                 pending=one.pending_tokens,
-                shared=tuple(one.new_prefixes),
+                cached=tuple(one.new_parts),
             )
             for name, one in self.board.upstreams.by_id.items()
-            if one.own_requests or one.new_prefixes
+            if one.own_requests or one.new_parts
         }
 
     def publish(self, now: float) -> None:
@@ -209,9 +209,9 @@
         )
         self.send(Topic.OWN, [envelope])
         self.queue(Topic.OWN, envelope)
-        if self.sequence % MAX_SHARED_REPEATS == 0:
+        if self.sequence % PART_REPEATS == 0:
             for one in self.board.upstreams.by_id.values():
-                one.new_prefixes.clear()
+                one.new_parts.clear()
 
     def send(
         self, topic: Topic, envelopes: list[peer_messages.Envelope]
--- a/oleanderdrift/gateway/peer_load.py
+++ b/oleanderdrift/gateway/peer_load.py
@@ -56,7 +56,7 @@
         for name, one in work.items():
             upstream = self.upstreams.by_id.get(name)
             if upstream is not None:
-                upstream.note_peer_prefixes(one.shared)
+                upstream.add_cached_parts(one.cached)
 
     def replace(self, peer: str, load: dict[str, Load]) -> None:
         """Replaces a peer's load and updates the sums.
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -34,13 +34,13 @@
     """The load that an instance puts on one upstream.
 
     running is the number of its open requests, and pending the number of
-    their prompt tokens that the upstream has not processed yet.  shared
-    holds the first parts of its prompts that the upstream has cached.
+    their prompt tokens that the upstream has not processed yet.  cached
+    holds the parts of their prompts that the upstream has cached lately.
     """
 
     running: int
     pending: int
-    shared: tuple[str, ...] = ()
+    cached: tuple[str, ...] = ()
 
 
 class StateUpdate(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -28,8 +28,8 @@
 MAX_SLOWNESS: typing.Final = 10.0
 # Time constant with which the weight of a measurement decays.
 SLOWNESS_DECAY_S: typing.Final = 4.0
-# Prompt parts recorded for each upstream.
-MAX_CACHED_PARTS: typing.Final = 4_096
+# Prompt parts recorded for each upstream; those of the last minute.
+MAX_CACHED_PARTS: typing.Final = 1_024
 # Objects recorded for each upstream; those of some minutes.
 MAX_WARM_OBJECTS: typing.Final = 1_024
 
@@ -43,8 +43,9 @@
     to expected time of its work, as of measured_at.  pending_tokens counts
     the prompt tokens of this instance's requests that are not prefilled yet,
     by request in pending_by_request; peer_pending_tokens those of its peers.
-    new_prefixes holds the first parts of prompts that this instance's
-    requests brought into its cache and that peers are still to hear of.
+    new_parts holds the parts of prompts that this instance's requests
+    brought into its cache and that peers are still to hear of: the next turn
+    of a conversation may come to any of them.
     cached_parts are all prompt parts assumed to be cached, the most recent
     last.  warm_objects holds the affinity keys of requests that it handled
     for this instance, the most recent last.  abortable maps connections
@@ -64,7 +65,7 @@
     failures: int = 0
     ejected_until: float = float('-inf')
     last_received: float = float('-inf')
-    new_prefixes: dict[str, None] = attrs.field(factory=dict)
+    new_parts: dict[str, None] = attrs.field(factory=dict)
     pending_by_request: dict[str, int] = attrs.field(factory=dict)
     abortable: dict[channel.Channel, float] = attrs.field(factory=dict)
     silence_timeout_s: float = float('inf')
@@ -155,11 +156,18 @@
 
     def note_cached_parts(self, parts: tuple[model.PromptPart, ...]) -> None:
         """Records a prompt's parts as cached there."""
-        if parts:
-            self.new_prefixes[parts[0].part_id] = None
-        for part in parts:
-            self.cached_parts[part.part_id] = None
-            self.cached_parts.move_to_end(part.part_id)
+        for place, part in enumerate(parts):
+            if place == 0 or part.part_id not in self.cached_parts:
+                self.new_parts[part.part_id] = None
+        self.add_cached_parts(part.part_id for part in parts)
+
+    def add_cached_parts(
+        self, part_ids: collections.abc.Iterable[str]
+    ) -> None:
+        """Records prompt parts by their ids; peers report such as well."""
+        for part_id in part_ids:
+            self.cached_parts[part_id] = None
+            self.cached_parts.move_to_end(part_id)
         while len(self.cached_parts) > MAX_CACHED_PARTS:
             self.cached_parts.popitem(last=False)
 
@@ -176,13 +184,6 @@
         """Returns whether it handled a request about an object lately."""
         return affinity_key is not None and affinity_key in self.warm_objects
 
-    def note_peer_prefixes(
-        self, part_ids: collections.abc.Iterable[str]
-    ) -> None:
-        """Records prompt parts that peers reported as cached there."""
-        for part_id in part_ids:
-            self.cached_parts[part_id] = None
-
     def uncached_tokens(self, parts: tuple[model.PromptPart, ...]) -> int:
         """Returns the prompt tokens that are not cached there."""
         for place, part in enumerate(parts):
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -10,6 +10,7 @@
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import upstreams
 from tests import gateway_support
+from tests import peer_fleet
 
 CHANCE: typing.Final = random.Random(1)
 PLACE: typing.Final = placement.Place(data_centre='north', instances=9)
@@ -307,3 +308,40 @@
     found = engine.eject_if_silent(10.0 + silent_s, unreachable=False)
     assert bool(found) == ejected
     assert engine.is_ejected(10.0 + silent_s) == ejected
+
+
+def test_conversation_that_moves_between_instances_keeps_its_engine() -> None:
+    """Its first turn comes to one instance, the next one to another."""
+    network = peer_fleet.build({'north': 8, 'south': 8}, 1)
+    network.run(2.0)
+    first, second = 'north-3', 'south-6'
+    for one in network.instances.values():
+        for number in range(12):
+            one.board.upstreams.put(
+                gateway_support.entry(f'e{number}', slots=8)
+            )
+    said = prompt(SHARED, ('said', 1_680))
+    engines_of = network.instances[first].board.upstreams.by_id
+    engines_of['e7'].note_cached_parts(said)
+    network.run(0.5)
+    known = [
+        one
+        for one in network.instances[second].board.upstreams.by_id.values()
+        if one.entry.upstream_id.startswith('e')
+    ]
+    request = gateway_support.request(
+        prompt=prompt(SHARED, ('said', 1_680), ('next', 840))
+    )
+    place = placement.Place(data_centre='south', instances=16)
+    found = placement.choose(known, request, place, 0.0, CHANCE)
+    assert found is not None
+    assert found.entry.upstream_id == 'e7'
+
+
+def test_cached_parts_have_a_limit_wherever_they_come_from() -> None:
+    one = gateway_support.upstream()
+    one.add_cached_parts(
+        str(number) for number in range(2 * upstreams.MAX_CACHED_PARTS)
+    )
+    assert len(one.cached_parts) == upstreams.MAX_CACHED_PARTS
+    assert '0' not in one.cached_parts
