Log the rate limits that upstreams name

Cause: no line of an instance said that an upstream had named a rate, so the logs could not tell a rate that is not read from one that each instance follows alone. Change: the adapter decodes it, and a change is logged with the request that learned it. What is sent does not change.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -162,25 +162,46 @@
                 self.note_failed_try(progress, upstream, outcome.reason)
                 return False
             case exchange.NotRun():
+                self.note_rate_limit(progress, upstream, outcome.head)
                 progress.sent = was_sent
                 progress.excluded.add(upstream_id)
                 if not is_repeat:
                     progress.possibly_ran.discard(upstream_id)
-                if outcome.status == exchange.MISDIRECTED:
+                if outcome.head.status == exchange.MISDIRECTED:
                     self.board.upstreams.remove(
                         upstream.entry.upstream_id, clock.monotonic()
                     )
                 self.note_failed_try(
-                    progress, upstream, f'status {outcome.status}'
+                    progress, upstream, f'status {outcome.head.status}'
                 )
                 return False
             case exchange.MayHaveRun():
                 return self.handle_broken(progress, upstream, outcome.reason)
             case exchange.ResponseStarted():
+                self.note_rate_limit(progress, upstream, outcome.head)
                 return await self.relay_answer(
                     progress, upstream, outcome, reply, started
                 )
 
+    def note_rate_limit(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        head: ports.UpstreamHead,
+    ) -> None:
+        """Logs a change of the rate limit that an upstream names."""
+        if head.rate_limit_per_s == upstream.rate_limit_per_s:
+            return
+        self.events.info(
+            'upstream-rate-limit',
+            request=progress.admitted.request.request_id,
+            upstream=upstream.entry.upstream_id,
+            status=head.status,
+            rate_per_s=head.rate_limit_per_s,
+            before=upstream.rate_limit_per_s,
+        )
+        upstream.rate_limit_per_s = head.rate_limit_per_s
+
     def note_failed_try(
         self,
         progress: progress_lib.Progress,
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -38,7 +38,7 @@
 class NotRun:
     """The upstream reported that it did not execute the request."""
 
-    status: int
+    head: ports.UpstreamHead
 
 
 @attrs.frozen(kw_only=True)
@@ -128,7 +128,7 @@
             pool.release(upstream.key(), connection, clock.monotonic())
             handed_over = True
             upstream.abortable.pop(connection, None)
-            return NotRun(status=head.status)
+            return NotRun(head=head)
         handed_over = True
         return ResponseStarted(head=head, connection=connection)
     except channel.ChannelError as error:
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -105,6 +105,8 @@
     headers are those that are forwarded to the caller.  not_run says that
     the upstream itself reported that it did not run the request; sealed
     says that the response carries the upstream's proof of origin.
+    rate_limit_per_s is the rate of requests that the upstream accepts from
+    all instances together, None if it names no limit.
     """
 
     status: int
@@ -112,6 +114,7 @@
     request_id: str | None
     not_run: bool
     sealed: bool
+    rate_limit_per_s: float | None = None
 
 
 class Codec(typing.Protocol):
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -1,6 +1,7 @@
 """Decodes requests and responses on the wire, and encodes their headers."""
 
 import collections.abc
+import math
 import typing
 
 from tornado import httputil
@@ -28,6 +29,8 @@
 ACCOUNT_HEADER: typing.Final = 'tenant'
 LAST_EVENT_HEADER: typing.Final = 'last-event-id'
 RETRY_AFTER_HEADER: typing.Final = 'retry-after'
+# Requests a second that an upstream accepts from all instances together.
+RATE_LIMIT_HEADER: typing.Final = 'server-limit'
 _HOP_BY_HOP: typing.Final = frozenset(
     (
         'connection',
@@ -152,6 +155,7 @@
             request_id=by_name.get(REQUEST_ID_HEADER),
             not_run=NOT_RUN_HEADER in by_name or status == 421,
             sealed=SEAL_HEADER in by_name,
+            rate_limit_per_s=_parse_rate(by_name.get(RATE_LIMIT_HEADER)),
         )
 
     def refusal_headers(
@@ -213,6 +217,16 @@
     return frozenset(one.strip() for one in options) - _NEVER_DROPPED
 
 
+def _parse_rate(text: str | None) -> float | None:
+    """Returns a rate; None if it is missing or is not a usable number."""
+    try:
+        rate = float(text or '')
+    except ValueError:
+        return None
+    # Also false for NaN.
+    return rate if 0 <= rate < math.inf else None
+
+
 def _affinity_key(headers: Headers) -> str | None:
     """Returns the affinity cookie's value, read as browsers' servers do."""
     lines = [value for name, value in headers if name.lower() == 'cookie']
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -230,6 +230,28 @@
     assert head.not_run is not_run
 
 
+@pytest.mark.parametrize(
+    ('text', 'rate'),
+    [
+        ('12.5', 12.5),
+        (' 3 ', 3.0),
+        ('0', 0.0),
+        (None, None),
+        ('', None),
+        ('soon', None),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+    ],
+)
+def test_rate_limit_of_an_upstream_is_decoded(
+    text: str | None, rate: float | None
+) -> None:
+    headers = [] if text is None else [('Server-Limit', text)]
+    head = codec.PlatformCodec().decode_upstream_head(200, headers)
+    assert head.rate_limit_per_s == rate
+
+
 def test_settings_are_decoded() -> None:
     result = settings.decode(SETTINGS.encode())
     assert result.instance == 'n1'
