Keep within the rates that upstreams name, over all instances

Had each instance followed what it was told itself, nine would have sent nine times as much, and those that send little would have heard up to 6 s late.

Change: a limit of an upstream is a limit of an account under another name: the same buckets, updates and assumptions on silent peers. What an instance heard is published with its age, the newest statement holds for all, and an answer without a rate ends it. Tokens are kept for conversations whose prompt is cached there; new programs are refused at once where no engine serves them in time; turns under way wait up to 0.4 s.

--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -16,6 +16,8 @@
 RETRY_ELSEWHERE_S: typing.Final = 0.05
 # A stopping instance refuses what it might not complete in time.
 MIN_SERVICE_S: typing.Final = 1.2
+# Some tokens of limited upstreams come within this time.
+LIMITED_RETRY_S: typing.Final = 0.3
 # Outages of the store last some seconds, and callers retry only a few times.
 OUTAGE_RETRY_S: typing.Final = 1.0
 # A long outage is likely to continue: the next try comes after this fraction
@@ -30,7 +32,8 @@
     """An admitted request with its route, service and account.
 
     suspended_s was the total time that the machine had been suspended when
-    the request was admitted.
+    the request was admitted.  begins_program says that it is the first turn
+    of a program, so that nothing is lost if it has to come back.
     """
 
     request: model.Request
@@ -39,6 +42,7 @@
     account: model.ClientAccount | None
     config_version: int
     suspended_s: float
+    begins_program: bool = False
 
     def is_turn(self) -> bool:
         """Returns whether it has a token budget or a retained conversation."""
@@ -102,7 +106,10 @@
             codes.NO_UPSTREAM, f'no service {name} is configured'
         )
     program_started = _has_started(board, request)
-    if service.is_engine and request.program_id and not program_started:
+    begins_program = bool(
+        service.is_engine and request.program_id and not program_started
+    )
+    if begins_program:
         _check_engines(board, request, route, account, now)
     if account is not None:
         board.check_pause(now, boot_now)
@@ -122,6 +129,7 @@
         account=account,
         config_version=config.version,
         suspended_s=boot_now - now,
+        begins_program=begins_program,
     )
 
 
@@ -183,6 +191,25 @@
     return delay_s * (1 + routing.hash_fraction(request_id) / 2)
 
 
+def limited_error(
+    request_id: str, *, begins_program: bool
+) -> errors.ResultError:
+    """Returns the error where all upstreams have got what they take.
+
+    A new program comes back when some under way will have ended; others
+    come back sooner, since their programs wait for them.
+    """
+    retry_s = (
+        program_admission.MIN_RETRY_S if begins_program else LIMITED_RETRY_S
+    )
+    spread = program_admission.RETRY_SPREAD * routing.hash_fraction(request_id)
+    return errors.ResultError(
+        codes.OVERLOADED,
+        'all upstreams have got the rate that they take',
+        retry_after_s=retry_s * (1 + spread),
+    )
+
+
 def _check_engines(
     board: board_lib.Board,
     request: model.Request,
@@ -195,11 +222,15 @@
     if account is not None and account.priority is not None:
         priority = account.priority
     service = routing.choose_service(route, request)
+    engines = board.upstreams.of_service(service, include_lapsed=False)
+    if engines and not board.upstream_limits.can_begin(service, engines, now):
+        raise limited_error(request.request_id, begins_program=True)
     refusal = program_admission.refuse_program(
-        board.upstreams.of_service(service, include_lapsed=False),
+        engines,
         priority,
         request.request_id,
         now,
+        board.upstream_limits,
     )
     if refusal is not None:
         raise errors.ResultError(
--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -1,12 +1,14 @@
-"""Limits client accounts to a rate and burst shared by all instances.
+"""Keeps within rates that all instances share, and within their bursts.
 
 The limiter is designed for two loads.  Normally a program's requests
 arrive in bursts at one instance, which must be able to use the whole
 burst and not only a ninth of it.  When an account sends several times its
 rate to all instances at once, the total must stay within the rate although
-no instance can ask the others in time.
+no instance can ask the others in time.  An upstream that names the rate that
+it takes is the same case under another name, from when it is told on.
 
-Every instance estimates one token bucket per account.  It subtracts its
+Every instance estimates one token bucket per account.  Accounts stand here
+for upstreams with a limit as well.  It subtracts its
 own requests at once, and its peers' requests as they report them, several
 times a second.  An instance may spend the tokens beyond what its peers are
 likely to spend before their next reports arrive.  Of the remaining tokens
@@ -24,9 +26,8 @@
 import typing
 
 import attrs
-import msgspec
 
-from oleanderdrift.gateway import model
+from oleanderdrift.gateway import rate_buckets
 
 # Time constant of the exponential decay of an account's demand.
 DEMAND_TIME_CONSTANT_S: typing.Final = 1.0
@@ -56,104 +57,72 @@
 MIN_RETRY_S: typing.Final = 0.2
 
 
-@attrs.frozen(kw_only=True)
-class Refusal:
-    """Why a request exceeds the limit, for the caller and the log."""
-
-    retry_after_s: float
-    tokens: float
-    share: float
-    demand: float
-    rate_per_s: float
-    peers: int
-
-    def text(self) -> str:
-        """Returns the inputs of the decision as text."""
-        return (
-            f'tokens {self.tokens:.2f}, share {self.share:.3f} of '
-            f'{self.rate_per_s:g}/s, demand {self.demand:.2f}/s, '
-            f'{self.peers} peers'
-        )
-
-
-class Usage(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
-    """An instance's requests for one account.
-
-    spent counts the requests admitted since the instance started; demand is
-    the rate of all requests, admitted or refused, per second.
-    """
-
-    spent: int
-    demand: float
-
-
-@attrs.define(kw_only=True)
-class Peer:
-    """The latest reported usage of one incarnation of a peer.
-
-    spent and demand are by account; demand has no entries of 0.  complete
-    says that spent has all accounts with requests since the peer started.
-    charged_until is the time up to which its spending was subtracted.
-    """
-
-    incarnation: int
-    spent: dict[str, int] = attrs.field(factory=dict)
-    demand: dict[str, float] = attrs.field(factory=dict)
-    complete: bool
-    last_update: float
-    charged_until: float
-
-    def merge(self, usage: dict[str, Usage]) -> None:
-        """Updates the accounts that are named."""
-        for account, reported in usage.items():
-            self.spent[account] = reported.spent
-            if reported.demand > 0:
-                self.demand[account] = reported.demand
-            else:
-                self.demand.pop(account, None)
-
-
-@attrs.define(kw_only=True)
-class Bucket:
-    """An account's bucket as this instance sees it.
-
-    tokens falls below 0 if instances spent the same tokens concurrently.
-    announced is the number of spent requests that were sent to the peers.
-    sends_left is the number of further updates that name the account after
-    its demand has ended.
-    """
-
-    tokens: float = 0.0
-    updated: float
-    demand: float = 0.0
-    spent: int = 0
-    announced: int = 0
-    sends_left: int = 0
-
-
 @attrs.define(kw_only=True)
 class RateLimiter:
     """The token buckets of one instance, empty when it starts.
 
     last_charge is when the assumed spending of peers with overdue updates
-    was last subtracted.
+    was last subtracted.  accounts holds the configured limits, and upstreams
+    those that came into force while this instance ran.
     """
 
     started: float
-    buckets: dict[str, Bucket] = attrs.field(factory=dict)
-    accounts: dict[str, model.ClientAccount] = attrs.field(factory=dict)
-    peers: dict[str, Peer] = attrs.field(factory=dict)
+    buckets: dict[str, rate_buckets.Bucket] = attrs.field(factory=dict)
+    accounts: dict[str, rate_buckets.Limit] = attrs.field(factory=dict)
+    upstreams: dict[str, rate_buckets.Limit] = attrs.field(factory=dict)
+    peers: dict[str, rate_buckets.Peer] = attrs.field(factory=dict)
     update_interval_s: float = 0.1
     updates_sent: int = 0
     chance: random.Random = attrs.field(factory=random.Random)
     last_charge: float = float('-inf')
 
     def configure(
-        self, accounts: collections.abc.Iterable[model.ClientAccount]
+        self, accounts: collections.abc.Iterable[rate_buckets.Limit]
     ) -> None:
         """Sets the accounts and their limits."""
         self.accounts = {one.name: one for one in accounts}
 
+    def set_upstream(self, limit: rate_buckets.Limit, now: float) -> None:
+        """Puts an upstream's limit in force.
+
+        Its bucket has filled since this instance started, as if the limit
+        had been in force before.  It is held until the instances have told
+        each other how much they ask for, which nobody counted until now.
+        """
+        bucket = self.bucket(limit.name)
+        self.refill(limit.name, bucket, now)
+        if limit.name not in self.upstreams:
+            filled = limit.rate_per_s * (now - self.started)
+            bucket.tokens = min(filled, limit.burst)
+            bucket.held_until = now + self.update_lag_s()
+        self.upstreams[limit.name] = limit
+
+    def remove_upstream(self, name: str) -> None:
+        """Lifts an upstream's limit; what was spent is remembered."""
+        self.upstreams.pop(name, None)
+
+    def forget_upstream(self, name: str) -> None:
+        """Removes all that is known of an upstream that has gone."""
+        self.remove_upstream(name)
+        self.buckets.pop(name, None)
+
+    def limit(self, name: str) -> rate_buckets.Limit | None:
+        """Returns the limit of an account or upstream, None if unknown."""
+        return self.accounts.get(name) or self.upstreams.get(name)
+
+    def has_token(
+        self, limit: rate_buckets.Limit, now: float, program_started: bool
+    ) -> bool:
+        """Returns whether a request has a chance to be admitted."""
+        bucket = self.bucket(limit.name)
+        self.refill(limit.name, bucket, now)
+        if bucket.tokens < 1 or now < bucket.held_until:
+            return False
+        if program_started:
+            return True
+        total = bucket.demand + self.peers_demand(limit.name)
+        return bucket.tokens - 1 >= _reserve(limit, total)
+
     def restart(self, now: float) -> None:
         """Starts again with empty buckets.
 
@@ -177,11 +146,11 @@
             for bucket in self.buckets.values()
         )
 
-    def usage_update(self, now: float) -> dict[str, Usage]:
+    def usage_update(self, now: float) -> dict[str, rate_buckets.Usage]:
         """Returns the usage that peers may not know yet, by account."""
         full = self.next_is_full()
         self.updates_sent += 1
-        found: dict[str, Usage] = {}
+        found: dict[str, rate_buckets.Usage] = {}
         for name, bucket in self.buckets.items():
             if not (full or bucket.sends_left):
                 continue
@@ -191,14 +160,14 @@
             if demand < MIN_REPORTED_DEMAND:
                 demand = 0.0
                 bucket.sends_left = max(bucket.sends_left - 1, 0)
-            found[name] = Usage(spent=bucket.spent, demand=demand)
+            found[name] = rate_buckets.Usage(spent=bucket.spent, demand=demand)
         return found
 
     def apply_update(
         self,
         name: str,
         incarnation: int,
-        usage: dict[str, Usage],
+        usage: dict[str, rate_buckets.Usage],
         full: bool,
         now: float,
     ) -> None:
@@ -216,7 +185,7 @@
         if known is None or known.incarnation != incarnation:
             # A restarted peer's counts began at 0 while this instance ran.
             full = full or known is not None
-            known = self.peers[name] = Peer(
+            known = self.peers[name] = rate_buckets.Peer(
                 incarnation=incarnation,
                 complete=full,
                 last_update=now,
@@ -228,10 +197,10 @@
 
     def already_subtracted(
         self,
-        known: Peer | None,
+        known: rate_buckets.Peer | None,
         incarnation: int,
         account: str,
-        reported: Usage,
+        reported: rate_buckets.Usage,
     ) -> float:
         """Returns how much of a peer's reported spending was subtracted."""
         if known is None:
@@ -241,26 +210,33 @@
             return 0
         if account not in known.spent:
             return 0 if known.complete else reported.spent
+        if reported.spent < known.spent[account]:
+            # The peer forgot an upstream that has come back.
+            return 0
         guessed_s = known.charged_until - known.last_update - self.overdue_s()
         asked = min(known.demand.get(account, 0.0), self.rate(account))
         return known.spent[account] + asked * max(guessed_s, 0.0)
 
-    def bucket(self, account: str) -> Bucket:
+    def bucket(self, account: str) -> rate_buckets.Bucket:
         """Returns an account's bucket, new if there was none."""
         found = self.buckets.get(account)
         if found is None:
-            found = self.buckets[account] = Bucket(updated=self.started)
+            found = self.buckets[account] = rate_buckets.Bucket(
+                updated=self.started
+            )
         return found
 
-    def refill(self, name: str, bucket: Bucket, now: float) -> None:
+    def refill(
+        self, name: str, bucket: rate_buckets.Bucket, now: float
+    ) -> None:
         """Adds the tokens since the last call and decays the demand."""
         elapsed_s = max(now - bucket.updated, 0.0)
         bucket.demand *= math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
         bucket.updated = now
-        account = self.accounts.get(name)
-        if account is not None:
-            bucket.tokens += elapsed_s * account.rate_per_s
-            bucket.tokens = min(bucket.tokens, account.burst)
+        limit = self.limit(name)
+        if limit is not None:
+            bucket.tokens += elapsed_s * limit.rate_per_s
+            bucket.tokens = min(bucket.tokens, limit.burst)
 
     def overdue_s(self) -> float:
         """Returns the age at which a peer's next update is overdue."""
@@ -283,22 +259,21 @@
 
     def rate(self, account: str) -> float:
         """Returns an account's rate, 0 for an unknown account."""
-        found = self.accounts.get(account)
+        found = self.limit(account)
         return found.rate_per_s if found is not None else 0.0
 
     def peers_demand(self, account: str) -> float:
         """Returns the sum of the peers' demand for an account."""
-        return sum(
-            peer.demand.get(account, 0.0) for peer in self.peers.values()
-        )
+        peers = self.peers.values()
+        return sum(peer.demand.get(account, 0.0) for peer in peers)
 
     def update_lag_s(self) -> float:
         """Returns the most age of peers' reported spending."""
         return self.update_interval_s + TRANSIT_S
 
     def admit(
-        self, account: model.ClientAccount, now: float, program_started: bool
-    ) -> Refusal | None:
+        self, account: rate_buckets.Limit, now: float, program_started: bool
+    ) -> rate_buckets.Refusal | None:
         """Admits one request, or returns why it is refused.
 
         program_started says that the request belongs to a program under
@@ -306,38 +281,51 @@
         """
         if account.rate_per_s <= 0:
             return None
+        self.note_demand(account, now)
+        return self.spend(account, now, program_started)
+
+    def note_demand(self, limit: rate_buckets.Limit, now: float) -> None:
+        """Counts a request that asks for a token."""
+        bucket = self.bucket(limit.name)
+        self.refill(limit.name, bucket, now)
+        bucket.demand += 1 / DEMAND_TIME_CONSTANT_S
+        bucket.sends_left = SENDS_PER_CHANGE
+
+    def spend(
+        self, limit: rate_buckets.Limit, now: float, program_started: bool
+    ) -> rate_buckets.Refusal | None:
+        """Spends a token on a request that was counted; see admit."""
         if now - self.last_charge >= CHARGE_INTERVAL_S:
             self.last_charge = now
             self.charge_overdue_peers(now)
-        bucket = self.bucket(account.name)
-        self.refill(account.name, bucket, now)
-        bucket.demand += 1 / DEMAND_TIME_CONSTANT_S
-        bucket.sends_left = SENDS_PER_CHANGE
-        peers_demand = self.peers_demand(account.name)
+        bucket = self.bucket(limit.name)
+        peers_demand = self.peers_demand(limit.name)
         total = bucket.demand + peers_demand
         # What peers may spend before their reports arrive.
         unreported = peers_demand * self.update_lag_s()
         admitted_share = min(bucket.tokens / max(unreported, 1.0), 1.0)
-        may_spend = (
+        may_spend = now >= bucket.held_until and (
             bucket.tokens - unreported >= 1
             or self.chance.random() < admitted_share
         )
-        reserve = (
-            BUSY_RESERVE_FRACTION
-            if total > account.rate_per_s
-            else RESERVE_FRACTION
-        )
-        floor = 0.0 if program_started else reserve * account.burst
+        floor = 0.0 if program_started else _reserve(limit, total)
         if not may_spend or bucket.tokens - 1 < floor:
             missing = max(floor + 1 - bucket.tokens, unreported / total)
-            return Refusal(
-                retry_after_s=MIN_RETRY_S + missing / account.rate_per_s,
+            return rate_buckets.Refusal(
+                retry_after_s=MIN_RETRY_S + missing / limit.rate_per_s,
                 tokens=bucket.tokens,
                 share=admitted_share,
                 demand=total,
-                rate_per_s=account.rate_per_s,
+                rate_per_s=limit.rate_per_s,
                 peers=len(self.peers),
             )
         bucket.tokens -= 1
         bucket.spent += 1
         return None
+
+
+def _reserve(limit: rate_buckets.Limit, demand: float) -> float:
+    """Returns the tokens that are kept for programs under way."""
+    is_busy = demand > limit.rate_per_s
+    fraction = BUSY_RESERVE_FRACTION if is_busy else RESERVE_FRACTION
+    return fraction * limit.burst
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -1,6 +1,5 @@
 """Sends a request to upstreams until one has answered."""
 
-import random
 import typing
 
 from oleanderdrift import codes
@@ -17,6 +16,7 @@
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import turn_flow
+from oleanderdrift.gateway import upstream_choice
 from oleanderdrift.gateway import upstreams
 
 RETRY_AFTER_S: typing.Final = 0.1
@@ -40,7 +40,7 @@
         self.turns = turns
         self.events = event_log
         self.pool = channel.Pool()
-        self.chance = random.Random()
+        self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
 
     async def run(
         self, progress: progress_lib.Progress, reply: reply_lib.Reply
@@ -51,7 +51,7 @@
         may have run.
         """
         for _ in range(MAX_TRIES):
-            upstream = self.choose(progress)
+            upstream = await self.chooser.acquire(progress)
             if upstream is None:
                 break
             progress.upstream = upstream.entry.upstream_id
@@ -81,41 +81,6 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    def choose(
-        self, progress: progress_lib.Progress
-    ) -> upstreams.Upstream | None:
-        """Returns the upstream to try next."""
-        admitted = progress.admitted
-        candidates = self.board.upstreams.of_service(
-            admitted.service.name,
-            self.board.freshness.in_lapse_grace(clock.boot()),
-        )
-        if len(progress.possibly_ran) >= admitted.route.attempts:
-            # Only upstreams that may have run it already may get it again.
-            candidates = [
-                one
-                for one in candidates
-                if one.entry.upstream_id in progress.possibly_ran
-            ]
-        now = clock.monotonic()
-        return placement.choose(
-            candidates,
-            admitted.request,
-            placement.Place(
-                data_centre=self.board.settings.data_centre,
-                instances=self.board.instances,
-                connected=frozenset(
-                    one.entry.upstream_id
-                    for one in candidates
-                    if self.pool.has_idle(one.key(), now)
-                ),
-                silent_data_centres=self.board.silent_data_centres,
-            ),
-            now,
-            self.chance,
-            progress.excluded,
-        )
-
     async def try_one(
         self,
         progress: progress_lib.Progress,
@@ -189,8 +154,10 @@
         upstream: upstreams.Upstream,
         head: ports.UpstreamHead,
     ) -> None:
-        """Logs a change of the rate limit that an upstream names."""
-        if head.rate_limit_per_s == upstream.rate_limit_per_s:
+        """Applies the rate limit that an answer names, if any."""
+        if not self.board.upstream_limits.note_answer(
+            upstream, head.rate_limit_per_s, clock.monotonic()
+        ):
             return
         self.events.info(
             'upstream-rate-limit',
@@ -198,9 +165,7 @@
             upstream=upstream.entry.upstream_id,
             status=head.status,
             rate_per_s=head.rate_limit_per_s,
-            before=upstream.rate_limit_per_s,
         )
-        upstream.rate_limit_per_s = head.rate_limit_per_s
 
     def note_failed_try(
         self,
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -10,6 +10,7 @@
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift.gateway import upstream_limits as upstream_limits_lib
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
 # Enough for the programs that start within some minutes.
@@ -39,6 +40,14 @@
         factory=upstreams_lib.UpstreamSet
     )
     upstreams_known: bool = False
+    upstream_limits: upstream_limits_lib.UpstreamLimits = attrs.field(
+        default=attrs.Factory(
+            lambda self: upstream_limits_lib.UpstreamLimits(
+                limiter=self.rate_limiter
+            ),
+            takes_self=True,
+        )
+    )
     freshness: freshness_lib.Freshness = attrs.field(
         factory=freshness_lib.Freshness
     )
@@ -63,6 +72,7 @@
         """Empties the token buckets if this process has been paused."""
         if boot_now - self.exchanged_at > MAX_PAUSE_S:
             self.rate_limiter.restart(now)
+            self.upstream_limits.restart()
             self.exchanged_at = boot_now
 
     def unreachable_data_centres(self, now: float) -> frozenset[str]:
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -170,6 +170,7 @@
             or subscribers.fleet
             or not self.uses_relays
             or self.board.rate_limiter.has_unannounced()
+            or self.board.upstream_limits.has_unreported()
             or self.current_work() != self.published_work
         )
 
@@ -200,6 +201,7 @@
             whole=whole,
             work=self.published_work,
             leaving=self.board.stopping,
+            limits=self.board.upstream_limits.reports(now),
         )
         envelope = peer_messages.Envelope(
             instance=self.board.settings.instance,
@@ -318,6 +320,15 @@
                     store_age_s=state.store_age_s,
                 ),
             )
+        for limit in self.board.upstream_limits.note_reports(
+            state.limits, now
+        ):
+            self.events.info(
+                'upstream-rate-limit',
+                peer=name,
+                limit=limit,
+                rate_per_s=state.limits[limit].rate_per_s,
+            )
         self.board.rate_limiter.apply_update(
             name, envelope.incarnation, state.usage, state.whole, now
         )
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -11,7 +11,8 @@
 import attrs
 import msgspec
 
-from oleanderdrift.gateway import allotments
+from oleanderdrift.gateway import rate_buckets
+from oleanderdrift.gateway import upstream_limits
 
 # Retired incarnations of an instance whose late messages are recognised.
 MAX_RETIRED: typing.Final = 4
@@ -46,16 +47,18 @@
 class StateUpdate(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """The state that an instance publishes to its peers.
 
-    usage is keyed by client account; whole says that it names every
-    account that was ever requested.  work is keyed by upstream and complete.
+    usage is keyed by client account or upstream limit; whole says that it
+    names all that were ever requested.  work is keyed by upstream and
+    complete.  limits holds what this instance heard of upstreams' limits.
     """
 
     data_centre: str
     store_age_s: float
-    usage: dict[str, allotments.Usage]
+    usage: dict[str, rate_buckets.Usage]
     whole: bool
     work: dict[str, UpstreamLoad]
     leaving: bool = False
+    limits: dict[str, upstream_limits.Report] = {}
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -100,11 +100,12 @@
     now: float,
     chance: random.Random,
     excluded: collections.abc.Container[str] = (),
+    busy: collections.abc.Container[str] = (),
 ) -> upstreams.Upstream | None:
-    """Returns the best upstream, or None if all are excluded.
+    """Returns the best upstream, or None if all are excluded or busy.
 
     Upstreams that are ejected or in a silent data centre are chosen only
-    if there are no others.
+    if there are no others: a busy one is worth waiting for.
     """
     remaining = [
         one for one in candidates if one.entry.upstream_id not in excluded
@@ -128,7 +129,12 @@
         delay = delay_s(one, request, place.data_centre, now)
         return delay + connect_s + tie
 
-    compared = draw(healthy or remaining, request, place, chance)
+    free = [
+        one
+        for one in healthy or remaining
+        if one.entry.upstream_id not in busy
+    ]
+    compared = draw(free, request, place, chance)
     return min(compared, key=score, default=None)
 
 
--- a/oleanderdrift/gateway/program_admission.py
+++ b/oleanderdrift/gateway/program_admission.py
@@ -10,12 +10,14 @@
 """
 
 import collections.abc
+import math
 import typing
 
 import attrs
 
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import upstream_limits
 from oleanderdrift.gateway import upstreams
 
 # The load, as requests per slot, above which new programs are refused.  The
@@ -59,17 +61,19 @@
     priority: int,
     request_id: str,
     now: float,
+    limits: upstream_limits.UpstreamLimits | None = None,
 ) -> Refusal | None:
     """Returns why a new program is refused, or None if it may begin.
 
-    engines are those that the program's turns could go to.
+    engines are those that the program's turns could go to, and limits the
+    rates that some of them take.
     """
     running = slots = 0
     for one in engines:
         if one.is_ejected(now):
             continue
         running += one.own_requests + one.peer_requests
-        slots += one.entry.slots
+        slots += _usable_slots(one, limits)
     limit = MAX_URGENT_LOAD if priority <= URGENT_PRIORITY else MAX_LOAD
     if not slots or running < limit * slots:
         return None
@@ -77,3 +81,14 @@
     return Refusal(
         retry_after_s=MIN_RETRY_S * spread, running=running, slots=slots
     )
+
+
+def _usable_slots(
+    engine: upstreams.Upstream, limits: upstream_limits.UpstreamLimits | None
+) -> int:
+    """Returns how many slots an engine's rate limit lets requests use."""
+    rate_per_s = limits.rate_per_s(engine) if limits is not None else None
+    if rate_per_s is None:
+        return engine.entry.slots
+    used = math.ceil(rate_per_s * upstreams.TURN_DECODE_S)
+    return min(used, engine.entry.slots)
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -138,6 +138,9 @@
                 now, REMOVED_UPSTREAM_RETENTION_S
             ):
                 self.forwarder.attempts.pool.close_idle(upstream.key())
+            self.board.upstream_limits.keep_only(
+                self.board.upstreams.by_id.values()
+            )
             retention_ms = int(self.board.settings.turn_retention_s * 1_000)
             self.forwarder.turns.turns.forget(clock.unix_ms() - retention_ms)
             if self.board.config is not None:
--- /dev/null
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -0,0 +1,173 @@
+"""Chooses the upstream that a request is sent to next.
+
+Joins what `placement` says is best with what `upstream_limits` allows.
+"""
+
+import asyncio
+import random
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import placement
+from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import upstreams
+
+# A caller that is refused sooner uses up one of its few tries.
+MAX_TOKEN_WAIT_S: typing.Final = 0.4
+TOKEN_POLL_S: typing.Final = 0.05
+
+
+@attrs.frozen(kw_only=True)
+class NoToken:
+    """All upstreams that may get a request have got the rate they take."""
+
+
+class UpstreamChooser:
+    """Chooses upstreams by the board's state and the idle connections."""
+
+    def __init__(self, board: board_lib.Board, pool: channel.Pool) -> None:
+        self.board = board
+        self.pool = pool
+        self.chance = random.Random()
+
+    async def acquire(
+        self, progress: progress_lib.Progress
+    ) -> upstreams.Upstream | None:
+        """Returns the upstream to try next, None if there is none.
+
+        Where all have got the rate that they take, waits for a token.
+        Raises ResultError if none comes in time.
+        """
+        choice = self.choose(progress)
+        if not isinstance(choice, NoToken):
+            return choice
+        admitted = progress.admitted
+        waiting = self.board.upstream_limits.waiting
+        waiting[admitted.service.name] += 1
+        try:
+            until = clock.monotonic() + MAX_TOKEN_WAIT_S
+            while isinstance(choice, NoToken):
+                may_wait = clock.monotonic() < until
+                if not progress.sent and (
+                    admitted.begins_program or not may_wait
+                ):
+                    raise admission.limited_error(
+                        admitted.request.request_id,
+                        begins_program=admitted.begins_program,
+                    )
+                await asyncio.sleep(TOKEN_POLL_S)
+                choice = self.choose(progress, has_waited=True)
+        finally:
+            waiting[admitted.service.name] -= 1
+        return choice
+
+    def choose(
+        self, progress: progress_lib.Progress, has_waited: bool = False
+    ) -> upstreams.Upstream | NoToken | None:
+        """Returns the upstream to try next, with a token for the request.
+
+        Tokens are kept for requests that have waited, and at the upstreams
+        that have most of the request's conversation.
+        """
+        candidates = self.candidates(progress)
+        now = clock.monotonic()
+        limits = self.board.upstream_limits
+        best = self.best(progress, candidates, set(), now)
+        if best is None or not limits.newest:
+            return best
+        # Also while there is no token, so that the demand stays known.
+        limits.note_demand(best, now)
+        home = self.home(progress, candidates, has_waited)
+        busy = {
+            one.entry.upstream_id
+            for one in candidates
+            if not limits.may_send(one, now, one.entry.upstream_id in home)
+        }
+        if progress.admitted.begins_program:
+            busy |= limits.overloaded(candidates, now)
+        while True:
+            upstream = self.best(progress, candidates, busy, now)
+            if upstream is None:
+                return NoToken()
+            upstream_id = upstream.entry.upstream_id
+            if upstream is not best:
+                limits.note_demand(upstream, now)
+            if limits.try_send(upstream, now, upstream_id in home):
+                return upstream
+            busy.add(upstream_id)
+
+    def best(
+        self,
+        progress: progress_lib.Progress,
+        candidates: list[upstreams.Upstream],
+        busy: set[str],
+        now: float,
+    ) -> upstreams.Upstream | None:
+        """Returns the best of the candidates that are not busy."""
+        return placement.choose(
+            candidates,
+            progress.admitted.request,
+            self.place(candidates, now),
+            now,
+            self.chance,
+            progress.excluded,
+            busy,
+        )
+
+    def home(
+        self,
+        progress: progress_lib.Progress,
+        candidates: list[upstreams.Upstream],
+        has_waited: bool,
+    ) -> set[str]:
+        """Returns the upstreams whose kept tokens a request may use."""
+        if progress.admitted.begins_program:
+            return set()
+        ids = {one.entry.upstream_id for one in candidates}
+        prompt = progress.admitted.request.prompt
+        if has_waited or not prompt:
+            return ids
+        uncached = {
+            one.entry.upstream_id: one.uncached_tokens(prompt)
+            for one in candidates
+        }
+        fewest = min(uncached.values(), default=0)
+        return {one for one in ids if uncached[one] == fewest}
+
+    def candidates(
+        self, progress: progress_lib.Progress
+    ) -> list[upstreams.Upstream]:
+        """Returns the upstreams that may get a request."""
+        admitted = progress.admitted
+        candidates = self.board.upstreams.of_service(
+            admitted.service.name,
+            self.board.freshness.in_lapse_grace(clock.boot()),
+        )
+        if len(progress.possibly_ran) < admitted.route.attempts:
+            return candidates
+        # Only upstreams that may have run it already may get it again.
+        return [
+            one
+            for one in candidates
+            if one.entry.upstream_id in progress.possibly_ran
+        ]
+
+    def place(
+        self, candidates: list[upstreams.Upstream], now: float
+    ) -> placement.Place:
+        """Returns where requests are placed from."""
+        return placement.Place(
+            data_centre=self.board.settings.data_centre,
+            instances=self.board.instances,
+            connected=frozenset(
+                one.entry.upstream_id
+                for one in candidates
+                if self.pool.has_idle(one.key(), now)
+            ),
+            silent_data_centres=self.board.silent_data_centres,
+        )
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -52,8 +52,7 @@
     whose requests may be aborted to when these were sent.  last_received is
     when bytes last came from it, and silence_timeout_s how long it may send
     nothing while such requests wait: only engines send all the time.
-    removed_at is when the entry was removed.  rate_limit_per_s is the limit
-    that it named in its latest answer to this instance, None if it named none.
+    removed_at is when the entry was removed.
     """
 
     entry: model.UpstreamEntry
@@ -71,7 +70,6 @@
     abortable: dict[channel.Channel, float] = attrs.field(factory=dict)
     silence_timeout_s: float = float('inf')
     removed_at: float | None = None
-    rate_limit_per_s: float | None = None
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
--- a/tests/test_gateway_allotments.py
+++ b/tests/test_gateway_allotments.py
@@ -6,6 +6,7 @@
 import pytest
 
 from oleanderdrift.gateway import allotments
+from oleanderdrift.gateway import rate_buckets
 from tests import gateway_support
 
 INSTANCES = 9
@@ -239,7 +240,7 @@
     limiter = allotments.RateLimiter(started=0.0)
     account = gateway_support.account(rate=20.0, burst=20.0)
     limiter.configure([account])
-    usage = allotments.Usage(spent=5, demand=3.0)
+    usage = rate_buckets.Usage(spent=5, demand=3.0)
     limiter.apply_update('peer', 1, {account.name: usage}, True, 5.0)
     limiter.apply_update('peer', 1, {}, False, 5.1)
     assert limiter.peers_demand(account.name) == 3.0
@@ -257,7 +258,7 @@
     limiter = allotments.RateLimiter(started=0.0)
     account = gateway_support.account(rate=20.0, burst=20.0)
     limiter.configure([account])
-    usage = allotments.Usage(spent=40, demand=3.0)
+    usage = rate_buckets.Usage(spent=40, demand=3.0)
     limiter.apply_update('peer', 1, {}, first_is_full, 5.0)
     limiter.apply_update('peer', 1, {account.name: usage}, False, 5.1)
     assert limiter.bucket(account.name).tokens == -charged
@@ -267,7 +268,7 @@
     limiter = allotments.RateLimiter(started=0.0)
     account = gateway_support.account(rate=20.0, burst=20.0)
     limiter.configure([account])
-    usage = allotments.Usage(spent=4, demand=3.0)
+    usage = rate_buckets.Usage(spent=4, demand=3.0)
     limiter.apply_update('peer', 1, {}, True, 5.0)
     limiter.apply_update('peer', 2, {}, False, 5.1)
     limiter.apply_update('peer', 2, {account.name: usage}, False, 5.2)
@@ -281,7 +282,7 @@
     start = 100.0
     limiter.refill(account.name, limiter.bucket(account.name), start)
     for spent, at in ((10, start), (18, start + 2.0)):
-        usage = allotments.Usage(spent=spent, demand=4.0)
+        usage = rate_buckets.Usage(spent=spent, demand=4.0)
         limiter.charge_overdue_peers(at)
         limiter.apply_update('peer', 1, {account.name: usage}, True, at)
     # The refill since then is not applied yet.
