Log account, continued turn and fingerprint of each request

Cause: requests with one path, caller and body could not be found in the logs, and a turn refused as unknown did not say which turn, or whose. Change: three fields, and a detail. What is sent does not change.

--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -1,6 +1,7 @@
 """Handles a request from admission to the end of its response."""
 
 import asyncio
+import typing
 
 from oleanderdrift import codes
 from oleanderdrift import errors
@@ -9,6 +10,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import fingerprints
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
@@ -16,6 +18,9 @@
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift import metrics
 
+# Enough to tell the requests of a log apart.
+LOGGED_DIGITS: typing.Final = 8
+
 
 class Forwarder:
     """Serves client requests, using the state on the board."""
@@ -48,6 +53,10 @@
             )
             progress = progress_lib.Progress(
                 admitted=admitted,
+                fingerprint=fingerprints.fingerprint(
+                    request,
+                    admitted.account.name if admitted.account else '',
+                ),
                 body=request.body,
                 last_event_id=request.last_event_id,
                 deadline=min(
@@ -125,6 +134,11 @@
             'request',
             request=request.request_id,
             program=request.program_id,
+            account=progress.account_name() if progress else '',
+            fingerprint=progress.fingerprint[:LOGGED_DIGITS]
+            if progress
+            else '',
+            previous=request.previous_turn,
             route=progress.admitted.route.name if progress else '',
             version=progress.admitted.config_version if progress else '',
             upstream=progress.upstream if progress else '',
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -12,16 +12,18 @@
 class Progress:
     """The state of an admitted request.
 
-    body is sent to upstreams.  reserved says that its tokens may be
-    reserved, and sent that an upstream may have run it.  possibly_ran holds
-    the upstreams that may have run it and may still do so, excluded those
-    that must not get it again.  tokens and output are those sent to the
-    caller.  uncached_tokens and running_requests were the inputs of the
+    body is sent to upstreams.  fingerprint is that of what the caller sent;
+    a request that comes again has the same.  reserved says that its tokens
+    may be reserved, and sent that an upstream may have run it.  possibly_ran
+    holds the upstreams that may have run it and may still do so, excluded
+    those that must not get it again.  tokens and output are those sent to
+    the caller.  uncached_tokens and running_requests were the inputs of the
     last placement.  first_ms is the time until the first event, or -1.
     """
 
     admitted: admission.Admitted
     body: bytes
+    fingerprint: str = ''
     deadline: float
     reserved: bool = False
     sent: bool = False
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -161,7 +161,10 @@
                 )
             turn = self.cache.get(name) or await self.fetch(name)
             if turn.account != account:
-                raise errors.ResultError(codes.UNKNOWN_TURN)
+                raise errors.ResultError(
+                    codes.UNKNOWN_TURN,
+                    f'turn {name} is one of {turn.account}, not of {account}',
+                )
             found.append(turn)
             name = turn.previous
         return found[::-1]
@@ -206,7 +209,9 @@
                 continue
             if record is not None:
                 return record
-        raise failed or errors.ResultError(codes.UNKNOWN_TURN)
+        raise failed or errors.ResultError(
+            codes.UNKNOWN_TURN, f'there is no record of turn {name}'
+        )
 
     async def find_record_in(
         self, partition: int, name: str
