--- a/standins/replica.py
+++ b/standins/replica.py
@@ -89,7 +89,8 @@
     """A replica; closed counts the connections that clients closed.
 
     endless_bytes counts the bytes of Endless answers that were accepted by
-    the connection.
+    the connection.  A request with the body deadly_body ends the replica:
+    all connections are reset, and it listens no more.  crashes counts that.
     """
 
     behaviours: list[Behaviour]
@@ -99,6 +100,9 @@
     endless_bytes: int = 0
     port: int = 0
     server: asyncio.Server | None = None
+    deadly_body: bytes | None = None
+    crashes: int = 0
+    writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> None:
         """Starts listening on a free loopback port."""
@@ -121,10 +125,14 @@
     ) -> None:
         """Serves one connection until either side closes it."""
         self.connections += 1
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
                 self.received.append(request)
+                if request.body == self.deadly_body:
+                    self.crash()
+                    break
                 if not await self.answer(request, reader, writer):
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -133,8 +141,17 @@
             # The event loop cancels open connections when a test ends.
             return
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    def crash(self) -> None:
+        """Ends the replica as a crash of its process does."""
+        self.crashes += 1
+        for writer in self.writers:
+            writer.transport.abort()
+        if self.server is not None:
+            self.server.close()
+
     async def answer(
         self,
         request: Received,
