--- a/tests/test_gateway_upstream_limits.py
+++ b/tests/test_gateway_upstream_limits.py
@@ -13,6 +13,7 @@
 from standins import replica
 from tests import gateway_fleet
 from tests import gateway_support
+from tests import peer_fleet
 
 # The users allow, in any so many seconds, so many times the rate and so many
 # requests more, counted half a second after an instance has been told.
@@ -321,3 +322,36 @@
     refusal = program_admission.refuse_program([engine], 1, 'q', 10.0, limits)
     assert refusal is not None
     assert refusal.slots == 2
+
+
+def test_instances_hear_of_a_limit_from_each_other() -> None:
+    network = peer_fleet.build({'north': 6, 'south': 5}, seed=1)
+    network.run(2.0)
+    first = network.instances['north-3'].board
+    upstream = first.upstreams.by_id['u1']
+    first.upstream_limits.note_answer(upstream, 7.0, network.now)
+    # The users' bound.
+    network.run(TOLD_S)
+    boards = [one.board for one in network.instances.values()]
+    assert {one.upstream_limits.rate_per_s(upstream) for one in boards} == {
+        7.0
+    }
+    first.upstream_limits.note_answer(upstream, None, network.now)
+    network.run(TOLD_S)
+    assert {one.upstream_limits.rate_per_s(upstream) for one in boards} == {
+        None
+    }
+
+
+def test_instance_that_starts_later_hears_of_a_limit() -> None:
+    network = peer_fleet.build({'north': 5, 'south': 5}, seed=2)
+    network.run(2.0)
+    first = network.instances['south-2'].board
+    upstream = first.upstreams.by_id['u1']
+    first.upstream_limits.note_answer(upstream, 7.0, network.now)
+    network.run(1.0)
+    network.kill('north-1')
+    network.add('north-1', 'north')
+    network.run(1.0)
+    later = network.instances['north-1'].board
+    assert later.upstream_limits.rate_per_s(upstream) == 7.0
