--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -4,9 +4,12 @@
 """
 
 import enum
+import typing
 
 import attrs
 
+INCARNATION_SEPARATOR: typing.Final = '\x1f'
+
 
 class RouteKind(enum.Enum):
     """The kind of a route's requests; decides if they may be repeated."""
@@ -113,6 +116,14 @@
     born_ms: int
     cold_s: float
 
+    def incarnation(self) -> str:
+        """Returns a name for this start of the upstream.
+
+        No name of an account can equal it: those are sent in headers, which
+        cannot contain the separator.
+        """
+        return f'{self.upstream_id}{INCARNATION_SEPARATOR}{self.born_ms}'
+
 
 @attrs.frozen(kw_only=True)
 class PromptPart:
--- a/oleanderdrift/gateway/upstream_limits.py
+++ b/oleanderdrift/gateway/upstream_limits.py
@@ -23,12 +23,8 @@
 import msgspec
 
 from oleanderdrift.gateway import allotments
-from oleanderdrift.gateway import model
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
-# Between an upstream's id and its start in the name of a limit.  Names of
-# accounts are sent in headers, so they cannot contain it.
-_SEPARATOR: typing.Final = '\x1f'
 # Seconds of the rate that may be spent at once after a pause in demand.
 BURST_S: typing.Final = 1.0
 # Tokens are kept for conversations only if more than one fits in the bucket.
@@ -43,7 +39,7 @@
 
 @attrs.frozen(kw_only=True)
 class UpstreamLimit:
-    """The limit of one incarnation of an upstream; see allotments.Limit."""
+    """The limit of one incarnation of an upstream."""
 
     name: str
     rate_per_s: float
@@ -90,7 +86,7 @@
 
         rate is the one that the answer names, if it names one.
         """
-        name = limit_name(upstream.entry)
+        name = upstream.entry.incarnation()
         if rate is None and name not in self.newest:
             return False
         self.own[name] = Statement(rate_per_s=rate, at=now)
@@ -159,14 +155,14 @@
 
     def rate_per_s(self, upstream: upstreams_lib.Upstream) -> float | None:
         """Returns the limit of an upstream, None if there is none."""
-        limit = self.limiter.upstreams.get(limit_name(upstream.entry))
+        limit = self.limiter.upstreams.get(upstream.entry.incarnation())
         return limit.rate_per_s if limit is not None else None
 
     def note_demand(
         self, upstream: upstreams_lib.Upstream, now: float
     ) -> None:
         """Counts a request that would go to an upstream."""
-        limit = self.limiter.upstreams.get(limit_name(upstream.entry))
+        limit = self.limiter.upstreams.get(upstream.entry.incarnation())
         if limit is not None:
             self.limiter.note_demand(limit, now)
 
@@ -180,7 +176,7 @@
 
         may_use_reserve says that tokens are kept for requests like it.
         """
-        limit = self.limiter.upstreams.get(limit_name(upstream.entry))
+        limit = self.limiter.upstreams.get(upstream.entry.incarnation())
         if limit is None:
             return True
         return self.limiter.has_token(limit, now, may_use_reserve)
@@ -192,7 +188,7 @@
         may_use_reserve: bool,
     ) -> bool:
         """Takes a token for a request; returns whether it may be sent."""
-        limit = self.limiter.upstreams.get(limit_name(upstream.entry))
+        limit = self.limiter.upstreams.get(upstream.entry.incarnation())
         if limit is None:
             return True
         return self.limiter.spend(limit, now, may_use_reserve) is None
@@ -237,18 +233,13 @@
         self, known: collections.abc.Iterable[upstreams_lib.Upstream]
     ) -> None:
         """Forgets the limits of all other upstreams."""
-        kept = {limit_name(one.entry) for one in known}
+        kept = {one.entry.incarnation() for one in known}
         for name in self.newest.keys() - kept:
             self.limiter.forget_upstream(name)
             del self.newest[name]
             self.own.pop(name, None)
 
 
-def limit_name(entry: model.UpstreamEntry) -> str:
-    """Returns the name of the limit of one incarnation of an upstream."""
-    return f'{entry.upstream_id}{_SEPARATOR}{entry.born_ms}'
-
-
 def _limit(name: str, rate_per_s: float) -> UpstreamLimit:
     """Returns the limit for a rate that an upstream names."""
     rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
