Refuse a request under which upstreams crash, at all instances

Cause: each try started anew. An instance blamed the upstream and ejected it, forgot the request with its caller's answer, and told nobody. It is the class of fault where each new executor blames only the last one.

Change: instances tell each other which requests were open when an upstream crashed. A request that was open at two crashes is refused if no other was open at both, at three in any case, for one and ten minutes; never one that an upstream has run. A crash is one where no connection is left and a new one is refused, and the upstream was not leaving; it no longer ejects it. Peers leave a crashed upstream out at once. Refusals have code 5005 and the time to return; what is refused is told to instances that start later.

Seen to fail with their guard out: leaving, time-out, reset of one connection, proven requests, shared blame, peers' reports, the check before tokens are reserved.

--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -225,6 +225,13 @@
     _UNKNOWN,
     'The upstream broke off before the whole answer.',
 )
+REQUEST_BLOCKED: typing.Final = _entry(
+    5005,
+    'request-blocked',
+    503,
+    _NOT_RUN,
+    'Upstreams crashed while they ran this request; it is not sent again.',
+)
 UPSTREAM_TIMEOUT: typing.Final = _entry(
     5002, 'upstream-timeout', 504, _UNKNOWN, 'The upstream went silent.'
 )
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Sends a request to upstreams until one has answered."""
 
+import asyncio
 import typing
 
 from oleanderdrift import codes
@@ -7,6 +8,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import events
 from oleanderdrift.gateway import exchange
@@ -40,6 +42,9 @@
         self.turns = turns
         self.events = event_log
         self.pool = channel.Pool()
+        self.crashes = crash_detector.CrashDetector(
+            board, self.pool, event_log
+        )
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
 
     async def run(
@@ -51,6 +56,7 @@
         may have run.
         """
         for _ in range(MAX_TRIES):
+            self.check_blocked(progress)
             upstream = await self.chooser.acquire(progress)
             if upstream is None:
                 break
@@ -64,9 +70,11 @@
                 upstream.own_requests + upstream.peer_requests
             )
             upstream.add_pending_tokens(request.request_id, request.prompt)
+            self.crashes.begin(progress, upstream)
             try:
                 done = await self.try_one(progress, upstream, reply)
             finally:
+                self.crashes.end(progress, upstream)
                 upstream.own_requests -= 1
                 upstream.clear_pending_tokens(request.request_id)
             if done:
@@ -141,7 +149,9 @@
                 )
                 return False
             case exchange.MayHaveRun():
-                return self.handle_broken(progress, upstream, outcome.reason)
+                return await self.handle_broken(
+                    progress, upstream, outcome.reason
+                )
             case exchange.ResponseStarted():
                 self.note_rate_limit(progress, upstream, outcome.head)
                 return await self.relay_answer(
@@ -182,7 +192,19 @@
             reason=reason,
         )
 
-    def handle_broken(
+    def check_blocked(self, progress: progress_lib.Progress) -> None:
+        """Raises ResultError if upstreams crashed under this request."""
+        now = clock.monotonic()
+        ledger = self.board.crashes
+        if not ledger.is_blocked(progress.fingerprint, now):
+            return
+        raise errors.ResultError(
+            codes.UPSTREAM_FAILED if progress.sent else codes.REQUEST_BLOCKED,
+            f'upstreams crashed under request {progress.fingerprint}',
+            retry_after_s=ledger.retry_s(progress.fingerprint, now),
+        )
+
+    async def handle_broken(
         self,
         progress: progress_lib.Progress,
         upstream: upstreams.Upstream,
@@ -192,10 +214,17 @@
 
         Raises ResultError if the request must not be sent again.
         """
-        upstream.note_failure(clock.monotonic())
         self.note_failed_try(progress, upstream, reason)
+        check = self.crashes.note_broken(progress, upstream)
         if not progress.admitted.may_repeat():
+            upstream.note_failure(clock.monotonic())
             raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
+        if await asyncio.shield(check):
+            # It runs no more there, and the upstream is not to blame.
+            progress.possibly_ran.discard(upstream.entry.upstream_id)
+            progress.excluded.add(upstream.entry.upstream_id)
+            return False
+        upstream.note_failure(clock.monotonic())
         if upstream.entry.data_centre in self.board.silent_data_centres:
             # It cannot be reached, so another one may run the request.
             progress.possibly_ran.discard(upstream.entry.upstream_id)
@@ -237,7 +266,7 @@
                 await reply.send_complete(head.status, head.headers, body)
         except channel.ChannelError as error:
             connection.close()
-            return self.handle_broken(progress, upstream, str(error))
+            return await self.handle_broken(progress, upstream, str(error))
         except BaseException:
             # Closing the connection makes the upstream stop.
             connection.close()
@@ -245,6 +274,7 @@
         finally:
             upstream.abortable.pop(connection, None)
         upstream.note_success()
+        self.board.crashes.note_success(progress.fingerprint)
         self.pool.release(upstream.key(), connection, clock.monotonic())
         return True
 
@@ -274,6 +304,7 @@
                 event_count += 1
                 if event_count == 1:
                     first_at = last_at
+                    self.crashes.note_answering(progress, upstream)
                 await self.relay_event(progress, outcome, event, reply)
         upstream.abortable.pop(outcome.connection, None)
         if event_count >= MIN_MEASURED_EVENTS:
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -6,6 +6,7 @@
 import attrs
 
 from oleanderdrift.gateway import allotments as allotments_lib
+from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import freshness as freshness_lib
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import reachability as reachability_lib
@@ -51,6 +52,9 @@
     freshness: freshness_lib.Freshness = attrs.field(
         factory=freshness_lib.Freshness
     )
+    crashes: crash_ledger.CrashLedger = attrs.field(
+        factory=crash_ledger.CrashLedger
+    )
     started_programs: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -68,6 +72,25 @@
         if len(self.started_programs) > MAX_STARTED_PROGRAMS:
             self.started_programs.popitem(last=False)
 
+    def note_crash(
+        self, incarnation: str, report: crash_ledger.CrashReport, now: float
+    ) -> list[crash_ledger.Blame]:
+        """Records a crash that this instance saw."""
+        self.upstreams.remove_incarnation(incarnation, now)
+        return self.crashes.note_own_crash(incarnation, report, now)
+
+    def note_peers_crash(
+        self, incarnation: str, report: crash_ledger.CrashReport, now: float
+    ) -> list[crash_ledger.Blame]:
+        """Records a crash that a peer saw.
+
+        The upstream gets nothing more until it is back.  Later reports of
+        the same crash do not remove it again.
+        """
+        if incarnation not in self.crashes.crashes:
+            self.upstreams.remove_incarnation(incarnation, now)
+        return self.crashes.note_crash(incarnation, report, now)
+
     def check_pause(self, now: float, boot_now: float) -> None:
         """Empties the token buckets if this process has been paused."""
         if boot_now - self.exchanged_at > MAX_PAUSE_S:
--- /dev/null
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -0,0 +1,175 @@
+"""Tells the crash of an upstream from the failure of one connection.
+
+When an answer breaks off, the upstream may have crashed, or it may have
+closed this one connection, or the network may have failed.  It has crashed
+if no other connection to it is left and it refuses a new one.
+"""
+
+import asyncio
+import collections
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import crash_ledger
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import upstreams
+
+# The resets of all connections arrive within this time.
+SETTLE_S: typing.Final = 0.03
+CONNECT_TIMEOUT_S: typing.Final = 0.25
+
+
+@attrs.define(kw_only=True)
+class OpenRequest:
+    """A request at an upstream; answering says that its answer has begun."""
+
+    fingerprint: str
+    answering: bool = False
+
+
+class CrashDetector:
+    """Watches the open requests of one instance, by upstream.
+
+    broken holds those whose answers broke off, until the reason is known.
+    checks holds the tasks that find out.
+    """
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        pool: channel.Pool,
+        events: event_log.EventLog,
+    ) -> None:
+        self.board = board
+        self.pool = pool
+        self.events = events
+        self.open: collections.defaultdict[str, dict[str, OpenRequest]] = (
+            collections.defaultdict(dict)
+        )
+        self.broken: collections.defaultdict[str, list[OpenRequest]] = (
+            collections.defaultdict(list)
+        )
+        self.checks: dict[str, asyncio.Task[bool]] = {}
+
+    def begin(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Notes that a request is sent to an upstream."""
+        request_id = progress.admitted.request.request_id
+        self.open[upstream.entry.incarnation()][request_id] = OpenRequest(
+            fingerprint=progress.fingerprint
+        )
+
+    def note_answering(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Notes that a part of the answer has come."""
+        request_id = progress.admitted.request.request_id
+        found = self.open[upstream.entry.incarnation()].get(request_id)
+        if found is not None:
+            found.answering = True
+
+    def end(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Notes that a request is no longer at an upstream."""
+        incarnation = upstream.entry.incarnation()
+        requests = self.open[incarnation]
+        requests.pop(progress.admitted.request.request_id, None)
+        if not requests and incarnation not in self.checks:
+            del self.open[incarnation]
+
+    def note_broken(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> asyncio.Task[bool]:
+        """Notes that an answer broke off; returns the check for a crash.
+
+        The result of the check is whether the upstream has crashed.
+        """
+        incarnation = upstream.entry.incarnation()
+        request_id = progress.admitted.request.request_id
+        found = self.open[incarnation].pop(request_id, None)
+        if found is not None:
+            self.broken[incarnation].append(found)
+        check = self.checks.get(incarnation)
+        if check is None:
+            check = asyncio.create_task(self.check(upstream))
+            self.checks[incarnation] = check
+        return check
+
+    async def check(self, upstream: upstreams.Upstream) -> bool:
+        """Finds out whether an upstream has crashed, and records it."""
+        incarnation = upstream.entry.incarnation()
+        before = set(self.open[incarnation])
+        try:
+            await asyncio.sleep(SETTLE_S)
+            still_open = before & self.open[incarnation].keys()
+            if (
+                self.has_left(upstream)
+                or still_open
+                or not await self.refuses(upstream)
+            ):
+                return False
+            self.record(upstream)
+            return True
+        finally:
+            self.checks.pop(incarnation, None)
+            self.broken.pop(incarnation, None)
+            if not self.open[incarnation]:
+                del self.open[incarnation]
+
+    def has_left(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream was to end, after its last requests."""
+        if upstream.entry.draining:
+            return True
+        is_known = upstream.entry.incarnation() in self.board.crashes.crashes
+        return upstream.removed_at is not None and not is_known
+
+    async def refuses(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream refuses a connection."""
+        key, entry = upstream.key(), upstream.entry
+        now = clock.monotonic()
+        if self.pool.has_idle(key, now):
+            return False
+        try:
+            connection = await self.pool.acquire(
+                key, entry.host, entry.port, CONNECT_TIMEOUT_S, now
+            )
+        except ConnectionError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        self.pool.release(key, connection, clock.monotonic())
+        return False
+
+    def record(self, upstream: upstreams.Upstream) -> None:
+        """Records a crash and the requests that were open."""
+        now = clock.monotonic()
+        incarnation = upstream.entry.incarnation()
+        requests = self.broken[incarnation]
+        report = crash_ledger.CrashReport(
+            age_s=0.0,
+            silent=frozenset(
+                one.fingerprint for one in requests if not one.answering
+            ),
+            answering=frozenset(
+                one.fingerprint for one in requests if one.answering
+            ),
+        )
+        self.events.info(
+            'upstream-crashed',
+            upstream=upstream.entry.upstream_id,
+            silent=','.join(sorted(report.silent)),
+            answering=','.join(sorted(report.answering)),
+        )
+        for blame in self.board.note_crash(incarnation, report, now):
+            self.events.info(
+                'request-blocked',
+                fingerprint=blame.fingerprint,
+                crashes=blame.crashes,
+            )
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -64,6 +64,7 @@
                     request.received + admitted.route.timeout_s,
                 ),
             )
+            self.attempts.check_blocked(progress)
             async with asyncio.timeout_at(progress.deadline):
                 if admitted.is_turn():
                     await self.turns.prepare(progress)
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -171,6 +171,7 @@
             or not self.uses_relays
             or self.board.rate_limiter.has_unannounced()
             or self.board.upstream_limits.has_unreported()
+            or self.board.crashes.has_unreported(self.published_at)
             or self.current_work() != self.published_work
         )
 
@@ -202,6 +203,8 @@
             work=self.published_work,
             leaving=self.board.stopping,
             limits=self.board.upstream_limits.reports(now),
+            crashes=self.board.crashes.reports(now),
+            blocked=self.board.crashes.blocked_left_s(now) if whole else {},
         )
         envelope = peer_messages.Envelope(
             instance=self.board.settings.instance,
@@ -329,11 +332,26 @@
                 limit=limit,
                 rate_per_s=state.limits[limit].rate_per_s,
             )
+        self.apply_crashes(name, state, now)
         self.board.rate_limiter.apply_update(
             name, envelope.incarnation, state.usage, state.whole, now
         )
         self.peer_load.update(name, state.work)
 
+    def apply_crashes(
+        self, peer: str, state: peer_messages.StateUpdate, now: float
+    ) -> None:
+        """Applies the crashes that a peer saw, and what it refuses."""
+        self.board.crashes.note_blocked(state.blocked, now)
+        for incarnation, report in state.crashes.items():
+            for blame in self.board.note_peers_crash(incarnation, report, now):
+                self.events.info(
+                    'request-blocked',
+                    peer=peer,
+                    fingerprint=blame.fingerprint,
+                    crashes=blame.crashes,
+                )
+
     def expire_silent(self, now: float) -> None:
         """Drops the load of peers whose states have stopped."""
         for name in self.peer_load.expire(now):
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import rate_buckets
 from oleanderdrift.gateway import upstream_limits
 
@@ -50,6 +51,8 @@
     usage is keyed by client account or upstream limit; whole says that it
     names all that were ever requested.  work is keyed by upstream and
     complete.  limits holds what this instance heard of upstreams' limits.
+    crashes holds the latest crashes, and blocked for how long requests are
+    refused, by fingerprint; it comes with whole updates.
     """
 
     data_centre: str
@@ -59,6 +62,8 @@
     work: dict[str, UpstreamLoad]
     leaving: bool = False
     limits: dict[str, upstream_limits.Report] = {}
+    crashes: dict[str, crash_ledger.CrashReport] = {}
+    blocked: dict[str, float] = {}
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -3,10 +3,18 @@
 import asyncio
 import typing
 
+import attrs
 import pytest
 
+from oleanderdrift import codes
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import crash_detector
+from oleanderdrift.gateway import crash_ledger
+from oleanderdrift.gateway import fingerprints
 from oleanderdrift.gateway import model
 from standins import replica
+from tests import gateway_desk
 from tests import gateway_fleet
 from tests import gateway_support
 
@@ -45,3 +53,218 @@
             assert 0 < crashes <= MAX_CRASHES
 
     asyncio.run(run())
+
+
+def report(
+    silent: str = '', answering: str = '', age_s: float = 0.0
+) -> crash_ledger.CrashReport:
+    """Returns a report; each letter is a request's fingerprint."""
+    return crash_ledger.CrashReport(
+        age_s=age_s, silent=frozenset(silent), answering=frozenset(answering)
+    )
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'blocked'),
+    [
+        # One crash says nothing.
+        ([report('abc')], ''),
+        ([report('a')], ''),
+        # Only one was open at both.
+        ([report('abc'), report('ade')], 'a'),
+        # Two were open at both; the third crash tells them apart.
+        ([report('abc'), report('abd')], ''),
+        ([report('abc'), report('abd'), report('ae')], 'a'),
+        # The second crash of b is explained by a.
+        ([report('abc'), report('ade'), report('ab')], 'a'),
+        # Three crashes are enough in any case.
+        ([report('ab'), report('ab'), report('ab')], 'ab'),
+        # An answer that had begun makes a request less suspect.
+        ([report(answering='a'), report(answering='a')], ''),
+        ([report(answering='a')] * 3, 'a'),
+    ],
+)
+def test_request_is_blamed_if_nothing_else_explains_the_crashes(
+    crashes: list[crash_ledger.CrashReport], blocked: str
+) -> None:
+    ledger = crash_ledger.CrashLedger()
+    for number, one in enumerate(crashes):
+        ledger.note_crash(f'u{number}', one, float(number))
+    assert set(ledger.blocked) == set(blocked)
+
+
+def test_crash_that_several_instances_report_counts_once() -> None:
+    ledger = crash_ledger.CrashLedger()
+    for now in (0.0, 0.1, 0.2):
+        assert ledger.note_crash('u1', report('a'), now) == []
+    ledger.note_crash('u1', report('b'), 0.3)
+    blames = ledger.note_crash('u2', report('b'), 0.4)
+    assert [one.fingerprint for one in blames] == ['b']
+
+
+def test_request_that_is_run_elsewhere_is_not_blamed() -> None:
+    ledger = crash_ledger.CrashLedger()
+    ledger.note_success('a')
+    for number in range(4):
+        ledger.note_crash(f'u{number}', report('a'), float(number))
+    ledger.note_blocked({'a': 60.0}, 5.0)
+    assert not ledger.is_blocked('a', 5.0)
+
+
+def test_block_ends_and_peers_do_not_extend_it() -> None:
+    first, second = crash_ledger.CrashLedger(), crash_ledger.CrashLedger()
+    for number in range(2):
+        first.note_crash(f'u{number}', report('a'), 0.0)
+    for step in range(1, 70):
+        now = step * 1.0
+        # A message takes some time.
+        second.note_blocked(first.blocked_left_s(now), now + 0.3)
+        first.note_blocked(second.blocked_left_s(now), now + 0.3)
+    assert not first.is_blocked('a', 62.0)
+    assert not second.is_blocked('a', 62.0)
+
+
+def test_instance_that_starts_later_refuses_as_well() -> None:
+    ledger = crash_ledger.CrashLedger()
+    for number in range(3):
+        ledger.note_crash(f'u{number}', report('a'), 0.0)
+    later = crash_ledger.CrashLedger()
+    later.note_blocked(ledger.blocked_left_s(30.0), 30.0)
+    assert later.is_blocked('a', 31.0)
+    assert later.retry_s('a', 31.0) == pytest.approx(
+        crash_ledger.CERTAIN_BLOCK_S - 31.0
+    )
+
+
+def test_ledger_is_bounded() -> None:
+    ledger = crash_ledger.CrashLedger()
+    for number in range(2 * crash_ledger.MAX_CRASHES):
+        ledger.note_crash(f'u{number}', report(f'{number % 9}'), 1.0)
+    assert len(ledger.crashes) <= crash_ledger.MAX_CRASHES + 1
+    ledger.forget_old(1.0 + crash_ledger.CERTAIN_BLOCK_S + 1.0)
+    assert not ledger.crashes
+    assert not ledger.blocked
+
+
+def test_refused_request_has_a_code_and_is_not_sent() -> None:
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            1, replica.CompleteResponse(), route=ROUTES['once']
+        ) as fleet:
+            request = gateway_support.request(body=DEADLY)
+            name = fingerprints.fingerprint(request, '')
+            board = fleet.forwarders[0].board
+            board.crashes.block(name, float('inf'))
+            reply = await fleet.send(0, body=DEADLY)
+            assert reply.status == codes.REQUEST_BLOCKED.status == 503
+            assert codes.REQUEST_BLOCKED.execution is codes.Execution.NOT_RUN
+            assert fleet.replicas[0].received == []
+            assert (await fleet.send(0, body=b'other')).status == 200
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    'behaviour', [replica.Reset(), replica.Raw(data=b'HTTP/1.1 200 OK\r\nx')]
+)
+def test_failure_of_one_connection_is_no_crash(
+    behaviour: replica.Behaviour,
+) -> None:
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            1, behaviour, route=ROUTES['once']
+        ) as fleet:
+            for _ in range(4):
+                assert (await fleet.send(0, body=b'x')).status == 502
+                await asyncio.sleep(2 * crash_detector.SETTLE_S)
+            ledger = fleet.forwarders[0].board.crashes
+            assert not ledger.crashes
+            assert len(fleet.replicas[0].received) == 4
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('change', ['draining', 'removed'])
+def test_end_of_an_upstream_that_leaves_is_no_crash(change: str) -> None:
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            1, replica.CompleteResponse(), route=ROUTES['once']
+        ) as fleet:
+            fleet.replicas[0].deadly_body = DEADLY
+            board = fleet.forwarders[0].board
+            sending = asyncio.create_task(fleet.send(0, body=DEADLY))
+            await asyncio.sleep(0)
+            upstream = board.upstreams.by_id['u0']
+            if change == 'draining':
+                board.upstreams.put(
+                    attrs.evolve(upstream.entry, draining=True)
+                )
+            else:
+                board.upstreams.remove('u0', clock.monotonic())
+            assert (await sending).status == 502
+            await asyncio.sleep(2 * crash_detector.SETTLE_S)
+            assert not board.crashes.crashes
+
+    asyncio.run(run())
+
+
+def test_crash_does_not_eject_the_upstream_that_comes_back() -> None:
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            2, replica.CompleteResponse(), route=ROUTES['once']
+        ) as fleet:
+            fleet.replicas[0].deadly_body = DEADLY
+            await fleet.send(0, body=DEADLY)
+            await asyncio.sleep(0.4)
+            for one in fleet.forwarders:
+                assert one.board.upstreams.by_id['u0'].removed_at is not None
+            await fleet.replicas[0].start()
+            fleet.replicas[0].deadly_body = None
+            for one in fleet.forwarders:
+                one.board.upstreams.put(
+                    gateway_support.entry(
+                        'u0', port=fleet.replicas[0].port, born_ms=2
+                    )
+                )
+                found = one.board.upstreams.by_id['u0']
+                assert not found.is_ejected(clock.monotonic())
+            assert (await fleet.send(1, body=b'x')).status == 200
+
+    asyncio.run(run())
+
+
+def test_upstream_that_cannot_be_reached_has_not_crashed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def time_out(*args: object) -> channel.Channel:
+        raise TimeoutError
+
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            1, replica.Reset(), route=ROUTES['once']
+        ) as fleet:
+            assert (await fleet.send(0, body=b'x')).status == 502
+            monkeypatch.setattr(channel.Pool, 'acquire', time_out)
+            await asyncio.sleep(2 * crash_detector.SETTLE_S)
+            assert not fleet.forwarders[0].board.crashes.crashes
+
+    asyncio.run(run())
+
+
+def test_refused_turn_reserves_no_tokens() -> None:
+    async def run() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route={'retains': True}
+        ) as harness:
+            board = harness.forwarder.board
+            turn = gateway_support.request(body=DEADLY)
+            board.crashes.block(
+                fingerprints.fingerprint(turn, 'ward'), float('inf')
+            )
+            reply = await harness.send_request(
+                body=DEADLY, program_id='p', token_budget=900, max_tokens=90
+            )
+            assert reply.status == 503
+            assert harness.log.appends == 0
+
+    asyncio.run(run())
