Blame targets as well, and only once all instances have reported

Requests that may be resumed moved to the next upstream together with the one that crashed it, three times within 0.2 s, and were blamed for three crashes; and an instance decided before others had reported what they had open.

Change: an account's target has a fingerprint of its own, blamed after three crashes unless it was ever run. Decisions on two crashes wait 0.25 s for the other instances. A request whose answer had begun is suspect only where no other was open. An instance sends a request on after one crash, not after two.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -25,6 +25,8 @@
 # Shorter streams are too short to measure an engine's speed.
 MIN_MEASURED_EVENTS: typing.Final = 4
 MAX_TRIES: typing.Final = 4
+# The next upstream would crash as well, or the caller's next try is as good.
+MAX_CRASHES: typing.Final = 2
 
 
 class Attempts:
@@ -194,14 +196,15 @@
 
     def check_blocked(self, progress: progress_lib.Progress) -> None:
         """Raises ResultError if upstreams crashed under this request."""
-        now = clock.monotonic()
-        ledger = self.board.crashes
-        if not ledger.is_blocked(progress.fingerprint, now):
+        left_s = self.board.crashes.blocked_for_s(
+            progress.fingerprints, clock.monotonic()
+        )
+        if left_s <= 0:
             return
         raise errors.ResultError(
             codes.UPSTREAM_FAILED if progress.sent else codes.REQUEST_BLOCKED,
-            f'upstreams crashed under request {progress.fingerprint}',
-            retry_after_s=ledger.retry_s(progress.fingerprint, now),
+            f'upstreams crashed under {progress.fingerprints}',
+            retry_after_s=left_s,
         )
 
     async def handle_broken(
@@ -223,6 +226,9 @@
             # It runs no more there, and the upstream is not to blame.
             progress.possibly_ran.discard(upstream.entry.upstream_id)
             progress.excluded.add(upstream.entry.upstream_id)
+            progress.crashes += 1
+            if progress.crashes >= MAX_CRASHES:
+                raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
             return False
         upstream.note_failure(clock.monotonic())
         if upstream.entry.data_centre in self.board.silent_data_centres:
@@ -274,7 +280,7 @@
         finally:
             upstream.abortable.pop(connection, None)
         upstream.note_success()
-        self.board.crashes.note_success(progress.fingerprint)
+        self.board.crashes.note_success(progress.fingerprints)
         self.pool.release(upstream.key(), connection, clock.monotonic())
         return True
 
--- a/oleanderdrift/gateway/crash_detector.py
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import collections.abc
 import typing
 
 import attrs
@@ -16,6 +17,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import fingerprints
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import upstreams
 
@@ -28,7 +30,7 @@
 class OpenRequest:
     """A request at an upstream; answering says that its answer has begun."""
 
-    fingerprint: str
+    fingerprints: fingerprints.Fingerprints
     answering: bool = False
 
 
@@ -62,7 +64,7 @@
         """Notes that a request is sent to an upstream."""
         request_id = progress.admitted.request.request_id
         self.open[upstream.entry.incarnation()][request_id] = OpenRequest(
-            fingerprint=progress.fingerprint
+            fingerprints=progress.fingerprints
         )
 
     def note_answering(
@@ -154,12 +156,8 @@
         requests = self.broken[incarnation]
         report = crash_ledger.CrashReport(
             age_s=0.0,
-            silent=frozenset(
-                one.fingerprint for one in requests if not one.answering
-            ),
-            answering=frozenset(
-                one.fingerprint for one in requests if one.answering
-            ),
+            silent=_fingerprints(one for one in requests if not one.answering),
+            answering=_fingerprints(one for one in requests if one.answering),
         )
         self.events.info(
             'upstream-crashed',
@@ -171,5 +169,16 @@
             self.events.info(
                 'request-blocked',
                 fingerprint=blame.fingerprint,
-                crashes=blame.crashes,
+                block_s=blame.block_s,
             )
+
+
+def _fingerprints(
+    requests: collections.abc.Iterable[OpenRequest],
+) -> frozenset[str]:
+    """Returns the fingerprints of requests and of their targets."""
+    return frozenset(
+        name
+        for one in requests
+        for name in (one.fingerprints.request, one.fingerprints.target)
+    )
--- a/oleanderdrift/gateway/crash_ledger.py
+++ b/oleanderdrift/gateway/crash_ledger.py
@@ -11,9 +11,13 @@
 one that is blamed already explains one of them.  Three crashes are enough in
 any case: a fourth upstream would be lost for certainty.  The first event of
 an answer shows that an upstream has run a request for a while without harm,
-so such requests are blamed after three crashes only.  One that an upstream
-has run to its end is not blamed: many callers' requests are alike, and some
-are open at every crash.
+so such requests are blamed only where there was no other.  One that an
+upstream has run to its end is not blamed: many callers' requests are alike,
+and some are open at every crash.
+
+A caller may change the body from try to try, as a conversation does that is
+sent whole each time.  So the same is asked of a caller's target, whatever the
+body, but one or two crashes say nothing about a target.
 """
 
 import collections
@@ -23,6 +27,8 @@
 import attrs
 import msgspec
 
+from oleanderdrift.gateway import fingerprints
+
 # Crashes with a request open after which it is blamed in any case, and after
 # which it is if nothing else can be.
 CERTAIN_CRASHES: typing.Final = 3
@@ -39,6 +45,8 @@
 MAX_BLOCKED: typing.Final = 4_096
 # The latest requests that were run, those of some minutes.
 MAX_PROVEN: typing.Final = 10_000
+# By then, all instances have reported a crash.
+SETTLE_S: typing.Final = 0.25
 # A crash is told for this long, so that lost messages do no harm.
 REPORT_S: typing.Final = 1.0
 
@@ -69,13 +77,17 @@
         """Returns all requests that were open."""
         return self.silent | self.answering
 
+    def suspects(self) -> frozenset[str]:
+        """Returns the requests that may have caused it."""
+        return self.silent or self.answering
+
 
 @attrs.frozen(kw_only=True)
 class Blame:
-    """A request that is refused from now on, and the number of crashes."""
+    """A request or target that is refused from now on, for a time."""
 
     fingerprint: str
-    crashes: int
+    block_s: float
 
 
 @attrs.define(kw_only=True)
@@ -85,6 +97,8 @@
     blocked holds until when requests are refused, by fingerprint.  proven
     holds those that upstreams have run to their end for this instance, the
     latest last.  own holds what this instance had open, as of a time.
+    undecided are those that may have to be blamed once all instances had the
+    time to report the latest crash, at review_at.
     """
 
     crashes: collections.OrderedDict[str, Crash] = attrs.field(
@@ -98,21 +112,30 @@
         factory=collections.OrderedDict
     )
     own: dict[str, Crash] = attrs.field(factory=dict)
+    undecided: set[str] = attrs.field(factory=set)
+    review_at: float = float('inf')
 
-    def note_success(self, fingerprint: str) -> None:
+    def note_success(self, prints: fingerprints.Fingerprints) -> None:
         """Notes that an upstream has run a request to its end."""
-        self.proven[fingerprint] = None
-        self.proven.move_to_end(fingerprint)
-        if len(self.proven) > MAX_PROVEN:
+        for one in (prints.request, prints.target):
+            self.proven[one] = None
+            self.proven.move_to_end(one)
+        while len(self.proven) > MAX_PROVEN:
             self.proven.popitem(last=False)
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
-        """Returns whether a request is refused."""
+        """Returns whether requests with a fingerprint are refused."""
         return now < self.blocked.get(fingerprint, float('-inf'))
 
-    def retry_s(self, fingerprint: str, now: float) -> float:
-        """Returns the time until a request is no longer refused."""
-        return max(self.blocked.get(fingerprint, now) - now, 0.0)
+    def blocked_for_s(
+        self, prints: fingerprints.Fingerprints, now: float
+    ) -> float:
+        """Returns for how long a request is refused, 0 if it is not."""
+        until = max(
+            self.blocked.get(prints.request, now),
+            self.blocked.get(prints.target, now),
+        )
+        return max(until - now, 0.0)
 
     def note_crash(
         self, incarnation: str, report: CrashReport, now: float
@@ -131,52 +154,67 @@
         known.silent |= report.silent
         known.answering |= report.answering
         self.forget_old(now)
-        return self.blame(report.silent | report.answering, now)
+        self.undecided |= known.open_requests()
+        self.review_at = now + SETTLE_S
+        certain = {
+            one
+            for one in report.silent - self.proven.keys()
+            if self.silent_crashes(one) >= CERTAIN_CRASHES
+        }
+        return self.blame(certain, CERTAIN_BLOCK_S, now)
+
+    def silent_crashes(self, fingerprint: str) -> int:
+        """Returns at how many crashes a request had no answer yet."""
+        return sum(fingerprint in one.silent for one in self.crashes.values())
+
+    def review(self, now: float) -> list[Blame]:
+        """Decides about the latest crashes; returns who is blamed now."""
+        if now < self.review_at:
+            return []
+        likely = {
+            one
+            for one in self.undecided - self.proven.keys()
+            if self.is_likely(one, now)
+        }
+        self.undecided = set()
+        self.review_at = float('inf')
+        return self.blame(likely, LIKELY_BLOCK_S, now)
 
     def blame(
-        self, fingerprints: collections.abc.Iterable[str], now: float
+        self,
+        prints: collections.abc.Iterable[str],
+        block_s: float,
+        now: float,
     ) -> list[Blame]:
-        """Blocks those of some requests that are to blame."""
+        """Blocks requests for a time; returns those that were not yet."""
         found = []
-        for one in sorted(set(fingerprints) - self.proven.keys()):
-            crashes = [
-                each
-                for each in self.crashes.values()
-                if one in each.open_requests()
-            ]
-            if len(crashes) >= CERTAIN_CRASHES:
-                block_s = CERTAIN_BLOCK_S
-            elif not self.is_blocked(one, now) and self.is_likely(
-                one, crashes, now
-            ):
-                block_s = LIKELY_BLOCK_S
-            else:
-                continue
+        for one in sorted(prints):
             if not self.is_blocked(one, now):
-                found.append(Blame(fingerprint=one, crashes=len(crashes)))
+                found.append(Blame(fingerprint=one, block_s=block_s))
             self.block(one, now + block_s)
         return found
 
-    def is_likely(
-        self, fingerprint: str, crashes: list[Crash], now: float
-    ) -> bool:
+    def is_likely(self, fingerprint: str, now: float) -> bool:
         """Returns whether nothing else explains a request's crashes."""
         unexplained = [
             one
-            for one in crashes
-            if fingerprint in one.silent
+            for one in self.crashes.values()
+            if fingerprint in one.suspects()
             and not any(
                 self.is_blocked(other, now) for other in one.open_requests()
             )
         ]
-        if len(unexplained) < LIKELY_CRASHES:
+        is_target = fingerprints.is_target(fingerprint)
+        enough = CERTAIN_CRASHES if is_target else LIKELY_CRASHES
+        if len(unexplained) < enough:
             return False
         others = collections.Counter(
             other
             for one in unexplained
-            for other in one.open_requests() - {fingerprint}
+            for other in one.suspects() - {fingerprint}
+            if fingerprints.is_target(other) is is_target
         )
-        return max(others.values(), default=0) < LIKELY_CRASHES
+        return max(others.values(), default=0) < len(unexplained)
 
     def block(self, fingerprint: str, until: float) -> None:
         """Refuses a request until a time, or for longer if it is already."""
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -53,7 +53,7 @@
             )
             progress = progress_lib.Progress(
                 admitted=admitted,
-                fingerprint=fingerprints.fingerprint(
+                fingerprints=fingerprints.fingerprints(
                     request,
                     admitted.account.name if admitted.account else '',
                 ),
@@ -136,7 +136,7 @@
             request=request.request_id,
             program=request.program_id,
             account=progress.account_name() if progress else '',
-            fingerprint=progress.fingerprint[:LOGGED_DIGITS]
+            fingerprint=progress.fingerprints.request[:LOGGED_DIGITS]
             if progress
             else '',
             previous=request.previous_turn,
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -15,6 +15,7 @@
 
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import directory as directory_lib
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import peer_load
@@ -110,6 +111,8 @@
         self.sockets.update_subscribed()
         self.receive_pending(now)
         self.expire_silent(now)
+        for blame in self.board.crashes.review(now):
+            self.log_blame(blame)
         self.update_sources(now)
         if self.is_publish_due(now):
             self.publish(now)
@@ -332,25 +335,28 @@
                 limit=limit,
                 rate_per_s=state.limits[limit].rate_per_s,
             )
-        self.apply_crashes(name, state, now)
+        self.apply_crashes(state, now)
         self.board.rate_limiter.apply_update(
             name, envelope.incarnation, state.usage, state.whole, now
         )
         self.peer_load.update(name, state.work)
 
     def apply_crashes(
-        self, peer: str, state: peer_messages.StateUpdate, now: float
+        self, state: peer_messages.StateUpdate, now: float
     ) -> None:
         """Applies the crashes that a peer saw, and what it refuses."""
         self.board.crashes.note_blocked(state.blocked, now)
         for incarnation, report in state.crashes.items():
             for blame in self.board.note_peers_crash(incarnation, report, now):
-                self.events.info(
-                    'request-blocked',
-                    peer=peer,
-                    fingerprint=blame.fingerprint,
-                    crashes=blame.crashes,
-                )
+                self.log_blame(blame)
+
+    def log_blame(self, blame: crash_ledger.Blame) -> None:
+        """Logs that a request or target is refused from now on."""
+        self.events.info(
+            'request-blocked',
+            fingerprint=blame.fingerprint,
+            block_s=blame.block_s,
+        )
 
     def expire_silent(self, now: float) -> None:
         """Drops the load of peers whose states have stopped."""
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -5,6 +5,7 @@
 import attrs
 
 from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import fingerprints as fingerprints_lib
 from oleanderdrift.gateway import records
 
 
@@ -12,8 +13,9 @@
 class Progress:
     """The state of an admitted request.
 
-    body is sent to upstreams.  fingerprint is that of what the caller sent;
-    a request that comes again has the same.  reserved says that its tokens
+    body is sent to upstreams.  fingerprints are those of what the caller
+    sent; a request that comes again has the same.  crashes counts the
+    upstreams that crashed while they ran it.  reserved says that its tokens
     may be reserved, and sent that an upstream may have run it.  possibly_ran
     holds the upstreams that may have run it and may still do so, excluded
     those that must not get it again.  tokens and output are those sent to
@@ -23,8 +25,9 @@
 
     admitted: admission.Admitted
     body: bytes
-    fingerprint: str = ''
     deadline: float
+    fingerprints: fingerprints_lib.Fingerprints
+    crashes: int = 0
     reserved: bool = False
     sent: bool = False
     tokens: int = 0
