Refuse without a division by no demand

The refusal of a token divided by the demand, which is 0 for an upstream that nobody has asked for yet; the callers count it first, so it was not seen to happen.

--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -310,7 +310,8 @@
         )
         floor = 0.0 if program_started else _reserve(limit, total)
         if not may_spend or bucket.tokens - 1 < floor:
-            missing = max(floor + 1 - bucket.tokens, unreported / total)
+            unheard_s = unreported / max(total, MIN_REPORTED_DEMAND)
+            missing = max(floor + 1 - bucket.tokens, unheard_s)
             return rate_buckets.Refusal(
                 retry_after_s=MIN_RETRY_S + missing / limit.rate_per_s,
                 tokens=bucket.tokens,
