--- a/oleanderdrift/gateway/crash_ledger.py
+++ b/oleanderdrift/gateway/crash_ledger.py
@@ -22,6 +22,7 @@
 
 import collections
 import collections.abc
+import itertools
 import typing
 
 import attrs
@@ -47,6 +48,9 @@
 MAX_PROVEN: typing.Final = 10_000
 # By then, all instances have reported a crash.
 SETTLE_S: typing.Final = 0.25
+# What is told of refused requests at once; the latest are the likeliest to
+# come again.
+MAX_REPORTED: typing.Final = 64
 # A crash is told for this long, so that lost messages do no harm.
 REPORT_S: typing.Final = 1.0
 
@@ -272,9 +276,10 @@
         }
 
     def blocked_left_s(self, now: float) -> dict[str, float]:
-        """Returns for how long requests are refused, by fingerprint."""
+        """Returns for how long the latest requests are still refused."""
+        latest = itertools.islice(reversed(self.blocked), MAX_REPORTED)
         return {
-            fingerprint: until - now
-            for fingerprint, until in self.blocked.items()
-            if until > now
+            fingerprint: self.blocked[fingerprint] - now
+            for fingerprint in latest
+            if self.is_blocked(fingerprint, now)
         }
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -166,6 +166,11 @@
     for number in range(2 * crash_ledger.MAX_CRASHES):
         ledger.note_crash(f'u{number}', report(f'{number % 9}'), 1.0)
     assert len(ledger.crashes) <= crash_ledger.MAX_CRASHES + 1
+    for number in range(2 * crash_ledger.MAX_REPORTED):
+        ledger.block(f'{number}', 60.0)
+    left_s = ledger.blocked_left_s(2.0)
+    assert len(left_s) == crash_ledger.MAX_REPORTED
+    assert f'{2 * crash_ledger.MAX_REPORTED - 1}' in left_s
     ledger.forget_old(1.0 + crash_ledger.CERTAIN_BLOCK_S + 1.0)
     assert not ledger.crashes
     assert not ledger.blocked
