Log the software version of upstreams and continued streams

No line said at which version an upstream is, nor that a stream is continued, so the hypotheses could not be told apart.

An entry's Version and a request's Resumes are decoded; an entry without a Version names no upstream, as for its other fields.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -63,6 +63,7 @@
             if upstream is None:
                 break
             progress.upstream = upstream.entry.upstream_id
+            self.log_continued(progress, upstream)
             upstream.own_requests += 1
             request = progress.admitted.request
             if progress.admitted.service.is_engine:
@@ -160,6 +161,22 @@
                     progress, upstream, outcome, reply, started
                 )
 
+    def log_continued(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Logs which software version continues a stream that has begun."""
+        if progress.last_event_id is None:
+            return
+        self.events.info(
+            'stream-continued',
+            request=progress.admitted.request.request_id,
+            resumes=progress.admitted.request.resumes,
+            after=progress.last_event_id,
+            began=progress.version,
+            upstream=upstream.entry.upstream_id,
+            software=upstream.entry.version,
+        )
+
     def note_rate_limit(
         self,
         progress: progress_lib.Progress,
@@ -311,7 +328,9 @@
                 if event_count == 1:
                     first_at = last_at
                     self.crashes.note_answering(progress, upstream)
-                await self.relay_event(progress, outcome, event, reply)
+                await self.relay_event(
+                    progress, upstream, outcome, event, reply
+                )
         upstream.abortable.pop(outcome.connection, None)
         if event_count >= MIN_MEASURED_EVENTS:
             tokens = progress.admitted.service.tokens_per_event
@@ -330,6 +349,7 @@
     async def relay_event(
         self,
         progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
         outcome: exchange.ResponseStarted,
         event: events.Event,
         reply: reply_lib.Reply,
@@ -340,6 +360,7 @@
             waited_s = clock.monotonic() - admitted.request.received
             progress.first_ms = round(waited_s * 1_000)
         progress.tokens += admitted.service.tokens_per_event
+        progress.version = progress.version or upstream.entry.version
         progress.last_event_id = event.event_id or progress.last_event_id
         if admitted.route.retains:
             progress.output.append(event.data + b'\n')
--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -195,6 +195,7 @@
                 upstream=record.key,
                 service=entry.service,
                 born_ms=entry.born_ms,
+                software=entry.version,
             )
 
 
--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -103,7 +103,9 @@
 class UpstreamEntry:
     """An upstream's registration in the store.
 
-    born_ms, a Unix time, tells the incarnations of one id apart.
+    born_ms, a Unix time, tells the incarnations of one id apart.  version is
+    that of its software, without an order; what two versions write does not
+    fit together.
     """
 
     upstream_id: str
@@ -115,6 +117,7 @@
     draining: bool
     born_ms: int
     cold_s: float
+    version: str
 
     def incarnation(self) -> str:
         """Returns a name for this start of the upstream.
@@ -140,6 +143,8 @@
     headers are forwarded to the upstream unchanged.  deadline is when the
     caller stops waiting.  program_id and session_id are empty outside
     programs.  affinity_key names the object that the request is about.
+    resumes is the id of the request whose answer began the stream that this
+    one continues after last_event_id.
     """
 
     request_id: str
@@ -158,4 +163,5 @@
     prompt: tuple[PromptPart, ...] = ()
     previous_turn: str | None = None
     last_event_id: str | None = None
+    resumes: str | None = None
     affinity_key: str | None = None
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -21,6 +21,8 @@
     those that must not get it again.  tokens and output are those sent to
     the caller.  uncached_tokens and running_requests were the inputs of the
     last placement.  first_ms is the time until the first event, or -1.
+    version is the software version that wrote the first event of the stream,
+    empty if it is not known.
     """
 
     admitted: admission.Admitted
@@ -40,6 +42,7 @@
     running_requests: int = 0
     first_ms: int = -1
     upstream: str = ''
+    version: str = ''
     last_reason: str = ''
 
     def account_name(self) -> str:
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -28,6 +28,8 @@
 EXPECT_UPSTREAM_HEADER: typing.Final = 'expect-instance'
 ACCOUNT_HEADER: typing.Final = 'tenant'
 LAST_EVENT_HEADER: typing.Final = 'last-event-id'
+# The request whose answer brought the first event of a resumed stream.
+RESUMES_HEADER: typing.Final = 'resumes'
 RETRY_AFTER_HEADER: typing.Final = 'retry-after'
 # Requests a second that an upstream accepts from all instances together.
 RATE_LIMIT_HEADER: typing.Final = 'server-limit'
@@ -116,6 +118,7 @@
             prompt=_parse_prompt(by_name.get('prompt-prefix', '')),
             previous_turn=by_name.get('previous-turn') or None,
             last_event_id=by_name.get(LAST_EVENT_HEADER),
+            resumes=by_name.get(RESUMES_HEADER) or None,
             affinity_key=_affinity_key(headers),
         )
 
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -82,6 +82,7 @@
     Service: str
     Address: str
     Zone: str
+    Version: str
     State: str
     Slots: int
     # How much longer the upstream will be slow after its start.
@@ -194,4 +195,5 @@
         draining=_STATES[entry.State],
         born_ms=entry.born,
         cold_s=entry.ColdLeftMs / MS_PER_S,
+        version=entry.Version,
     )
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -187,6 +187,7 @@
         draining=False,
         born_ms=1,
         cold_s=0.0,
+        version='v1',
     )
     return attrs.evolve(default, **changes)
 
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -267,6 +267,7 @@
             'Service': 'guide',
             'Address': f'127.0.0.1:{port}',
             'Zone': 'north',
+            'Version': 'v1',
             'Slots': 64,
             'State': 'ready',
             'born': 1,
--- a/tests/test_gateway_unreadable.py
+++ b/tests/test_gateway_unreadable.py
@@ -50,6 +50,7 @@
     'Service': 'g',
     'Address': '10.0.0.1:80',
     'Zone': 'n',
+    'Version': 'v1',
     'Slots': 4,
     'State': 'ready',
     'born': 1,
--- a/tests/test_gateway_whole.py
+++ b/tests/test_gateway_whole.py
@@ -60,6 +60,7 @@
             'Service': 'guide',
             'Address': f'127.0.0.1:{self.replica.port}',
             'Zone': 'north',
+            'Version': 'v1',
             'Slots': 4,
             'State': state,
             'born': born,
