Continue a stream only at the version that began it

Cause: nothing knew at which version a stream began, so both the instance's own next try within an answer and the caller's take-up went to any upstream of the service. Class: parts are joined on the word that their writers are alike, without the name of what wrote the first part.

Each stream has an origin, service and version. The instance remembers those that began here. The store lists the origins in service, each before the first stream begins there, and while more than one is listed it has the origin of each stream, written in batches that do not hold up the first event. A take-up goes on at its origin, by memory, by the one listed origin, or by the record; else it is refused at once, not run, code 5006. Reads that decide begin after the take-up came, so an instance with old news of the entries, or none of the past, cannot take one version for all.

--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -235,6 +235,13 @@
 UPSTREAM_TIMEOUT: typing.Final = _entry(
     5002, 'upstream-timeout', 504, _UNKNOWN, 'The upstream went silent.'
 )
+STREAM_UNKNOWN: typing.Final = _entry(
+    5006,
+    'stream-unknown',
+    503,
+    _NOT_RUN,
+    'The stream cannot go on: what began it is not known; begin it anew.',
+)
 FENCED: typing.Final = _entry(
     5003,
     'fenced',
--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -51,9 +51,9 @@
 
     def may_repeat(self) -> bool:
         """Returns whether the request may run more than once."""
-        return self.route.kind is model.RouteKind.IDEMPOTENT or (
-            self.route.kind is model.RouteKind.STREAMING
-            and self.route.resumable
+        return (
+            self.route.kind is model.RouteKind.IDEMPOTENT
+            or self.route.is_resumable_stream()
         )
 
     def may_abort(self) -> bool:
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -17,6 +17,7 @@
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
+from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import upstream_choice
 from oleanderdrift.gateway import upstreams
@@ -161,6 +162,16 @@
                     progress, upstream, outcome, reply, started
                 )
 
+    def note_begun(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Notes which upstream has begun a stream."""
+        progress.origin = stream_origins.origin_of(upstream.entry)
+        if progress.admitted.route.is_resumable_stream():
+            self.board.origins.note_begun(
+                progress.admitted.request.request_id, progress.origin
+            )
+
     def log_continued(
         self, progress: progress_lib.Progress, upstream: upstreams.Upstream
     ) -> None:
@@ -172,7 +183,7 @@
             request=progress.admitted.request.request_id,
             resumes=progress.admitted.request.resumes,
             after=progress.last_event_id,
-            began=progress.version,
+            began=progress.origin.version if progress.origin else '',
             upstream=upstream.entry.upstream_id,
             software=upstream.entry.version,
         )
@@ -360,7 +371,8 @@
             waited_s = clock.monotonic() - admitted.request.received
             progress.first_ms = round(waited_s * 1_000)
         progress.tokens += admitted.service.tokens_per_event
-        progress.version = progress.version or upstream.entry.version
+        if progress.origin is None:
+            self.note_begun(progress, upstream)
         progress.last_event_id = event.event_id or progress.last_event_id
         if admitted.route.retains:
             progress.output.append(event.data + b'\n')
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import upstream_limits as upstream_limits_lib
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
@@ -55,6 +56,9 @@
     crashes: crash_ledger.CrashLedger = attrs.field(
         factory=crash_ledger.CrashLedger
     )
+    origins: stream_origins.StreamOrigins = attrs.field(
+        factory=stream_origins.StreamOrigins
+    )
     started_programs: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -9,9 +9,11 @@
 from oleanderdrift.gateway import attempts
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import continuations
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import fingerprints
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import origin_log
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
@@ -35,6 +37,9 @@
         self.board = board
         self.codec = codec
         self.turns = turn_flow.TurnFlow(board, log)
+        self.origins = origin_log.OriginLog(
+            board, log, self.turns.retrying_log, event_log
+        )
         self.attempts = attempts.Attempts(board, codec, self.turns, event_log)
         self.events = event_log
         self.metrics = metrics.Metrics()
@@ -66,6 +71,8 @@
             )
             self.attempts.check_blocked(progress)
             async with asyncio.timeout_at(progress.deadline):
+                if continuations.is_continuation(admitted):
+                    await self.find_origin(progress)
                 if admitted.is_turn():
                     await self.turns.prepare(progress)
                 await self.attempts.run(progress, reply)
@@ -85,6 +92,20 @@
                 self.turns.settle(progress)
             self.record_outcome(request, progress, result, detail)
 
+    async def find_origin(self, progress: progress_lib.Progress) -> None:
+        """Binds a request that continues a stream to the stream's origin.
+
+        Raises ResultError if the stream cannot go on.
+        """
+        admitted = progress.admitted
+        origin = await continuations.find_origin(
+            self.origins, admitted.request
+        )
+        progress.origin = origin
+        progress.admitted = continuations.admit_at(
+            admitted, origin, self.board.config, self.board.upstreams
+        )
+
     async def handle_timeout(
         self,
         progress: progress_lib.Progress | None,
--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -52,6 +52,10 @@
     retention_s: float
     sticky: bool = False
 
+    def is_resumable_stream(self) -> bool:
+        """Returns whether a stream that broke off may be continued."""
+        return self.kind is RouteKind.STREAMING and self.resumable
+
 
 @attrs.frozen(kw_only=True)
 class Service:
--- /dev/null
+++ b/oleanderdrift/gateway/origin_log.py
@@ -0,0 +1,279 @@
+"""Keeps the origins of streams in the store; see `stream_origins`."""
+
+import asyncio
+import collections
+import collections.abc
+import math
+import typing
+
+from oleanderdrift import errors
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import records
+from oleanderdrift.gateway import retrying_log
+from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import shared_read
+from oleanderdrift.gateway import stream_origins
+
+# How often the instance of a small fleet records streams.
+MIN_INTERVAL_S: typing.Final = 0.02
+# Of the writes that the store takes, what all instances together may use.
+WRITE_SHARE: typing.Final = 0.2
+# The origins in service also change with the configuration.
+REVIEW_INTERVAL_S: typing.Final = 1.0
+# Streams are recorded in these partitions of their topic.  All are read to
+# find one, so they are as few as leave one when the other fails.
+PARTITIONS: typing.Final = (0, 1)
+# The smallest read: it shows where a partition ends.
+PEEK_BYTES: typing.Final = 1_024
+# Streams in one record, so that it stays far below the store's limit.
+MAX_RECORD_STREAMS: typing.Final = 100
+# The streams of a large fleet while they can be continued.
+MAX_READ_STREAMS: typing.Final = 200_000
+# Names of any length have keys of one length, within the store's limit.
+KEY_FORMAT: typing.Final = '016x'
+
+Origin: typing.TypeAlias = stream_origins.Origin
+
+
+class OriginLog:
+    """The origins in the store, as one instance reads and writes them.
+
+    found holds the origins of streams that were read, the latest last, and
+    ends the offsets up to which the partitions were read.  reviewed_at is
+    when the origins in service were compared with those listed, and
+    reviewed_upstreams how many upstreams had started by then.
+    """
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        log: ports.Log,
+        appends: retrying_log.RetryingLog,
+        events: event_log.EventLog,
+    ) -> None:
+        self.board = board
+        self.origins = board.origins
+        self.log = log
+        self.appends = appends
+        self.events = events
+        self.found: collections.OrderedDict[str, Origin] = (
+            collections.OrderedDict()
+        )
+        self.ends: dict[int, int] = {}
+        self.reviewed_upstreams = 0
+        self.reviewed_at = float('-inf')
+        self.list_reads = shared_read.SharedRead(self.read_list)
+        self.stream_reads = shared_read.SharedRead(self.read_streams)
+
+    async def follow(self) -> None:
+        """Lists and records what is new until cancelled."""
+        while True:
+            try:
+                await self.update(clock.monotonic())
+            except errors.ResultError as error:
+                self.events.info('origins-unwritten', detail=error.detail)
+            await asyncio.sleep(self.interval_s())
+
+    def interval_s(self) -> float:
+        """Returns the time between two records of this instance."""
+        return max(
+            MIN_INTERVAL_S, self.board.instances / self.fleet_writes_per_s()
+        )
+
+    def fleet_writes_per_s(self) -> float:
+        """Returns how often all instances together may record streams."""
+        return WRITE_SHARE * self.board.settings.store_writes_per_s
+
+    def max_read_records(self) -> int:
+        """Returns the records written while streams can be continued."""
+        writes = self.fleet_writes_per_s() * stream_origins.RETENTION_S
+        return math.ceil(writes)
+
+    async def update(self, now: float) -> None:
+        """Lists new origins and records new streams.
+
+        Raises ResultError if the store does not confirm it.
+        """
+        if not self.origins.listed:
+            self.origins.note_listed(await self.list_reads.get(), now)
+        if self.is_review_due(now):
+            await self.review(now)
+        await self.record_streams()
+
+    def is_review_due(self, now: float) -> bool:
+        """Returns whether the origins in service may have changed."""
+        return (
+            self.board.upstreams.added != self.reviewed_upstreams
+            or now - self.reviewed_at >= REVIEW_INTERVAL_S
+        )
+
+    async def review(self, now: float) -> None:
+        """Lists origins that came into service, and drops unused ones."""
+        added = self.board.upstreams.added
+        current = stream_origins.in_service(
+            self.board.config, self.board.upstreams
+        )
+        for origin in self.origins.note_in_service(current, now):
+            await self.list_origin(origin, now)
+        for origin in self.origins.unused(now):
+            await self.log.put(records.ORIGIN_TOPIC, _key(origin), None)
+            self.origins.unlist(origin)
+            self.events.info(
+                'origin-unlisted',
+                service=origin.service,
+                software=origin.version,
+            )
+        self.reviewed_upstreams, self.reviewed_at = added, now
+
+    async def list_origin(self, origin: Origin, now: float) -> None:
+        """Lists an origin; streams may begin there once it is confirmed."""
+        value = records.encode_origin(origin.service, origin.version)
+        await self.log.put(records.ORIGIN_TOPIC, _key(origin), value)
+        self.origins.note_listed([origin], now)
+        self.events.info(
+            'origin-listed',
+            service=origin.service,
+            software=origin.version,
+            listed=len(self.origins.listed),
+        )
+
+    async def record_streams(self) -> None:
+        """Appends the origins of streams, where they are needed."""
+        taken = self.origins.take_unrecorded()
+        if not taken:
+            return
+        data = [records.encode(one) for one in _to_records(taken)]
+        own = routing.hash_of(self.board.settings.instance)
+        first = PARTITIONS[own % len(PARTITIONS)]
+        ordered = self.appends.healthy_first(
+            records.STREAM_TOPIC,
+            (first, *(one for one in PARTITIONS if one != first)),
+        )
+        failure: errors.ResultError | None = None
+        for partition in ordered:
+            try:
+                await self.appends.append(
+                    records.STREAM_TOPIC, partition, data
+                )
+                return
+            except errors.ResultError as error:
+                failure = error
+        self.origins.put_back(taken)
+        if failure is not None:
+            raise failure
+
+    async def read_list(self) -> set[Origin]:
+        """Returns the origins that the store lists."""
+        found = await self.log.newest(records.ORIGIN_TOPIC)
+        decoded = (
+            records.decode_origin(record.value or b'')
+            for record in found.records
+        )
+        return {
+            Origin(service=one.service, version=one.version)
+            for one in decoded
+            if one is not None
+        }
+
+    async def read_streams(self) -> None:
+        """Reads what instances have recorded since the last read.
+
+        Raises ResultError if no partition could be read.
+        """
+        results = await asyncio.gather(
+            *(self.read_partition(one) for one in PARTITIONS),
+            return_exceptions=True,
+        )
+        failures = [one for one in results if isinstance(one, BaseException)]
+        if len(failures) == len(PARTITIONS):
+            raise failures[0]
+
+    async def read_partition(self, partition: int) -> None:
+        """Reads the rest of one partition."""
+        if partition not in self.ends:
+            read = await self.appends.read(
+                records.STREAM_TOPIC, partition, 0, max_bytes=PEEK_BYTES
+            )
+            if read.trimmed:
+                read = await self.appends.read(
+                    records.STREAM_TOPIC,
+                    partition,
+                    read.first,
+                    max_bytes=PEEK_BYTES,
+                )
+            self.ends[partition] = max(
+                read.first, read.end - self.max_read_records()
+            )
+        while True:
+            read = await self.appends.read(
+                records.STREAM_TOPIC, partition, self.ends[partition]
+            )
+            if read.trimmed:
+                self.ends[partition] = read.first
+                continue
+            self.apply(read.records)
+            self.ends[partition] = read.start + len(read.records)
+            if self.ends[partition] >= read.end or not read.records:
+                return
+
+    def apply(self, found: collections.abc.Iterable[bytes]) -> None:
+        """Applies records of streams; skips what cannot be decoded."""
+        for data in found:
+            record = records.decode_streams(data)
+            if record is None:
+                continue
+            origin = Origin(service=record.service, version=record.version)
+            for name in record.requests:
+                self.found[name] = origin
+                self.found.move_to_end(name)
+        while len(self.found) > MAX_READ_STREAMS:
+            self.found.popitem(last=False)
+
+    async def find(self, request_id: str | None) -> Origin | None:
+        """Returns the origin of a stream, None if it is not known.
+
+        request_id is that of the request that began it.  Raises ResultError
+        if the store does not answer.
+        """
+        name = request_id or ''
+        known = self.origins.begun.get(name) or self.found.get(name)
+        if known is not None:
+            return known
+        listed = await self.list_reads.get()
+        if len(listed) == 1:
+            return next(iter(listed))
+        if not listed or not name:
+            return None
+        await self.stream_reads.get()
+        if name not in self.found:
+            # Its record may be on its way.
+            await asyncio.sleep(2 * self.interval_s())
+            await self.stream_reads.get()
+        return self.found.get(name)
+
+
+def _key(origin: Origin) -> str:
+    """Returns the key under which an origin is listed."""
+    name = f'{origin.service}\n{origin.version}'
+    return format(routing.hash_of(name), KEY_FORMAT)
+
+
+def _to_records(
+    origins: dict[str, Origin],
+) -> list[records.StreamsBegun]:
+    """Groups streams by their origins."""
+    by_origin = collections.defaultdict(list)
+    for name, origin in origins.items():
+        by_origin[origin].append(name)
+    return [
+        records.StreamsBegun(
+            service=origin.service,
+            version=origin.version,
+            requests=names[at : at + MAX_RECORD_STREAMS],
+        )
+        for origin, names in by_origin.items()
+        for at in range(0, len(names), MAX_RECORD_STREAMS)
+    ]
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -7,6 +7,7 @@
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import fingerprints as fingerprints_lib
 from oleanderdrift.gateway import records
+from oleanderdrift.gateway import stream_origins
 
 
 @attrs.define(kw_only=True)
@@ -21,8 +22,7 @@
     those that must not get it again.  tokens and output are those sent to
     the caller.  uncached_tokens and running_requests were the inputs of the
     last placement.  first_ms is the time until the first event, or -1.
-    version is the software version that wrote the first event of the stream,
-    empty if it is not known.
+    origin is that of the stream that the caller has begun to receive.
     """
 
     admitted: admission.Admitted
@@ -42,7 +42,7 @@
     running_requests: int = 0
     first_ms: int = -1
     upstream: str = ''
-    version: str = ''
+    origin: stream_origins.Origin | None = None
     last_reason: str = ''
 
     def account_name(self) -> str:
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -9,6 +9,9 @@
 TURN_TOPIC: typing.Final = 'turns'
 INPUT_TOPIC: typing.Final = 'inputs'
 INSTANCE_TOPIC: typing.Final = 'instances'
+# The origins in service by key, and those of single streams.
+ORIGIN_TOPIC: typing.Final = 'origins'
+STREAM_TOPIC: typing.Final = 'streams'
 
 
 class Reserve(msgspec.Struct, tag='r', array_like=True, frozen=True):
@@ -60,11 +63,29 @@
     ended_ms: int
 
 
+class ListedOrigin(msgspec.Struct, tag='o', array_like=True, frozen=True):
+    """A service and a software version at which streams may have begun."""
+
+    service: str
+    version: str
+
+
+class StreamsBegun(msgspec.Struct, tag='b', array_like=True, frozen=True):
+    """Streams that one origin began, by the ids of their requests."""
+
+    service: str
+    version: str
+    requests: list[str]
+
+
 BudgetRecord: typing.TypeAlias = Reserve | Settle
 _MSGPACK_ENCODER: typing.Final = msgspec.msgpack.Encoder()
 _BUDGET_DECODER: typing.Final = msgspec.msgpack.Decoder(BudgetRecord)
 _TURN_DECODER: typing.Final = msgspec.msgpack.Decoder(TurnEnd)
 
+_ORIGIN_DECODER: typing.Final = msgspec.msgpack.Decoder(ListedOrigin)
+_STREAMS_DECODER: typing.Final = msgspec.msgpack.Decoder(StreamsBegun)
+
 
 @attrs.frozen(kw_only=True)
 class InstanceRecord:
@@ -78,11 +99,34 @@
 _INSTANCE_DECODER: typing.Final = msgspec.json.Decoder(InstanceRecord)
 
 
-def encode(record: BudgetRecord | TurnEnd) -> bytes:
-    """Encodes a budget or turn record."""
+def encode(record: BudgetRecord | TurnEnd | StreamsBegun) -> bytes:
+    """Encodes a record of a topic without keys."""
     return _MSGPACK_ENCODER.encode(record)
 
 
+def encode_origin(service: str, version: str) -> bytes:
+    """Encodes a listed origin."""
+    return _MSGPACK_ENCODER.encode(
+        ListedOrigin(service=service, version=version)
+    )
+
+
+def decode_origin(data: bytes) -> ListedOrigin | None:
+    """Decodes a listed origin; returns None for invalid bytes."""
+    try:
+        return _ORIGIN_DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_streams(data: bytes) -> StreamsBegun | None:
+    """Decodes a record of streams; returns None for invalid bytes."""
+    try:
+        return _STREAMS_DECODER.decode(data)
+    except msgspec.MsgspecError:
+        return None
+
+
 def decode_budget(data: bytes) -> BudgetRecord | None:
     """Decodes a budget record; returns None for invalid bytes."""
     try:
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -105,6 +105,7 @@
             self.directory.register,
             self.directory.follow,
             self.gossip.exchange_periodically,
+            self.forwarder.origins.follow,
             self.run_housekeeping,
             self.poll_settings,
             self.monitor_upstreams,
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -7,6 +7,7 @@
 class GatewaySettings:
     """Addresses are HOST:PORT strings; times are in seconds.
 
+    store_writes_per_s is what the store takes from all instances together.
     upstream_drain_s is the time after which a leaving upstream may get no
     more requests.  cores is the share of processors that the instance may use.
     key_grace_s is how long after the last response from the store API
@@ -23,6 +24,7 @@
     store: str
     store_partitions: int
     store_record_bytes: int
+    store_writes_per_s: float
     key_grace_s: float
     stop_s: float
     upstream_drain_s: float
--- /dev/null
+++ b/oleanderdrift/gateway/stream_origins.py
@@ -0,0 +1,133 @@
+"""Remembers which service and software version began which stream.
+
+What two versions write does not fit together, so a stream that broke off may
+go on only at its origin.  An instance knows the origins of the streams that
+began here.  Callers continue a stream at any instance, and all instances may
+have lost their memory at once, so the store has what is needed then:
+
+- the origins in service, each listed before the first stream begins there;
+- while several are listed, the origin of each stream.
+
+While one origin alone is listed, every stream began there, and nothing is
+recorded for each stream.
+"""
+
+import collections
+import collections.abc
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import upstreams
+
+# No caller continues a stream that began longer ago.
+RETENTION_S: typing.Final = 60.0
+# The streams that an instance begins within the retention, with a margin.
+MAX_STREAMS: typing.Final = 20_000
+
+
+@attrs.frozen(kw_only=True)
+class Origin:
+    """The service and the software version that began a stream."""
+
+    service: str
+    version: str
+
+
+@attrs.define(kw_only=True)
+class StreamOrigins:
+    """The origins of one instance's streams, and those in service.
+
+    begun holds the origins of streams by the id of the request that began
+    them, the latest last.  unrecorded are those of them that the store does
+    not have yet.  listed maps the origins that the store lists to when an
+    upstream of them was last known.
+    """
+
+    begun: collections.OrderedDict[str, Origin] = attrs.field(
+        factory=collections.OrderedDict
+    )
+    unrecorded: dict[str, Origin] = attrs.field(factory=dict)
+    listed: dict[Origin, float] = attrs.field(factory=dict)
+
+    def note_begun(self, request_id: str, origin: Origin) -> None:
+        """Notes that the first event of a stream has come."""
+        self.begun[request_id] = origin
+        self.unrecorded[request_id] = origin
+        if len(self.begun) > MAX_STREAMS:
+            oldest, _ = self.begun.popitem(last=False)
+            self.unrecorded.pop(oldest, None)
+
+    def note_listed(
+        self, origins: collections.abc.Iterable[Origin], now: float
+    ) -> None:
+        """Notes origins that the store lists, as if in service now."""
+        for one in origins:
+            self.listed[one] = now
+
+    def note_in_service(self, origins: set[Origin], now: float) -> set[Origin]:
+        """Notes the origins in service; returns those not listed yet."""
+        self.note_listed(origins & self.listed.keys(), now)
+        return origins - self.listed.keys()
+
+    def unused(self, now: float) -> list[Origin]:
+        """Returns the listed origins whose streams nobody continues."""
+        return [
+            one
+            for one, seen_at in self.listed.items()
+            if now - seen_at > RETENTION_S
+        ]
+
+    def unlist(self, origin: Origin) -> None:
+        """Notes that the store does not list an origin any more."""
+        self.listed.pop(origin, None)
+
+    def of_listed(
+        self, candidates: collections.abc.Iterable[upstreams.Upstream]
+    ) -> list[upstreams.Upstream]:
+        """Returns the upstreams at which streams may begin."""
+        return [
+            one for one in candidates if origin_of(one.entry) in self.listed
+        ]
+
+    def take_unrecorded(self) -> dict[str, Origin]:
+        """Returns and clears what is to be recorded.
+
+        That is nothing while one origin alone is listed.  What could not be
+        recorded is returned by put_back.
+        """
+        if len(self.listed) <= 1:
+            return {}
+        taken, self.unrecorded = self.unrecorded, {}
+        return taken
+
+    def put_back(self, taken: dict[str, Origin]) -> None:
+        """Takes back what could not be recorded."""
+        self.unrecorded = {
+            name: origin
+            for name, origin in {**taken, **self.unrecorded}.items()
+            if name in self.begun
+        }
+
+
+def in_service(
+    config: model.Configuration | None, known: upstreams.UpstreamSet
+) -> set[Origin]:
+    """Returns the origins at which streams that may be resumed can begin."""
+    services = {
+        one.service
+        for route in (config.routes if config is not None else ())
+        if route.is_resumable_stream()
+        for one in route.services
+    }
+    return {
+        origin_of(one.entry)
+        for one in known.by_id.values()
+        if one.entry.service in services and one.removed_at is None
+    }
+
+
+def origin_of(entry: model.UpstreamEntry) -> Origin:
+    """Returns the origin of the streams that an upstream begins."""
+    return Origin(service=entry.service, version=entry.version)
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import continuations
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import upstreams
@@ -20,6 +21,8 @@
 # A caller that is refused sooner uses up one of its few tries.
 MAX_TOKEN_WAIT_S: typing.Final = 0.4
 TOKEN_POLL_S: typing.Final = 0.05
+# Usual writes to the store take some milliseconds, late ones are repeated.
+MAX_LISTING_WAIT_S: typing.Final = 0.4
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +46,7 @@
         Where all have got the rate that they take, waits for a token.
         Raises ResultError if none comes in time.
         """
+        await self.wait_for_origins(progress)
         choice = self.choose(progress)
         if not isinstance(choice, NoToken):
             return choice
@@ -66,6 +70,25 @@
             waiting[admitted.service.name] -= 1
         return choice
 
+    async def wait_for_origins(self, progress: progress_lib.Progress) -> None:
+        """Waits for a moment until a stream may begin somewhere.
+
+        That is at the start of an instance, and where a service has been
+        replaced as a whole.
+        """
+        service = progress.admitted.service.name
+        if (
+            progress.origin is not None
+            or not progress.admitted.route.is_resumable_stream()
+        ):
+            return
+        until = clock.monotonic() + MAX_LISTING_WAIT_S
+        while clock.monotonic() < until:
+            known = self.board.upstreams.of_service(service, True)
+            if not known or self.board.origins.of_listed(known):
+                return
+            await asyncio.sleep(TOKEN_POLL_S)
+
     def choose(
         self, progress: progress_lib.Progress, has_waited: bool = False
     ) -> upstreams.Upstream | NoToken | None:
@@ -148,6 +171,10 @@
             admitted.service.name,
             self.board.freshness.in_lapse_grace(clock.boot()),
         )
+        if progress.origin is not None:
+            candidates = continuations.at_origin(candidates, progress.origin)
+        elif admitted.route.is_resumable_stream():
+            candidates = self.board.origins.of_listed(candidates)
         if len(progress.possibly_ran) < admitted.route.attempts:
             return candidates
         # Only upstreams that may have run it already may get it again.
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -194,9 +194,10 @@
 
 @attrs.define(kw_only=True)
 class UpstreamSet:
-    """All known upstreams by id."""
+    """All known upstreams by id; added counts those that started."""
 
     by_id: dict[str, Upstream] = attrs.field(factory=dict)
+    added: int = 0
 
     def put(self, entry: model.UpstreamEntry) -> str | None:
         """Adds or updates an entry; returns what changed, if anything."""
@@ -205,6 +206,7 @@
             if known is not None and entry.born_ms < known.entry.born_ms:
                 return None
             self.by_id[entry.upstream_id] = Upstream(entry=entry)
+            self.added += 1
             return 'added' if known is None else 'restarted'
         changed = None
         if known.entry.draining != entry.draining:
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -45,6 +45,7 @@
     Address: str
     parts: int = 12
     RecordBytes: int = 262_144
+    WritesPerS: float = 800
     # How long the store retains records, not how long turns are retained.
     RetainS: float = 300
 
@@ -100,6 +101,7 @@
         store=file_settings.Platform.Address,
         store_partitions=file_settings.Platform.parts,
         store_record_bytes=file_settings.Platform.RecordBytes,
+        store_writes_per_s=max(file_settings.Platform.WritesPerS, 1.0),
         key_grace_s=bounds.RevokeMs / MS_PER_S - _KEY_MARGIN_S,
         stop_s=bounds.GraceS,
         upstream_drain_s=bounds.DrainMs / MS_PER_S,
--- a/tests/gateway_desk.py
+++ b/tests/gateway_desk.py
@@ -101,12 +101,10 @@
         await one.start()
         board.upstreams.put(gateway_support.entry(f'u{number}', port=one.port))
     log = gateway_support.MemoryLog()
-    yield Harness(
-        forwarder=forwarder.Forwarder(
-            board, codec.PlatformCodec(), log, event_log.EventLog()
-        ),
-        replicas=replicas,
-        log=log,
+    served_by = forwarder.Forwarder(
+        board, codec.PlatformCodec(), log, event_log.EventLog()
     )
+    await served_by.origins.update(loop.time())
+    yield Harness(forwarder=served_by, replicas=replicas, log=log)
     for one in replicas:
         await one.stop()
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -92,6 +92,7 @@
         chance=random.Random(1), now=clock.monotonic()
     )
     forwarders = []
+    log = gateway_support.MemoryLog()
     for number in range(instances):
         name = f'north-{number}'
         network.add(name, 'north')
@@ -112,12 +113,10 @@
             )
         forwarders.append(
             forwarder.Forwarder(
-                board,
-                codec.PlatformCodec(),
-                gateway_support.MemoryLog(),
-                event_log.EventLog(),
+                board, codec.PlatformCodec(), log, event_log.EventLog()
             )
         )
+        await forwarders[-1].origins.update(clock.monotonic())
     fleet = Fleet(network=network, forwarders=forwarders, replicas=replicas)
     exchanging = asyncio.create_task(fleet.exchange())
     try:
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -28,6 +28,7 @@
     store='127.0.0.1:1',
     store_partitions=4,
     store_record_bytes=4_096,
+    store_writes_per_s=800.0,
     key_grace_s=4.5,
     stop_s=8.0,
     upstream_drain_s=2.0,
@@ -41,9 +42,10 @@
     """An in-memory log with injected faults.
 
     Every call raises failure if it is set, and calls to
-    failing_partitions fail.  The next unconfirmed_appends appends take
-    effect but raise APPEND_UNCONFIRMED; the next hanging_appends take
-    effect but never return.  Appends to blocked_topic wait for the gate.
+    failing_partitions fail; with failing_puts, writes of keys do.  The next
+    unconfirmed_appends appends take effect but raise APPEND_UNCONFIRMED; the
+    next hanging_appends take effect but never return.  Appends to
+    blocked_topic wait for the gate.
     """
 
     partitions: int = 4
@@ -58,6 +60,8 @@
     data: collections.defaultdict[tuple[str, int], list[bytes]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
+    keyed: dict[tuple[str, str], bytes] = attrs.field(factory=dict)
+    failing_puts: bool = False
     calls: int = 0
     failures: int = 0
     appends: int = 0
@@ -115,17 +119,36 @@
         )
 
     async def newest(self, topic: str) -> ports.KeyedRecords:
-        """Returns nothing; keyed topics are not used here."""
-        return ports.KeyedRecords(records=(), end=0)
+        """Returns the newest record of each key."""
+        self.reads += 1
+        await asyncio.sleep(0)
+        self.check(topic, 0)
+        return ports.KeyedRecords(
+            records=tuple(
+                ports.KeyedRecord(key=key, value=value)
+                for (name, key), value in self.keyed.items()
+                if name == topic
+            ),
+            end=0,
+        )
 
     async def read_keyed(
         self, topic: str, start: int, *, wait_s: float
     ) -> ports.KeyedRecords | None:
-        """Returns nothing; keyed topics are not used here."""
+        """Returns nothing; changes of keys are not followed here."""
         return None
 
     async def put(self, topic: str, key: str, value: bytes | None) -> None:
-        """Drops the record; keyed topics are not used here."""
+        """Writes the newest record of a key."""
+        self.appends += 1
+        await asyncio.sleep(0)
+        self.check(topic, 0)
+        if self.failing_puts:
+            raise errors.ResultError(codes.LOG_UNAVAILABLE, 'put')
+        if value is None:
+            self.keyed.pop((topic, key), None)
+        else:
+            self.keyed[topic, key] = value
 
 
 def account(
