Do not wait for the end of a foreign answer that has none

A faulty replica wrote an earlier refusal once more on a kept connection. Tests: a second refusal, whole, without an id, 421, 429, in pieces, after a 1xx, twice, without a length, cut short, in the socket's buffer before the request, for plain requests and for ones with a budget, while the real answer is on its way. None was told 'not run' and none ran again elsewhere (REFUSED, TWICE): a refusal counts only with the request's own id, and an upstream that refused a request never gets it again.

One fault showed: a copy without a length swallowed the real answer until the request's own timeout, so its caller had 504 after 5 s in place of 502 at once; that case failed before. A foreign answer that ends only with the connection now ends the exchange.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -8,6 +8,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import events
@@ -44,7 +45,7 @@
         self.codec = codec
         self.turns = turns
         self.events = event_log
-        self.pool = channel.Pool()
+        self.pool = connection_pool.Pool()
         self.crashes = crash_detector.CrashDetector(
             board, self.pool, event_log
         )
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -1,4 +1,4 @@
-"""Persistent HTTP/1.1 connections to upstreams and the store, and a pool.
+"""Persistent HTTP/1.1 connections to upstreams and the store.
 
 A request is never sent twice.  A connection that received bytes while no
 response was outstanding, or that its peer has closed, is not reused, so
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import collections.abc
 import enum
 import re
 import socket
@@ -39,6 +38,9 @@
 MAX_INTERIM_RESPONSES: typing.Final = 8
 # Other tasks run after this many events that were parsed without waiting.
 EVENTS_PER_TURN: typing.Final = 256
+FRAMING_HEADERS: typing.Final = (b'content-length', b'transfer-encoding')
+# Their answers have no body.
+NO_BODY_STATUSES: typing.Final = (204, 304)
 _KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout\s*=\s*(\d+)')
 
 Headers: typing.TypeAlias = list[tuple[str, str]]
@@ -62,10 +64,15 @@
 
 @attrs.frozen(kw_only=True)
 class Head:
-    """The status and headers of a response."""
+    """The status and headers of a response.
+
+    is_framed says that its body has a length or is chunked; else it ends
+    with the connection.
+    """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    is_framed: bool
 
 
 class _Protocol(asyncio.Protocol):
@@ -233,6 +240,8 @@
         self.note_idle_timeout(event, now)
         return Head(
             status=event.status_code,
+            is_framed=event.status_code in NO_BODY_STATUSES
+            or any(name in FRAMING_HEADERS for name, _ in event.headers),
             headers=tuple(
                 (name.decode('latin-1'), value.decode('latin-1'))
                 for name, value in event.headers.raw_items()
@@ -343,52 +352,3 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     return Channel(protocol)
-
-
-@attrs.define(kw_only=True)
-class Pool:
-    """Idle connections by a key that identifies one incarnation of a peer."""
-
-    idle: dict[collections.abc.Hashable, list[Channel]] = attrs.field(
-        factory=dict
-    )
-    opened: int = 0
-
-    async def acquire(
-        self,
-        key: collections.abc.Hashable,
-        host: str,
-        port: int,
-        timeout_s: float,
-        now: float,
-    ) -> Channel:
-        """Returns an idle connection, or opens one."""
-        idle = self.idle.get(key, [])
-        while idle:
-            channel = idle.pop()
-            if channel.is_reusable(now):
-                return channel
-            channel.close()
-        self.opened += 1
-        return await connect(host, port, timeout_s)
-
-    def has_idle(self, key: collections.abc.Hashable, now: float) -> bool:
-        """Returns whether a connection is open and waits for a request."""
-        return any(
-            channel.is_reusable(now) for channel in self.idle.get(key, ())
-        )
-
-    def release(
-        self, key: collections.abc.Hashable, channel: Channel, now: float
-    ) -> None:
-        """Pools a connection for reuse, or closes it if not reusable."""
-        if channel.is_reusable(now):
-            channel.protocol.idle = True
-            self.idle.setdefault(key, []).append(channel)
-        else:
-            channel.close()
-
-    def close_idle(self, key: collections.abc.Hashable) -> None:
-        """Closes the idle connections of a key."""
-        for channel in self.idle.pop(key, []):
-            channel.close()
--- a/oleanderdrift/gateway/crash_detector.py
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -13,8 +13,8 @@
 import attrs
 
 from oleanderdrift.gateway import board as board_lib
-from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import fingerprints
@@ -44,7 +44,7 @@
     def __init__(
         self,
         board: board_lib.Board,
-        pool: channel.Pool,
+        pool: connection_pool.Pool,
         events: event_log.EventLog,
     ) -> None:
         self.board = board
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -9,6 +9,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import upstreams
 
@@ -72,7 +73,7 @@
 
 
 async def send_request(
-    pool: channel.Pool,
+    pool: connection_pool.Pool,
     codec: ports.Codec,
     board: board_lib.Board,
     upstream: upstreams.Upstream,
@@ -156,5 +157,8 @@
         )
         if head.request_id == request_id or not may_be_foreign:
             return head
+        if not raw.is_framed:
+            # Whatever follows on the connection counts as its body.
+            return None
         await connection.skip_response()
     return None
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -11,8 +11,8 @@
 
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import board as board_lib
-from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import continuations
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
@@ -33,7 +33,9 @@
 class UpstreamChooser:
     """Chooses upstreams by the board's state and the idle connections."""
 
-    def __init__(self, board: board_lib.Board, pool: channel.Pool) -> None:
+    def __init__(
+        self, board: board_lib.Board, pool: connection_pool.Pool
+    ) -> None:
         self.board = board
         self.pool = pool
         self.chance = random.Random()
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -13,6 +13,7 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import ports
 
 # A call times out after a multiple of the average response time, within
@@ -68,7 +69,7 @@
         self.port = int(port)
         self.partitions = partitions
         self.record_bytes = record_bytes
-        self.pool = channel.Pool()
+        self.pool = connection_pool.Pool()
         self.calls = 0
         self.failures = 0
         self.average_s = 0.01
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -9,6 +9,7 @@
 from oleanderdrift import codes
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import fingerprints
@@ -290,7 +291,7 @@
             1, replica.Reset(), route=ROUTES['once']
         ) as fleet:
             assert (await fleet.send(0, body=b'x')).status == 502
-            monkeypatch.setattr(channel.Pool, 'acquire', time_out)
+            monkeypatch.setattr(connection_pool.Pool, 'acquire', time_out)
             await asyncio.sleep(2 * crash_detector.SETTLE_S)
             assert not fleet.forwarders[0].board.crashes.crashes
 
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import model
 from standins import replica
 from tests import gateway_desk
@@ -121,7 +122,7 @@
 
         server = await asyncio.start_server(accept, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
-        pool = channel.Pool()
+        pool = connection_pool.Pool()
         connection = await pool.acquire('u', '127.0.0.1', port, 1.0, 0.0)
         pool.release('u', connection, 0.0)
         while not connections:
--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -111,6 +111,99 @@
     asyncio.run(play())
 
 
+def refusal(name: str | None, status: int = 503, length: bool = True) -> bytes:
+    """Returns a refusal: its request did not run."""
+    lines = [f'HTTP/1.1 {status} Answer', 'Not-Executed: 1']
+    if name is not None:
+        lines.append(f'Attempt-Id: {name}')
+    if length:
+        lines.append('Content-Length: 4')
+    return ('\r\n'.join([*lines, '', '']) + 'full').encode()
+
+
+@pytest.mark.parametrize(
+    'copy',
+    [
+        pytest.param([refusal('q1')], id='whole'),
+        pytest.param([refusal(None)], id='without an id'),
+        pytest.param([refusal('q1', 421)], id='misdirected'),
+        pytest.param([refusal('q1', 429)], id='too many'),
+        pytest.param([refusal('q1')[:25], refusal('q1')[25:]], id='pieces'),
+        pytest.param([INTERIM, refusal('q1')], id='after interim'),
+        pytest.param([refusal('q1')] * 2, id='twice'),
+        pytest.param([refusal('q1', length=False)], id='without length'),
+        pytest.param([refusal('q1')[:25]], id='cut short'),
+    ],
+)
+@pytest.mark.parametrize('joined', [True, False])
+@pytest.mark.parametrize('budget', [None, 900])
+def test_earlier_refusal_does_not_answer_a_request_that_runs(
+    copy: list[bytes], joined: bool, budget: int | None
+) -> None:
+    """A refusal is written again while the next request runs (REFUSED)."""
+
+    def copy_then_own(name: str) -> list[bytes]:
+        pieces = [*copy, answer(name)]
+        return [b''.join(pieces)] if joined else pieces
+
+    async def play() -> None:
+        async with gateway_desk.run_harness(
+            [replica.CompleteResponse()],
+            [replica.CompleteResponse(body=b'elsewhere')],
+            route=NON_IDEMPOTENT,
+        ) as harness:
+            harness.forwarder.board.upstreams.by_id['u1'].own_requests = 200
+            async with scripted_upstream(
+                harness, [lambda name: [refusal(name)], copy_then_own, own]
+            ) as received:
+                await harness.send_request(request_id='q1')
+                before = len(harness.replicas[1].received)
+                reply = await harness.send_request(
+                    request_id='q2', token_budget=budget, max_tokens=9
+                )
+                # Never refused, and never run a second time elsewhere.
+                assert reply.status in (200, 502)
+                assert reply.body in (b'answer to q2', b'')
+                assert (reply.status == 200) == bool(reply.body)
+                assert received == ['q1', 'q2']
+                assert len(harness.replicas[1].received) == before
+
+    asyncio.run(play())
+
+
+def test_refusal_that_came_before_the_request_is_not_its_answer() -> None:
+    """It is in the socket's buffer when the connection is chosen."""
+
+    async def play() -> None:
+        async with gateway_desk.run_harness(
+            [replica.CompleteResponse()],
+            [replica.CompleteResponse()],
+            route=NON_IDEMPOTENT,
+        ) as harness:
+            harness.forwarder.board.upstreams.by_id['u1'].own_requests = 200
+            async with scripted_upstream(
+                harness, [lambda name: [refusal(name)], own]
+            ) as received:
+                await harness.send_request(request_id='q1')
+                pool = harness.forwarder.attempts.pool
+                upstream = harness.forwarder.board.upstreams.by_id['u0']
+                (kept,) = pool.idle[upstream.key()]
+                # What the kernel holds reaches the protocol after the send.
+                kept.protocol.idle = False
+                task = asyncio.create_task(
+                    harness.send_request(request_id='q2')
+                )
+                while kept.request_count < 2:
+                    await asyncio.sleep(0)
+                kept.protocol.data_received(refusal('q1'))
+                reply = await task
+                assert reply.status == 200
+                assert reply.body == b'answer to q2'
+                assert received == ['q1', 'q2']
+
+    asyncio.run(play())
+
+
 def test_copy_before_the_next_request_closes_the_connection() -> None:
     def twice(name: str) -> list[bytes]:
         return [answer(name), answer(name)]
