Give a caller only whole events of the stream that it has begun

Callers found an upstream's error, its head and body, in the middle of a stream that had broken off, and the stream ended as complete; so with a 200 without a seal, an answer that is no event stream, and events from the start. A stream that ended inside an event, without a length and chunks or with a length, ended as complete, and so did one that ended with its channel before any event (ORDER, MIXED).

Cause: what follows was decided by the answer's own head alone, not by what the caller had already. Class: an answer is put together from several without a check at the join. No test saw it, since the recording reply began anew with a second head; it is as strict as the wire now.

answer_joins decides alone what may follow: after the start of a stream only a sealed 200 event stream with later ids; else the answer counts as broken off, so the next upstream is tried or the stream ends as broken.

--- /dev/null
+++ b/oleanderdrift/gateway/answer_relay.py
@@ -0,0 +1,152 @@
+"""Relays an upstream's answer to the caller."""
+
+import typing
+
+from oleanderdrift.gateway import answer_joins
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import crash_detector
+from oleanderdrift.gateway import events
+from oleanderdrift.gateway import exchange
+from oleanderdrift.gateway import placement
+from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import reply as reply_lib
+from oleanderdrift.gateway import stream_origins
+from oleanderdrift.gateway import turn_flow
+from oleanderdrift.gateway import upstreams
+
+# Shorter streams are too short to measure an engine's speed.
+MIN_MEASURED_EVENTS: typing.Final = 4
+
+
+class AnswerRelay:
+    """Relays answers, whole or event by event."""
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        turns: turn_flow.TurnFlow,
+        crashes: crash_detector.CrashDetector,
+    ) -> None:
+        self.board = board
+        self.turns = turns
+        self.crashes = crashes
+
+    async def relay(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.ResponseStarted,
+        reply: reply_lib.Reply,
+        started: float,
+    ) -> None:
+        """Relays an answer; raises ChannelError if it breaks off.
+
+        started is when the request was sent.
+        """
+        sent: answer_joins.Sent = answer_joins.NothingSent()
+        if reply.started:
+            sent = answer_joins.StreamBegun(
+                last_event_id=progress.last_event_id
+            )
+        kind = progress.admitted.route.kind
+        if answer_joins.relays_events(kind, outcome.head, sent):
+            await self.relay_stream(
+                progress, upstream, outcome, reply, started
+            )
+            return
+        body = await outcome.connection.read_body()
+        now = clock.monotonic()
+        upstream.note_work(now - started, placement.CALL_S, now)
+        if progress.admitted.route.sticky:
+            upstream.note_warm_object(progress.admitted.request.affinity_key)
+        await reply.send_complete(
+            outcome.head.status, outcome.head.headers, body
+        )
+
+    def note_begun(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Notes which upstream has begun a stream."""
+        progress.origin = stream_origins.origin_of(upstream.entry)
+        if progress.admitted.route.is_resumable_stream():
+            self.board.origins.note_begun(
+                progress.admitted.request.request_id, progress.origin
+            )
+
+    async def relay_stream(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.ResponseStarted,
+        reply: reply_lib.Reply,
+        started: float,
+    ) -> None:
+        """Relays a stream's events as they arrive."""
+        reader = events.EventReader()
+        prompt = progress.admitted.request.prompt
+        event_count, first_at, last_at = 0, started, started
+        while chunk := await outcome.connection.read_chunk():
+            last_at = upstream.last_received = clock.monotonic()
+            for event in _read_events(reader, chunk):
+                upstream.clear_pending_tokens(
+                    progress.admitted.request.request_id
+                )
+                upstream.note_cached_parts(prompt)
+                event_count += 1
+                if event_count == 1:
+                    first_at = last_at
+                    self.crashes.note_answering(progress, upstream)
+                await self.relay_event(
+                    progress, upstream, outcome, event, reply
+                )
+        answer_joins.check_end(outcome.head, event_count, reader.rest)
+        upstream.abortable.pop(outcome.connection, None)
+        if event_count >= MIN_MEASURED_EVENTS:
+            tokens = progress.admitted.service.tokens_per_event
+            upstream.note_work(
+                (last_at - first_at) / (event_count - 1),
+                tokens * placement.TOKEN_S,
+                last_at,
+            )
+        if not reply.started:
+            await reply.start(outcome.head.status, outcome.head.headers)
+        await self.turns.store_turn(progress)
+        await reply.finish()
+
+    async def relay_event(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.ResponseStarted,
+        event: events.Event,
+        reply: reply_lib.Reply,
+    ) -> None:
+        """Relays one event."""
+        answer_joins.check_event(event, progress.last_event_id)
+        admitted = progress.admitted
+        if progress.first_ms < 0:
+            waited_s = clock.monotonic() - admitted.request.received
+            progress.first_ms = round(waited_s * 1_000)
+        progress.tokens += admitted.service.tokens_per_event
+        if progress.origin is None:
+            self.note_begun(progress, upstream)
+        progress.last_event_id = event.event_id or progress.last_event_id
+        if admitted.route.retains:
+            progress.output.append(event.data + b'\n')
+        if not reply.started:
+            await reply.start(outcome.head.status, outcome.head.headers)
+        await reply.write(event.raw)
+
+
+def _read_events(
+    reader: events.EventReader, chunk: bytes
+) -> list[events.Event]:
+    """Returns the events that a chunk completes; raises ChannelError."""
+    try:
+        return reader.feed(chunk)
+    except events.EventTooLongError as error:
+        raise channel.ChannelError(
+            channel.Failure.MALFORMED, 'an event of the stream has no end'
+        ) from error
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -5,27 +5,22 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import answer_relay
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
-from oleanderdrift.gateway import events
 from oleanderdrift.gateway import exchange
-from oleanderdrift.gateway import model
-from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
-from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import upstream_choice
 from oleanderdrift.gateway import upstreams
 
 RETRY_AFTER_S: typing.Final = 0.1
-# Shorter streams are too short to measure an engine's speed.
-MIN_MEASURED_EVENTS: typing.Final = 4
 MAX_TRIES: typing.Final = 4
 # The next upstream would crash as well, or the caller's next try is as good.
 MAX_CRASHES: typing.Final = 2
@@ -49,6 +44,7 @@
         self.crashes = crash_detector.CrashDetector(
             board, self.pool, event_log
         )
+        self.relay = answer_relay.AnswerRelay(board, turns, self.crashes)
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
 
     async def run(
@@ -163,16 +159,6 @@
                     progress, upstream, outcome, reply, started
                 )
 
-    def note_begun(
-        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
-    ) -> None:
-        """Notes which upstream has begun a stream."""
-        progress.origin = stream_origins.origin_of(upstream.entry)
-        if progress.admitted.route.is_resumable_stream():
-            self.board.origins.note_begun(
-                progress.admitted.request.request_id, progress.origin
-            )
-
     def log_continued(
         self, progress: progress_lib.Progress, upstream: upstreams.Upstream
     ) -> None:
@@ -275,30 +261,9 @@
         started: float,
     ) -> bool:
         """Relays an answer; returns whether it was complete."""
-        head, connection = outcome.head, outcome.connection
-        streams = (
-            head.status == 200
-            and progress.admitted.route.kind is model.RouteKind.STREAMING
-        )
+        connection = outcome.connection
         try:
-            if streams:
-                await self.relay_stream(
-                    progress, upstream, outcome, reply, started
-                )
-            else:
-                body = await connection.read_body()
-                if head.status < 300 and not head.sealed:
-                    raise channel.ChannelError(
-                        channel.Failure.MALFORMED,
-                        'the response has no seal',
-                    )
-                now = clock.monotonic()
-                upstream.note_work(now - started, placement.CALL_S, now)
-                if progress.admitted.route.sticky:
-                    upstream.note_warm_object(
-                        progress.admitted.request.affinity_key
-                    )
-                await reply.send_complete(head.status, head.headers, body)
+            await self.relay.relay(progress, upstream, outcome, reply, started)
         except channel.ChannelError as error:
             connection.close()
             return await self.handle_broken(progress, upstream, str(error))
@@ -312,83 +277,3 @@
         self.board.crashes.note_success(progress.fingerprints)
         self.pool.release(upstream.key(), connection, clock.monotonic())
         return True
-
-    async def relay_stream(
-        self,
-        progress: progress_lib.Progress,
-        upstream: upstreams.Upstream,
-        outcome: exchange.ResponseStarted,
-        reply: reply_lib.Reply,
-        started: float,
-    ) -> None:
-        """Relays a stream's events as they arrive."""
-        if not outcome.head.sealed and not reply.started:
-            raise channel.ChannelError(
-                channel.Failure.MALFORMED, 'the response has no seal'
-            )
-        reader = events.EventReader()
-        prompt = progress.admitted.request.prompt
-        event_count, first_at, last_at = 0, started, started
-        while chunk := await outcome.connection.read_chunk():
-            last_at = upstream.last_received = clock.monotonic()
-            for event in _read_events(reader, chunk):
-                upstream.clear_pending_tokens(
-                    progress.admitted.request.request_id
-                )
-                upstream.note_cached_parts(prompt)
-                event_count += 1
-                if event_count == 1:
-                    first_at = last_at
-                    self.crashes.note_answering(progress, upstream)
-                await self.relay_event(
-                    progress, upstream, outcome, event, reply
-                )
-        upstream.abortable.pop(outcome.connection, None)
-        if event_count >= MIN_MEASURED_EVENTS:
-            tokens = progress.admitted.service.tokens_per_event
-            upstream.note_work(
-                (last_at - first_at) / (event_count - 1),
-                tokens * placement.TOKEN_S,
-                last_at,
-            )
-        if not reply.started:
-            await reply.start(outcome.head.status, outcome.head.headers)
-        if reader.rest:
-            await reply.write(bytes(reader.rest))
-        await self.turns.store_turn(progress)
-        await reply.finish()
-
-    async def relay_event(
-        self,
-        progress: progress_lib.Progress,
-        upstream: upstreams.Upstream,
-        outcome: exchange.ResponseStarted,
-        event: events.Event,
-        reply: reply_lib.Reply,
-    ) -> None:
-        """Relays one event."""
-        admitted = progress.admitted
-        if progress.first_ms < 0:
-            waited_s = clock.monotonic() - admitted.request.received
-            progress.first_ms = round(waited_s * 1_000)
-        progress.tokens += admitted.service.tokens_per_event
-        if progress.origin is None:
-            self.note_begun(progress, upstream)
-        progress.last_event_id = event.event_id or progress.last_event_id
-        if admitted.route.retains:
-            progress.output.append(event.data + b'\n')
-        if not reply.started:
-            await reply.start(outcome.head.status, outcome.head.headers)
-        await reply.write(event.raw)
-
-
-def _read_events(
-    reader: events.EventReader, chunk: bytes
-) -> list[events.Event]:
-    """Returns the events that a chunk completes; raises ChannelError."""
-    try:
-        return reader.feed(chunk)
-    except events.EventTooLongError as error:
-        raise channel.ChannelError(
-            channel.Failure.MALFORMED, 'an event of the stream has no end'
-        ) from error
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -151,7 +151,9 @@
     """
     for _ in range(MAX_FOREIGN_RESPONSES):
         raw = await connection.read_head(clock.monotonic())
-        head = codec.decode_upstream_head(raw.status, raw.headers)
+        head = codec.decode_upstream_head(
+            raw.status, raw.headers, is_framed=raw.is_framed
+        )
         may_be_foreign = (
             head.request_id is not None or connection.request_count > 1
         )
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -105,6 +105,8 @@
     headers are those that are forwarded to the caller.  not_run says that
     the upstream itself reported that it did not run the request; sealed
     says that the response carries the upstream's proof of origin.
+    is_event_stream is false only if it names another content type, and
+    is_framed if its body ends with the connection.
     rate_limit_per_s is the rate of requests that the upstream accepts from
     all instances together, None if it names no limit.
     """
@@ -114,6 +116,8 @@
     request_id: str | None
     not_run: bool
     sealed: bool
+    is_event_stream: bool
+    is_framed: bool
     rate_limit_per_s: float | None = None
 
 
@@ -148,6 +152,8 @@
         self,
         status: int,
         headers: collections.abc.Sequence[tuple[str, str]],
+        *,
+        is_framed: bool,
     ) -> UpstreamHead:
         """Decodes the head of an upstream's response."""
 
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -31,6 +31,7 @@
 # The request whose answer brought the first event of a resumed stream.
 RESUMES_HEADER: typing.Final = 'resumes'
 RETRY_AFTER_HEADER: typing.Final = 'retry-after'
+STREAM_TYPE: typing.Final = 'text/event-stream'
 # Requests a second that an upstream accepts from all instances together.
 RATE_LIMIT_HEADER: typing.Final = 'server-limit'
 _HOP_BY_HOP: typing.Final = frozenset(
@@ -143,7 +144,7 @@
         return headers
 
     def decode_upstream_head(
-        self, status: int, headers: Headers
+        self, status: int, headers: Headers, *, is_framed: bool
     ) -> ports.UpstreamHead:
         """Decodes the head of an upstream's response."""
         by_name = {name.lower(): value for name, value in headers}
@@ -158,6 +159,10 @@
             request_id=by_name.get(REQUEST_ID_HEADER),
             not_run=NOT_RUN_HEADER in by_name or status == 421,
             sealed=SEAL_HEADER in by_name,
+            is_event_stream=by_name.get('content-type', STREAM_TYPE)
+            .lower()
+            .startswith(STREAM_TYPE),
+            is_framed=is_framed,
             rate_limit_per_s=_parse_rate(by_name.get(RATE_LIMIT_HEADER)),
         )
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -10,7 +10,7 @@
 import attrs
 
 Behaviour: typing.TypeAlias = (
-    'CompleteResponse | Stream | Raw | Endless | Silent | Reset'
+    'CompleteResponse | Stream | Raw | Stalled | Endless | Silent | Reset'
 )
 
 
@@ -35,13 +35,20 @@
     """An event stream, numbered from 1 or from after Last-Event-Id.
 
     cut_after is the number of the last complete event: the connection
-    closes in the middle of the next one.  An unframed stream is not
-    chunked and ends when the connection closes.
+    closes cut_bytes into the next one.  A stream is chunked unless it is
+    unframed, then it ends when the connection closes, or sized, then its
+    length is given and cut_after does not end it early.  An unsealed one has
+    no Response-Seal.  from_start ignores Last-Event-Id.
     """
 
     events: int = 4
     cut_after: int | None = None
+    cut_bytes: int = 5
     unframed: bool = False
+    sized: bool = False
+    sealed: bool = True
+    from_start: bool = False
+    content_type: str = 'text/event-stream'
     pause_s: float = 0.0
 
 
@@ -52,6 +59,13 @@
     data: bytes
 
 
+@attrs.frozen(kw_only=True)
+class Stalled:
+    """Bytes, then nothing; $ID in them is the request's Attempt-Id."""
+
+    data: bytes
+
+
 @attrs.frozen(kw_only=True)
 class Endless:
     """Bytes, then one block of bytes again and again, until closed.
@@ -173,6 +187,12 @@
             case Raw():
                 writer.write(behaviour.data)
                 return False
+            case Stalled():
+                request_id = request.headers.get('attempt-id', '')
+                writer.write(
+                    behaviour.data.replace(b'$ID', request_id.encode())
+                )
+                await reader.readexactly(1)
             case Endless():
                 return await self.send_endlessly(behaviour, request, writer)
             case Silent():
@@ -205,31 +225,48 @@
         writer: asyncio.StreamWriter,
     ) -> bool:
         """Sends an event stream; returns whether to keep the connection."""
-        fields = '' if behaviour.unframed else 'Transfer-Encoding: chunked\r\n'
-        writer.write(
-            f'HTTP/1.1 200 OK\r\nAttempt-Id: '
-            f'{request.headers.get("attempt-id", "")}\r\n'
-            f'Response-Seal: s\r\nContent-Type: text/event-stream\r\n'
-            f'{fields}\r\n'.encode()
-        )
         first_event = int(request.headers.get('last-event-id', '0')) + 1
-        for number in range(first_event, behaviour.events + 1):
-            event = f'id: {number}\ndata: e{number}\n\n'.encode()
-            if behaviour.cut_after is not None:
-                if number > behaviour.cut_after:
-                    writer.write(framed(event[:5], behaviour.unframed))
-                    await writer.drain()
-                    return False
-            writer.write(framed(event, behaviour.unframed))
+        if behaviour.from_start:
+            first_event = 1
+        events = [
+            f'id: {number}\ndata: e{number}\n\n'.encode()
+            for number in range(first_event, behaviour.events + 1)
+        ]
+        is_cut = behaviour.cut_after is not None
+        if behaviour.cut_after is not None:
+            kept = max(behaviour.cut_after + 1 - first_event, 0)
+            rest = events[kept][: behaviour.cut_bytes]
+            events = [*events[:kept], rest] if rest else events[:kept]
+        writer.write(_stream_head(behaviour, request, b''.join(events)))
+        chunked = not behaviour.unframed and not behaviour.sized
+        for event in events:
+            writer.write(framed(event, not chunked))
             await writer.drain()
             await asyncio.sleep(behaviour.pause_s)
-        if behaviour.unframed:
+        if behaviour.unframed or (is_cut and chunked):
             return False
-        writer.write(b'0\r\n\r\n')
+        if chunked:
+            writer.write(b'0\r\n\r\n')
         await writer.drain()
         return True
 
 
+def _stream_head(behaviour: Stream, request: Received, body: bytes) -> bytes:
+    """Returns the head of an event stream."""
+    lines = [
+        'HTTP/1.1 200 OK',
+        f'Attempt-Id: {request.headers.get("attempt-id", "")}',
+        f'Content-Type: {behaviour.content_type}',
+    ]
+    if behaviour.sealed:
+        lines.append('Response-Seal: s')
+    if behaviour.sized:
+        lines.append(f'Content-Length: {len(body)}')
+    elif not behaviour.unframed:
+        lines.append('Transfer-Encoding: chunked')
+    return '\r\n'.join([*lines, '', '']).encode()
+
+
 def framed(data: bytes, unframed: bool) -> bytes:
     """Returns data as a chunk, or unchanged if unframed."""
     if unframed:
--- a/tests/gateway_desk.py
+++ b/tests/gateway_desk.py
@@ -16,10 +16,11 @@
 
 
 class RecordingReply:
-    """Records the response to one request.
+    """Records the response to one request, and is as strict as the wire.
 
     ended is 'complete' or 'aborted'; gone makes the next write
-    raise ClientDisconnectedError.
+    raise ClientDisconnectedError.  A second head, a chunk before the head and
+    anything after the end raise AssertionError.
     """
 
     def __init__(self) -> None:
@@ -30,8 +31,14 @@
         self.ended = ''
         self.gone = False
 
+    def check(self, started: bool) -> None:
+        """Checks that something may be written now."""
+        assert self.started is started, 'a head comes once, before the body'
+        assert not self.ended, 'nothing comes after the end'
+
     async def start(self, status: int, headers: reply_lib.Headers) -> None:
         """Records the status and headers."""
+        self.check(started=False)
         self.started = True
         self.status = status
         self.headers = {name.lower(): value for name, value in headers}
@@ -46,16 +53,19 @@
 
     async def write(self, chunk: bytes) -> None:
         """Appends a chunk to the body."""
+        self.check(started=True)
         if self.gone:
             raise reply_lib.ClientDisconnectedError
         self.body += chunk
 
     async def finish(self) -> None:
         """Records a complete end."""
+        self.check(started=True)
         self.ended = 'complete'
 
     def abort(self) -> None:
         """Records an aborted response."""
+        assert not self.ended, 'nothing comes after the end'
         self.ended = 'aborted'
 
 
--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -46,7 +46,7 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        try:
             while True:
                 request = await replica.read_request(reader)
                 name = request.headers['attempt-id']
@@ -55,7 +55,13 @@
                     writer.write(piece)
                     await writer.drain()
                     await asyncio.sleep(0.005)
-        writer.close()
+        except (asyncio.IncompleteReadError, OSError):
+            return
+        except asyncio.CancelledError:
+            # The event loop cancels open connections when a test ends.
+            return
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -226,7 +226,9 @@
 def test_only_the_upstream_can_report_not_run(
     status: int, headers: list[tuple[str, str]], not_run: bool
 ) -> None:
-    head = codec.PlatformCodec().decode_upstream_head(status, headers)
+    head = codec.PlatformCodec().decode_upstream_head(
+        status, headers, is_framed=True
+    )
     assert head.not_run is not_run
 
 
@@ -248,7 +250,9 @@
     text: str | None, rate: float | None
 ) -> None:
     headers = [] if text is None else [('Server-Limit', text)]
-    head = codec.PlatformCodec().decode_upstream_head(200, headers)
+    head = codec.PlatformCodec().decode_upstream_head(
+        200, headers, is_framed=True
+    )
     assert head.rate_limit_per_s == rate
 
 
