Count an answer as broken off when its connection is closed here

An answer without a length that the instance itself cut, since its upstream had gone silent or the caller's time was over, counted as whole: closing the connection looked like its usual end.

Found while looking for the same cause as in the streams that end with their channel. A connection that the instance closes is marked as broken. Both new cases failed before and pass now.

--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -329,7 +329,12 @@
         )
 
     def close(self) -> None:
-        """Closes the connection at once."""
+        """Closes the connection at once.
+
+        An answer under way has broken off, even one that ends with its
+        connection.
+        """
+        self.protocol.closed = self.protocol.closed or Failure.RESET
         if self.protocol.transport is not None:
             self.protocol.transport.abort()
 
--- a/tests/test_gateway_broken_streams.py
+++ b/tests/test_gateway_broken_streams.py
@@ -15,6 +15,7 @@
     'attempts': 3,
 }
 STREAM: typing.Final = {'kind': model.RouteKind.STREAMING}
+PLAIN: typing.Final = {'kind': model.RouteKind.NON_IDEMPOTENT}
 CUT: typing.Final = replica.Stream(cut_after=2)
 FIRST_TWO: typing.Final = b'id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n'
 WHOLE: typing.Final = FIRST_TWO + b'id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n'
@@ -132,3 +133,31 @@
     reply = asyncio.run(play(cut, replica.Stream(), route=RESUMABLE))
     assert reply.body == WHOLE
     assert reply.ended == 'complete'
+
+
+@pytest.mark.parametrize('route', [STREAM, PLAIN])
+def test_answer_whose_connection_the_instance_closes_is_not_complete(
+    route: dict[str, typing.Any],
+) -> None:
+    """It has no length, and the instance gives up waiting for its rest."""
+    head = (
+        b'HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nResponse-Seal: s\r\n'
+        b'Content-Type: text/event-stream\r\n\r\n'
+    )
+    silent = replica.Stalled(data=head + FIRST_TWO)
+
+    async def scenario() -> None:
+        async with gateway_desk.run_harness([silent], route=route) as harness:
+            upstream = harness.forwarder.board.upstreams.by_id['u0']
+            task = asyncio.create_task(
+                harness.send_request(token_budget=900, program_id='p')
+            )
+            while upstream.last_received == float('-inf'):
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.02)
+            for connection in list(upstream.abortable):
+                connection.close()
+            reply = await task
+            assert reply.ended == 'aborted' or reply.status == 502
+
+    asyncio.run(scenario())
