Test that fails: a stream goes on at an upstream that started again

A replica may start again under its id and address, with other software. Until its new entry is read, a stream of before goes on there. The stand-in says when it started, as replicas do.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -5,10 +5,13 @@
 """
 
 import asyncio
+import json
 import typing
 
 import attrs
 
+REPORT_TARGET: typing.Final = '/-/report'
+
 Behaviour: typing.TypeAlias = (
     'CompleteResponse | Stream | Raw | Stalled | Endless | Silent | Reset'
 )
@@ -106,6 +109,7 @@
     the connection.  A request whose body begins with deadly_body ends
     the replica:
     all connections are reset, and it listens no more.  crashes counts that.
+    born_ms is its start, as its report has it.
     """
 
     behaviours: list[Behaviour]
@@ -117,6 +121,7 @@
     server: asyncio.Server | None = None
     deadly_body: bytes | None = None
     crashes: int = 0
+    born_ms: int = 1
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> None:
@@ -144,6 +149,9 @@
         try:
             while True:
                 request = await read_request(reader)
+                if request.target == REPORT_TARGET:
+                    writer.write(self.report())
+                    continue
                 self.received.append(request)
                 if self.deadly_body and request.body.startswith(
                     self.deadly_body
@@ -161,6 +169,12 @@
             self.writers.discard(writer)
             writer.close()
 
+    def report(self) -> bytes:
+        """Returns what it says of itself; its start is all of that here."""
+        body = json.dumps({'born': self.born_ms}).encode()
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
+        return head.encode() + body
+
     def crash(self) -> None:
         """Ends the replica as a crash of its process does."""
         self.crashes += 1
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -404,6 +404,21 @@
     asyncio.run(scenario())
 
 
+def test_upstream_restarted_under_its_id_gets_no_stream_of_before() -> None:
+    """Its entry is still that of the start before, with other software."""
+
+    async def scenario() -> None:
+        async with run_versions('v1') as harness:
+            await harness.send_request()
+            (kept,) = harness.forwarder.attempts.pool.idle.values()
+            for connection in kept:
+                connection.close()
+            harness.replicas[0].born_ms = 2
+            check_refused(harness, await continue_stream(harness))
+
+    asyncio.run(scenario())
+
+
 def test_memory_of_streams_is_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
