Ask an upstream which start it is before a stream goes on there

A replica that starts again under its id and address may have other software. Until its new entry is read, about a second, and 4.5 s at an instance that has lost the store, a stream of before went on there: the connection's key and Expect-Instance name the id, which is the same.

Cause: the version is that of the entry, and nothing proved that the process at the other end is the one that wrote it. Before a stream goes on, the connection asks for the upstream's report once, which needs no slot, and compares the start that it names with the entry's. Another start counts as not connected: nothing was sent. One that does not say when it started is taken at its entry.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -116,6 +116,7 @@
                 body=progress.body,
                 deadline=progress.deadline,
                 last_event_id=progress.last_event_id,
+                continues=progress.origin is not None,
             ),
         )
         match outcome:
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -159,6 +159,8 @@
         self.request_count = 0
         self.response_complete = True
         self.events_this_turn = 0
+        # Set once the peer has said that it is the incarnation expected.
+        self.is_verified = False
 
     async def send(
         self, method: str, target: str, headers: Headers, body: bytes
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -1,5 +1,6 @@
 """Sends a request to an upstream and reads the response headers."""
 
+import asyncio
 import typing
 
 import attrs
@@ -10,6 +11,7 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_pool
+from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import upstreams
 
@@ -19,6 +21,8 @@
 # How many responses to earlier requests are skipped on a connection.
 MAX_FOREIGN_RESPONSES: typing.Final = 4
 MISDIRECTED: typing.Final = 421
+# A report needs no slot, so it takes a round trip.
+REPORT_TIMEOUT_S: typing.Final = 0.25
 
 
 @attrs.frozen(kw_only=True)
@@ -64,12 +68,17 @@
 
 @attrs.frozen(kw_only=True)
 class Outgoing:
-    """What is sent to an upstream; deadline is that of the caller."""
+    """What is sent to an upstream; deadline is that of the caller.
+
+    continues says that it is for a stream that an upstream of the same
+    version began, which upstreams do not check.
+    """
 
     admitted: admission.Admitted
     body: bytes
     deadline: float
     last_event_id: str | None
+    continues: bool
 
 
 async def send_request(
@@ -96,7 +105,9 @@
             CONNECT_TIMEOUT_S,
             clock.monotonic(),
         )
-    except (OSError, TimeoutError) as error:
+        if outgoing.continues:
+            await verify_incarnation(connection, codec, entry)
+    except (OSError, TimeoutError, channel.ChannelError) as error:
         return NotConnected(reason=repr(error))
     handed_over = False
     try:
@@ -140,6 +151,41 @@
             connection.close()
 
 
+async def verify_incarnation(
+    connection: channel.Channel,
+    codec: ports.Codec,
+    entry: model.UpstreamEntry,
+) -> None:
+    """Asks an upstream whether it is the start that its entry names.
+
+    It may have started again under its id and address, with other software.
+    One that does not say when it started is taken at its entry.  Raises
+    ChannelError or TimeoutError, with the connection closed, if it is
+    another start or does not answer.
+    """
+    if connection.is_verified:
+        return
+    try:
+        async with asyncio.timeout(REPORT_TIMEOUT_S):
+            headers = [('Host', f'{entry.host}:{entry.port}')]
+            await connection.send('GET', codec.report_target, headers, b'')
+            head = await connection.read_head(clock.monotonic())
+            body = await connection.read_body(channel.MAX_SKIPPED_BYTES)
+        born_ms = codec.decode_report(body) if head.status == 200 else None
+        if born_ms not in (None, entry.born_ms):
+            raise channel.ChannelError(
+                channel.Failure.CLOSED, 'the upstream has started again'
+            )
+        if not connection.is_reusable(clock.monotonic()):
+            raise channel.ChannelError(
+                channel.Failure.CLOSED, 'the upstream closes the connection'
+            )
+    except BaseException:
+        connection.close()
+        raise
+    connection.is_verified = True
+
+
 async def _read_own_head(
     connection: channel.Channel, codec: ports.Codec, request_id: str
 ) -> ports.UpstreamHead | None:
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -127,6 +127,7 @@
     config_topic: str
     config_key: str
     upstreams_topic: str
+    report_target: str
 
     def decode_request(
         self,
@@ -157,6 +158,12 @@
     ) -> UpstreamHead:
         """Decodes the head of an upstream's response."""
 
+    def decode_report(self, body: bytes) -> int | None:
+        """Decodes when an upstream started, a Unix time in milliseconds.
+
+        body is what it answers at report_target; None if that does not say.
+        """
+
     def refusal_headers(
         self, request_id: str | None, retry_after_s: float | None
     ) -> list[tuple[str, str]]:
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -79,6 +79,7 @@
     config_topic = 'op'
     config_key = 'config'
     upstreams_topic = 'servers'
+    report_target = '/-/report'
 
     def decode_request(
         self,
@@ -166,6 +167,10 @@
             rate_limit_per_s=_parse_rate(by_name.get(RATE_LIMIT_HEADER)),
         )
 
+    def decode_report(self, body: bytes) -> int | None:
+        """Decodes when an upstream started, from its report."""
+        return operator.decode_report(body)
+
     def refusal_headers(
         self, request_id: str | None, retry_after_s: float | None
     ) -> list[tuple[str, str]]:
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -90,8 +90,13 @@
     born: int = 0
 
 
+class _Report(msgspec.Struct):
+    born: int
+
+
 _CONFIG_DECODER: typing.Final = msgspec.json.Decoder(_Config)
 _ENTRY_DECODER: typing.Final = msgspec.json.Decoder(_Entry)
+_REPORT_DECODER: typing.Final = msgspec.json.Decoder(_Report)
 
 
 def decode_configuration(value: bytes) -> model.Configuration:
@@ -197,3 +202,11 @@
         cold_s=entry.ColdLeftMs / MS_PER_S,
         version=entry.Version,
     )
+
+
+def decode_report(body: bytes) -> int | None:
+    """Decodes when an upstream started, None if the report does not say."""
+    try:
+        return _REPORT_DECODER.decode(body).born
+    except msgspec.MsgspecError:
+        return None
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -419,6 +419,36 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    ('body', 'born_ms'),
+    [
+        (b'{"born": 5, "Busy": false}', 5),
+        (b'{}', None),
+        (b'{"born": "5"}', None),
+        (b'not json', None),
+        (b'', None),
+    ],
+)
+def test_report_says_when_an_upstream_started(
+    body: bytes, born_ms: int | None
+) -> None:
+    assert codec.PlatformCodec().decode_report(body) == born_ms
+
+
+def test_upstream_is_asked_once_for_each_connection() -> None:
+    async def scenario() -> None:
+        async with run_versions('v1') as harness:
+            await harness.send_request()
+            await continue_stream(harness)
+            # From now on it would say that it has started again.
+            harness.replicas[0].born_ms = 2
+            reply = await continue_stream(harness)
+            assert reply.ended == 'complete'
+            assert harness.replicas[0].connections == 1
+
+    asyncio.run(scenario())
+
+
 def test_memory_of_streams_is_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
