Record streams also while a new version cannot be listed

Where the store took no writes of the list, the instance recorded no stream either, since the list came first: after a loss of power those streams were refused. Seen when reading the diff; the new test failed before.

--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -99,9 +99,12 @@
         """
         if not self.origins.listed:
             self.origins.note_listed(await self.list_reads.get(), now)
-        if self.is_review_due(now):
-            await self.review(now)
-        await self.record_streams()
+        try:
+            if self.is_review_due(now):
+                await self.review(now)
+        finally:
+            # Other partitions of the store may have failed than these.
+            await self.record_streams()
 
     def is_review_due(self, now: float) -> bool:
         """Returns whether the origins in service may have changed."""
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -354,6 +354,21 @@
     asyncio.run(scenario())
 
 
+def test_streams_are_recorded_while_no_version_can_be_listed() -> None:
+    async def scenario() -> None:
+        async with run_versions('v1', 'v2', 'v2') as harness:
+            load(harness, 1, 2)
+            await harness.send_request()
+            harness.log.failing_puts = True
+            set_version(harness, 2, version='v3', born_ms=2)
+            with pytest.raises(errors.ResultError):
+                await harness.forwarder.origins.update(now())
+            lose_memory(harness)
+            assert await harness.forwarder.origins.find('q1') == V1
+
+    asyncio.run(scenario())
+
+
 def test_record_that_is_on_its_way_is_waited_for() -> None:
     async def scenario() -> None:
         async with run_versions('v1', 'v2') as harness:
