--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -30,6 +30,7 @@
     stop_deadline is when a stopping instance ends its open requests.
     silent_data_centres names the data centres that cannot be reached.
     instances is the number of instances that are heard, with this one.
+    origins has the software versions that began the streams of this instance.
     exchanged_at is when states were last exchanged with peers, on the clock
     that also advances while the machine is suspended.
     """
