Take no other answer for an upstream's report

Callers could get a stream that was continued at another software version. Before a stream goes on, its upstream is asked which start it is. On a kept connection a faulty upstream may write an earlier refusal or answer again; this came in the place of the report, named no start, and so the upstream counted as the one of its entry. So did one that answered with a failure.

Now the report is a 200 that belongs to no request, and anything else is no proof: the stream does not go on there.

The three cases failed before (200 in place of 503), when the copy comes some milliseconds earlier than the report; joined with it, they passed.

--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -23,6 +23,7 @@
 MISDIRECTED: typing.Final = 421
 # A report needs no slot, so it takes a round trip.
 REPORT_TIMEOUT_S: typing.Final = 0.25
+REPORT_STATUS: typing.Final = 200
 
 
 @attrs.frozen(kw_only=True)
@@ -105,9 +106,14 @@
             CONNECT_TIMEOUT_S,
             clock.monotonic(),
         )
-        if outgoing.continues:
-            await verify_incarnation(connection, codec, entry)
-    except (OSError, TimeoutError, channel.ChannelError) as error:
+    except (OSError, TimeoutError) as error:
+        return NotConnected(reason=repr(error))
+    try:
+        if outgoing.continues and not await is_incarnation(
+            connection, codec, entry
+        ):
+            return NotConnected(reason='the upstream has started again')
+    except (TimeoutError, channel.ChannelError) as error:
         return NotConnected(reason=repr(error))
     handed_over = False
     try:
@@ -151,31 +157,26 @@
             connection.close()
 
 
-async def verify_incarnation(
+async def is_incarnation(
     connection: channel.Channel,
     codec: ports.Codec,
     entry: model.UpstreamEntry,
-) -> None:
-    """Asks an upstream whether it is the start that its entry names.
-
-    It may have started again under its id and address, with other software.
-    One that does not say when it started is taken at its entry.  Raises
-    ChannelError or TimeoutError, with the connection closed, if it is
-    another start or does not answer.
+) -> bool:
+    """Returns whether an upstream is the start that its entry names.
+
+    It may have started again under its id and address, with other software,
+    so it is asked for its report, once for each connection.  One whose report
+    does not say when it started is taken at its entry.  The connection is
+    closed if it is another start.  Raises ChannelError or TimeoutError, with
+    the connection closed, if no report comes.
     """
     if connection.is_verified:
-        return
+        return True
     try:
         async with asyncio.timeout(REPORT_TIMEOUT_S):
-            headers = [('Host', f'{entry.host}:{entry.port}')]
-            await connection.send('GET', codec.report_target, headers, b'')
-            head = await connection.read_head(clock.monotonic())
-            body = await connection.read_body(channel.MAX_SKIPPED_BYTES)
-        born_ms = codec.decode_report(body) if head.status == 200 else None
-        if born_ms not in (None, entry.born_ms):
-            raise channel.ChannelError(
-                channel.Failure.CLOSED, 'the upstream has started again'
-            )
+            body = await _read_report(connection, codec, entry)
+        born_ms = codec.decode_report(body)
+        connection.is_verified = born_ms in (None, entry.born_ms)
         if not connection.is_reusable(clock.monotonic()):
             raise channel.ChannelError(
                 channel.Failure.CLOSED, 'the upstream closes the connection'
@@ -183,7 +184,33 @@
     except BaseException:
         connection.close()
         raise
-    connection.is_verified = True
+    if not connection.is_verified:
+        connection.close()
+    return connection.is_verified
+
+
+async def _read_report(
+    connection: channel.Channel,
+    codec: ports.Codec,
+    entry: model.UpstreamEntry,
+) -> bytes:
+    """Returns an upstream's report.
+
+    Raises ChannelError if another answer comes in its place, as a second
+    copy of the answer to an earlier request would.
+    """
+    headers = [('Host', f'{entry.host}:{entry.port}')]
+    await connection.send('GET', codec.report_target, headers, b'')
+    raw = await connection.read_head(clock.monotonic())
+    head = codec.decode_upstream_head(
+        raw.status, raw.headers, is_framed=raw.is_framed
+    )
+    if head.status != REPORT_STATUS or head.request_id is not None:
+        raise channel.ChannelError(
+            channel.Failure.MALFORMED,
+            f'status {head.status} of {head.request_id} is no report',
+        )
+    return await connection.read_body(channel.MAX_SKIPPED_BYTES)
 
 
 async def _read_own_head(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -11,6 +11,8 @@
 import attrs
 
 REPORT_TARGET: typing.Final = '/-/report'
+# Enough for a caller to have read what comes first.
+BEFORE_REPORT_S: typing.Final = 0.02
 
 Behaviour: typing.TypeAlias = (
     'CompleteResponse | Stream | Raw | Stalled | Endless | Silent | Reset'
@@ -109,7 +111,8 @@
     the connection.  A request whose body begins with deadly_body ends
     the replica:
     all connections are reset, and it listens no more.  crashes counts that.
-    born_ms is its start, as its report has it.
+    born_ms is its start, as its report has it.  before_report comes
+    BEFORE_REPORT_S earlier than the report.
     """
 
     behaviours: list[Behaviour]
@@ -122,6 +125,7 @@
     deadly_body: bytes | None = None
     crashes: int = 0
     born_ms: int = 1
+    before_report: bytes = b''
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> None:
@@ -150,7 +154,7 @@
             while True:
                 request = await read_request(reader)
                 if request.target == REPORT_TARGET:
-                    writer.write(self.report())
+                    await self.send_report(writer)
                     continue
                 self.received.append(request)
                 if self.deadly_body and request.body.startswith(
@@ -169,6 +173,13 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def send_report(self, writer: asyncio.StreamWriter) -> None:
+        """Answers a request for the report."""
+        if self.before_report:
+            writer.write(self.before_report)
+            await asyncio.sleep(BEFORE_REPORT_S)
+        writer.write(self.report())
+
     def report(self) -> bytes:
         """Returns what it says of itself; its start is all of that here."""
         body = json.dumps({'born': self.born_ms}).encode()
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -28,6 +28,15 @@
 CUT: typing.Final = replica.Stream(events=6, cut_after=2)
 # Placement avoids an upstream with as many requests where it can.
 BUSY: typing.Final = 200
+EARLIER_REFUSAL: typing.Final = (
+    b'HTTP/1.1 503 Answer\r\nNot-Executed: 1\r\nAttempt-Id: q1\r\n'
+    b'Content-Length: 4\r\n\r\nfull'
+)
+EARLIER_ANSWER: typing.Final = (
+    b'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: q1\r\n'
+    b'Content-Length: 4\r\n\r\ndone'
+)
+NO_REPORT: typing.Final = b'HTTP/1.1 500 Answer\r\nContent-Length: 0\r\n\r\n'
 V1: typing.Final = stream_origins.Origin(service='guide', version='v1')
 V2: typing.Final = stream_origins.Origin(service='guide', version='v2')
 
@@ -434,6 +443,27 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    'before',
+    [
+        pytest.param(EARLIER_REFUSAL, id='refusal written again'),
+        pytest.param(EARLIER_ANSWER, id='answer written again'),
+        pytest.param(NO_REPORT, id='failure of its own'),
+    ],
+)
+def test_another_answer_is_not_taken_for_the_report(before: bytes) -> None:
+    """Its start is another one than the entry's, as its report would say."""
+
+    async def scenario() -> None:
+        async with run_versions('v1') as harness:
+            await harness.send_request()
+            harness.replicas[0].born_ms = 2
+            harness.replicas[0].before_report = before
+            check_refused(harness, await continue_stream(harness))
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ('body', 'born_ms'),
     [
