Keep a stream from running twice while its upstream reports nothing

A stream broke off and was to go on at the same upstream, the only one that its route allows. The upstream did not answer the request for its report in time.

The test failed before: the other upstream got the stream. An upstream that gives no report is left out now without counting as gone; one that says that it has started again is gone.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -136,6 +136,13 @@
                 upstream.note_failure(clock.monotonic())
                 self.note_failed_try(progress, upstream, outcome.reason)
                 return False
+            case exchange.NotVerified():
+                progress.sent = was_sent
+                progress.excluded.add(upstream_id)
+                if not is_repeat:
+                    progress.possibly_ran.discard(upstream_id)
+                self.note_failed_try(progress, upstream, outcome.reason)
+                return False
             case exchange.NotRun():
                 self.note_rate_limit(progress, upstream, outcome.head)
                 progress.sent = was_sent
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -33,6 +33,16 @@
     reason: str
 
 
+@attrs.frozen(kw_only=True)
+class NotVerified:
+    """The upstream has not shown which start it is; nothing was sent to it.
+
+    It lives, so it may still work on an earlier try.
+    """
+
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class NotSent:
     """The request may not be sent any more, for the reason of the error."""
@@ -63,7 +73,12 @@
 
 
 Outcome: typing.TypeAlias = (
-    NotConnected | NotSent | NotRun | MayHaveRun | ResponseStarted
+    NotConnected
+    | NotVerified
+    | NotSent
+    | NotRun
+    | MayHaveRun
+    | ResponseStarted
 )
 
 
@@ -114,7 +129,7 @@
         ):
             return NotConnected(reason='the upstream has started again')
     except (TimeoutError, channel.ChannelError) as error:
-        return NotConnected(reason=repr(error))
+        return NotVerified(reason=repr(error))
     handed_over = False
     try:
         try:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -112,7 +112,7 @@
     the replica:
     all connections are reset, and it listens no more.  crashes counts that.
     born_ms is its start, as its report has it.  before_report comes
-    BEFORE_REPORT_S earlier than the report.
+    BEFORE_REPORT_S earlier than the report; a silent_report never comes.
     """
 
     behaviours: list[Behaviour]
@@ -126,6 +126,7 @@
     crashes: int = 0
     born_ms: int = 1
     before_report: bytes = b''
+    silent_report: bool = False
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> None:
@@ -175,6 +176,8 @@
 
     async def send_report(self, writer: asyncio.StreamWriter) -> None:
         """Answers a request for the report."""
+        if self.silent_report:
+            return
         if self.before_report:
             writer.write(self.before_report)
             await asyncio.sleep(BEFORE_REPORT_S)
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -464,6 +464,24 @@
     asyncio.run(scenario())
 
 
+def test_stream_does_not_run_twice_while_its_upstream_reports_nothing() -> (
+    None
+):
+    """The upstream may still work on it, and only one may run it."""
+
+    async def scenario() -> None:
+        async with run_versions(
+            'v1', 'v1', behaviours={0: CUT}, attempts=1
+        ) as harness:
+            load(harness, 1)
+            harness.replicas[0].silent_report = True
+            reply = await harness.send_request()
+            assert reply.ended == 'aborted'
+            assert (served(harness, 0), served(harness, 1)) == (1, 0)
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ('body', 'born_ms'),
     [
