Tests: close the connections that a test has opened

tests/test_gateway_endless.py, run alone, ended with exit code 1 though all its tests passed, three times of three, also on: 'SystemError: AST constructor recursion depth mismatch'. A connection that a test left open was destroyed after its event loop had ended, while pytest compiled code. In a full run it was a warning, and could have been the same failure.

A probe that collects after each test named three sources: a test of this file, the server of test_http_out.py, callers and links of the soak. They close what they opened now. The file alone ends with 0, twice of twice, and the probe names nothing in the files of the sources; run over all tests that are not of the gateway, it names nothing either.

--- a/standins/relay.py
+++ b/standins/relay.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import typing
 
 import attrs
@@ -46,33 +47,32 @@
         If the target refuses, the client's connection is reset.
         """
         self.connections += 1
-        await self.flowing.wait()
-        try:
-            target_streams = await asyncio.open_connection(
-                self.address, self.port
+        with contextlib.closing(writer):
+            await self.flowing.wait()
+            try:
+                target_streams = await asyncio.open_connection(
+                    self.address, self.port
+                )
+            except OSError:
+                writer.transport.abort()
+                return
+            target_reader, target_writer = target_streams
+            await asyncio.gather(
+                self.forward(reader, target_writer),
+                self.forward(target_reader, writer),
             )
-        except OSError:
-            writer.transport.abort()
-            return
-        target_reader, target_writer = target_streams
-        await asyncio.gather(
-            self.forward(reader, target_writer),
-            self.forward(target_reader, writer),
-        )
 
     async def forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Forwards bytes until the sender closes; waits while cut."""
-        try:
-            while data := await reader.read(CHUNK_BYTES):
-                await self.flowing.wait()
-                writer.write(data)
-                await writer.drain()
-        except OSError:
-            pass
-        await self.flowing.wait()
-        writer.close()
+        with contextlib.closing(writer):
+            with contextlib.suppress(OSError):
+                while data := await reader.read(CHUNK_BYTES):
+                    await self.flowing.wait()
+                    writer.write(data)
+                    await writer.drain()
+            await self.flowing.wait()
 
 
 @attrs.define(kw_only=True)
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -142,6 +142,11 @@
             connection[1].close()
         return response
 
+    def close(self) -> None:
+        """Closes the connections that are still open."""
+        for _, writer in self.connections.values():
+            writer.close()
+
     def next_id(self) -> str:
         """Returns the id of a new request."""
         self.sent += 1
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -146,6 +146,7 @@
         async with asyncio.timeout(5):
             while connection.protocol.closed is None:
                 await asyncio.sleep(0.001)
+        connections[0].close()
         server.close()
 
     asyncio.run(play())
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -174,6 +174,8 @@
         return violations, summary
     finally:
         restarter.cancel()
+        for caller in callers:
+            caller.close()
         for instance in instances:
             instance.end()
         store_server.stop()
--- a/tests/test_http_out.py
+++ b/tests/test_http_out.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import typing
 
 import pytest
@@ -26,16 +27,16 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Responds to the requests of one connection."""
-        while await reader.readline():
-            while (await reader.readline()).strip():
-                pass
-            self.requests += 1
-            writer.write(self.data)
-            if not self.keep_open:
-                writer.close()
-                return
-            if not self.data.startswith(HEAD + b'0123456789'):
-                await self.shutdown.wait()
+        with contextlib.closing(writer):
+            while await reader.readline():
+                while (await reader.readline()).strip():
+                    pass
+                self.requests += 1
+                writer.write(self.data)
+                if not self.keep_open:
+                    return
+                if not self.data.startswith(HEAD + b'0123456789'):
+                    await self.shutdown.wait()
 
 
 def request(port: int, *, once: bool = False) -> http_out.UpstreamRequest:
