--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -315,3 +315,28 @@
             assert harness.log.appends == 0
 
     asyncio.run(run())
+
+
+def test_turn_that_ends_upstreams_carries_its_conversation() -> None:
+    """As sent again by its caller: each gets what was said, and no more."""
+
+    async def run() -> None:
+        route = gateway_support.route(retains=True)
+        behaviours = [replica.Stream(events=1)] * 4
+        async with gateway_fleet.run_fleet(
+            1, *behaviours, route=route
+        ) as fleet:
+            turn = {'program_id': 'p', 'token_budget': 900, 'max_tokens': 9}
+            await fleet.send(0, body=b'one ', **turn)
+            said = b'one e1\n'
+            for one in fleet.replicas:
+                one.deadly_body = said
+            for _ in range(MAX_CRASHES):
+                await fleet.send(0, body=DEADLY, previous_turn='q1', **turn)
+            sent = [
+                each.body for one in fleet.replicas for each in one.received
+            ]
+            assert sent.count(said + DEADLY) == len(sent) - 1 > 1
+            assert sum(one.crashes for one in fleet.replicas) > 1
+
+    asyncio.run(run())
