Soak: two software versions side by side, and callers that continue

The soak has two replicas of two versions now, whose events name their version, and callers that go on where a stream broke off, at any instance, while instances are killed, frozen, stopped and cut from the store. Each stream must be whole, in order and of one version.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -111,8 +111,9 @@
     the connection.  A request whose body begins with deadly_body ends
     the replica:
     all connections are reset, and it listens no more.  crashes counts that.
-    born_ms is its start, as its report has it.  before_report comes
-    BEFORE_REPORT_S earlier than the report; a silent_report never comes.
+    version is named in each event.  born_ms is its start, as its report has
+    it.  before_report comes BEFORE_REPORT_S earlier than the report; a
+    silent_report never comes.
     """
 
     behaviours: list[Behaviour]
@@ -124,6 +125,7 @@
     server: asyncio.Server | None = None
     deadly_body: bytes | None = None
     crashes: int = 0
+    version: str = ''
     born_ms: int = 1
     before_report: bytes = b''
     silent_report: bool = False
@@ -256,8 +258,9 @@
         first_event = int(request.headers.get('last-event-id', '0')) + 1
         if behaviour.from_start:
             first_event = 1
+        suffix = f' {self.version}' if self.version else ''
         events = [
-            f'id: {number}\ndata: e{number}\n\n'.encode()
+            f'id: {number}\ndata: e{number}{suffix}\n\n'.encode()
             for number in range(first_event, behaviour.events + 1)
         ]
         is_cut = behaviour.cut_after is not None
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -19,6 +19,8 @@
 RESPONSE_TIMEOUT_S: typing.Final = 5.0
 MAX_TURNS: typing.Final = 6
 REFUSED: typing.Final = (402, 429, 503)
+# Software of replicas that serve side by side; their streams do not fit.
+VERSIONS: typing.Final = ('v1', 'v2')
 CONFIG: typing.Final = {
     'Version': 1,
     'Routes': [
@@ -41,8 +43,21 @@
             'Service': 'guide',
             'Attempts': 1,
         },
+        {
+            'Name': 'streams',
+            'Host': 'desk.example',
+            'PathPrefix': '/c/',
+            'Kind': 'streaming',
+            'TimeoutMs': DEADLINE_MS,
+            'Service': 'reader',
+            'Attempts': 3,
+            'Resumable': True,
+        },
+    ],
+    'Services': [
+        {'Name': 'guide', 'Engine': {'Stride': TOKENS_PER_EVENT}},
+        {'Name': 'reader', 'Engine': {'Stride': TOKENS_PER_EVENT}},
     ],
-    'Services': [{'Name': 'guide', 'Engine': {'Stride': TOKENS_PER_EVENT}}],
     'Tenants': [{'Name': 'ward', 'ApiKeys': ['k1'], 'RatePerS': 0}],
 }
 
@@ -68,7 +83,8 @@
 
     history maps each completed turn's id to the conversation up to its end,
     as a replica must receive it.  expected maps each turn's id to the body
-    that a replica must receive for it.
+    that a replica must receive for it.  repeatable holds the requests that
+    may run more than once.
     """
 
     statuses: dict[str, int] = attrs.field(factory=dict)
@@ -76,9 +92,16 @@
     tokens: collections.Counter[str] = attrs.field(factory=collections.Counter)
     history: dict[str, bytes] = attrs.field(factory=dict)
     expected: dict[str, bytes] = attrs.field(factory=dict)
+    repeatable: set[str] = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
 
 
+def event_lines(version: str = '') -> list[bytes]:
+    """Returns the data lines of a whole stream of one software version."""
+    suffix = f' {version}' if version else ''
+    return [f'data: e{n}{suffix}'.encode() for n in range(1, EVENTS + 1)]
+
+
 async def read_response(reader: asyncio.StreamReader) -> Response:
     """Reads one response; it is not complete if it breaks off."""
     head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
@@ -190,13 +213,12 @@
             )
         if response.status != 200 or not response.complete:
             return ''
-        names = [f'data: e{n}'.encode() for n in range(1, EVENTS + 1)]
         data_lines = [
             line
             for line in response.body.split(b'\n')
             if line.startswith(b'data')
         ]
-        if data_lines != names:
+        if data_lines != event_lines():
             self.observations.violations.append(
                 f'{request_id}: events {data_lines!r}'
             )
@@ -253,6 +275,8 @@
             if expected_body is not None and request.body != expected_body:
                 violations.append(f'{name}: its conversation differs')
     for name, count in executions.items():
+        if name in observations.repeatable:
+            continue
         if count > 1:
             violations.append(f'{name}: ran {count} times')
         if observations.statuses.get(name) in REFUSED:
@@ -265,14 +289,14 @@
     return violations
 
 
-def entry(port: int) -> bytes:
+def entry(port: int, service: str, version: str) -> bytes:
     """Returns a replica's entry for the store."""
     return json.dumps(
         {
-            'Service': 'guide',
+            'Service': service,
             'Address': f'127.0.0.1:{port}',
             'Zone': 'north',
-            'Version': 'v1',
+            'Version': version,
             'Slots': 64,
             'State': 'ready',
             'born': 1,
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -20,6 +20,7 @@
 from standins import platform_store
 from standins import replica as replica_lib
 from tests import soak_callers
+from tests import soak_streams
 
 FAULT_SECONDS: typing.Final = float(os.environ.get('SOAK_SECONDS', '6'))
 SEEDS: typing.Final = [
@@ -27,11 +28,16 @@
 ]
 INSTANCES: typing.Final = 3
 CALLERS: typing.Final = 6
+STREAM_CALLERS: typing.Final = 3
 READY_TIMEOUT_S: typing.Final = 20.0
 RECOVERY_TIMEOUT_S: typing.Final = 15.0
 STREAM: typing.Final = replica_lib.Stream(
     events=soak_callers.EVENTS, pause_s=0.01
 )
+# Lasts long enough for many to be under way when an instance ends.
+LONG_STREAM: typing.Final = replica_lib.Stream(
+    events=soak_callers.EVENTS, pause_s=0.06
+)
 
 
 @attrs.define(kw_only=True)
@@ -105,7 +111,8 @@
             instance.thaw()
             instance.link.flowing.set()
         for replica in self.replicas:
-            replica.behaviours = [STREAM]
+            # The last behaviour is the usual one.
+            del replica.behaviours[:-1]
 
 
 async def until_all_serve(
@@ -132,10 +139,17 @@
     rng = random.Random(seed)
     store_server = platform_store.start()
     replicas = [replica_lib.Replica(behaviours=[STREAM]) for _ in range(2)]
+    replicas += [
+        replica_lib.Replica(behaviours=[LONG_STREAM], version=version)
+        for version in soak_callers.VERSIONS
+    ]
     for number, replica in enumerate(replicas):
         await replica.start()
+        service = 'reader' if replica.version else 'guide'
         store_server.store.put(
-            'keyed.servers', f'u{number}', soak_callers.entry(replica.port)
+            'keyed.servers',
+            f'u{number}',
+            soak_callers.entry(replica.port, service, replica.version or 'v1'),
         )
     value = json.dumps(soak_callers.CONFIG).encode()
     store_server.store.put('keyed.op', 'config', value)
@@ -154,7 +168,10 @@
             observations=observations,
             rng=random.Random(f'{seed} {number}'),
         )
-        for number in range(CALLERS)
+        for number in range(CALLERS + STREAM_CALLERS)
+    ]
+    streams = [
+        soak_streams.StreamCaller(caller=one) for one in callers[CALLERS:]
     ]
     restarter = asyncio.create_task(environment.restart_exited())
     try:
@@ -163,14 +180,23 @@
         until = asyncio.get_running_loop().time() + FAULT_SECONDS
         await asyncio.gather(
             environment.inject_faults(until),
-            *(caller.run(until) for caller in callers),
+            *(caller.run(until) for caller in callers[:CALLERS]),
+            *(one.run(until) for one in streams),
         )
         environment.clear_faults()
         violations = soak_callers.find_violations(observations, replicas)
         if not await until_all_serve(callers[0], RECOVERY_TIMEOUT_S):
             violations.append('not every instance serves after the faults')
         violations += soak_callers.find_violations(observations, replicas)
-        summary = '\n'.join([*environment.events, str(observations.counts)])
+        whole = sum(one.whole for one in streams)
+        continued = sum(one.continued for one in streams)
+        summary = '\n'.join(
+            [
+                *environment.events,
+                str(observations.counts),
+                f'streams whole={whole} continued={continued}',
+            ]
+        )
         return violations, summary
     finally:
         restarter.cancel()
