--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -129,7 +129,7 @@
         ):
             return NotConnected(reason='the upstream has started again')
     except (TimeoutError, channel.ChannelError) as error:
-        return NotVerified(reason=repr(error))
+        return NotVerified(reason=f'no report came: {error!r}')
     handed_over = False
     try:
         try:
