--- /dev/null
+++ b/tests/test_gateway_origin_log.py
@@ -0,0 +1,181 @@
+"""What the store keeps of the origins of streams."""
+
+import asyncio
+
+import pytest
+
+from oleanderdrift import errors
+from oleanderdrift.gateway import origin_log
+from oleanderdrift.gateway import records
+from oleanderdrift.gateway import stream_origins
+from tests import gateway_versions
+
+
+def test_stream_that_no_store_record_names_does_not_go_on() -> None:
+    """All instances lost power before it was recorded."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            await harness.send_request()
+            gateway_versions.lose_memory(harness)
+            gateway_versions.check_refused(
+                harness, await gateway_versions.continue_stream(harness)
+            )
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('partition', origin_log.PARTITIONS)
+def test_one_failing_partition_loses_no_stream(partition: int) -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            harness.log.failing_partitions = {
+                (records.STREAM_TOPIC, partition)
+            }
+            gateway_versions.load(harness, 1)
+            await harness.send_request()
+            await harness.forwarder.origins.update(gateway_versions.now())
+            gateway_versions.lose_memory(harness)
+            gateway_versions.load(harness, 0)
+            await gateway_versions.continue_stream(harness)
+            assert (
+                gateway_versions.served(harness, 0),
+                gateway_versions.served(harness, 1),
+            ) == (2, 0)
+
+    asyncio.run(scenario())
+
+
+def test_no_stream_begins_at_a_version_before_the_store_lists_it() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v1') as harness:
+            harness.log.failing_puts = True
+            gateway_versions.set_version(harness, 1, version='v2', born_ms=2)
+            with pytest.raises(errors.ResultError):
+                await harness.forwarder.origins.update(gateway_versions.now())
+            gateway_versions.load(harness, 0)
+            await harness.send_request()
+            assert (
+                gateway_versions.served(harness, 0),
+                gateway_versions.served(harness, 1),
+            ) == (1, 0)
+            harness.log.failing_puts = False
+            await harness.forwarder.origins.update(gateway_versions.now())
+            gateway_versions.load(harness, 0)
+            await harness.send_request(request_id='q3')
+            assert gateway_versions.served(harness, 1) == 1
+
+    asyncio.run(scenario())
+
+
+def test_streams_that_could_not_be_recorded_are_recorded_later() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            gateway_versions.load(harness, 1)
+            await harness.send_request()
+            harness.log.failing_partitions = {
+                (records.STREAM_TOPIC, one) for one in origin_log.PARTITIONS
+            }
+            with pytest.raises(errors.ResultError):
+                await harness.forwarder.origins.record_streams()
+            harness.log.failing_partitions = set()
+            await harness.forwarder.origins.record_streams()
+            gateway_versions.lose_memory(harness)
+            assert (
+                await harness.forwarder.origins.find('q1')
+                == gateway_versions.V1
+            )
+
+    asyncio.run(scenario())
+
+
+def test_streams_are_recorded_while_no_version_can_be_listed() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2', 'v2') as harness:
+            gateway_versions.load(harness, 1, 2)
+            await harness.send_request()
+            harness.log.failing_puts = True
+            gateway_versions.set_version(harness, 2, version='v3', born_ms=2)
+            with pytest.raises(errors.ResultError):
+                await harness.forwarder.origins.update(gateway_versions.now())
+            gateway_versions.lose_memory(harness)
+            assert (
+                await harness.forwarder.origins.find('q1')
+                == gateway_versions.V1
+            )
+
+    asyncio.run(scenario())
+
+
+def test_record_that_is_on_its_way_is_waited_for() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            origins = harness.forwarder.origins
+            task = asyncio.create_task(origins.find('q9'))
+            await asyncio.sleep(origins.interval_s())
+            data = records.encode(records.StreamsBegun('guide', 'v2', ['q9']))
+            await harness.log.append(records.STREAM_TOPIC, 1, [data])
+            assert await task == gateway_versions.V2
+            assert await origins.find('q8') is None
+
+    asyncio.run(scenario())
+
+
+def test_long_history_is_read_from_near_its_end() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            origins = harness.forwarder.origins
+            old, recent = (
+                records.encode(records.StreamsBegun('guide', 'v2', [name]))
+                for name in ('q8', 'q9')
+            )
+            kept = origins.max_read_records()
+            await harness.log.append(
+                records.STREAM_TOPIC, 0, [old] + [recent] * kept
+            )
+            assert await origins.find('q9') == gateway_versions.V2
+            assert await origins.find('q8') is None
+
+    asyncio.run(scenario())
+
+
+def test_version_is_unlisted_once_nobody_can_continue_its_streams() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            origins = harness.forwarder.origins
+            harness.forwarder.board.upstreams.remove(
+                'u0', gateway_versions.now()
+            )
+            for later_s, listed in (
+                (
+                    stream_origins.RETENTION_S / 2,
+                    {gateway_versions.V1, gateway_versions.V2},
+                ),
+                (stream_origins.RETENTION_S * 1.1, {gateway_versions.V2}),
+            ):
+                await origins.update(gateway_versions.now() + later_s)
+                assert await origins.list_reads.get() == listed
+            gateway_versions.set_version(harness, 0, version='v1', born_ms=3)
+            await origins.update(
+                gateway_versions.now() + stream_origins.RETENTION_S * 1.2
+            )
+            assert await origins.list_reads.get() == {
+                gateway_versions.V1,
+                gateway_versions.V2,
+            }
+
+    asyncio.run(scenario())
+
+
+def test_memory_of_streams_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(stream_origins, 'MAX_STREAMS', 3)
+    origins = stream_origins.StreamOrigins()
+    for number in range(9):
+        origins.note_begun(f'q{number}', gateway_versions.V1)
+    assert (
+        list(origins.begun) == list(origins.unrecorded) == ['q6', 'q7', 'q8']
+    )
+    origins.put_back({'q1': gateway_versions.V1, 'q7': gateway_versions.V1})
+    assert set(origins.unrecorded) == {'q6', 'q7', 'q8'}
--- /dev/null
+++ b/tests/test_gateway_reports.py
@@ -0,0 +1,110 @@
+"""An upstream is asked which start it is before a stream goes on there."""
+
+import asyncio
+import typing
+
+import pytest
+
+from oleanderdrift.platform import codec
+from tests import gateway_versions
+
+EARLIER_REFUSAL: typing.Final = (
+    b'HTTP/1.1 503 Answer\r\nNot-Executed: 1\r\nAttempt-Id: q1\r\n'
+    b'Content-Length: 4\r\n\r\nfull'
+)
+EARLIER_ANSWER: typing.Final = (
+    b'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: q1\r\n'
+    b'Content-Length: 4\r\n\r\ndone'
+)
+NO_REPORT: typing.Final = b'HTTP/1.1 500 Answer\r\nContent-Length: 0\r\n\r\n'
+
+
+def test_upstream_restarted_under_its_id_gets_no_stream_of_before() -> None:
+    """Its entry is still that of the start before, with other software."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1') as harness:
+            await harness.send_request()
+            (kept,) = harness.forwarder.attempts.pool.idle.values()
+            for connection in kept:
+                connection.close()
+            harness.replicas[0].born_ms = 2
+            gateway_versions.check_refused(
+                harness, await gateway_versions.continue_stream(harness)
+            )
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'before',
+    [
+        pytest.param(EARLIER_REFUSAL, id='refusal written again'),
+        pytest.param(EARLIER_ANSWER, id='answer written again'),
+        pytest.param(NO_REPORT, id='failure of its own'),
+    ],
+)
+def test_another_answer_is_not_taken_for_the_report(before: bytes) -> None:
+    """Its start is another one than the entry's, as its report would say."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1') as harness:
+            await harness.send_request()
+            harness.replicas[0].born_ms = 2
+            harness.replicas[0].before_report = before
+            gateway_versions.check_refused(
+                harness, await gateway_versions.continue_stream(harness)
+            )
+
+    asyncio.run(scenario())
+
+
+def test_stream_does_not_run_twice_while_its_upstream_reports_nothing() -> (
+    None
+):
+    """The upstream may still work on it, and only one may run it."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions(
+            'v1', 'v1', behaviours={0: gateway_versions.CUT}, attempts=1
+        ) as harness:
+            gateway_versions.load(harness, 1)
+            harness.replicas[0].silent_report = True
+            reply = await harness.send_request()
+            assert reply.ended == 'aborted'
+            assert (
+                gateway_versions.served(harness, 0),
+                gateway_versions.served(harness, 1),
+            ) == (1, 0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('body', 'born_ms'),
+    [
+        (b'{"born": 5, "Busy": false}', 5),
+        (b'{}', None),
+        (b'{"born": "5"}', None),
+        (b'not json', None),
+        (b'', None),
+    ],
+)
+def test_report_says_when_an_upstream_started(
+    body: bytes, born_ms: int | None
+) -> None:
+    assert codec.PlatformCodec().decode_report(body) == born_ms
+
+
+def test_upstream_is_asked_once_for_each_connection() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1') as harness:
+            await harness.send_request()
+            await gateway_versions.continue_stream(harness)
+            # From now on it would say that it has started again.
+            harness.replicas[0].born_ms = 2
+            reply = await gateway_versions.continue_stream(harness)
+            assert reply.ended == 'complete'
+            assert harness.replicas[0].connections == 1
+
+    asyncio.run(scenario())
