Move the state of a replay out of bench/replay.py

The decisions that the tests bound are as before (test_decisions and the tests of the other benches, 41 passed).

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -16,6 +16,7 @@
 from bench import figure
 from bench import fleet
 from bench import replay
+from bench import replay_state
 from bench import workload
 from oleanderdrift import policy
 
@@ -31,7 +32,7 @@
 REFUSED_BOUND: typing.Final = 0.001
 
 DispatcherFactory: typing.TypeAlias = collections.abc.Callable[
-    [str], replay.Dispatcher
+    [str], replay_state.Dispatcher
 ]
 
 
@@ -63,7 +64,7 @@
         return ordered[-1] / median
 
 
-def summarise(results: list[replay.Result]) -> Summary:
+def summarise(results: list[replay_state.Result]) -> Summary:
     """Pools the results of several replays."""
     spec = fleet.model_spec(0, 1.0)
     ratios: dict[str, list[float]] = {}
--- a/bench/dispatchers.py
+++ b/bench/dispatchers.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from bench import replay
+from bench import replay_state
 from bench import workload
 from oleanderdrift import dispatch_group
 from oleanderdrift import messages
@@ -17,7 +17,7 @@
 
 @attrs.define(kw_only=True)
 class SchedulerAdapter:
-    """The real scheduler of one dispatch group, as a replay.Dispatcher."""
+    """The real scheduler of a dispatch group, as a `Dispatcher`."""
 
     group: dispatch_group.DispatchGroup
 
@@ -75,10 +75,10 @@
 
 def make_scheduler(
     rules: policy.Policy,
-) -> collections.abc.Callable[[str], replay.Dispatcher]:
+) -> collections.abc.Callable[[str], replay_state.Dispatcher]:
     """Returns a factory of schedulers that follow a policy."""
 
-    def make_dispatcher(name: str) -> replay.Dispatcher:
+    def make_dispatcher(name: str) -> replay_state.Dispatcher:
         group = dispatch_group.DispatchGroup(name=name, rules=rules)
         scheduler.set_classes(group, 0.0, workload.CLASSES)
         scheduler.set_accounts(group, 0.0, workload.ACCOUNTS)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,7 +3,7 @@
 import typing
 
 from bench import engine
-from bench import replay
+from bench import replay_state
 from bench import workload
 
 CACHE_BLOCKS: typing.Final = 1200
@@ -46,9 +46,9 @@
 LEAVING_MODEL_INDEX: typing.Final = 3
 
 
-def make_fleet(size: str, duration_s: float) -> replay.Fleet:
+def make_fleet(size: str, duration_s: float) -> replay_state.Fleet:
     """Returns a fleet of a user's size; one model replica leaves halfway."""
-    return replay.Fleet(
+    return replay_state.Fleet(
         models=tuple(
             model_spec(number, speed)
             for number, speed in enumerate(SPEEDS[size])
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -11,213 +11,33 @@
 import collections.abc
 import functools
 import heapq
-import itertools
 import random
 import typing
 
-import attrs
-
 from bench import engine
+from bench import replay_state
 from bench import workload
 from oleanderdrift import messages
 from oleanderdrift import model
-from oleanderdrift import retention
 
 REPORT_INTERVAL_S: typing.Final = 0.5
 LOAD_REPORT_DELAY_S: typing.Final = 0.75
 CACHE_EVENT_DELAY_S: typing.Final = 2.0
 CACHE_EVENT_LOSS_RATE: typing.Final = 0.2
-MODEL_GROUP: typing.Final = 'assistant'
-TOOL_GROUP: typing.Final = 'desk'
-
-
-class Dispatcher(typing.Protocol):
-    """Dispatches the calls of one group: the scheduler or a baseline."""
-
-    def set_upstreams(
-        self, now: float, upstreams: list[model.Upstream]
-    ) -> None:
-        """Replaces the group's upstreams."""
-
-    def submit(self, now: float, request: messages.SlotRequest) -> None:
-        """Queues a call."""
-
-    def release(self, now: float, released: messages.SlotReleased) -> None:
-        """Frees the slot of a finished call."""
-
-    def poll(
-        self, now: float
-    ) -> list[messages.SlotGranted | messages.SlotRefused]:
-        """Returns the slots granted and refused now."""
-
-    def next_wakeup(self, now: float) -> float | None:
-        """Returns when to poll again."""
-
-    def end_program(self, now: float, program: str) -> None:
-        """Handles the end of a program."""
-
-    def due_releases(self, now: float) -> list[retention.Release]:
-        """Returns the programs whose cached blocks are to be released."""
-
-    def on_load(
-        self, now: float, upstream: str, running: int, waiting: int
-    ) -> None:
-        """Handles an engine's load report."""
-
-    def on_cache_event(
-        self,
-        now: float,
-        upstream: str,
-        sequence: int,
-        stored: tuple[bytes, ...],
-        removed: tuple[bytes, ...],
-    ) -> None:
-        """Handles an engine's cache event."""
-
-
-@attrs.frozen(kw_only=True)
-class Fleet:
-    """The engines of both groups, and the one that leaves at leaves_at."""
-
-    models: tuple[engine.EngineSpec, ...]
-    tools: tuple[engine.EngineSpec, ...]
-    leaving_engine: str
-    leaves_at: float
-
-
-@attrs.define(kw_only=True)
-class Outcome:
-    """The outcome of one program."""
-
-    program: workload.Program
-    finished_at: float = 0.0
-    refusals: int = 0
-
-
-@attrs.define(kw_only=True)
-class Result:
-    """The measurements of a replay."""
-
-    outcomes: list[Outcome] = attrs.field(factory=list)
-    calls: int = 0
-    refusals: int = 0
-    prefix_tokens: int = 0
-    recomputed_tokens: int = 0
-    queued_in_engine: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class Wait:
-    """Waits for a fixed time."""
-
-    wait_s: float
-
-
-@attrs.frozen(kw_only=True)
-class Call:
-    """Waits for a call to finish."""
-
-    group: str
-    prompt_tokens: int
-    output_tokens: int
-    prefix: tuple[bytes, ...]
-
-
-@attrs.frozen(kw_only=True)
-class Join:
-    """Waits for all sub-agents to end."""
-
-    programs: tuple[workload.Program, ...]
-
-
-WaitCondition: typing.TypeAlias = Wait | Call | Join
-Process: typing.TypeAlias = collections.abc.Generator[
-    WaitCondition, None, None
-]
-
-
-def make_process(program: workload.Program) -> Process:
-    """Yields what a program waits for at each of its steps."""
-    history = program.system_tokens
-    for step in program.steps:
-        match step:
-            case workload.ModelCall():
-                history += step.new_tokens
-                yield Call(
-                    group=MODEL_GROUP,
-                    prompt_tokens=history,
-                    output_tokens=step.output_tokens,
-                    prefix=workload.prefix_digests(program, history),
-                )
-                history += step.output_tokens
-            case workload.ToolCall():
-                yield Call(
-                    group=TOOL_GROUP,
-                    prompt_tokens=0,
-                    output_tokens=step.work,
-                    prefix=(),
-                )
-            case workload.Pause():
-                yield Wait(wait_s=step.pause_s)
-            case workload.SubAgents():
-                yield Join(programs=step.programs)
-
-
-@attrs.define(kw_only=True, eq=False)
-class RunningProgram:
-    """A running program; for a sub-agent, parent waits for its end."""
-
-    program: workload.Program
-    process: Process
-    outcome: Outcome
-    attained_s: float = 0.0
-    unfinished_children: int = 0
-    parent: typing.Optional['RunningProgram'] = None
-
-
-@attrs.define(kw_only=True, eq=False)
-class Group:
-    """One dispatch group: its dispatcher and engines."""
-
-    name: str
-    dispatcher: Dispatcher
-    engines: dict[str, engine.Engine]
-    cache_sequences: dict[str, int] = attrs.field(factory=dict)
-    wakeup_at: float | None = None
-
-
-@attrs.define(kw_only=True)
-class Replay:
-    """The state of a replay."""
-
-    groups: dict[str, Group]
-    rng: random.Random
-    hop_s: float
-    now: float = 0.0
-    events: list[tuple[float, int, collections.abc.Callable[[], None]]] = (
-        attrs.field(factory=list)
-    )
-    serial_numbers: typing.Iterator[int] = attrs.field(factory=itertools.count)
-    open_calls: dict[str, tuple[RunningProgram, Call]] = attrs.field(
-        factory=dict
-    )
-    result: Result = attrs.field(factory=Result)
-    unfinished_programs: int = 0
-    computed_blocks: set[bytes] = attrs.field(factory=set)
 
 
 def run(
     programs: list[workload.Program],
-    fleet: Fleet,
-    make_dispatcher: collections.abc.Callable[[str], Dispatcher],
+    fleet: replay_state.Fleet,
+    make_dispatcher: collections.abc.Callable[[str], replay_state.Dispatcher],
     *,
     seed: int,
     hop_s: float = 0.0,
-) -> Result:
+) -> replay_state.Result:
     """Replays a workload to its end and returns the measurements."""
-    replay = Replay(
+    replay = replay_state.Replay(
         groups={
-            name: Group(
+            name: replay_state.Group(
                 name=name,
                 dispatcher=make_dispatcher(name),
                 engines={
@@ -225,8 +45,8 @@
                 },
             )
             for name, specs in (
-                (MODEL_GROUP, fleet.models),
-                (TOOL_GROUP, fleet.tools),
+                (replay_state.MODEL_GROUP, fleet.models),
+                (replay_state.TOOL_GROUP, fleet.tools),
             )
         },
         rng=random.Random(seed),
@@ -236,17 +56,19 @@
         configure_upstreams(replay, group, '')
     replay.unfinished_programs = len(programs)
     for program in programs:
-        outcome = Outcome(program=program)
+        outcome = replay_state.Outcome(program=program)
         replay.result.outcomes.append(outcome)
-        running = RunningProgram(
-            program=program, process=make_process(program), outcome=outcome
+        running = replay_state.RunningProgram(
+            program=program,
+            process=replay_state.make_process(program),
+            outcome=outcome,
         )
         schedule(
             replay,
             program.start_at,
             functools.partial(resume, replay, running),
         )
-    group = replay.groups[MODEL_GROUP]
+    group = replay.groups[replay_state.MODEL_GROUP]
     schedule(
         replay,
         fleet.leaves_at,
@@ -260,13 +82,17 @@
 
 
 def schedule(
-    replay: Replay, time: float, action: collections.abc.Callable[[], None]
+    replay: replay_state.Replay,
+    time: float,
+    action: collections.abc.Callable[[], None],
 ) -> None:
     """Schedules an action at a simulated time."""
     heapq.heappush(replay.events, (time, next(replay.serial_numbers), action))
 
 
-def configure_upstreams(replay: Replay, group: Group, leaving: str) -> None:
+def configure_upstreams(
+    replay: replay_state.Replay, group: replay_state.Group, leaving: str
+) -> None:
     """Sets the group's upstreams, marking the one named as leaving."""
     group.dispatcher.set_upstreams(
         replay.now,
@@ -282,19 +108,21 @@
     )
 
 
-def resume(replay: Replay, running: RunningProgram) -> None:
+def resume(
+    replay: replay_state.Replay, running: replay_state.RunningProgram
+) -> None:
     """Runs a program up to its next wait."""
     waiting = next(running.process, None)
     match waiting:
         case None:
             end_program(replay, running)
-        case Wait():
+        case replay_state.Wait():
             schedule(
                 replay,
                 replay.now + waiting.wait_s,
                 lambda: resume(replay, running),
             )
-        case Call():
+        case replay_state.Call():
             call_id = f'c{next(replay.serial_numbers)}'
             replay.open_calls[call_id] = (running, waiting)
             replay.result.calls += 1
@@ -303,12 +131,12 @@
                 replay.now + replay.hop_s,
                 lambda: request_slot(replay, call_id),
             )
-        case Join():
+        case replay_state.Join():
             running.unfinished_children = len(waiting.programs)
             for program in waiting.programs:
-                child = RunningProgram(
+                child = replay_state.RunningProgram(
                     program=program,
-                    process=make_process(program),
+                    process=replay_state.make_process(program),
                     outcome=running.outcome,
                     parent=running,
                     attained_s=running.attained_s,
@@ -316,7 +144,9 @@
                 resume(replay, child)
 
 
-def end_program(replay: Replay, running: RunningProgram) -> None:
+def end_program(
+    replay: replay_state.Replay, running: replay_state.RunningProgram
+) -> None:
     """Ends a program; the last sub-agent resumes its parent."""
     for group in replay.groups.values():
         group.dispatcher.end_program(replay.now, running.program.name)
@@ -331,7 +161,7 @@
         resume(replay, parent)
 
 
-def request_slot(replay: Replay, call_id: str) -> None:
+def request_slot(replay: replay_state.Replay, call_id: str) -> None:
     """Requests a slot for a call."""
     running, call = replay.open_calls[call_id]
     group = replay.groups[call.group]
@@ -356,7 +186,7 @@
     poll(replay, group)
 
 
-def poll(replay: Replay, group: Group) -> None:
+def poll(replay: replay_state.Replay, group: replay_state.Group) -> None:
     """Carries out the dispatcher's decisions and schedules its wakeup."""
     for decision in group.dispatcher.poll(replay.now):
         match decision:
@@ -383,7 +213,9 @@
 
 
 def start_call(
-    replay: Replay, group: Group, granted: messages.SlotGranted
+    replay: replay_state.Replay,
+    group: replay_state.Group,
+    granted: messages.SlotGranted,
 ) -> None:
     """Sends a granted call to its engine."""
     _, call = replay.open_calls[granted.call_id]
@@ -405,7 +237,9 @@
 
 
 def schedule_engine_event(
-    replay: Replay, group: Group, target: engine.Engine
+    replay: replay_state.Replay,
+    group: replay_state.Group,
+    target: engine.Engine,
 ) -> None:
     """Schedules the engine's next event."""
     due = engine.next_event(target)
@@ -418,7 +252,10 @@
 
 
 def handle_engine_event(
-    replay: Replay, group: Group, target: engine.Engine, due: float
+    replay: replay_state.Replay,
+    group: replay_state.Group,
+    target: engine.Engine,
+    due: float,
 ) -> None:
     """Advances an engine and ends its finished calls.
 
@@ -437,8 +274,8 @@
 
 
 def finish_call(
-    replay: Replay,
-    group: Group,
+    replay: replay_state.Replay,
+    group: replay_state.Group,
     target: engine.Engine,
     finished: engine.Finished,
 ) -> None:
@@ -465,7 +302,9 @@
 
 
 def release_slot(
-    replay: Replay, group: Group, released: messages.SlotReleased
+    replay: replay_state.Replay,
+    group: replay_state.Group,
+    released: messages.SlotReleased,
 ) -> None:
     """Releases a call's slot."""
     group.dispatcher.release(replay.now, released)
@@ -473,7 +312,7 @@
 
 
 def count_prefix_tokens(
-    replay: Replay, finished: engine.Finished, block_tokens: int
+    replay: replay_state.Replay, finished: engine.Finished, block_tokens: int
 ) -> None:
     """Counts the prompt's tokens that some engine had computed before."""
     known = 0
@@ -487,7 +326,7 @@
     replay.computed_blocks.update(finished.call.prefix)
 
 
-def report_engines(replay: Replay) -> None:
+def report_engines(replay: replay_state.Replay) -> None:
     """Sends the load and cache reports of every engine."""
     for group in replay.groups.values():
         for name, target in group.engines.items():
@@ -504,7 +343,10 @@
 
 
 def report_load(
-    replay: Replay, group: Group, name: str, target: engine.Engine
+    replay: replay_state.Replay,
+    group: replay_state.Group,
+    name: str,
+    target: engine.Engine,
 ) -> None:
     """Delivers an engine's load report after LOAD_REPORT_DELAY_S."""
     running = engine.running_calls(target)
@@ -518,7 +360,10 @@
 
 
 def report_cache(
-    replay: Replay, group: Group, name: str, target: engine.Engine
+    replay: replay_state.Replay,
+    group: replay_state.Group,
+    name: str,
+    target: engine.Engine,
 ) -> None:
     """Delivers an engine's cache event with a delay, unless it is lost."""
     if not target.stored and not target.removed:
