Record a stream as soon as it has begun

A stream that broke off with its instance goes on elsewhere only if its origin was recorded. Instances recorded at intervals: 0.06 s with nine, 0.3 s with 195, about as long as a stream of the large deployment lasts.

Now the first event wakes the writer. The share of the store's writes is as before: an instance may write a few records at once and one for each interval on average (write_pace). The test failed before with 9 and 195 instances: 20 ms after the answer the stream was not in the store.

--- a/oleanderdrift/gateway/answer_relay.py
+++ b/oleanderdrift/gateway/answer_relay.py
@@ -3,12 +3,12 @@
 import typing
 
 from oleanderdrift.gateway import answer_joins
-from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import events
 from oleanderdrift.gateway import exchange
+from oleanderdrift.gateway import origin_log
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
@@ -25,13 +25,13 @@
 
     def __init__(
         self,
-        board: board_lib.Board,
         turns: turn_flow.TurnFlow,
         crashes: crash_detector.CrashDetector,
+        origins: origin_log.OriginLog,
     ) -> None:
-        self.board = board
         self.turns = turns
         self.crashes = crashes
+        self.origins = origins
 
     async def relay(
         self,
@@ -71,7 +71,7 @@
         """Notes which upstream has begun a stream."""
         progress.origin = stream_origins.origin_of(upstream.entry)
         if progress.admitted.route.is_resumable_stream():
-            self.board.origins.note_begun(
+            self.origins.note_begun(
                 progress.admitted.request.request_id, progress.origin
             )
 
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import exchange
+from oleanderdrift.gateway import origin_log
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
@@ -34,6 +35,7 @@
         board: board_lib.Board,
         codec: ports.Codec,
         turns: turn_flow.TurnFlow,
+        origins: origin_log.OriginLog,
         event_log: event_log.EventLog,
     ) -> None:
         self.board = board
@@ -44,7 +46,7 @@
         self.crashes = crash_detector.CrashDetector(
             board, self.pool, event_log
         )
-        self.relay = answer_relay.AnswerRelay(board, turns, self.crashes)
+        self.relay = answer_relay.AnswerRelay(turns, self.crashes, origins)
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
 
     async def run(
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -40,7 +40,9 @@
         self.origins = origin_log.OriginLog(
             board, log, self.turns.retrying_log, event_log
         )
-        self.attempts = attempts.Attempts(board, codec, self.turns, event_log)
+        self.attempts = attempts.Attempts(
+            board, codec, self.turns, self.origins, event_log
+        )
         self.events = event_log
         self.metrics = metrics.Metrics()
 
--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import math
 import typing
 
@@ -16,6 +17,7 @@
 from oleanderdrift.gateway import routing
 from oleanderdrift.gateway import shared_read
 from oleanderdrift.gateway import stream_origins
+from oleanderdrift.gateway import write_pace
 
 # How often the instance of a small fleet records streams.
 MIN_INTERVAL_S: typing.Final = 0.02
@@ -44,7 +46,8 @@
     found holds the origins of streams that were read, the latest last, and
     ends the offsets up to which the partitions were read.  reviewed_at is
     when the origins in service were compared with those listed, and
-    reviewed_upstreams how many upstreams had started by then.
+    reviewed_upstreams how many upstreams had started by then.  begun is set
+    while streams wait to be recorded.
     """
 
     def __init__(
@@ -63,6 +66,8 @@
             collections.OrderedDict()
         )
         self.ends: dict[int, int] = {}
+        self.begun = asyncio.Event()
+        self.pace = write_pace.WritePace()
         self.reviewed_upstreams = 0
         self.reviewed_at = float('-inf')
         self.list_reads = shared_read.SharedRead(self.read_list)
@@ -75,10 +80,29 @@
                 await self.update(clock.monotonic())
             except errors.ResultError as error:
                 self.events.info('origins-unwritten', detail=error.detail)
-            await asyncio.sleep(self.interval_s())
+            await self.wait_for_work()
+
+    async def wait_for_work(self) -> None:
+        """Waits until a stream may be recorded, or origins reviewed.
+
+        A stream is recorded as soon as its first event has come: its caller
+        may continue it elsewhere if this instance is lost the moment after.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.interval_s()):
+                await self.begun.wait()
+        self.begun.clear()
+        now = clock.monotonic()
+        await asyncio.sleep(self.pace.wait_s(self.interval_s(), now))
+
+    def note_begun(self, request_id: str, origin: Origin) -> None:
+        """Notes that the first event of a stream has come."""
+        self.origins.note_begun(request_id, origin)
+        if self.origins.is_recording():
+            self.begun.set()
 
     def interval_s(self) -> float:
-        """Returns the time between two records of this instance."""
+        """Returns the average time between two records of this instance."""
         return max(
             MIN_INTERVAL_S, self.board.instances / self.fleet_writes_per_s()
         )
@@ -148,6 +172,7 @@
         taken = self.origins.take_unrecorded()
         if not taken:
             return
+        self.pace.note_write(self.interval_s(), clock.monotonic())
         data = [records.encode(one) for one in _to_records(taken)]
         own = routing.hash_of(self.board.settings.instance)
         first = PARTITIONS[own % len(PARTITIONS)]
--- a/oleanderdrift/gateway/stream_origins.py
+++ b/oleanderdrift/gateway/stream_origins.py
@@ -91,13 +91,16 @@
             one for one in candidates if origin_of(one.entry) in self.listed
         ]
 
+    def is_recording(self) -> bool:
+        """Returns whether each stream is recorded: several are listed."""
+        return len(self.listed) > 1
+
     def take_unrecorded(self) -> dict[str, Origin]:
-        """Returns and clears what is to be recorded.
+        """Returns and clears what is to be recorded, if anything.
 
-        That is nothing while one origin alone is listed.  What could not be
-        recorded is returned by put_back.
+        What could not be recorded is returned by put_back.
         """
-        if len(self.listed) <= 1:
+        if not self.is_recording():
             return {}
         taken, self.unrecorded = self.unrecorded, {}
         return taken
--- a/tests/test_gateway_origin_log.py
+++ b/tests/test_gateway_origin_log.py
@@ -1,6 +1,7 @@
 """What the store keeps of the origins of streams."""
 
 import asyncio
+import typing
 
 import pytest
 
@@ -8,8 +9,12 @@
 from oleanderdrift.gateway import origin_log
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import stream_origins
+from oleanderdrift.gateway import write_pace
 from tests import gateway_versions
 
+RECORDED_WITHIN_S: typing.Final = 0.02
+PACED_S: typing.Final = 30.0
+
 
 def test_stream_that_no_store_record_names_does_not_go_on() -> None:
     """All instances lost power before it was recorded."""
@@ -107,6 +112,44 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('instances', [9, 195])
+def test_stream_is_recorded_as_soon_as_it_has_begun(instances: int) -> None:
+    """Its instance may be lost the moment after."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            harness.forwarder.board.instances = instances
+            following = asyncio.create_task(harness.forwarder.origins.follow())
+            await asyncio.sleep(RECORDED_WITHIN_S)
+            gateway_versions.load(harness, 1)
+            await harness.send_request()
+            await asyncio.sleep(RECORDED_WITHIN_S)
+            following.cancel()
+            gateway_versions.lose_memory(harness)
+            found = await harness.forwarder.origins.find('q1')
+            assert found == gateway_versions.V1
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('interval_s', [0.02, 0.3])
+@pytest.mark.parametrize('wanted_per_s', [1.0, 100.0])
+def test_records_stay_within_the_share_of_writes(
+    interval_s: float, wanted_per_s: float
+) -> None:
+    pace = write_pace.WritePace()
+    written = [0.0]
+    now = 0.0
+    while now < PACED_S:
+        now = max(now + 1 / wanted_per_s, written[-1])
+        now += pace.wait_s(interval_s, now)
+        pace.note_write(interval_s, now)
+        written.append(now)
+    allowed = PACED_S / interval_s + write_pace.BURST_WRITES + 1
+    assert len(written) - 1 <= allowed
+    assert len(written) - 1 >= min(PACED_S * wanted_per_s, allowed) * 0.9
+
+
 def test_record_that_is_on_its_way_is_waited_for() -> None:
     async def scenario() -> None:
         async with gateway_versions.run_versions('v1', 'v2') as harness:
