Know a stream by a hash of its request's id

Callers choose the ids of their requests. A record names up to a hundred streams; with ids of some kilobytes it exceeds what the store takes. The append then fails, its streams are put back, and every later append of the instance holds them again: none of its streams is recorded any more, and those of all its callers cannot go on after the instance is lost.

Cause: what is written to the store had no bound of its own. Found by reading; the test's log had no limit either, so nothing showed it.

Change: a stream is known by a 64-bit hash of the id, in memory and in the store. The log of the tests refuses a record that is too long, as the store does.

Seen: test_streams_of_long_ids_are_recorded fails on the code before (append not confirmed) and passes now.

--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -38,6 +38,7 @@
 KEY_FORMAT: typing.Final = '016x'
 
 Origin: typing.TypeAlias = stream_origins.Origin
+StreamKey: typing.TypeAlias = stream_origins.StreamKey
 
 
 class OriginLog:
@@ -62,7 +63,7 @@
         self.log = log
         self.appends = appends
         self.events = events
-        self.found: collections.OrderedDict[str, Origin] = (
+        self.found: collections.OrderedDict[StreamKey, Origin] = (
             collections.OrderedDict()
         )
         self.ends: dict[int, int] = {}
@@ -254,9 +255,9 @@
             if record is None:
                 continue
             origin = Origin(service=record.service, version=record.version)
-            for name in record.requests:
-                self.found[name] = origin
-                self.found.move_to_end(name)
+            for stream in record.streams:
+                self.found[stream] = origin
+                self.found.move_to_end(stream)
         while len(self.found) > MAX_READ_STREAMS:
             self.found.popitem(last=False)
 
@@ -266,21 +267,21 @@
         request_id is that of the request that began it.  Raises ResultError
         if the store does not answer.
         """
-        name = request_id or ''
-        known = self.origins.begun.get(name) or self.found.get(name)
+        stream = stream_origins.stream_key(request_id or '')
+        known = self.origins.begun.get(stream) or self.found.get(stream)
         if known is not None:
             return known
         listed = await self.list_reads.get()
         if len(listed) == 1:
             return next(iter(listed))
-        if not listed or not name:
+        if not listed or not request_id:
             return None
         await self.stream_reads.get()
-        if name not in self.found:
+        if stream not in self.found:
             # Its record may be on its way.
             await asyncio.sleep(2 * self.interval_s())
             await self.stream_reads.get()
-        return self.found.get(name)
+        return self.found.get(stream)
 
 
 def _key(origin: Origin) -> str:
@@ -290,18 +291,18 @@
 
 
 def _to_records(
-    origins: dict[str, Origin],
+    origins: dict[StreamKey, Origin],
 ) -> list[records.StreamsBegun]:
     """Groups streams by their origins."""
     by_origin = collections.defaultdict(list)
-    for name, origin in origins.items():
-        by_origin[origin].append(name)
+    for stream, origin in origins.items():
+        by_origin[origin].append(stream)
     return [
         records.StreamsBegun(
             service=origin.service,
             version=origin.version,
-            requests=names[at : at + MAX_RECORD_STREAMS],
+            streams=streams[at : at + MAX_RECORD_STREAMS],
         )
-        for origin, names in by_origin.items()
-        for at in range(0, len(names), MAX_RECORD_STREAMS)
+        for origin, streams in by_origin.items()
+        for at in range(0, len(streams), MAX_RECORD_STREAMS)
     ]
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -71,11 +71,11 @@
 
 
 class StreamsBegun(msgspec.Struct, tag='b', array_like=True, frozen=True):
-    """Streams that one origin began, by the ids of their requests."""
+    """Streams that one origin began, by their keys."""
 
     service: str
     version: str
-    requests: list[str]
+    streams: list[int]
 
 
 BudgetRecord: typing.TypeAlias = Reserve | Settle
--- a/oleanderdrift/gateway/stream_origins.py
+++ b/oleanderdrift/gateway/stream_origins.py
@@ -19,6 +19,7 @@
 import attrs
 
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import routing
 from oleanderdrift.gateway import upstreams
 
 # No caller continues a stream that began longer ago.
@@ -26,6 +27,10 @@
 # The streams that an instance begins within the retention, with a margin.
 MAX_STREAMS: typing.Final = 20_000
 
+# Callers may choose long ids, so a stream is known by a hash of the id of the
+# request that began it.
+StreamKey: typing.TypeAlias = int
+
 
 @attrs.frozen(kw_only=True)
 class Origin:
@@ -39,22 +44,22 @@
 class StreamOrigins:
     """The origins of one instance's streams, and those in service.
 
-    begun holds the origins of streams by the id of the request that began
-    them, the latest last.  unrecorded are those of them that the store does
-    not have yet.  listed maps the origins that the store lists to when an
-    upstream of them was last known.
+    begun holds the origins of streams, the latest last.  unrecorded are those
+    of them that the store does not have yet.  listed maps the origins that
+    the store lists to when an upstream of them was last known.
     """
 
-    begun: collections.OrderedDict[str, Origin] = attrs.field(
+    begun: collections.OrderedDict[StreamKey, Origin] = attrs.field(
         factory=collections.OrderedDict
     )
-    unrecorded: dict[str, Origin] = attrs.field(factory=dict)
+    unrecorded: dict[StreamKey, Origin] = attrs.field(factory=dict)
     listed: dict[Origin, float] = attrs.field(factory=dict)
 
     def note_begun(self, request_id: str, origin: Origin) -> None:
         """Notes that the first event of a stream has come."""
-        self.begun[request_id] = origin
-        self.unrecorded[request_id] = origin
+        stream = stream_key(request_id)
+        self.begun[stream] = origin
+        self.unrecorded[stream] = origin
         if len(self.begun) > MAX_STREAMS:
             oldest, _ = self.begun.popitem(last=False)
             self.unrecorded.pop(oldest, None)
@@ -95,7 +100,7 @@
         """Returns whether each stream is recorded: several are listed."""
         return len(self.listed) > 1
 
-    def take_unrecorded(self) -> dict[str, Origin]:
+    def take_unrecorded(self) -> dict[StreamKey, Origin]:
         """Returns and clears what is to be recorded, if anything.
 
         What could not be recorded is returned by put_back.
@@ -105,15 +110,20 @@
         taken, self.unrecorded = self.unrecorded, {}
         return taken
 
-    def put_back(self, taken: dict[str, Origin]) -> None:
+    def put_back(self, taken: dict[StreamKey, Origin]) -> None:
         """Takes back what could not be recorded."""
         self.unrecorded = {
-            name: origin
-            for name, origin in {**taken, **self.unrecorded}.items()
-            if name in self.begun
+            stream: origin
+            for stream, origin in {**taken, **self.unrecorded}.items()
+            if stream in self.begun
         }
 
 
+def stream_key(request_id: str) -> StreamKey:
+    """Returns the key of the stream that a request began."""
+    return routing.hash_of(request_id)
+
+
 def in_service(
     config: model.Configuration | None, known: upstreams.UpstreamSet
 ) -> set[Origin]:
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -86,6 +86,8 @@
         if topic == self.blocked_topic:
             await self.gate.wait()
         self.check(topic, partition)
+        if max(map(len, records), default=0) > self.record_bytes:
+            raise errors.ResultError(codes.APPEND_UNCONFIRMED, 'too long')
         found = self.data[topic, partition]
         start = len(found)
         found.extend(records)
--- a/tests/test_gateway_origin_log.py
+++ b/tests/test_gateway_origin_log.py
@@ -82,9 +82,9 @@
                 (records.STREAM_TOPIC, one) for one in origin_log.PARTITIONS
             }
             with pytest.raises(errors.ResultError):
-                await harness.forwarder.origins.record_streams()
+                await harness.forwarder.origins.update(gateway_versions.now())
             harness.log.failing_partitions = set()
-            await harness.forwarder.origins.record_streams()
+            await harness.forwarder.origins.update(gateway_versions.now())
             gateway_versions.lose_memory(harness)
             assert (
                 await harness.forwarder.origins.find('q1')
@@ -156,7 +156,11 @@
             origins = harness.forwarder.origins
             task = asyncio.create_task(origins.find('q9'))
             await asyncio.sleep(origins.interval_s())
-            data = records.encode(records.StreamsBegun('guide', 'v2', ['q9']))
+            data = records.encode(
+                records.StreamsBegun(
+                    'guide', 'v2', [stream_origins.stream_key('q9')]
+                )
+            )
             await harness.log.append(records.STREAM_TOPIC, 1, [data])
             assert await task == gateway_versions.V2
             assert await origins.find('q8') is None
@@ -169,7 +173,11 @@
         async with gateway_versions.run_versions('v1', 'v2') as harness:
             origins = harness.forwarder.origins
             old, recent = (
-                records.encode(records.StreamsBegun('guide', 'v2', [name]))
+                records.encode(
+                    records.StreamsBegun(
+                        'guide', 'v2', [stream_origins.stream_key(name)]
+                    )
+                )
                 for name in ('q8', 'q9')
             )
             kept = origins.max_read_records()
@@ -210,15 +218,34 @@
     asyncio.run(scenario())
 
 
+def test_streams_of_long_ids_are_recorded() -> None:
+    """Callers choose the ids, and a record has a limit."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            gateway_versions.load(harness, 1)
+            names = [f'{number}' * 500 for number in range(10, 20)]
+            for name in names:
+                await harness.send_request(request_id=name)
+            await harness.forwarder.origins.update(gateway_versions.now())
+            gateway_versions.lose_memory(harness)
+            for name in names:
+                assert (
+                    await harness.forwarder.origins.find(name)
+                    == gateway_versions.V1
+                )
+
+    asyncio.run(scenario())
+
+
 def test_memory_of_streams_is_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     monkeypatch.setattr(stream_origins, 'MAX_STREAMS', 3)
     origins = stream_origins.StreamOrigins()
+    keys = [stream_origins.stream_key(f'q{number}') for number in range(9)]
     for number in range(9):
         origins.note_begun(f'q{number}', gateway_versions.V1)
-    assert (
-        list(origins.begun) == list(origins.unrecorded) == ['q6', 'q7', 'q8']
-    )
-    origins.put_back({'q1': gateway_versions.V1, 'q7': gateway_versions.V1})
-    assert set(origins.unrecorded) == {'q6', 'q7', 'q8'}
+    assert list(origins.begun) == list(origins.unrecorded) == keys[6:]
+    origins.put_back(dict.fromkeys((keys[1], keys[7]), gateway_versions.V1))
+    assert set(origins.unrecorded) == set(keys[6:])
