Record no streams that nobody continues any more

While one software version serves, streams are remembered and not recorded. When a second one comes, each instance recorded all that it remembered, up to 20,000, however old. An instance that looks for a stream has to read them all.

Cause: what was remembered had a bound in number and none in time. Found by reading; no caller was seen to suffer.

Change: streams are forgotten once nobody continues them.

Seen: test_streams_that_nobody_continues_are_not_recorded fails on the code before (the old stream was appended) and passes now.

--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -98,7 +98,7 @@
 
     def note_begun(self, request_id: str, origin: Origin) -> None:
         """Notes that the first event of a stream has come."""
-        self.origins.note_begun(request_id, origin)
+        self.origins.note_begun(request_id, origin, clock.monotonic())
         if self.origins.is_recording():
             self.begun.set()
 
@@ -129,7 +129,7 @@
                 await self.review(now)
         finally:
             # Other partitions of the store may have failed than these.
-            await self.record_streams()
+            await self.record_streams(now)
 
     def is_review_due(self, now: float) -> bool:
         """Returns whether the origins in service may have changed."""
@@ -168,12 +168,12 @@
             listed=len(self.origins.listed),
         )
 
-    async def record_streams(self) -> None:
+    async def record_streams(self, now: float) -> None:
         """Appends the origins of streams, where they are needed."""
-        taken = self.origins.take_unrecorded()
+        taken = self.origins.take_unrecorded(now)
         if not taken:
             return
-        self.pace.note_write(self.interval_s(), clock.monotonic())
+        self.pace.note_write(self.interval_s(), now)
         data = [records.encode(one) for one in _to_records(taken)]
         own = routing.hash_of(self.board.settings.instance)
         first = PARTITIONS[own % len(PARTITIONS)]
@@ -268,7 +268,7 @@
         if the store does not answer.
         """
         stream = stream_origins.stream_key(request_id or '')
-        known = self.origins.begun.get(stream) or self.found.get(stream)
+        known = self.origins.origin_of_begun(stream) or self.found.get(stream)
         if known is not None:
             return known
         listed = await self.list_reads.get()
--- a/oleanderdrift/gateway/stream_origins.py
+++ b/oleanderdrift/gateway/stream_origins.py
@@ -40,29 +40,51 @@
     version: str
 
 
+@attrs.frozen(kw_only=True)
+class BegunStream:
+    """A stream's origin, and when its first event came."""
+
+    origin: Origin
+    begun_at: float
+
+
 @attrs.define(kw_only=True)
 class StreamOrigins:
     """The origins of one instance's streams, and those in service.
 
-    begun holds the origins of streams, the latest last.  unrecorded are those
-    of them that the store does not have yet.  listed maps the origins that
-    the store lists to when an upstream of them was last known.
+    begun holds the streams that callers may still continue, the latest last.
+    unrecorded are those of them that the store does not have yet.  listed
+    maps the origins that the store lists to when an upstream of them was last
+    known.
     """
 
-    begun: collections.OrderedDict[StreamKey, Origin] = attrs.field(
+    begun: collections.OrderedDict[StreamKey, BegunStream] = attrs.field(
         factory=collections.OrderedDict
     )
     unrecorded: dict[StreamKey, Origin] = attrs.field(factory=dict)
     listed: dict[Origin, float] = attrs.field(factory=dict)
 
-    def note_begun(self, request_id: str, origin: Origin) -> None:
+    def note_begun(self, request_id: str, origin: Origin, now: float) -> None:
         """Notes that the first event of a stream has come."""
         stream = stream_key(request_id)
-        self.begun[stream] = origin
+        self.begun[stream] = BegunStream(origin=origin, begun_at=now)
         self.unrecorded[stream] = origin
-        if len(self.begun) > MAX_STREAMS:
-            oldest, _ = self.begun.popitem(last=False)
-            self.unrecorded.pop(oldest, None)
+        self.expire(now)
+
+    def expire(self, now: float) -> None:
+        """Drops the streams that nobody continues any more."""
+        while self.begun:
+            stream, oldest = next(iter(self.begun.items()))
+            age_s = now - oldest.begun_at
+            if age_s <= RETENTION_S and len(self.begun) <= MAX_STREAMS:
+                return
+            del self.begun[stream]
+            self.unrecorded.pop(stream, None)
+
+    def origin_of_begun(self, stream: StreamKey) -> Origin | None:
+        """Returns the origin of a stream that began here."""
+        begun = self.begun.get(stream)
+        return begun.origin if begun is not None else None
 
     def note_listed(
         self, origins: collections.abc.Iterable[Origin], now: float
@@ -100,13 +122,14 @@
         """Returns whether each stream is recorded: several are listed."""
         return len(self.listed) > 1
 
-    def take_unrecorded(self) -> dict[StreamKey, Origin]:
+    def take_unrecorded(self, now: float) -> dict[StreamKey, Origin]:
         """Returns and clears what is to be recorded, if anything.
 
         What could not be recorded is returned by put_back.
         """
         if not self.is_recording():
             return {}
+        self.expire(now)
         taken, self.unrecorded = self.unrecorded, {}
         return taken
 
--- a/tests/test_gateway_origin_log.py
+++ b/tests/test_gateway_origin_log.py
@@ -238,6 +238,24 @@
     asyncio.run(scenario())
 
 
+def test_streams_that_nobody_continues_are_not_recorded() -> None:
+    """A second version comes after a long time with one."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v1') as harness:
+            await harness.send_request(request_id='q1')
+            gateway_versions.set_version(harness, 1, version='v2', born_ms=2)
+            origins = harness.forwarder.origins
+            later = gateway_versions.now() + stream_origins.RETENTION_S
+            await origins.update(later)
+            assert not any(harness.log.data.values())
+            await harness.send_request(request_id='q2')
+            await origins.update(gateway_versions.now())
+            assert any(harness.log.data.values())
+
+    asyncio.run(scenario())
+
+
 def test_memory_of_streams_is_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -245,7 +263,7 @@
     origins = stream_origins.StreamOrigins()
     keys = [stream_origins.stream_key(f'q{number}') for number in range(9)]
     for number in range(9):
-        origins.note_begun(f'q{number}', gateway_versions.V1)
+        origins.note_begun(f'q{number}', gateway_versions.V1, 0.0)
     assert list(origins.begun) == list(origins.unrecorded) == keys[6:]
     origins.put_back(dict.fromkeys((keys[1], keys[7]), gateway_versions.V1))
     assert set(origins.unrecorded) == set(keys[6:])
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -173,7 +173,9 @@
             )
             board.config.services['desk'] = desk
             await harness.forwarder.origins.update(gateway_versions.now())
-            board.origins.note_begun('q1', gateway_versions.V1)
+            board.origins.note_begun(
+                'q1', gateway_versions.V1, gateway_versions.now()
+            )
             await gateway_versions.continue_stream(harness)
             assert (
                 gateway_versions.served(harness, 0),
