Unlist a version only if its absence was seen all the while

An instance that was paused, or cut off from the store, for longer than streams are kept dropped versions from the store's list as soon as it went on: it had last seen them in service too long ago.

Cause: the time since an upstream was last known was taken for the time that it had been gone. Found by reading.

Change: an instance notes when it reads the entries. A gap between two reads starts the time anew, and nothing is unlisted without a recent read. Times are on the clock that goes on while the machine is suspended.

Seen: test_instance_that_was_paused_unlists_no_version, both cases, fails without the gap (v1 was unlisted) and passes now.

--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -124,6 +124,7 @@
         """Applies changes to the upstreams' entries until cancelled."""
         position: int | None = None
         while True:
+            read_at = clock.boot()
             try:
                 if position is None:
                     found = await self.log.newest(self.codec.upstreams_topic)
@@ -150,6 +151,7 @@
             for record in found.records:
                 self.apply_entry(record)
             self.board.upstreams_known = bool(self.board.upstreams.by_id)
+            self.board.origins.note_view(read_at)
             await asyncio.sleep(self.upstreams_interval_s(clock.boot()))
 
     def upstreams_interval_s(self, boot_now: float) -> float:
--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -78,7 +78,7 @@
         """Lists and records what is new until cancelled."""
         while True:
             try:
-                await self.update(clock.monotonic())
+                await self.update(clock.boot())
             except errors.ResultError as error:
                 self.events.info('origins-unwritten', detail=error.detail)
             await self.wait_for_work()
@@ -93,12 +93,12 @@
             async with asyncio.timeout(self.interval_s()):
                 await self.begun.wait()
         self.begun.clear()
-        now = clock.monotonic()
+        now = clock.boot()
         await asyncio.sleep(self.pace.wait_s(self.interval_s(), now))
 
     def note_begun(self, request_id: str, origin: Origin) -> None:
         """Notes that the first event of a stream has come."""
-        self.origins.note_begun(request_id, origin, clock.monotonic())
+        self.origins.note_begun(request_id, origin, clock.boot())
         if self.origins.is_recording():
             self.begun.set()
 
--- a/oleanderdrift/gateway/stream_origins.py
+++ b/oleanderdrift/gateway/stream_origins.py
@@ -9,7 +9,9 @@
 - while several are listed, the origin of each stream.
 
 While one origin alone is listed, every stream began there, and nothing is
-recorded for each stream.
+recorded for each stream.  An instance unlists an origin that it has long not
+seen in service.  Times are on a clock that also advances while the machine is
+suspended.
 """
 
 import collections
@@ -24,6 +26,10 @@
 
 # No caller continues a stream that began longer ago.
 RETENTION_S: typing.Final = 60.0
+# After a longer time without a read of the entries, origins may have come and
+# gone unseen.  Reads are a second apart at most.
+MAX_VIEW_GAP_S: typing.Final = 5.0
+NEVER: typing.Final = float('-inf')
 # The streams that an instance begins within the retention, with a margin.
 MAX_STREAMS: typing.Final = 20_000
 
@@ -55,7 +61,8 @@
     begun holds the streams that callers may still continue, the latest last.
     unrecorded are those of them that the store does not have yet.  listed
     maps the origins that the store lists to when an upstream of them was last
-    known.
+    known.  viewed_at is when the entries were last read, and viewed_since
+    when the reads that have no gap between them began.
     """
 
     begun: collections.OrderedDict[StreamKey, BegunStream] = attrs.field(
@@ -63,6 +70,8 @@
     )
     unrecorded: dict[StreamKey, Origin] = attrs.field(factory=dict)
     listed: dict[Origin, float] = attrs.field(factory=dict)
+    viewed_at: float = NEVER
+    viewed_since: float = NEVER
 
     def note_begun(self, request_id: str, origin: Origin, now: float) -> None:
         """Notes that the first event of a stream has come."""
@@ -98,12 +107,20 @@
         self.note_listed(origins & self.listed.keys(), now)
         return origins - self.listed.keys()
 
+    def note_view(self, now: float) -> None:
+        """Notes that the upstreams' entries have been read."""
+        if now - self.viewed_at > MAX_VIEW_GAP_S:
+            self.viewed_since = now
+        self.viewed_at = now
+
     def unused(self, now: float) -> list[Origin]:
         """Returns the listed origins whose streams nobody continues."""
+        if now - self.viewed_at > MAX_VIEW_GAP_S:
+            return []
         return [
             one
             for one, seen_at in self.listed.items()
-            if now - seen_at > RETENTION_S
+            if now - max(seen_at, self.viewed_since) > RETENTION_S
         ]
 
     def unlist(self, origin: Origin) -> None:
--- a/tests/gateway_versions.py
+++ b/tests/gateway_versions.py
@@ -1,10 +1,11 @@
 """Replicas of several software versions behind one forwarder."""
 
-import asyncio
 import collections.abc
 import contextlib
+import math
 import typing
 
+from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
@@ -60,7 +61,16 @@
 
 def now() -> float:
     """Returns the present time, later than any review of origins."""
-    return asyncio.get_running_loop().time() + origin_log.REVIEW_INTERVAL_S
+    return clock.boot() + origin_log.REVIEW_INTERVAL_S
+
+
+async def pass_time(
+    harness: gateway_desk.Harness, start: float, end: float
+) -> None:
+    """Lets an instance read the entries and review origins each second."""
+    for at in range(math.ceil(start), math.floor(end) + 1):
+        harness.forwarder.board.origins.note_view(at)
+        await harness.forwarder.origins.update(at)
 
 
 def load(harness: gateway_desk.Harness, *busy: int) -> None:
--- a/tests/test_gateway_origin_log.py
+++ b/tests/test_gateway_origin_log.py
@@ -14,6 +14,7 @@
 
 RECORDED_WITHIN_S: typing.Final = 0.02
 PACED_S: typing.Final = 30.0
+BOTH: typing.Final = {gateway_versions.V1, gateway_versions.V2}
 
 
 def test_stream_that_no_store_record_names_does_not_go_on() -> None:
@@ -194,26 +195,39 @@
     async def scenario() -> None:
         async with gateway_versions.run_versions('v1', 'v2') as harness:
             origins = harness.forwarder.origins
-            harness.forwarder.board.upstreams.remove(
-                'u0', gateway_versions.now()
-            )
-            for later_s, listed in (
-                (
-                    stream_origins.RETENTION_S / 2,
-                    {gateway_versions.V1, gateway_versions.V2},
-                ),
-                (stream_origins.RETENTION_S * 1.1, {gateway_versions.V2}),
-            ):
-                await origins.update(gateway_versions.now() + later_s)
-                assert await origins.list_reads.get() == listed
+            left_at = gateway_versions.now()
+            harness.forwarder.board.upstreams.remove('u0', left_at)
+            middle = left_at + stream_origins.RETENTION_S / 2
+            await gateway_versions.pass_time(harness, left_at, middle)
+            assert await origins.list_reads.get() == BOTH
+            end = left_at + stream_origins.RETENTION_S * 1.1
+            await gateway_versions.pass_time(harness, middle, end)
+            assert await origins.list_reads.get() == {gateway_versions.V2}
             gateway_versions.set_version(harness, 0, version='v1', born_ms=3)
-            await origins.update(
-                gateway_versions.now() + stream_origins.RETENTION_S * 1.2
-            )
-            assert await origins.list_reads.get() == {
-                gateway_versions.V1,
-                gateway_versions.V2,
-            }
+            await gateway_versions.pass_time(harness, end, end + 2)
+            assert await origins.list_reads.get() == BOTH
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('read_first', [True, False])
+def test_instance_that_was_paused_unlists_no_version(read_first: bool) -> None:
+    """A version may have come back and left again meanwhile."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            origins = harness.forwarder.origins
+            left_at = gateway_versions.now()
+            harness.forwarder.board.upstreams.remove('u0', left_at)
+            await gateway_versions.pass_time(harness, left_at, left_at + 2)
+            resumed_at = left_at + stream_origins.RETENTION_S * 2
+            if read_first:
+                harness.forwarder.board.origins.note_view(resumed_at)
+            await origins.update(resumed_at)
+            assert await origins.list_reads.get() == BOTH
+            end = resumed_at + stream_origins.RETENTION_S * 1.1
+            await gateway_versions.pass_time(harness, resumed_at, end)
+            assert await origins.list_reads.get() == {gateway_versions.V2}
 
     asyncio.run(scenario())
 
