Keep a version listed that comes back while it is unlisted

Every instance drops a version from the store's list that it has not seen in service for a minute. Another one may see it come back in that moment: it still counted it as listed, did not write it again, and began streams there that were then taken for those of the version left on the list (ORDER). A removal whose answer was lost may also take effect seconds later, after the version was listed again.

Cause: two instances act on one list entry, each on its own view of when it was last in service. Found by reading.

Change: an origin counts as listed for ten seconds less than it takes to be unlisted, and is then written again before streams begin there; one that was only read, at a start, does not count until it is written (one write of each instance). A removal names the end of the list that it has read, so the store refuses it after any other write. The stand-in store knows the condition.

Seen: with the condition out of the test's log, test_removal_that_is_late_unlists_no_version_that_came_back fails; where an origin counts as listed for ever, that test and test_version_that_comes_back_is_listed_again_before_streams_begin fail. All pass now.

--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -7,6 +7,8 @@
 import math
 import typing
 
+import attrs
+
 from oleanderdrift import errors
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
@@ -41,6 +43,14 @@
 StreamKey: typing.TypeAlias = stream_origins.StreamKey
 
 
+@attrs.frozen(kw_only=True)
+class OriginList:
+    """The origins that the store lists; end changes with each write."""
+
+    origins: frozenset[Origin]
+    end: int
+
+
 class OriginLog:
     """The origins in the store, as one instance reads and writes them.
 
@@ -123,7 +133,7 @@
         Raises ResultError if the store does not confirm it.
         """
         if not self.origins.listed:
-            self.origins.note_listed(await self.list_reads.get(), now)
+            self.origins.note_loaded((await self.list_reads.get()).origins)
         try:
             if self.is_review_due(now):
                 await self.review(now)
@@ -141,21 +151,18 @@
     async def review(self, now: float) -> None:
         """Lists origins that came into service, and drops unused ones."""
         added = self.board.upstreams.added
-        current = stream_origins.in_service(
-            self.board.config, self.board.upstreams
-        )
-        for origin in self.origins.note_in_service(current, now):
+        for origin in self.origins.note_in_service(self.in_service(), now):
             await self.list_origin(origin, now)
         for origin in self.origins.unused(now):
-            await self.log.put(records.ORIGIN_TOPIC, _key(origin), None)
-            self.origins.unlist(origin)
-            self.events.info(
-                'origin-unlisted',
-                service=origin.service,
-                software=origin.version,
-            )
+            await self.unlist_origin(origin)
         self.reviewed_upstreams, self.reviewed_at = added, now
 
+    def in_service(self) -> set[Origin]:
+        """Returns the origins at which streams can begin."""
+        return stream_origins.in_service(
+            self.board.config, self.board.upstreams
+        )
+
     async def list_origin(self, origin: Origin, now: float) -> None:
         """Lists an origin; streams may begin there once it is confirmed."""
         value = records.encode_origin(origin.service, origin.version)
@@ -168,6 +175,24 @@
             listed=len(self.origins.listed),
         )
 
+    async def unlist_origin(self, origin: Origin) -> None:
+        """Removes an origin from the list, if nobody has written to it.
+
+        An instance that sees the origin in service again lists it again,
+        and its write must not come before a removal that was on its way.
+        """
+        found = await self.list_reads.get()
+        if origin in found.origins and not await self.log.remove(
+            records.ORIGIN_TOPIC, _key(origin), found.end
+        ):
+            return
+        self.origins.unlist(origin)
+        self.events.info(
+            'origin-unlisted',
+            service=origin.service,
+            software=origin.version,
+        )
+
     async def record_streams(self, now: float) -> None:
         """Appends the origins of streams, where they are needed."""
         taken = self.origins.take_unrecorded(now)
@@ -194,18 +219,19 @@
         if failure is not None:
             raise failure
 
-    async def read_list(self) -> set[Origin]:
+    async def read_list(self) -> OriginList:
         """Returns the origins that the store lists."""
         found = await self.log.newest(records.ORIGIN_TOPIC)
         decoded = (
             records.decode_origin(record.value or b'')
             for record in found.records
         )
-        return {
+        origins = frozenset(
             Origin(service=one.service, version=one.version)
             for one in decoded
             if one is not None
-        }
+        )
+        return OriginList(origins=origins, end=found.end)
 
     async def read_streams(self) -> None:
         """Reads what instances have recorded since the last read.
@@ -271,7 +297,7 @@
         known = self.origins.origin_of_begun(stream) or self.found.get(stream)
         if known is not None:
             return known
-        listed = await self.list_reads.get()
+        listed = (await self.list_reads.get()).origins
         if len(listed) == 1:
             return next(iter(listed))
         if not listed or not request_id:
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -94,8 +94,15 @@
     ) -> KeyedRecords | None:
         """Reads keyed records; None if start is no longer in the log."""
 
-    async def put(self, topic: str, key: str, value: bytes | None) -> None:
-        """Writes the newest record of a key; None removes the key."""
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes the newest record of a key."""
+
+    async def remove(self, topic: str, key: str, end: int) -> bool:
+        """Removes a key if the topic still ends at an offset.
+
+        Returns whether it did.  A removal that is executed late fails, too,
+        if anything was written since.
+        """
 
 
 @attrs.frozen(kw_only=True)
--- a/oleanderdrift/gateway/stream_origins.py
+++ b/oleanderdrift/gateway/stream_origins.py
@@ -9,9 +9,12 @@
 - while several are listed, the origin of each stream.
 
 While one origin alone is listed, every stream began there, and nothing is
-recorded for each stream.  An instance unlists an origin that it has long not
-seen in service.  Times are on a clock that also advances while the machine is
-suspended.
+recorded for each stream.
+
+An instance unlists an origin that it has long not seen in service.  Others may
+see it come back just then, so an origin counts as listed for a shorter time
+than that after it was last seen; then it is listed again before streams begin
+there.  Times are on a clock that also advances while the machine is suspended.
 """
 
 import collections
@@ -26,12 +29,15 @@
 
 # No caller continues a stream that began longer ago.
 RETENTION_S: typing.Final = 60.0
+# The streams that an instance begins within the retention, with a margin.
+MAX_STREAMS: typing.Final = 20_000
+
+# Instances see an upstream's entry come and go some seconds apart at most.
+UNLIST_MARGIN_S: typing.Final = 10.0
 # After a longer time without a read of the entries, origins may have come and
 # gone unseen.  Reads are a second apart at most.
 MAX_VIEW_GAP_S: typing.Final = 5.0
 NEVER: typing.Final = float('-inf')
-# The streams that an instance begins within the retention, with a margin.
-MAX_STREAMS: typing.Final = 20_000
 
 # Callers may choose long ids, so a stream is known by a hash of the id of the
 # request that began it.
@@ -60,9 +66,9 @@
 
     begun holds the streams that callers may still continue, the latest last.
     unrecorded are those of them that the store does not have yet.  listed
-    maps the origins that the store lists to when an upstream of them was last
-    known.  viewed_at is when the entries were last read, and viewed_since
-    when the reads that have no gap between them began.
+    maps the origins that the store lists to when they were last in service
+    and listed by this instance.  viewed_at is when the entries were last
+    read, and viewed_since when the reads that have no gap between them began.
     """
 
     begun: collections.OrderedDict[StreamKey, BegunStream] = attrs.field(
@@ -95,24 +101,34 @@
         begun = self.begun.get(stream)
         return begun.origin if begun is not None else None
 
+    def note_loaded(self, found: collections.abc.Iterable[Origin]) -> None:
+        """Notes what the store lists; others may be about to unlist it."""
+        for one in found:
+            self.listed[one] = NEVER
+
     def note_listed(
         self, origins: collections.abc.Iterable[Origin], now: float
     ) -> None:
-        """Notes origins that the store lists, as if in service now."""
+        """Notes origins in service that the store lists."""
         for one in origins:
             self.listed[one] = now
 
-    def note_in_service(self, origins: set[Origin], now: float) -> set[Origin]:
-        """Notes the origins in service; returns those not listed yet."""
-        self.note_listed(origins & self.listed.keys(), now)
-        return origins - self.listed.keys()
-
     def note_view(self, now: float) -> None:
         """Notes that the upstreams' entries have been read."""
         if now - self.viewed_at > MAX_VIEW_GAP_S:
             self.viewed_since = now
         self.viewed_at = now
 
+    def is_listed(self, origin: Origin, now: float) -> bool:
+        """Returns whether an origin is listed, and no instance unlists it."""
+        return now - self.listed.get(origin, NEVER) <= RETENTION_S
+
+    def note_in_service(self, origins: set[Origin], now: float) -> set[Origin]:
+        """Notes the origins in service; returns those not listed yet."""
+        listed = {one for one in origins if self.is_listed(one, now)}
+        self.note_listed(listed, now)
+        return origins - listed
+
     def unused(self, now: float) -> list[Origin]:
         """Returns the listed origins whose streams nobody continues."""
         if now - self.viewed_at > MAX_VIEW_GAP_S:
@@ -120,7 +136,8 @@
         return [
             one
             for one, seen_at in self.listed.items()
-            if now - max(seen_at, self.viewed_since) > RETENTION_S
+            if now - max(seen_at, self.viewed_since)
+            > RETENTION_S + UNLIST_MARGIN_S
         ]
 
     def unlist(self, origin: Origin) -> None:
@@ -128,11 +145,15 @@
         self.listed.pop(origin, None)
 
     def of_listed(
-        self, candidates: collections.abc.Iterable[upstreams.Upstream]
+        self,
+        candidates: collections.abc.Iterable[upstreams.Upstream],
+        now: float,
     ) -> list[upstreams.Upstream]:
         """Returns the upstreams at which streams may begin."""
         return [
-            one for one in candidates if origin_of(one.entry) in self.listed
+            one
+            for one in candidates
+            if self.is_listed(origin_of(one.entry), now)
         ]
 
     def is_recording(self) -> bool:
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -87,7 +87,7 @@
         until = clock.monotonic() + MAX_LISTING_WAIT_S
         while clock.monotonic() < until:
             known = self.board.upstreams.of_service(service, True)
-            if not known or self.board.origins.of_listed(known):
+            if not known or self.board.origins.of_listed(known, clock.boot()):
                 return
             await asyncio.sleep(TOKEN_POLL_S)
 
@@ -176,7 +176,7 @@
         if progress.origin is not None:
             candidates = continuations.at_origin(candidates, progress.origin)
         elif admitted.route.is_resumable_stream():
-            candidates = self.board.origins.of_listed(candidates)
+            candidates = self.board.origins.of_listed(candidates, clock.boot())
         if len(progress.possibly_ran) < admitted.route.attempts:
             return candidates
         # Only upstreams that may have run it already may get it again.
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -29,6 +29,8 @@
 # Prefix of topics that retain the newest record of each key.
 KEYED_PREFIX: typing.Final = 'keyed.'
 BYTES_PER_KB: typing.Final = 1024
+# The partition does not end where the append expects.
+CONDITION_FAILED: typing.Final = 412
 _T = typing.TypeVar('_T')
 
 
@@ -147,9 +149,7 @@
         records: collections.abc.Sequence[bytes],
     ) -> int:
         """Appends all records or none; returns the first record's offset."""
-        body = b''.join(
-            _RECORD_LENGTH.pack(len(record)) + record for record in records
-        )
+        body = b''.join(_frame(record) for record in records)
         status, response = await self.call(
             'POST', '/-/log-append', {'Topic': topic, 'part': partition}, body
         )
@@ -227,12 +227,25 @@
             end=read.start + len(read.records),
         )
 
-    async def put(self, topic: str, key: str, value: bytes | None) -> None:
-        """Writes the newest record of a key; None removes the key."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + (value or b'')
+    async def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes the newest record of a key."""
+        record = _encode_keyed(key, value)
         await self.append(KEYED_PREFIX + topic, 0, [record])
 
+    async def remove(self, topic: str, key: str, end: int) -> bool:
+        """Removes a key if the topic still ends at an offset."""
+        query: dict[str, str | int] = {
+            'Topic': KEYED_PREFIX + topic,
+            'part': 0,
+            'At': end,
+        }
+        body = _frame(_encode_keyed(key, b''))
+        status, _ = await self.call('POST', '/-/log-append', query, body)
+        if status == CONDITION_FAILED:
+            return False
+        _check_status(status, '/-/log-append')
+        return True
+
 
 def _decode_json(response: bytes, kind: type[_T]) -> _T:
     """Decodes a JSON response; raises ResultError APPEND_UNCONFIRMED."""
@@ -269,6 +282,16 @@
     )
 
 
+def _frame(record: bytes) -> bytes:
+    return _RECORD_LENGTH.pack(len(record)) + record
+
+
+def _encode_keyed(key: str, value: bytes) -> bytes:
+    """Encodes a keyed record; one without a value removes the key."""
+    name = key.encode()
+    return bytes([len(name)]) + name + value
+
+
 def _decode_keyed(record: bytes) -> ports.KeyedRecord:
     length = record[0] if record else 0
     key = record[1 : 1 + length].decode('utf-8', 'replace')
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -106,10 +106,18 @@
     """Handles appends of several length-prefixed records."""
 
     def post(self) -> None:
-        """Answers with the first record's offset and the end offset."""
+        """Answers with the first record's offset and the end offset.
+
+        An append elsewhere than at the end that the query expects, if any,
+        is answered with 412.
+        """
         data = self.request.body
         partition = self.partition()
         start = len(partition.records)
+        if int(self.get_query_argument('At', str(start))) != start:
+            self.set_status(412)
+            self.finish(json.dumps({'EndOffset': start}))
+            return
         position = 0
         while position < len(data):
             (length,) = RECORD_LENGTH.unpack_from(data, position)
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -45,7 +45,7 @@
     failing_partitions fail; with failing_puts, writes of keys do.  The next
     unconfirmed_appends appends take effect but raise APPEND_UNCONFIRMED; the
     next hanging_appends take effect but never return.  Appends to
-    blocked_topic wait for the gate.
+    blocked_topic wait for the gate, and so do removals, which are counted.
     """
 
     partitions: int = 4
@@ -55,12 +55,16 @@
     unconfirmed_appends: int = 0
     hanging_appends: int = 0
     blocked_topic: str = ''
+    waiting: int = 0
     failing_partitions: set[tuple[str, int]] = attrs.field(factory=set)
     gate: asyncio.Event = attrs.field(factory=asyncio.Event)
     data: collections.defaultdict[tuple[str, int], list[bytes]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
     keyed: dict[tuple[str, str], bytes] = attrs.field(factory=dict)
+    keyed_ends: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     failing_puts: bool = False
     calls: int = 0
     failures: int = 0
@@ -131,7 +135,7 @@
                 for (name, key), value in self.keyed.items()
                 if name == topic
             ),
-            end=0,
+            end=self.keyed_ends[topic],
         )
 
     async def read_keyed(
@@ -140,17 +144,29 @@
         """Returns nothing; changes of keys are not followed here."""
         return None
 
-    async def put(self, topic: str, key: str, value: bytes | None) -> None:
+    async def put(self, topic: str, key: str, value: bytes) -> None:
         """Writes the newest record of a key."""
         self.appends += 1
         await asyncio.sleep(0)
         self.check(topic, 0)
         if self.failing_puts:
             raise errors.ResultError(codes.LOG_UNAVAILABLE, 'put')
-        if value is None:
-            self.keyed.pop((topic, key), None)
-        else:
-            self.keyed[topic, key] = value
+        self.keyed[topic, key] = value
+        self.keyed_ends[topic] += 1
+
+    async def remove(self, topic: str, key: str, end: int) -> bool:
+        """Removes a key if the topic still ends at an offset."""
+        self.appends += 1
+        await asyncio.sleep(0)
+        if topic == self.blocked_topic:
+            self.waiting += 1
+            await self.gate.wait()
+        self.check(topic, 0)
+        if self.keyed_ends[topic] != end:
+            return False
+        self.keyed.pop((topic, key), None)
+        self.keyed_ends[topic] += 1
+        return True
 
 
 def account(
--- a/tests/test_gateway_origin_log.py
+++ b/tests/test_gateway_origin_log.py
@@ -10,13 +10,25 @@
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import write_pace
+from tests import gateway_desk
 from tests import gateway_versions
 
 RECORDED_WITHIN_S: typing.Final = 0.02
+UNLISTED_AFTER_S: typing.Final = (
+    stream_origins.RETENTION_S + stream_origins.UNLIST_MARGIN_S + 2.0
+)
 PACED_S: typing.Final = 30.0
 BOTH: typing.Final = {gateway_versions.V1, gateway_versions.V2}
 
 
+async def listed(
+    harness: gateway_desk.Harness,
+) -> frozenset[stream_origins.Origin]:
+    """Returns the versions that the store lists."""
+    found = await harness.forwarder.origins.list_reads.get()
+    return found.origins
+
+
 def test_stream_that_no_store_record_names_does_not_go_on() -> None:
     """All instances lost power before it was recorded."""
 
@@ -194,18 +206,17 @@
 def test_version_is_unlisted_once_nobody_can_continue_its_streams() -> None:
     async def scenario() -> None:
         async with gateway_versions.run_versions('v1', 'v2') as harness:
-            origins = harness.forwarder.origins
             left_at = gateway_versions.now()
             harness.forwarder.board.upstreams.remove('u0', left_at)
             middle = left_at + stream_origins.RETENTION_S / 2
             await gateway_versions.pass_time(harness, left_at, middle)
-            assert await origins.list_reads.get() == BOTH
-            end = left_at + stream_origins.RETENTION_S * 1.1
+            assert await listed(harness) == BOTH
+            end = left_at + UNLISTED_AFTER_S
             await gateway_versions.pass_time(harness, middle, end)
-            assert await origins.list_reads.get() == {gateway_versions.V2}
+            assert await listed(harness) == {gateway_versions.V2}
             gateway_versions.set_version(harness, 0, version='v1', born_ms=3)
             await gateway_versions.pass_time(harness, end, end + 2)
-            assert await origins.list_reads.get() == BOTH
+            assert await listed(harness) == BOTH
 
     asyncio.run(scenario())
 
@@ -224,10 +235,60 @@
             if read_first:
                 harness.forwarder.board.origins.note_view(resumed_at)
             await origins.update(resumed_at)
-            assert await origins.list_reads.get() == BOTH
-            end = resumed_at + stream_origins.RETENTION_S * 1.1
+            assert await listed(harness) == BOTH
+            end = resumed_at + UNLISTED_AFTER_S
             await gateway_versions.pass_time(harness, resumed_at, end)
-            assert await origins.list_reads.get() == {gateway_versions.V2}
+            assert await listed(harness) == {gateway_versions.V2}
+
+    asyncio.run(scenario())
+
+
+def test_version_that_comes_back_is_listed_again_before_streams_begin() -> (
+    None
+):
+    """Another instance may be about to unlist it."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            left_at = gateway_versions.now()
+            harness.forwarder.board.upstreams.remove('u0', left_at)
+            back_at = left_at + stream_origins.RETENTION_S + 2.0
+            await gateway_versions.pass_time(harness, left_at, back_at)
+            assert await listed(harness) == BOTH
+            gateway_versions.set_version(harness, 0, version='v1', born_ms=3)
+            one = harness.forwarder.board.upstreams.by_id['u0']
+            origins = harness.forwarder.board.origins
+            harness.log.failing_puts = True
+            with pytest.raises(errors.ResultError):
+                await harness.forwarder.origins.update(back_at)
+            assert origins.of_listed([one], back_at) == []
+            harness.log.failing_puts = False
+            await harness.forwarder.origins.update(back_at)
+            assert origins.of_listed([one], back_at) == [one]
+
+    asyncio.run(scenario())
+
+
+def test_removal_that_is_late_unlists_no_version_that_came_back() -> None:
+    """Another instance has listed it again meanwhile."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v2') as harness:
+            left_at = gateway_versions.now()
+            harness.forwarder.board.upstreams.remove('u0', left_at)
+            end = left_at + UNLISTED_AFTER_S
+            harness.log.blocked_topic = records.ORIGIN_TOPIC
+            late = asyncio.create_task(
+                gateway_versions.pass_time(harness, left_at, end)
+            )
+            while not harness.log.waiting:
+                await asyncio.sleep(0.001)
+            gateway_versions.lose_memory(harness)
+            gateway_versions.set_version(harness, 0, version='v1', born_ms=3)
+            await harness.forwarder.origins.update(end)
+            harness.log.gate.set()
+            await late
+            assert await listed(harness) == BOTH
 
     asyncio.run(scenario())
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -49,7 +49,7 @@
         async with running() as (client, _):
             for key in 'abcde':
                 await client.put('t', key, key.encode())
-            await client.put('t', 'c', None)
+            assert await client.remove('t', 'c', 5)
             result = await client.newest('t')
             assert [one.key for one in result.records] == list('abde')
             assert result.end == 6
@@ -61,7 +61,7 @@
     async def play() -> None:
         async with running() as (client, _):
             await client.put('t', 'a', b'1')
-            await client.put('t', 'a', None)
+            assert await client.remove('t', 'a', 1)
             result = await client.read_keyed('t', 0, wait_s=0.0)
             assert result is not None
             values = [one.value for one in result.records]
@@ -70,6 +70,19 @@
     asyncio.run(play())
 
 
+def test_key_is_not_removed_after_another_write() -> None:
+    async def play() -> None:
+        async with running() as (client, _):
+            await client.put('t', 'a', b'1')
+            end = (await client.newest('t')).end
+            await client.put('t', 'a', b'2')
+            assert not await client.remove('t', 'a', end)
+            (found,) = (await client.newest('t')).records
+            assert found.value == b'2'
+
+    asyncio.run(play())
+
+
 def test_trimmed_history_is_reported() -> None:
     async def play() -> None:
         async with running() as (client, server):
