Keep streams for as long as their route's callers may continue them

A stream was forgotten, and a version unlisted, after 60 s. A route may allow longer answers than that: with a timeout of 300 s, a stream that broke off after two minutes was refused as unknown, or, with its version unlisted, taken for one of the version that was left (ORDER).

Cause: the time was the longest of the platform's deployments, and no limit that is enforced. Found by reading.

Change: streams are kept for four times the longest timeout of a stream that may be resumed, 60 s at least. An origin still counts as listed for 60 s only after it was last seen, since instances may differ in what they have read.

Seen: test_version_stays_listed_while_a_long_stream_can_go_on fails with 60 s for all (both versions unlisted at 1,200 s) and passes now.

--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -93,6 +93,7 @@
         self.board.config = config
         accounts = config.accounts_by_key or {}
         self.board.rate_limiter.configure(accounts.values())
+        self.board.origins.configure(config)
         self.events.info(
             'config-in-force',
             version=config.version,
--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -124,7 +124,7 @@
 
     def max_read_records(self) -> int:
         """Returns the records written while streams can be continued."""
-        writes = self.fleet_writes_per_s() * stream_origins.RETENTION_S
+        writes = self.fleet_writes_per_s() * self.origins.retention_s
         return math.ceil(writes)
 
     async def update(self, now: float) -> None:
--- a/oleanderdrift/gateway/stream_origins.py
+++ b/oleanderdrift/gateway/stream_origins.py
@@ -27,8 +27,11 @@
 from oleanderdrift.gateway import routing
 from oleanderdrift.gateway import upstreams
 
-# No caller continues a stream that began longer ago.
-RETENTION_S: typing.Final = 60.0
+# No caller continues a stream that began longer ago, unless its route allows
+# longer answers.
+MIN_RETENTION_S: typing.Final = 60.0
+# A caller tries that often at most, each time for its route's timeout.
+CALLER_TRIES: typing.Final = 4
 # The streams that an instance begins within the retention, with a margin.
 MAX_STREAMS: typing.Final = 20_000
 
@@ -69,6 +72,7 @@
     maps the origins that the store lists to when they were last in service
     and listed by this instance.  viewed_at is when the entries were last
     read, and viewed_since when the reads that have no gap between them began.
+    retention_s is how long after its beginning a stream may be continued.
     """
 
     begun: collections.OrderedDict[StreamKey, BegunStream] = attrs.field(
@@ -78,6 +82,17 @@
     listed: dict[Origin, float] = attrs.field(factory=dict)
     viewed_at: float = NEVER
     viewed_since: float = NEVER
+    retention_s: float = MIN_RETENTION_S
+
+    def configure(self, config: model.Configuration) -> None:
+        """Keeps streams for as long as any configuration has allowed."""
+        timeouts_s = [
+            route.timeout_s
+            for route in config.routes
+            if route.is_resumable_stream()
+        ]
+        longest_s = CALLER_TRIES * max(timeouts_s, default=0.0)
+        self.retention_s = max(self.retention_s, longest_s)
 
     def note_begun(self, request_id: str, origin: Origin, now: float) -> None:
         """Notes that the first event of a stream has come."""
@@ -91,7 +106,7 @@
         while self.begun:
             stream, oldest = next(iter(self.begun.items()))
             age_s = now - oldest.begun_at
-            if age_s <= RETENTION_S and len(self.begun) <= MAX_STREAMS:
+            if age_s <= self.retention_s and len(self.begun) <= MAX_STREAMS:
                 return
             del self.begun[stream]
             self.unrecorded.pop(stream, None)
@@ -121,7 +136,7 @@
 
     def is_listed(self, origin: Origin, now: float) -> bool:
         """Returns whether an origin is listed, and no instance unlists it."""
-        return now - self.listed.get(origin, NEVER) <= RETENTION_S
+        return now - self.listed.get(origin, NEVER) <= MIN_RETENTION_S
 
     def note_in_service(self, origins: set[Origin], now: float) -> set[Origin]:
         """Notes the origins in service; returns those not listed yet."""
@@ -137,7 +152,7 @@
             one
             for one, seen_at in self.listed.items()
             if now - max(seen_at, self.viewed_since)
-            > RETENTION_S + UNLIST_MARGIN_S
+            > self.retention_s + UNLIST_MARGIN_S
         ]
 
     def unlist(self, origin: Origin) -> None:
--- a/tests/test_gateway_origin_log.py
+++ b/tests/test_gateway_origin_log.py
@@ -6,16 +6,18 @@
 import pytest
 
 from oleanderdrift import errors
+from oleanderdrift.gateway import model
 from oleanderdrift.gateway import origin_log
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import write_pace
 from tests import gateway_desk
+from tests import gateway_support
 from tests import gateway_versions
 
 RECORDED_WITHIN_S: typing.Final = 0.02
 UNLISTED_AFTER_S: typing.Final = (
-    stream_origins.RETENTION_S + stream_origins.UNLIST_MARGIN_S + 2.0
+    stream_origins.MIN_RETENTION_S + stream_origins.UNLIST_MARGIN_S + 2.0
 )
 PACED_S: typing.Final = 30.0
 BOTH: typing.Final = {gateway_versions.V1, gateway_versions.V2}
@@ -208,7 +210,7 @@
         async with gateway_versions.run_versions('v1', 'v2') as harness:
             left_at = gateway_versions.now()
             harness.forwarder.board.upstreams.remove('u0', left_at)
-            middle = left_at + stream_origins.RETENTION_S / 2
+            middle = left_at + stream_origins.MIN_RETENTION_S / 2
             await gateway_versions.pass_time(harness, left_at, middle)
             assert await listed(harness) == BOTH
             end = left_at + UNLISTED_AFTER_S
@@ -231,7 +233,7 @@
             left_at = gateway_versions.now()
             harness.forwarder.board.upstreams.remove('u0', left_at)
             await gateway_versions.pass_time(harness, left_at, left_at + 2)
-            resumed_at = left_at + stream_origins.RETENTION_S * 2
+            resumed_at = left_at + stream_origins.MIN_RETENTION_S * 2
             if read_first:
                 harness.forwarder.board.origins.note_view(resumed_at)
             await origins.update(resumed_at)
@@ -243,6 +245,29 @@
     asyncio.run(scenario())
 
 
+def test_version_stays_listed_while_a_long_stream_can_go_on() -> None:
+    """A caller may try several times for its route's timeout."""
+    long = gateway_support.route(
+        kind=model.RouteKind.STREAMING, resumable=True, timeout_s=300.0
+    )
+    plain = gateway_support.route(
+        kind=model.RouteKind.NON_IDEMPOTENT, timeout_s=900.0
+    )
+    origins = stream_origins.StreamOrigins()
+    origins.configure(gateway_support.config(routes=(long, plain)))
+    origins.configure(gateway_support.config())
+    kept_s = round(long.timeout_s * stream_origins.CALLER_TRIES)
+    unlisted_s = kept_s + round(stream_origins.UNLIST_MARGIN_S) + 1
+    origins.note_begun('q1', gateway_versions.V1, 0.0)
+    origins.note_listed(BOTH, 0.0)
+    for at in range(unlisted_s + 1):
+        origins.note_view(at)
+        if at == kept_s:
+            assert origins.unused(at) == []
+            assert len(origins.take_unrecorded(at)) == 1
+    assert set(origins.unused(unlisted_s)) == BOTH
+
+
 def test_version_that_comes_back_is_listed_again_before_streams_begin() -> (
     None
 ):
@@ -252,7 +277,7 @@
         async with gateway_versions.run_versions('v1', 'v2') as harness:
             left_at = gateway_versions.now()
             harness.forwarder.board.upstreams.remove('u0', left_at)
-            back_at = left_at + stream_origins.RETENTION_S + 2.0
+            back_at = left_at + stream_origins.MIN_RETENTION_S + 2.0
             await gateway_versions.pass_time(harness, left_at, back_at)
             assert await listed(harness) == BOTH
             gateway_versions.set_version(harness, 0, version='v1', born_ms=3)
@@ -321,7 +346,7 @@
             await harness.send_request(request_id='q1')
             gateway_versions.set_version(harness, 1, version='v2', born_ms=2)
             origins = harness.forwarder.origins
-            later = gateway_versions.now() + stream_origins.RETENTION_S
+            later = gateway_versions.now() + stream_origins.MIN_RETENTION_S
             await origins.update(later)
             assert not any(harness.log.data.values())
             await harness.send_request(request_id='q2')
