--- a/tests/gateway_versions.py
+++ b/tests/gateway_versions.py
@@ -103,6 +103,11 @@
     return len(harness.replicas[place].received)
 
 
+def served_each(harness: gateway_desk.Harness) -> list[int]:
+    """Returns how many requests each replica has got."""
+    return [served(harness, place) for place in range(len(harness.replicas))]
+
+
 def check_refused(
     harness: gateway_desk.Harness, reply: gateway_desk.RecordingReply
 ) -> None:
--- a/tests/test_gateway_origin_log.py
+++ b/tests/test_gateway_origin_log.py
@@ -58,10 +58,7 @@
             gateway_versions.lose_memory(harness)
             gateway_versions.load(harness, 0)
             await gateway_versions.continue_stream(harness)
-            assert (
-                gateway_versions.served(harness, 0),
-                gateway_versions.served(harness, 1),
-            ) == (2, 0)
+            assert gateway_versions.served_each(harness) == [2, 0]
 
     asyncio.run(scenario())
 
@@ -75,10 +72,7 @@
                 await harness.forwarder.origins.update(gateway_versions.now())
             gateway_versions.load(harness, 0)
             await harness.send_request()
-            assert (
-                gateway_versions.served(harness, 0),
-                gateway_versions.served(harness, 1),
-            ) == (1, 0)
+            assert gateway_versions.served_each(harness) == [1, 0]
             harness.log.failing_puts = False
             await harness.forwarder.origins.update(gateway_versions.now())
             gateway_versions.load(harness, 0)
--- a/tests/test_gateway_reports.py
+++ b/tests/test_gateway_reports.py
@@ -72,10 +72,7 @@
             harness.replicas[0].silent_report = True
             reply = await harness.send_request()
             assert reply.ended == 'aborted'
-            assert (
-                gateway_versions.served(harness, 0),
-                gateway_versions.served(harness, 1),
-            ) == (1, 0)
+            assert gateway_versions.served_each(harness) == [1, 0]
 
     asyncio.run(scenario())
 
--- a/tests/test_gateway_stream_origins.py
+++ b/tests/test_gateway_stream_origins.py
@@ -25,10 +25,7 @@
                 gateway_versions.lose_memory(harness)
             gateway_versions.load(harness, 0)
             reply = await gateway_versions.continue_stream(harness)
-            assert (
-                gateway_versions.served(harness, 0),
-                gateway_versions.served(harness, 1),
-            ) == (2, 0)
+            assert gateway_versions.served_each(harness) == [2, 0]
             assert reply.body.startswith(b'id: 3\n')
 
     asyncio.run(scenario())
@@ -89,10 +86,7 @@
             gateway_versions.lose_memory(harness)
             gateway_versions.load(harness, 0)
             await gateway_versions.continue_stream(harness)
-            assert (
-                gateway_versions.served(harness, 0),
-                gateway_versions.served(harness, 1),
-            ) == (2, 0)
+            assert gateway_versions.served_each(harness) == [2, 0]
 
     asyncio.run(scenario())
 
@@ -177,10 +171,7 @@
                 'q1', gateway_versions.V1, gateway_versions.now()
             )
             await gateway_versions.continue_stream(harness)
-            assert (
-                gateway_versions.served(harness, 0),
-                gateway_versions.served(harness, 1),
-            ) == (1, 0)
+            assert gateway_versions.served_each(harness) == [1, 0]
 
     asyncio.run(scenario())
 
@@ -201,10 +192,7 @@
             )
             reply = await gateway_versions.continue_stream(harness)
             if remembers:
-                assert (
-                    gateway_versions.served(harness, 0),
-                    gateway_versions.served(harness, 1),
-                ) == (2, 0)
+                assert gateway_versions.served_each(harness) == [2, 0]
             else:
                 gateway_versions.check_refused(harness, reply)
 
