Tests: one clock for the origins of streams

Origins are kept by the clock that goes on while the machine is suspended. The tests' harness told the origins the time of the event loop, which stands still then: on a machine that had been suspended for a minute, no stream would have begun in any test.

Seen: with that clock 5,000 s ahead, test_gateway_broken_streams failed before, and all tests of the gateway but the soak pass now.

--- a/tests/gateway_desk.py
+++ b/tests/gateway_desk.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import reply as reply_lib
@@ -100,11 +101,10 @@
 ) -> collections.abc.AsyncIterator[Harness]:
     """Runs replicas with the given behaviours behind a forwarder."""
     replicas = [replica.Replica(behaviours=list(one)) for one in behaviours]
-    loop = asyncio.get_running_loop()
     board = gateway_support.board()
     # The forwarder reads the real clocks; a read of the store at infinity
     # never becomes stale.
-    board.freshness.confirm(float('inf'), loop.time())
+    board.freshness.confirm(float('inf'), clock.boot())
     route_config = gateway_support.route(**(route or {}))
     board.config = gateway_support.config(routes=(route_config,))
     for number, one in enumerate(replicas):
@@ -114,7 +114,7 @@
     served_by = forwarder.Forwarder(
         board, codec.PlatformCodec(), log, event_log.EventLog()
     )
-    await served_by.origins.update(loop.time())
+    await served_by.origins.update(clock.boot())
     yield Harness(forwarder=served_by, replicas=replicas, log=log)
     for one in replicas:
         await one.stop()
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -116,7 +116,7 @@
                 board, codec.PlatformCodec(), log, event_log.EventLog()
             )
         )
-        await forwarders[-1].origins.update(clock.monotonic())
+        await forwarders[-1].origins.update(clock.boot())
     fleet = Fleet(network=network, forwarders=forwarders, replicas=replicas)
     exchanging = asyncio.create_task(fleet.exchange())
     try:
