Continue no kept turn without its earlier events

A route may keep its turns and allow streams to be resumed.

Cause: a turn's output is what one answer has sent; that the caller has more was not asked.

Change: such a request is refused at once, not run, and may begin anew, which stores the whole turn. A stream that goes on within its answer is kept whole, as before; a test shows it.

--- a/oleanderdrift/gateway/continuations.py
+++ b/oleanderdrift/gateway/continuations.py
@@ -30,12 +30,20 @@
 
 
 async def find_origin(
-    origins: origin_log.OriginLog, request: model.Request
+    origins: origin_log.OriginLog, admitted: admission.Admitted
 ) -> stream_origins.Origin:
     """Returns the origin of the stream that a request continues.
 
     Raises ResultError if it is not known; the request has not run.
     """
+    request = admitted.request
+    if admitted.route.retains:
+        # The conversation would lack the events of the earlier answer.
+        raise errors.ResultError(
+            codes.STREAM_UNKNOWN,
+            f'the events of {request.resumes} were not kept',
+            retry_after_s=UNKNOWN_RETRY_S,
+        )
     try:
         async with asyncio.timeout(FIND_TIMEOUT_S):
             origin = await origins.find(request.resumes)
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -100,9 +100,7 @@
         Raises ResultError if the stream cannot go on.
         """
         admitted = progress.admitted
-        origin = await continuations.find_origin(
-            self.origins, admitted.request
-        )
+        origin = await continuations.find_origin(self.origins, admitted)
         progress.origin = origin
         progress.admitted = continuations.admit_at(
             admitted, origin, self.board.config, self.board.upstreams
--- a/tests/test_gateway_kept_turns.py
+++ b/tests/test_gateway_kept_turns.py
@@ -51,6 +51,39 @@
     asyncio.run(scenario())
 
 
+def test_kept_turn_is_not_continued_without_its_earlier_events() -> None:
+    """Later turns would go on from a conversation that lacks them."""
+
+    async def scenario() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route={**RETAINED, 'resumable': True}
+        ) as harness:
+            reply = await harness.send_request(
+                request_id='t2', resumes='t1', last_event_id='2', body=b'x'
+            )
+            assert reply.status == codes.STREAM_UNKNOWN.status
+            assert not harness.replicas[0].received
+
+    asyncio.run(scenario())
+
+
+def test_kept_turn_that_goes_on_within_its_answer_is_whole() -> None:
+    async def scenario() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream(cut_after=2), replica.Stream()],
+            route={**RETAINED, 'resumable': True},
+        ) as harness:
+            reply = await harness.send_request(request_id='t1', body=b'one')
+            assert reply.ended == 'complete'
+            await harness.send_request(
+                request_id='t2', body=b'two', previous_turn='t1'
+            )
+            body = harness.replicas[0].received[-1].body
+            assert body == b'onee1\ne2\ne3\ne4\ntwo'
+
+    asyncio.run(scenario())
+
+
 def test_conversation_that_is_too_long_is_refused_and_not_cut(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
