Learn of closed client connections, and end a drain with the last

What callers saw: nothing. A stopping instance always used all of its time to stop, and an instance kept the reader of each connection that it had ever had, with the body of its last request.

Cause: Tornado's HTTPServer removes a closed connection from its own set and does not tell the delegate, whose on_close was never called. So readers only grew, and the drain, which waits until it is empty, waited for its deadline.

Evidence: test_stop_ends_once_the_last_connection_is_closed failed on the code before (a time-out: readers never became empty).

The server now passes the end of a connection on. The drain looks at the connections after its first pause, so that those accepted last have begun.

--- a/oleanderdrift/gateway/drain.py
+++ b/oleanderdrift/gateway/drain.py
@@ -49,9 +49,12 @@
         logs.info('draining', open=self.board.open_requests)
         await asyncio.sleep(LOAD_BALANCER_GRACE_S)
         await close_listener(self.ingress)
-        while clock.monotonic() < deadline and self.ingress.readers:
+        while clock.monotonic() < deadline:
             self.ingress.close_idle(clock.monotonic(), IDLE_TIMEOUT_S)
+            # Also gives the connections just accepted the time to begin.
             await asyncio.sleep(POLL_INTERVAL_S)
+            if not self.ingress.readers:
+                break
         if self.board.open_requests:
             logs.warning('requests-cut', open=self.board.open_requests)
         await self.flush()
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -76,11 +76,19 @@
         params.header_timeout = limits.idle_timeout_s
 
 
-def make_server(
-    delegate: Ingress, limits: model.Limits
-) -> httpserver.HTTPServer:
+class ClientServer(httpserver.HTTPServer):
+    """An HTTP server that tells its delegate which connections are closed."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Passes the end of a connection on, which Tornado keeps to itself."""
+        super().on_close(server_conn)
+        delegate = typing.cast(Ingress, self.request_callback)
+        delegate.on_close(server_conn)
+
+
+def make_server(delegate: Ingress, limits: model.Limits) -> ClientServer:
     """Returns a server that passes its requests to the delegate."""
-    return httpserver.HTTPServer(
+    return ClientServer(
         delegate,
         idle_connection_timeout=limits.idle_timeout_s,
         max_header_size=limits.header_bytes,
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -87,6 +87,25 @@
     asyncio.run(play())
 
 
+def test_stop_ends_once_the_last_connection_is_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        monkeypatch.setattr(drain, 'LOAD_BALANCER_GRACE_S', 0.0)
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            for number in range(3):
+                assert b' 200 ' in await env.send_turn(f't{number}')
+            readers = env.gateway.ingress.readers
+            await env.wait_until(lambda: not readers)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            await env.gateway.drain()
+            assert loop.time() - started < drain.FLUSH_TIMEOUT_S + 0.3
+
+    asyncio.run(play())
+
+
 def test_settlements_of_all_partitions_are_written_together() -> None:
     """One slow partition does not hold up the others at the end."""
 
