Log idle connections that are closed, and requests without a reply

No decision changes.

connection-closed names how long the connection was idle, whether a head had begun and whether bytes waited unread in its socket when this side closed it. request-unanswered names the exception of a request that was read whole and got no reply. Both are bounded like all lines of EventLog. The stream of a client is a subclass of Tornado's, by its public hooks, that notes when bytes were read and looks into the socket when it is closed.

--- /dev/null
+++ b/oleanderdrift/gateway/client_stream.py
@@ -0,0 +1,93 @@
+"""Client connections that know what has arrived on them."""
+
+import socket
+import typing
+
+from tornado import httpserver
+from tornado import httputil
+from tornado import iostream
+
+from oleanderdrift.gateway import clock
+
+_PEEK_FLAGS: typing.Final = socket.MSG_PEEK | socket.MSG_DONTWAIT
+
+
+class ClientStream(iostream.IOStream):
+    """A stream that tells whether bytes of a next request have arrived.
+
+    last_read_at is when bytes were last read.  peer_closed says that the
+    client closed the connection, closed_at when the socket was closed here,
+    and was_unread whether bytes waited in it then.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        max_buffer_size: int | None = None,
+        read_chunk_size: int | None = None,
+    ) -> None:
+        super().__init__(
+            sock,
+            max_buffer_size=max_buffer_size,
+            read_chunk_size=read_chunk_size,
+        )
+        self.last_read_at = clock.monotonic()
+        self.peer_closed = False
+        self.closed_at = float('inf')
+        self.was_unread = False
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Reads what is there; notes when."""
+        try:
+            count = super().read_from_fd(buf)
+        except OSError:
+            self.peer_closed = True
+            raise
+        if count == 0:
+            self.peer_closed = True
+        elif count is not None:
+            self.last_read_at = clock.monotonic()
+        return count
+
+    def has_unread(self) -> bool:
+        """Returns whether bytes wait in the socket."""
+        if self.closed():
+            return False
+        try:
+            return bool(self.socket.recv(1, _PEEK_FLAGS))
+        except OSError:
+            return False
+
+    def close_fd(self) -> None:
+        """Closes the socket; notes whether bytes waited there."""
+        self.closed_at = clock.monotonic()
+        self.was_unread = self.has_unread()
+        super().close_fd()
+
+
+class ClientServer(httpserver.HTTPServer):
+    """An HTTP server whose connections are client streams.
+
+    Its delegate is told which connections are closed.
+    """
+
+    def handle_stream(
+        self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
+    ) -> None:
+        """Serves a new connection."""
+        super().handle_stream(
+            ClientStream(
+                stream.socket,
+                max_buffer_size=stream.max_buffer_size,
+                read_chunk_size=stream.read_chunk_size,
+            ),
+            address,
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        """Passes the end of a connection on, which Tornado does not."""
+        super().on_close(server_conn)
+        delegate = typing.cast(
+            httputil.HTTPServerConnectionDelegate, self.request_callback
+        )
+        delegate.on_close(server_conn)
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -4,13 +4,13 @@
 import socket
 import typing
 
-from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
 from tornado import netutil
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
@@ -18,6 +18,8 @@
 from oleanderdrift.gateway import reply as reply_lib
 
 READ_BYTES: typing.Final = 65_536
+# Of a text from outside in a log line.
+LOGGED_CHARACTERS: typing.Final = 200
 
 
 class Ingress(httputil.HTTPServerConnectionDelegate):
@@ -56,7 +58,28 @@
 
     def on_close(self, server_conn: object) -> None:
         """Drops the reader of a closed connection."""
-        self.readers.pop(server_conn, None)
+        reader = self.readers.pop(server_conn, None)
+        if reader is not None:
+            self.log_idle_close(reader, clock.monotonic())
+
+    def log_idle_close(self, reader: '_RequestReader', now: float) -> None:
+        """Logs that this side closed a connection that awaited a request.
+
+        unread says whether bytes waited in its socket when it was closed.
+        """
+        stream = getattr(reader.conn, 'stream', None)
+        if reader.received_at or not isinstance(
+            stream, client_stream.ClientStream
+        ):
+            return
+        if stream.peer_closed or stream.closed_at < reader.idle_since:
+            return
+        self.forwarder.events.info(
+            'connection-closed',
+            idle_ms=round((now - reader.idle_since) * 1_000),
+            head_begun=stream.last_read_at > reader.idle_since,
+            unread=stream.was_unread,
+        )
 
     def close_idle(self, now: float, idle_timeout_s: float) -> None:
         """Closes connections that have been idle for at least the timeout."""
@@ -76,19 +99,11 @@
         params.header_timeout = limits.idle_timeout_s
 
 
-class ClientServer(httpserver.HTTPServer):
-    """An HTTP server that tells its delegate which connections are closed."""
-
-    def on_close(self, server_conn: object) -> None:
-        """Passes the end of a connection on, which Tornado keeps to itself."""
-        super().on_close(server_conn)
-        delegate = typing.cast(Ingress, self.request_callback)
-        delegate.on_close(server_conn)
-
-
-def make_server(delegate: Ingress, limits: model.Limits) -> ClientServer:
+def make_server(
+    delegate: Ingress, limits: model.Limits
+) -> client_stream.ClientServer:
     """Returns a server that passes its requests to the delegate."""
-    return ClientServer(
+    return client_stream.ClientServer(
         delegate,
         idle_connection_timeout=limits.idle_timeout_s,
         max_header_size=limits.header_bytes,
@@ -132,6 +147,7 @@
         if self.closed:
             # The request arrived after the connection was closed, so no
             # client waits for its response.
+            self.log_unanswered('the connection was closed')
             return
         self.task = asyncio.create_task(self.respond())
         self.ingress.tasks.add(self.task)
@@ -142,9 +158,29 @@
         if self.task is not None:
             self.task.cancel()
 
+    def log_unanswered(self, reason: str) -> None:
+        """Logs that a request that was read whole ended without a reply."""
+        self.ingress.forwarder.events.info(
+            'request-unanswered',
+            request=self.ingress.codec.request_id(self.headers),
+            reason=reason[:LOGGED_CHARACTERS],
+        )
+
     async def respond(self) -> None:
-        """Decodes the request and has the forwarder serve it."""
+        """Serves the request."""
         reply = ConnectionReply(self.conn, self.ingress)
+        reason = 'its work ended'
+        try:
+            await self.serve(reply)
+        except BaseException as error:
+            reason = repr(error)
+            raise
+        finally:
+            if not reply.started:
+                self.log_unanswered(reason)
+
+    async def serve(self, reply: 'ConnectionReply') -> None:
+        """Decodes the request and has the forwarder serve it."""
         try:
             request = self.ingress.codec.decode_request(
                 self.start_line.method,
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -146,6 +146,11 @@
     ) -> model.Request:
         """Decodes a caller's request; raises ResultError BAD_REQUEST."""
 
+    def request_id(
+        self, headers: collections.abc.Sequence[tuple[str, str]]
+    ) -> str:
+        """Returns the id of a caller's request, empty if it has none."""
+
     def upstream_headers(
         self,
         request: model.Request,
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -124,6 +124,11 @@
             affinity_key=_affinity_key(headers),
         )
 
+    def request_id(self, headers: Headers) -> str:
+        """Returns the id of a caller's request, empty if it has none."""
+        by_name = {name.lower(): value for name, value in headers}
+        return by_name.get(REQUEST_ID_HEADER, '')
+
     def upstream_headers(
         self,
         request: model.Request,
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import ingress
 from oleanderdrift.platform import codec
 
@@ -19,6 +20,7 @@
     """A stand-in that counts the requests it is given."""
 
     served: int = 0
+    events: event_log.EventLog = attrs.field(factory=event_log.EventLog)
 
     async def serve(self, request: object, reply: object) -> None:
         """Counts a request."""
--- /dev/null
+++ b/tests/test_gateway_request_end.py
@@ -0,0 +1,92 @@
+"""Requests that were read whole have one end, whatever happens meanwhile."""
+
+import asyncio
+import typing
+
+import pytest
+
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import server
+from oleanderdrift import logs
+from tests import test_gateway_whole as whole
+
+HEAD: typing.Final = (
+    'POST /a/b HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: q1\r\n'
+    'Credential: k1\r\nProgram-Id: p\r\nToken-Budget: 9000\r\n'
+    'Token-Count: 10,588\r\nDeadline-Ms: 5000\r\nContent-Length: 0\r\n'
+)
+IDLE_MS: typing.Final = 300
+IDLE_S: typing.Final = IDLE_MS / 1_000
+# What callers wait for at most.
+END_WITHIN_S: typing.Final = 2.0
+
+Lines: typing.TypeAlias = list[tuple[str, dict[str, object]]]
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> Lines:
+    """Returns the list that log lines are appended to."""
+    found: Lines = []
+    monkeypatch.setattr(
+        logs, 'info', lambda event, **values: found.append((event, values))
+    )
+    return found
+
+
+def named(lines: Lines, event: str) -> list[dict[str, object]]:
+    """Returns the values of the lines of one event."""
+    return [values for name, values in lines if name == event]
+
+
+def test_idle_close_leaves_a_line(
+    lines: Lines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(server, 'HOUSEKEEPING_INTERVAL_S', 0.01)
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.write_config(Limits={'IdleTimeoutMs': IDLE_MS})
+            limits = env.gateway.ingress.server.conn_params
+            await env.wait_until(lambda: limits.header_timeout == IDLE_S)
+            # Closed by the caller, or as announced: no line.
+            await env.send_turn('q0')
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', env.port
+            )
+            async with asyncio.timeout(END_WITHIN_S):
+                assert await reader.read() == b''
+            writer.close()
+            await env.wait_until(
+                lambda: bool(named(lines, 'connection-closed'))
+            )
+
+    asyncio.run(play())
+    [values] = named(lines, 'connection-closed')
+    assert values['unread'] is False
+    assert values['head_begun'] is False
+    assert int(str(values['idle_ms'])) >= IDLE_MS - 20
+
+
+def test_request_without_a_reply_leaves_a_line(
+    lines: Lines, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            monkeypatch.setattr(
+                env.gateway.ingress.codec, 'decode_request', fail
+            )
+            _, writer = await asyncio.open_connection('127.0.0.1', env.port)
+            writer.write(f'{HEAD}\r\n'.encode())
+            await env.wait_until(
+                lambda: bool(named(lines, 'request-unanswered'))
+            )
+            writer.close()
+
+    asyncio.run(play())
+    [values] = named(lines, 'request-unanswered')
+    assert values == {'request': 'q1', 'reason': "ValueError('injected')"}
+
+
+def fail(*_: object) -> model.Request:
+    """Stands in for code that raises what nobody expects."""
+    raise ValueError('injected')
