Forward headers with characters beyond ASCII

What callers saw: a 500 for each request with such a header, as a name with an accent, though nothing was sent to an upstream. That status says that the request may have run, so one that is not idempotent could not be repeated.

Cause: heads are read in Latin-1 and were given to h11 as text, which encodes it in ASCII only. Its error is no LocalProtocolError, so it left the forwarder as an unexpected exception.

Evidence: test_whole_request_with_an_odd_header_gets_an_answer failed on the code before ("UnicodeEncodeError: 'ascii' codec can't encode character").

The head is now encoded in Latin-1, as it was read. What has no such encoding is refused with the code of a bad request, which did not run.

--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -179,8 +179,8 @@
         if not body and method in ('GET', 'HEAD', 'DELETE'):
             head.pop()
         try:
-            request = h11.Request(method=method, target=target, headers=head)
-        except h11.LocalProtocolError as error:
+            request = _encode_head(method, target, head)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             raise errors.ResultError(codes.BAD_REQUEST, str(error)) from error
         data = self.h11_connection.send(request) or b''
         if body:
@@ -341,6 +341,18 @@
             self.protocol.transport.abort()
 
 
+def _encode_head(method: str, target: str, headers: Headers) -> h11.Request:
+    """Returns the head of a request, in Latin-1 like the heads received."""
+    return h11.Request(
+        method=method.encode('latin-1'),
+        target=target.encode('latin-1'),
+        headers=[
+            (name.encode('latin-1'), value.encode('latin-1'))
+            for name, value in headers
+        ],
+    )
+
+
 async def connect(host: str, port: int, timeout_s: float) -> Channel:
     """Opens a connection; raises OSError or TimeoutError."""
     loop = asyncio.get_running_loop()
--- a/tests/test_gateway_request_end.py
+++ b/tests/test_gateway_request_end.py
@@ -90,3 +90,32 @@
 def fail(*_: object) -> model.Request:
     """Stands in for code that raises what nobody expects."""
     raise ValueError('injected')
+
+
+@pytest.mark.parametrize(
+    ('header', 'status'),
+    [
+        ('X-Name: Jos\xe9', 200),
+    ],
+)
+def test_whole_request_with_an_odd_header_gets_an_answer(
+    header: str, status: int
+) -> None:
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            async with asyncio.timeout(END_WITHIN_S):
+                answer = await send(env, f'{HEAD}{header}\r\n\r\n')
+            assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+
+    asyncio.run(play())
+
+
+async def send(env: whole.Environment, data: str) -> bytes:
+    """Sends bytes on a new connection; returns the head of the answer."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', env.port)
+    writer.write(data.encode('latin-1'))
+    try:
+        return await reader.readuntil(b'\r\n\r\n')
+    finally:
+        writer.close()
