End the work of a caller that has left

What callers saw: nothing; they had left. An upstream went on with their request until it answered or its deadline, and so did the slot that it took.

Cause: Tornado tells the delegate of a closed connection only until the request is read. After that it calls the connection's close callback, which nobody set, so on_connection_close never came once there was a task to cancel. A stream ended with its next event only.

The callback is set. A request that is not idempotent goes on once it was sent, as it does upstream anyway. One whose client has closed its connection before its last byte was handled is not begun. The reply now has the progress of its request, from which both this and its end are decided.

--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -75,6 +75,7 @@
                     request.received + admitted.route.timeout_s,
                 ),
             )
+            reply.progress = progress
             self.attempts.check_blocked(progress)
             async with asyncio.timeout_at(progress.deadline):
                 if continuations.is_continuation(admitted):
@@ -93,7 +94,6 @@
             detail = 'cancelled'
             raise
         finally:
-            reply.may_have_run = progress is not None and progress.sent
             self.board.open_requests -= 1
             if progress is not None:
                 self.turns.settle(progress)
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import request_end
 
@@ -143,6 +144,7 @@
         self.idle_since = clock.monotonic()
         self.idle_timeout_s = ingress.limits.idle_timeout_s
         self.closed = False
+        self.reply = ConnectionReply(conn, ingress)
         self.task: asyncio.Task[None] | None = None
         stream = getattr(conn, 'stream', None)
         self.stream: client_stream.ClientStream | None = None
@@ -174,7 +176,7 @@
     def close(self) -> None:
         """Closes the connection before a request has been read."""
         self.closed = True
-        ConnectionReply(self.conn, self.ingress).abort()
+        self.reply.abort()
 
     def headers_received(
         self,
@@ -203,25 +205,32 @@
 
     def finish(self) -> None:
         """Starts the response to a complete request."""
-        reply = ConnectionReply(self.conn, self.ingress)
         end = request_end.RequestEnd(
-            reply=reply,
+            reply=self.reply,
             codec=self.ingress.codec,
             events=self.ingress.forwarder.events,
             request_id=self.ingress.codec.request_id(self.headers),
         )
-        if self.closed:
-            # The request arrived after the connection was closed, so no
-            # client waits for its response.
+        if self.closed or self.reply.is_disconnected():
+            # No client waits for the response.
             end.log_end(None, 'closed')
             return
-        self.task = asyncio.create_task(self.respond(reply))
+        self.task = asyncio.create_task(self.respond(self.reply))
         self.ingress.tasks.add(self.task)
         self.task.add_done_callback(self.ingress.tasks.discard)
         self.task.add_done_callback(end.on_done)
+        if isinstance(self.conn, http1connection.HTTP1Connection):
+            # Tornado tells the delegate only until the request is read.
+            self.conn.set_close_callback(self.on_connection_close)
 
     def on_connection_close(self) -> None:
-        """Cancels the work for a client that disconnected."""
+        """Cancels the work for a client that disconnected.
+
+        One that is not idempotent goes on once it may have begun.
+        """
+        progress = self.reply.progress
+        if progress is not None and progress.must_complete():
+            return
         if self.task is not None:
             self.task.cancel()
 
@@ -255,7 +264,7 @@
         self.conn = conn
         self.ingress = ingress
         self.started = False
-        self.may_have_run = False
+        self.progress: progress_lib.Progress | None = None
         self.ended = False
         self.close_announced = False
 
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -6,6 +6,7 @@
 
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import fingerprints as fingerprints_lib
+from oleanderdrift.gateway import model
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import stream_origins
 
@@ -45,6 +46,11 @@
     origin: stream_origins.Origin | None = None
     last_reason: str = ''
 
+    def must_complete(self) -> bool:
+        """Returns whether its work goes on if the caller leaves."""
+        kind = self.admitted.route.kind
+        return self.sent and kind is model.RouteKind.NON_IDEMPOTENT
+
     def account_name(self) -> str:
         """Returns the account's name, empty on public routes."""
         account = self.admitted.account
--- a/oleanderdrift/gateway/reply.py
+++ b/oleanderdrift/gateway/reply.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+from oleanderdrift.gateway import progress as progress_lib
+
 Headers: typing.TypeAlias = collections.abc.Iterable[tuple[str, str]]
 
 
@@ -13,12 +15,12 @@
 class Reply(typing.Protocol):
     """Writes one response; coroutines raise ClientDisconnectedError.
 
-    started is true once the response headers are being sent.  may_have_run
-    is set by whoever serves the request, before it returns or raises.
+    started is true once the response headers are being sent.  progress is
+    that of its request, None before the request is admitted.
     """
 
     started: bool
-    may_have_run: bool
+    progress: progress_lib.Progress | None
 
     async def send_complete(
         self, status: int, headers: Headers, body: bytes
--- a/oleanderdrift/gateway/request_end.py
+++ b/oleanderdrift/gateway/request_end.py
@@ -56,7 +56,9 @@
             self.log_end(error, 'closed')
             self.reply.abort()
             return
-        refusal = refusal_for(error, self.reply.may_have_run)
+        progress = self.reply.progress
+        may_have_run = progress is not None and progress.sent
+        refusal = refusal_for(error, may_have_run)
         self.log_end(error, str(refusal.code.number))
         headers = self.codec.refusal_headers(
             self.request_id or None, refusal.retry_after_s
--- a/tests/gateway_desk.py
+++ b/tests/gateway_desk.py
@@ -10,6 +10,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import forwarder
+from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.platform import codec
 from standins import replica
@@ -26,7 +27,7 @@
 
     def __init__(self) -> None:
         self.started = False
-        self.may_have_run = False
+        self.progress: progress_lib.Progress | None = None
         self.status = 0
         self.headers: dict[str, str] = {}
         self.body = b''
--- a/tests/test_gateway_request_end.py
+++ b/tests/test_gateway_request_end.py
@@ -327,6 +327,37 @@
     monkeypatch.setattr(module, name, wait)
 
 
+@pytest.mark.parametrize(
+    ('kind', 'goes_on'),
+    [('streaming', False), ('idempotent', False), ('keyed', True)],
+)
+def test_work_ends_when_the_caller_has_left(kind: str, goes_on: bool) -> None:
+    """A request that is not idempotent goes on once it was sent."""
+    route = {**whole.ROUTE, 'Kind': kind, 'Retain': False}
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [replica.Silent()]
+            await whole.make_ready(env)
+            env.write_config(Version=2, Routes=[route])
+            board = env.gateway.board
+            await env.wait_until(
+                lambda: bool(board.config and board.config.version == 2)
+            )
+            _, writer = await asyncio.open_connection('127.0.0.1', env.port)
+            head = HEAD.replace('Token-Budget: 9000\r\n', '')
+            writer.write(f'{head}\r\n'.encode())
+            await env.wait_until(lambda: bool(env.replica.received))
+            writer.close()
+            readers = env.gateway.ingress.readers
+            await env.wait_until(lambda: not readers)
+            await asyncio.sleep(0.05)
+            assert bool(board.open_requests) is goes_on
+            assert bool(env.replica.closed) is not goes_on
+
+    asyncio.run(play())
+
+
 def test_stream_whose_work_fails_is_cut_and_not_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
