--- a/tests/test_gateway_request_end.py
+++ b/tests/test_gateway_request_end.py
@@ -2,16 +2,22 @@
 
 import asyncio
 import random
+import socket
+import threading
+import time
 import typing
 
+import attrs
 import pytest
 
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import answer_relay
+from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import forwarder
+from oleanderdrift.gateway import model
 from oleanderdrift.gateway import server
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import upstream_choice
@@ -51,13 +57,11 @@
 def test_idle_close_leaves_a_line(
     lines: Lines, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(server, 'HOUSEKEEPING_INTERVAL_S', 0.01)
+    monkeypatch.setattr(server, 'CONNECTION_CHECK_INTERVAL_S', 0.01)
 
     async def play() -> None:
         async with whole.run_environment() as env:
-            env.write_config(Limits={'IdleTimeoutMs': IDLE_MS})
-            limits = env.gateway.ingress.server.conn_params
-            await env.wait_until(lambda: limits.header_timeout == IDLE_S)
+            await limit_idle(env, 2, IDLE_MS)
             # Closed by the caller, or as announced: no line.
             await env.send_turn('q0')
             reader, writer = await asyncio.open_connection(
@@ -77,6 +81,160 @@
     assert int(str(values['idle_ms'])) >= IDLE_MS - 20
 
 
+async def limit_idle(
+    env: whole.Environment, version: int, idle_ms: int
+) -> None:
+    """Writes a configuration with an idle limit; waits until it is applied."""
+    env.write_config(Version=version, Limits={'IdleTimeoutMs': idle_ms})
+    ingress = env.gateway.ingress
+    await env.wait_until(
+        lambda: ingress.limits.idle_timeout_s == idle_ms / 1_000
+    )
+
+
+# The moments are those after the answer before, in seconds.
+@pytest.mark.parametrize(
+    ('busy_from', 'busy_until', 'sent_at'),
+    [(0.2, 0.4, 0.24), (0.1, 0.5, 0.2), (0.1, 0.9, 0.24), (0.0, 0.0, 0.24)],
+)
+@pytest.mark.parametrize('idle_ms', [IDLE_MS, 50, 5_000])
+def test_request_on_an_idle_connection_is_served_while_the_loop_is_busy(
+    monkeypatch: pytest.MonkeyPatch,
+    busy_from: float,
+    busy_until: float,
+    sent_at: float,
+    idle_ms: int,
+) -> None:
+    """A new configuration changes the idle limit to idle_ms meanwhile."""
+    monkeypatch.setattr(server, 'CONNECTION_CHECK_INTERVAL_S', 0.01)
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            await limit_idle(env, 2, IDLE_MS)
+            client = socket.create_connection(('127.0.0.1', env.port))
+            client.settimeout(END_WITHIN_S)
+            request = f'{HEAD}\r\n'.encode('latin-1')
+            await asyncio.to_thread(exchange_bytes, client, request)
+            loop = asyncio.get_running_loop()
+            answered = loop.time()
+            config = env.gateway.board.config
+            assert config is not None
+            limits = model.Limits(idle_timeout_s=idle_ms / 1_000)
+            loop.call_at(
+                answered + busy_from,
+                set_config,
+                env.gateway.board,
+                attrs.evolve(config, limits=limits),
+            )
+            loop.call_at(
+                answered + busy_from, time.sleep, busy_until - busy_from
+            )
+            timer = threading.Timer(sent_at, client.sendall, [request])
+            timer.start()
+            received = await asyncio.to_thread(read_end, client)
+            assert received.startswith(b'HTTP/1.1 200 ')
+            client.close()
+
+    asyncio.run(play())
+
+
+def set_config(board: board_lib.Board, config: model.Configuration) -> None:
+    """Puts a configuration in force, as if it had just been read."""
+    board.config = config
+
+
+def exchange_bytes(client: socket.socket, request: bytes) -> None:
+    """Sends a request and reads its answer."""
+    client.sendall(request)
+    assert read_end(client).startswith(b'HTTP/1.1 200 ')
+
+
+def read_end(client: socket.socket) -> bytes:
+    """Returns what arrives until the end of an answer or connection."""
+    received = b''
+    while not received.endswith(b'0\r\n\r\n'):
+        data = client.recv(65_536)
+        if not data:
+            break
+        received += data
+    return received
+
+
+@pytest.mark.parametrize('head_bytes', [0, 20])
+def test_connection_without_a_whole_head_is_closed_in_time(
+    lines: Lines, monkeypatch: pytest.MonkeyPatch, head_bytes: int
+) -> None:
+    """A head that has begun has its own limit, counted from its beginning."""
+    monkeypatch.setattr(server, 'CONNECTION_CHECK_INTERVAL_S', 0.01)
+    limits = {'IdleTimeoutMs': 100, 'HeaderTimeoutMs': 500}
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.write_config(Limits=limits)
+            ingress = env.gateway.ingress
+            await env.wait_until(lambda: ingress.limits.idle_timeout_s == 0.1)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', env.port
+            )
+            writer.write(HEAD[:head_bytes].encode())
+            async with asyncio.timeout(END_WITHIN_S):
+                assert await reader.read() == b''
+            writer.close()
+            await env.wait_until(
+                lambda: bool(named(lines, 'connection-closed'))
+            )
+
+    asyncio.run(play())
+    [values] = named(lines, 'connection-closed')
+    assert values['head_begun'] is bool(head_bytes)
+    assert (int(str(values['idle_ms'])) >= 490) is bool(head_bytes)
+
+
+@pytest.mark.parametrize(
+    ('head_bytes', 'body_bytes', 'status'),
+    [
+        (3_000, 0, 200),
+        (50_000, 0, 200),
+        (300_000, 0, 431),
+        (0, 3_000, 200),
+        (0, 9_000, 400),
+    ],
+)
+def test_request_within_limits_that_grew_while_its_connection_was_idle(
+    monkeypatch: pytest.MonkeyPatch,
+    head_bytes: int,
+    body_bytes: int,
+    status: int,
+) -> None:
+    monkeypatch.setattr(server, 'CONNECTION_CHECK_INTERVAL_S', 0.01)
+    small = {'HeaderBytes': 2_000, 'MaxBodyBytes': 2_000}
+    large = {'HeaderBytes': 200_000, 'MaxBodyBytes': 4_000}
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            params = env.gateway.ingress.server.conn_params
+            env.write_config(Version=2, Limits=small)
+            await env.wait_until(lambda: params.max_body_size == 2_000)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', env.port
+            )
+            await env.wait_until(lambda: bool(env.gateway.ingress.readers))
+            env.write_config(Version=3, Limits=large)
+            await env.wait_until(lambda: params.max_body_size == 4_000)
+            head = HEAD.replace('Length: 0', f'Length: {body_bytes}')
+            padding = f'X-Padding: {"x" * head_bytes}'
+            writer.write(f'{head}{padding}\r\n\r\n'.encode())
+            writer.write(b'x' * body_bytes)
+            async with asyncio.timeout(END_WITHIN_S):
+                answer = await reader.readuntil(b'\r\n\r\n')
+            assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+            writer.close()
+
+    asyncio.run(play())
+
+
 def fail(*_: object, **__: object) -> typing.Any:
     """Stands in for code that raises what nobody expects."""
     raise ValueError('injected')
@@ -169,6 +327,37 @@
     monkeypatch.setattr(module, name, wait)
 
 
+@pytest.mark.parametrize(
+    ('kind', 'goes_on'),
+    [('streaming', False), ('idempotent', False), ('keyed', True)],
+)
+def test_work_ends_when_the_caller_has_left(kind: str, goes_on: bool) -> None:
+    """A request that is not idempotent goes on once it was sent."""
+    route = {**whole.ROUTE, 'Kind': kind, 'Retain': False}
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [replica.Silent()]
+            await whole.make_ready(env)
+            env.write_config(Version=2, Routes=[route])
+            board = env.gateway.board
+            await env.wait_until(
+                lambda: bool(board.config and board.config.version == 2)
+            )
+            _, writer = await asyncio.open_connection('127.0.0.1', env.port)
+            head = HEAD.replace('Token-Budget: 9000\r\n', '')
+            writer.write(f'{head}\r\n'.encode())
+            await env.wait_until(lambda: bool(env.replica.received))
+            writer.close()
+            readers = env.gateway.ingress.readers
+            await env.wait_until(lambda: not readers)
+            await asyncio.sleep(0.05)
+            assert bool(board.open_requests) is goes_on
+            assert bool(env.replica.closed) is not goes_on
+
+    asyncio.run(play())
+
+
 def test_stream_whose_work_fails_is_cut_and_not_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
