Log which peer's word removes an upstream

Callers of all instances got no answer any more after a few instances had lost their links (docs/incidents/instances-cut-from-upstreams.md, hypothesis 1). upstream-crashed names what one instance saw; no line said whose word the others followed, nor that it was contradicted. An instance now logs crash-reported for the first report of a crash that it hears, with the age of the crash and of the last bytes that came from that upstream.

--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -335,21 +335,44 @@
                 limit=limit,
                 rate_per_s=state.limits[limit].rate_per_s,
             )
-        self.apply_crashes(state, now)
+        self.apply_crashes(name, state, now)
         self.board.rate_limiter.apply_update(
             name, envelope.incarnation, state.usage, state.whole, now
         )
         self.peer_load.update(name, state.work)
 
     def apply_crashes(
-        self, state: peer_messages.StateUpdate, now: float
+        self, peer: str, state: peer_messages.StateUpdate, now: float
     ) -> None:
         """Applies the crashes that a peer saw, and what it refuses."""
         self.board.crashes.note_blocked(state.blocked, now)
         for incarnation, report in state.crashes.items():
+            self.log_report(peer, incarnation, report, now)
             for blame in self.board.note_peers_crash(incarnation, report, now):
                 self.log_blame(blame)
 
+    def log_report(
+        self,
+        peer: str,
+        incarnation: str,
+        report: crash_ledger.CrashReport,
+        now: float,
+    ) -> None:
+        """Logs that a peer takes an upstream for crashed, the first time.
+
+        If bytes came from it more recently than the crash, it lives.
+        """
+        upstream = self.board.upstreams.of_incarnation(incarnation)
+        if upstream is None or incarnation in self.board.crashes.crashes:
+            return
+        self.events.info(
+            'crash-reported',
+            peer=peer,
+            upstream=upstream.entry.upstream_id,
+            age_s=round(report.age_s, 3),
+            heard_s=round(now - upstream.last_received, 3),
+        )
+
     def log_blame(self, blame: crash_ledger.Blame) -> None:
         """Logs that a request or target is refused from now on."""
         self.events.info(
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -225,13 +225,18 @@
         known.removed_at = now
         return True
 
-    def remove_incarnation(self, incarnation: str, now: float) -> bool:
-        """Marks the entry of one start of an upstream as removed."""
+    def of_incarnation(self, incarnation: str) -> Upstream | None:
+        """Returns the upstream if this start of it is the one known."""
         upstream_id = incarnation.partition(model.INCARNATION_SEPARATOR)[0]
         known = self.by_id.get(upstream_id)
         if known is None or known.entry.incarnation() != incarnation:
-            return False
-        return self.remove(upstream_id, now)
+            return None
+        return known
+
+    def remove_incarnation(self, incarnation: str, now: float) -> bool:
+        """Marks the entry of one start of an upstream as removed."""
+        known = self.of_incarnation(incarnation)
+        return known is not None and self.remove(known.entry.upstream_id, now)
 
     def keep_only(self, ids: set[str], now: float) -> list[str]:
         """Marks all other entries as removed; returns their ids."""
