Check a peer's word that an upstream has crashed, and probe it back

Cause: each instance took an upstream out for good on the word of a single peer, and that of its own check; only a change of its entry brought it back, and the entry of an upstream that lives does not change. The class of fault: "I cannot reach it" of one is "it is dead" for all, without an end.

A peer's report now makes each instance look for itself, at once: an accused upstream is sent requests only if there is no other, until a connection, and its report of which start it is, or a request that stays open, show that it lives. Only who is refused or gets no answer believes the report. An upstream that was set aside while its entry stands is probed from then on, every 0.5 s at first and every 2 s at last, without any caller's request. The report tells another start at the same address apart, so that a crash is not taken back when its upstream starts again.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to upstreams until one has answered."""
 
 import asyncio
+import random
 import typing
 
 from oleanderdrift import codes
@@ -19,6 +20,7 @@
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import upstream_choice
+from oleanderdrift.gateway import upstream_probes
 from oleanderdrift.gateway import upstreams
 
 RETRY_AFTER_S: typing.Final = 0.1
@@ -44,7 +46,10 @@
         self.events = event_log
         self.pool = connection_pool.Pool()
         self.crashes = crash_detector.CrashDetector(
-            board, self.pool, event_log
+            board, self.pool, event_log, random.Random()
+        )
+        self.probes = upstream_probes.UpstreamProbes(
+            board, self.pool, codec, self.crashes, event_log, random.Random()
         )
         self.relay = answer_relay.AnswerRelay(turns, self.crashes, origins)
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from oleanderdrift.gateway import accusations as accusations_lib
 from oleanderdrift.gateway import allotments as allotments_lib
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import freshness as freshness_lib
@@ -57,6 +58,9 @@
     crashes: crash_ledger.CrashLedger = attrs.field(
         factory=crash_ledger.CrashLedger
     )
+    accusations: accusations_lib.Accusations = attrs.field(
+        factory=accusations_lib.Accusations
+    )
     origins: stream_origins.StreamOrigins = attrs.field(
         factory=stream_origins.StreamOrigins
     )
@@ -81,20 +85,33 @@
         self, incarnation: str, report: crash_ledger.CrashReport, now: float
     ) -> list[crash_ledger.Blame]:
         """Records a crash that this instance saw."""
-        self.upstreams.remove_incarnation(incarnation, now)
+        upstream = self.upstreams.of_incarnation(incarnation)
+        if upstream is not None:
+            upstream.set_aside(now)
         return self.crashes.note_own_crash(incarnation, report, now)
 
     def note_peers_crash(
-        self, incarnation: str, report: crash_ledger.CrashReport, now: float
+        self,
+        peer: str,
+        incarnation: str,
+        report: crash_ledger.CrashReport,
+        now: float,
     ) -> list[crash_ledger.Blame]:
-        """Records a crash that a peer saw.
+        """Records that a peer takes an upstream for crashed.
 
-        The upstream gets nothing more until it is back.  Later reports of
-        the same crash do not remove it again.
+        The peer may have lost its own links.  While the upstream's entry
+        stands, its word only makes this instance look for itself.
         """
-        if incarnation not in self.crashes.crashes:
-            self.upstreams.remove_incarnation(incarnation, now)
-        return self.crashes.note_crash(incarnation, report, now)
+        upstream = self.upstreams.of_incarnation(incarnation)
+        if (
+            upstream is None
+            or upstream.removed_at is not None
+            or incarnation in self.crashes.crashes
+        ):
+            return self.crashes.note_crash(incarnation, report, now)
+        upstream.doubt(now)
+        self.accusations.add(peer, incarnation, report, now)
+        return []
 
     def check_pause(self, now: float, boot_now: float) -> None:
         """Empties the token buckets if this process has been paused."""
--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -1,16 +1,25 @@
 """A pool of idle connections."""
 
 import collections.abc
+import typing
 
 import attrs
 
 from oleanderdrift.gateway import channel
 
+Connect: typing.TypeAlias = collections.abc.Callable[
+    [str, int, float], collections.abc.Awaitable[channel.Channel]
+]
+
 
 @attrs.define(kw_only=True)
 class Pool:
-    """Idle connections by a key that identifies one incarnation of a peer."""
+    """Idle connections by a key that identifies one incarnation of a peer.
+
+    connect opens a connection to a host and port, within a time in seconds.
+    """
 
+    connect: Connect = channel.connect
     idle: dict[collections.abc.Hashable, list[channel.Channel]] = attrs.field(
         factory=dict
     )
@@ -32,7 +41,7 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await channel.connect(host, port, timeout_s)
+        return await self.connect(host, port, timeout_s)
 
     def has_idle(self, key: collections.abc.Hashable, now: float) -> bool:
         """Returns whether a connection is open and waits for a request."""
--- a/oleanderdrift/gateway/crash_detector.py
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -8,6 +8,8 @@
 import asyncio
 import collections
 import collections.abc
+import enum
+import random
 import typing
 
 import attrs
@@ -26,6 +28,14 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.25
 
 
+class Reach(enum.Enum):
+    """How a try to reach an upstream turned out."""
+
+    REACHED = 'reached'
+    REFUSED = 'refused'
+    NO_ANSWER = 'no answer'
+
+
 @attrs.define(kw_only=True)
 class OpenRequest:
     """A request at an upstream; answering says that its answer has begun."""
@@ -46,10 +56,12 @@
         board: board_lib.Board,
         pool: connection_pool.Pool,
         events: event_log.EventLog,
+        chance: random.Random,
     ) -> None:
         self.board = board
         self.pool = pool
         self.events = events
+        self.chance = chance
         self.open: collections.defaultdict[str, dict[str, OpenRequest]] = (
             collections.defaultdict(dict)
         )
@@ -125,6 +137,10 @@
             if not self.open[incarnation]:
                 del self.open[incarnation]
 
+    def open_at(self, upstream: upstreams.Upstream) -> set[str]:
+        """Returns the ids of the requests that are open at an upstream."""
+        return set(self.open.get(upstream.entry.incarnation(), ()))
+
     def has_left(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether an upstream was to end, after its last requests."""
         if upstream.entry.draining:
@@ -165,12 +181,23 @@
             silent=','.join(sorted(report.silent)),
             answering=','.join(sorted(report.answering)),
         )
-        for blame in self.board.note_crash(incarnation, report, now):
-            self.events.info(
-                'request-blocked',
-                fingerprint=blame.fingerprint,
-                block_s=blame.block_s,
-            )
+        upstream.schedule_probe(now, self.chance)
+        log_blames(
+            self.events, self.board.note_crash(incarnation, report, now)
+        )
+
+
+def log_blames(
+    events: event_log.EventLog,
+    blames: collections.abc.Iterable[crash_ledger.Blame],
+) -> None:
+    """Logs which requests or targets are refused from now on."""
+    for blame in blames:
+        events.info(
+            'request-blocked',
+            fingerprint=blame.fingerprint,
+            block_s=blame.block_s,
+        )
 
 
 def _fingerprints(
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -15,9 +15,9 @@
 
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
-from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import directory as directory_lib
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import peer_crashes
 from oleanderdrift.gateway import peer_load
 from oleanderdrift.gateway import peer_messages
 from oleanderdrift.gateway import peer_sockets
@@ -82,6 +82,7 @@
         self.sequences = peer_messages.Sequences()
         self.relay_health = relays.RelayHealth()
         self.peer_load = peer_load.PeerLoad(upstreams=board.upstreams)
+        self.peer_crashes = peer_crashes.PeerCrashes(board, events)
         self.leaving: frozenset[str] = frozenset()
         self.fleet_view: _FleetView | None = None
         self.uses_relays = False
@@ -111,8 +112,7 @@
         self.sockets.update_subscribed()
         self.receive_pending(now)
         self.expire_silent(now)
-        for blame in self.board.crashes.review(now):
-            self.log_blame(blame)
+        self.peer_crashes.review(now)
         self.update_sources(now)
         if self.is_publish_due(now):
             self.publish(now)
@@ -335,52 +335,12 @@
                 limit=limit,
                 rate_per_s=state.limits[limit].rate_per_s,
             )
-        self.apply_crashes(name, state, now)
+        self.peer_crashes.apply(name, state, now)
         self.board.rate_limiter.apply_update(
             name, envelope.incarnation, state.usage, state.whole, now
         )
         self.peer_load.update(name, state.work)
 
-    def apply_crashes(
-        self, peer: str, state: peer_messages.StateUpdate, now: float
-    ) -> None:
-        """Applies the crashes that a peer saw, and what it refuses."""
-        self.board.crashes.note_blocked(state.blocked, now)
-        for incarnation, report in state.crashes.items():
-            self.log_report(peer, incarnation, report, now)
-            for blame in self.board.note_peers_crash(incarnation, report, now):
-                self.log_blame(blame)
-
-    def log_report(
-        self,
-        peer: str,
-        incarnation: str,
-        report: crash_ledger.CrashReport,
-        now: float,
-    ) -> None:
-        """Logs that a peer takes an upstream for crashed, the first time.
-
-        If bytes came from it more recently than the crash, it lives.
-        """
-        upstream = self.board.upstreams.of_incarnation(incarnation)
-        if upstream is None or incarnation in self.board.crashes.crashes:
-            return
-        self.events.info(
-            'crash-reported',
-            peer=peer,
-            upstream=upstream.entry.upstream_id,
-            age_s=round(report.age_s, 3),
-            heard_s=round(now - upstream.last_received, 3),
-        )
-
-    def log_blame(self, blame: crash_ledger.Blame) -> None:
-        """Logs that a request or target is refused from now on."""
-        self.events.info(
-            'request-blocked',
-            fingerprint=blame.fingerprint,
-            block_s=blame.block_s,
-        )
-
     def expire_silent(self, now: float) -> None:
         """Drops the load of peers whose states have stopped."""
         for name in self.peer_load.expire(now):
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -106,6 +106,7 @@
             self.directory.follow,
             self.gossip.exchange_periodically,
             self.forwarder.origins.follow,
+            self.forwarder.attempts.probes.probe_periodically,
             self.run_housekeeping,
             self.poll_settings,
             self.monitor_upstreams,
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import math
+import random
 import typing
 
 import attrs
@@ -23,6 +24,12 @@
 UNREACHABLE_SILENCE_S: typing.Final = 0.4
 FIRST_EJECTION_S: typing.Final = 0.5
 MAX_EJECTION_S: typing.Final = 4.0
+# Longer than a connection attempt takes.
+DOUBT_S: typing.Final = 0.6
+FIRST_PROBE_S: typing.Final = 0.5
+MAX_PROBE_S: typing.Final = 2.0
+# The part of an interval by which probes are spread at random.
+PROBE_SPREAD: typing.Final = 0.2
 # Weight of the newest measurement in the moving average.
 SMOOTHING_FACTOR: typing.Final = 0.2
 MAX_SLOWNESS: typing.Final = 10.0
@@ -52,7 +59,11 @@
     whose requests may be aborted to when these were sent.  last_received is
     when bytes last came from it, and silence_timeout_s how long it may send
     nothing while such requests wait: only engines send all the time.
-    removed_at is when the entry was removed.
+    removed_at is when the entry was removed.  set_aside_at is when it was
+    taken for crashed although its entry stands; it gets nothing until a probe
+    reaches it.  doubted_until is when a peer's word that it has crashed
+    expires unless this instance finds the same.  probe_at is when it is to be
+    probed, after probe_failures in a row.
     """
 
     entry: model.UpstreamEntry
@@ -70,6 +81,10 @@
     abortable: dict[channel.Channel, float] = attrs.field(factory=dict)
     silence_timeout_s: float = float('inf')
     removed_at: float | None = None
+    set_aside_at: float | None = None
+    doubted_until: float = float('-inf')
+    probe_at: float = float('inf')
+    probe_failures: int = 0
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -83,8 +98,39 @@
         return (entry.upstream_id, entry.born_ms, entry.host, entry.port)
 
     def is_ejected(self, now: float) -> bool:
-        """Returns whether it is ejected after failures."""
-        return now < self.ejected_until
+        """Returns whether it is ejected after failures, or doubted."""
+        return now < max(self.ejected_until, self.doubted_until)
+
+    def doubt(self, now: float) -> None:
+        """Prefers others until a probe, due at once, has decided."""
+        self.doubted_until = now + DOUBT_S
+        self.probe_at = min(self.probe_at, now)
+
+    def set_aside(self, now: float) -> None:
+        """Sends it nothing until a probe reaches it."""
+        if self.set_aside_at is None:
+            self.set_aside_at = now
+            self.probe_failures = 0
+        self.doubted_until = float('-inf')
+
+    def probe_due(self, now: float) -> bool:
+        """Returns whether it is to be probed."""
+        return self.removed_at is None and now >= self.probe_at
+
+    def schedule_probe(self, now: float, chance: random.Random) -> None:
+        """Sets when it is probed next, each time after a longer interval."""
+        interval_s = min(FIRST_PROBE_S * 2.0**self.probe_failures, MAX_PROBE_S)
+        spread = chance.uniform(-PROBE_SPREAD, PROBE_SPREAD)
+        self.probe_failures += 1
+        self.probe_at = now + interval_s * (1 + spread)
+
+    def take_back(self) -> None:
+        """Sends it requests again, after a probe has reached it."""
+        self.set_aside_at = None
+        self.doubted_until = float('-inf')
+        self.probe_at = float('inf')
+        self.probe_failures = 0
+        self.note_success()
 
     def note_failure(self, now: float) -> None:
         """Ejects the upstream, each time for longer."""
@@ -215,6 +261,9 @@
             changed = 'returned'
         known.entry = entry
         known.removed_at = None
+        if known.set_aside_at is not None:
+            # An upstream writes its entry itself.
+            known.probe_at = float('-inf')
         return changed
 
     def remove(self, upstream_id: str, now: float) -> bool:
@@ -233,11 +282,6 @@
             return None
         return known
 
-    def remove_incarnation(self, incarnation: str, now: float) -> bool:
-        """Marks the entry of one start of an upstream as removed."""
-        known = self.of_incarnation(incarnation)
-        return known is not None and self.remove(known.entry.upstream_id, now)
-
     def keep_only(self, ids: set[str], now: float) -> list[str]:
         """Marks all other entries as removed; returns their ids."""
         return [
@@ -277,6 +321,7 @@
             for one in self.by_id.values()
             if one.entry.service == service
             and not one.entry.draining
+            and one.set_aside_at is None
             and (one.removed_at is None or include_lapsed)
         ]
 
