Doubt the own links before an upstream is said to have crashed

Cause: an answer that breaks off and a new connection that is refused was enough, however many upstreams refused at once.

An instance that is refused now tries some other upstreams as well; if none can be reached, it reports no crash, logs crash-doubted, and has the upstream probed, which ends its ejection too. A second witness may be set (CrashDetector.witness): its refusal makes it a crash, and that it reaches the upstream makes it none. Without other upstreams an instance believes itself as before. The price is up to three connections for each crash that an instance sees itself; those that are established serve requests.

--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -40,6 +40,12 @@
             if connection.is_reusable(now):
                 return connection
             connection.close()
+        return await self.open(host, port, timeout_s)
+
+    async def open(
+        self, host: str, port: int, timeout_s: float
+    ) -> channel.Channel:
+        """Opens a connection; raises OSError or TimeoutError."""
         self.opened += 1
         return await self.connect(host, port, timeout_s)
 
--- a/oleanderdrift/gateway/crash_detector.py
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -26,16 +26,29 @@
 # The resets of all connections arrive within this time.
 SETTLE_S: typing.Final = 0.03
 CONNECT_TIMEOUT_S: typing.Final = 0.25
+# Other upstreams that are tried before one is said to have crashed.
+MAX_CONTROLS: typing.Final = 3
 
 
-class Reach(enum.Enum):
-    """How a try to reach an upstream turned out."""
+class WitnessAnswer(enum.Enum):
+    """What a try to reach an upstream showed."""
 
     REACHED = 'reached'
     REFUSED = 'refused'
     NO_ANSWER = 'no answer'
 
 
+Witness: typing.TypeAlias = collections.abc.Callable[
+    [upstreams.Upstream],
+    collections.abc.Coroutine[typing.Any, typing.Any, WitnessAnswer],
+]
+
+
+async def no_witness(upstream: upstreams.Upstream) -> WitnessAnswer:
+    """Says nothing, where there is no second witness."""
+    return WitnessAnswer.NO_ANSWER
+
+
 @attrs.define(kw_only=True)
 class OpenRequest:
     """A request at an upstream; answering says that its answer has begun."""
@@ -48,7 +61,8 @@
     """Watches the open requests of one instance, by upstream.
 
     broken holds those whose answers broke off, until the reason is known.
-    checks holds the tasks that find out.
+    checks holds the tasks that find out.  witness tries an upstream that
+    refuses this instance from elsewhere.
     """
 
     def __init__(
@@ -57,11 +71,13 @@
         pool: connection_pool.Pool,
         events: event_log.EventLog,
         chance: random.Random,
+        witness: Witness = no_witness,
     ) -> None:
         self.board = board
         self.pool = pool
         self.events = events
         self.chance = chance
+        self.witness = witness
         self.open: collections.defaultdict[str, dict[str, OpenRequest]] = (
             collections.defaultdict(dict)
         )
@@ -127,6 +143,7 @@
                 self.has_left(upstream)
                 or still_open
                 or not await self.refuses(upstream)
+                or not await self.is_believable(upstream)
             ):
                 return False
             self.record(upstream)
@@ -165,6 +182,52 @@
         self.pool.release(key, connection, clock.monotonic())
         return False
 
+    async def is_believable(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream that refuses connections has crashed.
+
+        If nobody else says so, this instance believes itself only while it
+        reaches other upstreams.
+        """
+        answer = await self.witness(upstream)
+        match answer:
+            case WitnessAnswer.REFUSED:
+                return True
+            case WitnessAnswer.REACHED:
+                self.note_doubt(upstream, 'a witness reaches it')
+                return False
+            case WitnessAnswer.NO_ANSWER:
+                pass
+        others = controls(
+            self.board.upstreams.by_id.values(), upstream, self.chance
+        )
+        refused = await asyncio.gather(*map(self.refuses_now, others))
+        if refused and all(refused):
+            names = ','.join(one.entry.upstream_id for one in others)
+            self.note_doubt(upstream, f'{names} cannot be reached either')
+            return False
+        return True
+
+    def note_doubt(self, upstream: upstreams.Upstream, reason: str) -> None:
+        """Records that no crash is reported, and why."""
+        upstream.begin_probes(clock.monotonic(), self.chance)
+        self.events.info(
+            'crash-doubted',
+            upstream=upstream.entry.upstream_id,
+            reason=reason,
+        )
+
+    async def refuses_now(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether a new connection to an upstream fails."""
+        key, entry = upstream.key(), upstream.entry
+        try:
+            connection = await self.pool.open(
+                entry.host, entry.port, CONNECT_TIMEOUT_S
+            )
+        except (OSError, TimeoutError):
+            return True
+        self.pool.release(key, connection, clock.monotonic())
+        return False
+
     def record(self, upstream: upstreams.Upstream) -> None:
         """Records a crash and the requests that were open."""
         now = clock.monotonic()
@@ -181,12 +244,33 @@
             silent=','.join(sorted(report.silent)),
             answering=','.join(sorted(report.answering)),
         )
-        upstream.schedule_probe(now, self.chance)
+        upstream.begin_probes(now, self.chance)
         log_blames(
             self.events, self.board.note_crash(incarnation, report, now)
         )
 
 
+def controls(
+    known: collections.abc.Iterable[upstreams.Upstream],
+    suspect: upstreams.Upstream,
+    chance: random.Random,
+) -> list[upstreams.Upstream]:
+    """Returns some upstreams that show whether this instance's links work.
+
+    They are at other addresses than the suspect.  None is returned if all
+    others are set aside.
+    """
+    address = (suspect.entry.host, suspect.entry.port)
+    others = [
+        one
+        for one in known
+        if (one.entry.host, one.entry.port) != address
+        and one.removed_at is None
+        and one.set_aside_at is None
+    ]
+    return chance.sample(others, min(len(others), MAX_CONTROLS))
+
+
 def log_blames(
     events: event_log.EventLog,
     blames: collections.abc.Iterable[crash_ledger.Blame],
--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -22,7 +22,7 @@
 MAX_OPEN_PROBES: typing.Final = 16
 CHECK_INTERVAL_S: typing.Final = 0.1
 
-Reach: typing.TypeAlias = crash_detector.Reach
+WitnessAnswer: typing.TypeAlias = crash_detector.WitnessAnswer
 
 
 def due(
@@ -88,7 +88,9 @@
         finally:
             self.tasks.pop(upstream.entry.incarnation(), None)
 
-    async def try_to_reach(self, upstream: upstreams_lib.Upstream) -> Reach:
+    async def try_to_reach(
+        self, upstream: upstreams_lib.Upstream
+    ) -> WitnessAnswer:
         """Returns whether an upstream, in this start of it, can be reached.
 
         A request that stays open there shows it as well: where only new
@@ -96,14 +98,14 @@
         """
         before = self.crashes.open_at(upstream)
         reach = await self.connect(upstream)
-        if reach is Reach.REACHED or not before:
+        if reach is WitnessAnswer.REACHED or not before:
             return reach
         await asyncio.sleep(crash_detector.SETTLE_S)
         if before & self.crashes.open_at(upstream):
-            return Reach.REACHED
+            return WitnessAnswer.REACHED
         return reach
 
-    async def connect(self, upstream: upstreams_lib.Upstream) -> Reach:
+    async def connect(self, upstream: upstreams_lib.Upstream) -> WitnessAnswer:
         """Returns how a connection to an upstream turns out.
 
         One that is established is kept for requests.
@@ -118,27 +120,30 @@
                 clock.monotonic(),
             )
         except ConnectionError:
-            return Reach.REFUSED
+            return WitnessAnswer.REFUSED
         except (OSError, TimeoutError):
-            return Reach.NO_ANSWER
+            return WitnessAnswer.NO_ANSWER
         try:
             if not await exchange.is_incarnation(
                 connection, self.codec, entry
             ):
-                return Reach.REFUSED
+                return WitnessAnswer.REFUSED
         except (TimeoutError, channel.ChannelError):
-            return Reach.NO_ANSWER
+            return WitnessAnswer.NO_ANSWER
         self.pool.release(key, connection, clock.monotonic())
-        return Reach.REACHED
+        return WitnessAnswer.REACHED
 
     def conclude(
-        self, upstream: upstreams_lib.Upstream, reach: Reach, now: float
+        self,
+        upstream: upstreams_lib.Upstream,
+        reach: WitnessAnswer,
+        now: float,
     ) -> None:
         """Takes an upstream back, or believes those who say it crashed."""
         incarnation = upstream.entry.incarnation()
         reports = self.board.accusations.take(incarnation, now)
         peers = ','.join(sorted(reports))
-        if reach is Reach.REACHED:
+        if reach is WitnessAnswer.REACHED:
             self.take_back(upstream, peers, now)
             return
         upstream.schedule_probe(now, self.chance)
@@ -165,11 +170,12 @@
                 upstream=upstream.entry.upstream_id,
                 peers=peers,
             )
-        if upstream.set_aside_at is not None:
+        if upstream.probe_failures:
             self.events.info(
                 'upstream-returned',
                 upstream=upstream.entry.upstream_id,
                 reason='probe',
-                after_s=round(now - upstream.set_aside_at, 2),
+                probes=upstream.probe_failures,
+                was_set_aside=upstream.set_aside_at is not None,
             )
         upstream.take_back()
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -117,6 +117,11 @@
         """Returns whether it is to be probed."""
         return self.removed_at is None and now >= self.probe_at
 
+    def begin_probes(self, now: float, chance: random.Random) -> None:
+        """Has it probed from now on, if it is not probed yet."""
+        if self.probe_at == float('inf'):
+            self.schedule_probe(now, chance)
+
     def schedule_probe(self, now: float, chance: random.Random) -> None:
         """Sets when it is probed next, each time after a longer interval."""
         interval_s = min(FIRST_PROBE_S * 2.0**self.probe_failures, MAX_PROBE_S)
--- a/tests/test_gateway_false_crashes.py
+++ b/tests/test_gateway_false_crashes.py
@@ -8,6 +8,7 @@
 import pytest
 
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import upstream_probes
@@ -215,3 +216,52 @@
     known.by_id['u4'].set_aside(0.0)
     known.put(gateway_support.entry('u4'))
     assert known.by_id['u4'].probe_due(0.0)
+
+
+def test_instance_without_links_reports_no_crash() -> None:
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            3, SLOW, SLOW, SLOW, route=ONCE
+        ) as fleet:
+            await asyncio.gather(*await cut_under_load(fleet, 0, 1))
+            await asyncio.sleep(0.3)
+            for one in fleet.forwarders:
+                assert not one.board.crashes.crashes
+                assert not one.board.crashes.own
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('answer', crash_detector.WitnessAnswer)
+@pytest.mark.parametrize('others', [0, 1])
+def test_witness_decides_whether_a_refusal_is_a_crash(
+    answer: crash_detector.WitnessAnswer, others: int
+) -> None:
+    async def witness(
+        upstream: upstreams.Upstream,
+    ) -> crash_detector.WitnessAnswer:
+        assert upstream.entry.upstream_id == 'u0'
+        return answer
+
+    async def run() -> None:
+        behaviours = [replica.CompleteResponse()] * (1 + others)
+        async with gateway_fleet.run_fleet(
+            1, *behaviours, route=ONCE
+        ) as fleet:
+            fleet.forwarders[0].attempts.crashes.witness = witness
+            fleet.replicas[0].deadly_body = b'deadly'
+            await fleet.send(0, body=b'deadly')
+            for one in fleet.replicas:
+                one.crash()
+            await asyncio.sleep(0.3)
+            ledger = fleet.forwarders[0].board.crashes
+            # Without a witness, an instance that is refused by all upstreams
+            # believes itself only if it has no other.
+            expected = {
+                crash_detector.WitnessAnswer.REFUSED: True,
+                crash_detector.WitnessAnswer.REACHED: False,
+                crash_detector.WitnessAnswer.NO_ANSWER: not others,
+            }
+            assert bool(ledger.crashes) is expected[answer]
+
+    asyncio.run(run())
