Withdraw the blame for a crash that was none

An instance that finds an upstream alive now withdraws its crash, lifts the blocks that stood on it, decides anew by the other crashes, and tells its peers for a second (StateUpdate.living), so that those do the same who cannot reach the upstream themselves. Reports from before that time are void. What is refused is told with its crashes (StateUpdate.grounds); a block that stands on withdrawn ones is not adopted. Both fields are the last ones and have defaults, so that builds before and after read each other's states.

--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -102,6 +102,8 @@
         The peer may have lost its own links.  While the upstream's entry
         stands, its word only makes this instance look for itself.
         """
+        if self.crashes.is_refuted(incarnation, now - report.age_s):
+            return []
         upstream = self.upstreams.of_incarnation(incarnation)
         if (
             upstream is None
--- a/oleanderdrift/gateway/crash_detector.py
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -284,6 +284,14 @@
         )
 
 
+def log_unblocked(
+    events: event_log.EventLog, unblocked: collections.abc.Iterable[str]
+) -> None:
+    """Logs which requests or targets are no longer refused."""
+    for fingerprint in unblocked:
+        events.info('request-unblocked', fingerprint=fingerprint)
+
+
 def _fingerprints(
     requests: collections.abc.Iterable[OpenRequest],
 ) -> frozenset[str]:
--- a/oleanderdrift/gateway/crash_ledger.py
+++ b/oleanderdrift/gateway/crash_ledger.py
@@ -18,6 +18,9 @@
 A caller may change the body from try to try, as a conversation does that is
 sent whole each time.  So the same is asked of a caller's target, whatever the
 body, but one or two crashes say nothing about a target.
+
+An upstream that is said to have crashed may live.  Its crash is withdrawn
+then, and who is blocked for it is decided anew by the other crashes.
 """
 
 import collections
@@ -55,6 +58,9 @@
 REPORT_S: typing.Final = 1.0
 
 
+_NO_GROUNDS: typing.Final[dict[str, frozenset[str]]] = {}
+
+
 class CrashReport(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """What was open at an upstream when it crashed, by fingerprint.
 
@@ -98,7 +104,9 @@
 class CrashLedger:
     """The crashes that any instance saw, by incarnation of the upstream.
 
-    blocked holds until when requests are refused, by fingerprint.  proven
+    blocked holds until when requests are refused, by fingerprint, and grounds
+    at which crashes they were open.  refuted holds as of when upstreams were
+    found alive that were said to have crashed.  proven
     holds those that upstreams have run to their end for this instance, the
     latest last.  own holds what this instance had open, as of a time.
     undecided are those that may have to be blamed once all instances had the
@@ -111,7 +119,10 @@
     blocked: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
     )
-
+    grounds: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    refuted: collections.OrderedDict[str, float] = attrs.field(
+        factory=collections.OrderedDict
+    )
     proven: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -146,6 +157,8 @@
     ) -> list[Blame]:
         """Adds what an instance had open; returns who is blamed now."""
         at = now - report.age_s
+        if self.is_refuted(incarnation, at):
+            return []
         known = self.crashes.get(incarnation)
         if known is None:
             known = self.crashes[incarnation] = Crash(at=at)
@@ -167,6 +180,52 @@
         }
         return self.blame(certain, CERTAIN_BLOCK_S, now)
 
+    def is_refuted(self, incarnation: str, at: float) -> bool:
+        """Returns whether an upstream was alive after its crash at a time."""
+        return at <= self.refuted.get(incarnation, float('-inf'))
+
+    def withdraw(self, incarnation: str, alive_at: float) -> list[str]:
+        """Withdraws the crash of an upstream that was alive later.
+
+        Returns the fingerprints that are no longer refused.
+        """
+        known = self.crashes.get(incarnation)
+        if self.is_refuted(incarnation, alive_at) or (
+            known is not None and known.at > alive_at
+        ):
+            return []
+        self.refuted[incarnation] = alive_at
+        self.refuted.move_to_end(incarnation)
+        if len(self.refuted) > MAX_CRASHES:
+            self.refuted.popitem(last=False)
+        self.crashes.pop(incarnation, None)
+        self.own.pop(incarnation, None)
+        affected = [
+            one for one, each in self.grounds.items() if incarnation in each
+        ]
+        return [
+            one
+            for one in affected
+            if self.unblock(one, self.grounds[one] - {incarnation}, alive_at)
+        ]
+
+    def unblock(
+        self, fingerprint: str, left: frozenset[str], now: float
+    ) -> bool:
+        """Decides anew about a request, as some of its crashes were none.
+
+        left are the others.  Returns whether it is no longer refused.
+        """
+        self.grounds[fingerprint] = left
+        if len(left) >= CERTAIN_CRASHES:
+            return False
+        del self.grounds[fingerprint]
+        self.blocked.pop(fingerprint, None)
+        for name in left & self.crashes.keys():
+            self.undecided |= self.crashes[name].open_requests()
+        self.review_at = min(self.review_at, now + SETTLE_S)
+        return True
+
     def silent_crashes(self, fingerprint: str) -> int:
         """Returns at how many crashes a request had no answer yet."""
         return sum(fingerprint in one.silent for one in self.crashes.values())
@@ -195,9 +254,18 @@
         for one in sorted(prints):
             if not self.is_blocked(one, now):
                 found.append(Blame(fingerprint=one, block_s=block_s))
+            self.grounds[one] = self.crashes_of(one)
             self.block(one, now + block_s)
         return found
 
+    def crashes_of(self, fingerprint: str) -> frozenset[str]:
+        """Returns the crashes at which a request was open."""
+        return frozenset(
+            name
+            for name, one in self.crashes.items()
+            if fingerprint in one.open_requests()
+        )
+
     def is_likely(self, fingerprint: str, now: float) -> bool:
         """Returns whether nothing else explains a request's crashes."""
         unexplained = [
@@ -209,8 +277,7 @@
             )
         ]
         is_target = fingerprints.is_target(fingerprint)
-        enough = CERTAIN_CRASHES if is_target else LIKELY_CRASHES
-        if len(unexplained) < enough:
+        if len(unexplained) < _enough_crashes(fingerprint):
             return False
         others = collections.Counter(
             other
@@ -225,18 +292,30 @@
         known = self.blocked.pop(fingerprint, until)
         self.blocked[fingerprint] = max(known, until)
         if len(self.blocked) > MAX_BLOCKED:
-            self.blocked.popitem(last=False)
+            oldest, _ = self.blocked.popitem(last=False)
+            self.grounds.pop(oldest, None)
 
-    def note_blocked(self, left_s: dict[str, float], now: float) -> None:
+    def note_blocked(
+        self,
+        left_s: dict[str, float],
+        now: float,
+        grounds: collections.abc.Mapping[str, frozenset[str]] = _NO_GROUNDS,
+    ) -> None:
         """Adopts what a peer refuses, for instances that started later.
 
-        A known time is not extended: peers would extend it in turn.
+        A known time is not extended: peers would extend it in turn.  grounds
+        are the crashes for which the peer does; peers of an earlier build
+        tell none.
         """
         for fingerprint, each in left_s.items():
-            if fingerprint not in self.blocked and (
-                fingerprint not in self.proven
-            ):
-                self.block(fingerprint, now + each)
+            if fingerprint in self.blocked or fingerprint in self.proven:
+                continue
+            told = grounds.get(fingerprint, frozenset())
+            real = told - self.refuted.keys()
+            if told and len(real) < _enough_crashes(fingerprint):
+                continue
+            self.block(fingerprint, now + each)
+            self.grounds[fingerprint] = real
 
     def forget_old(self, now: float) -> None:
         """Drops old crashes and what is no longer refused."""
@@ -248,6 +327,7 @@
         for fingerprint, until in list(self.blocked.items()):
             if until <= now:
                 del self.blocked[fingerprint]
+                self.grounds.pop(fingerprint, None)
 
     def note_own_crash(
         self, incarnation: str, report: CrashReport, now: float
@@ -261,7 +341,9 @@
 
     def has_unreported(self, since: float) -> bool:
         """Returns whether this instance saw something of a crash since."""
-        return any(one.at > since for one in self.own.values())
+        return any(one.at > since for one in self.own.values()) or any(
+            at > since for at in self.refuted.values()
+        )
 
     def reports(self, now: float) -> dict[str, CrashReport]:
         """Returns what this instance had open lately, by incarnation."""
@@ -275,6 +357,17 @@
             for name, one in self.own.items()
         }
 
+    def living(self, now: float) -> dict[str, float]:
+        """Returns which upstreams were found alive lately, by incarnation.
+
+        The values are for how many seconds this has been known.
+        """
+        return {
+            name: now - at
+            for name, at in self.refuted.items()
+            if now - at < REPORT_S
+        }
+
     def blocked_left_s(self, now: float) -> dict[str, float]:
         """Returns for how long the latest requests are still refused."""
         latest = itertools.islice(reversed(self.blocked), MAX_REPORTED)
@@ -283,3 +376,9 @@
             for fingerprint in latest
             if self.is_blocked(fingerprint, now)
         }
+
+
+def _enough_crashes(fingerprint: str) -> int:
+    """Returns how many crashes a request or target may be blamed for."""
+    is_target = fingerprints.is_target(fingerprint)
+    return CERTAIN_CRASHES if is_target else LIKELY_CRASHES
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -193,6 +193,7 @@
     def publish(self, now: float) -> None:
         """Publishes this instance's state once."""
         whole = self.board.rate_limiter.next_is_full()
+        blocked = self.board.crashes.blocked_left_s(now) if whole else {}
         self.published_at = now
         self.published_work = self.current_work()
         self.sequence += 1
@@ -207,7 +208,12 @@
             leaving=self.board.stopping,
             limits=self.board.upstream_limits.reports(now),
             crashes=self.board.crashes.reports(now),
-            blocked=self.board.crashes.blocked_left_s(now) if whole else {},
+            blocked=blocked,
+            living=self.board.crashes.living(now),
+            grounds={
+                one: self.board.crashes.grounds.get(one, frozenset())
+                for one in blocked
+            },
         )
         envelope = peer_messages.Envelope(
             instance=self.board.settings.instance,
--- a/oleanderdrift/gateway/peer_crashes.py
+++ b/oleanderdrift/gateway/peer_crashes.py
@@ -20,7 +20,10 @@
         self, peer: str, state: peer_messages.StateUpdate, now: float
     ) -> None:
         """Applies what one peer says."""
-        self.board.crashes.note_blocked(state.blocked, now)
+        for incarnation, age_s in state.living.items():
+            unblocked = self.board.crashes.withdraw(incarnation, now - age_s)
+            crash_detector.log_unblocked(self.events, unblocked)
+        self.board.crashes.note_blocked(state.blocked, now, state.grounds)
         for incarnation, report in state.crashes.items():
             self.log_report(peer, incarnation, report, now)
             blames = self.board.note_peers_crash(
@@ -45,10 +48,11 @@
         If bytes came from it more recently than the crash, it lives.
         """
         upstream = self.board.upstreams.of_incarnation(incarnation)
-        is_known = incarnation in self.board.crashes.crashes
+        crashes = self.board.crashes
         if (
             upstream is None
-            or is_known
+            or incarnation in crashes.crashes
+            or crashes.is_refuted(incarnation, now - report.age_s)
             or self.board.accusations.has(peer, incarnation)
         ):
             return
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -52,7 +52,9 @@
     names all that were ever requested.  work is keyed by upstream and
     complete.  limits holds what this instance heard of upstreams' limits.
     crashes holds the latest crashes, and blocked for how long requests are
-    refused, by fingerprint; it comes with whole updates.
+    refused, by fingerprint; it comes with whole updates, and grounds with it,
+    the crashes for which they are.  living holds for how many seconds
+    upstreams are known to be alive that were said to have crashed.
     """
 
     data_centre: str
@@ -64,6 +66,8 @@
     limits: dict[str, upstream_limits.Report] = {}
     crashes: dict[str, crash_ledger.CrashReport] = {}
     blocked: dict[str, float] = {}
+    living: dict[str, float] = {}
+    grounds: dict[str, frozenset[str]] = {}
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -178,4 +178,8 @@
                 probes=upstream.probe_failures,
                 was_set_aside=upstream.set_aside_at is not None,
             )
+        incarnation = upstream.entry.incarnation()
+        if peers or incarnation in self.board.crashes.crashes:
+            unblocked = self.board.crashes.withdraw(incarnation, now)
+            crash_detector.log_unblocked(self.events, unblocked)
         upstream.take_back()
