Let requests wait for an engine that is silent for a second or so

Silence now has two limits. After 0.9 s an engine is ejected, so that new requests go elsewhere, as before; its open requests are aborted 1.1 s later only. What it costs: a turn at an engine that hangs for good is given up 1.1 s later, and its caller can come back only then.

--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -18,6 +18,8 @@
 
 # Silence time-out of engines: longer than a slow one needs for a long prompt.
 ENGINE_SILENCE_S: typing.Final = 0.9
+# A sound upstream may be silent for a second or so; its requests wait for it.
+ABORT_DELAY_S: typing.Final = 1.1
 # An engine's time for a turn of usual length, without prefill.
 TURN_DECODE_S: typing.Final = 0.33
 # Silence time-out if the upstream's data centre is unreachable.
@@ -58,7 +60,8 @@
     for this instance, the most recent last.  abortable maps connections
     whose requests may be aborted to when these were sent.  last_received is
     when bytes last came from it, and silence_timeout_s how long it may send
-    nothing while such requests wait: only engines send all the time.
+    nothing while such requests wait before others are preferred: only engines
+    send all the time.
     removed_at is when the entry was removed.  set_aside_at is when it was
     taken for crashed although its entry stands; it gets nothing until a probe
     reaches it.  doubted_until is when a peer's word that it has crashed
@@ -146,23 +149,24 @@
     def eject_if_silent(
         self, now: float, unreachable: bool
     ) -> list[channel.Channel]:
-        """Ejects it if requests time out; returns their connections.
+        """Ejects it if it is silent; returns the connections to abort.
 
         unreachable says that its data centre cannot be reached.  One whose
         slots are all taken has to end other requests first.
         """
-        limit_s = self.silence_timeout_s + self.queue_s(now)
+        eject_s = self.silence_timeout_s + self.queue_s(now)
+        abort_s = eject_s + ABORT_DELAY_S
         if unreachable:
-            limit_s = UNREACHABLE_SILENCE_S
-        silent = [
-            connection
+            eject_s = abort_s = UNREACHABLE_SILENCE_S
+        silent_s = {
+            connection: now - max(sent, self.last_received)
             for connection, sent in self.abortable.items()
-            if now - max(sent, self.last_received) > limit_s
-            and not connection.protocol.received
-        ]
-        if silent and not self.is_ejected(now):
+            if not connection.protocol.received
+        }
+        is_silent = any(each > eject_s for each in silent_s.values())
+        if is_silent and not self.is_ejected(now):
             self.note_failure(now)
-        return silent
+        return [one for one, each in silent_s.items() if each > abort_s]
 
     def queue_s(self, now: float) -> float:
         """Returns how long a request waits for a slot, by its load."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -21,7 +21,7 @@
 
 @attrs.frozen(kw_only=True)
 class CompleteResponse:
-    """A complete response; extra is sent after it.
+    """A complete response after pause_s seconds; extra is sent after it.
 
     request_id replaces the Attempt-Id of the request in the response, and
     sealed adds the Response-Seal header.
@@ -33,6 +33,7 @@
     sealed: bool = True
     request_id: str | None = None
     extra: bytes = b''
+    pause_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -209,6 +210,7 @@
         behaviour = self.next_behaviour()
         match behaviour:
             case CompleteResponse():
+                await asyncio.sleep(behaviour.pause_s)
                 writer.write(
                     encode_complete(behaviour, request) + behaviour.extra
                 )
