--- a/oleanderdrift/gateway/crash_detector.py
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -8,6 +8,8 @@
 import asyncio
 import collections
 import collections.abc
+import enum
+import random
 import typing
 
 import attrs
@@ -24,6 +26,27 @@
 # The resets of all connections arrive within this time.
 SETTLE_S: typing.Final = 0.03
 CONNECT_TIMEOUT_S: typing.Final = 0.25
+# Other upstreams that are tried before one is said to have crashed.
+MAX_CONTROLS: typing.Final = 3
+
+
+class WitnessAnswer(enum.Enum):
+    """What a try to reach an upstream showed."""
+
+    REACHED = 'reached'
+    REFUSED = 'refused'
+    NO_ANSWER = 'no answer'
+
+
+Witness: typing.TypeAlias = collections.abc.Callable[
+    [upstreams.Upstream],
+    collections.abc.Coroutine[typing.Any, typing.Any, WitnessAnswer],
+]
+
+
+async def no_witness(upstream: upstreams.Upstream) -> WitnessAnswer:
+    """Says nothing, where there is no second witness."""
+    return WitnessAnswer.NO_ANSWER
 
 
 @attrs.define(kw_only=True)
@@ -38,7 +61,8 @@
     """Watches the open requests of one instance, by upstream.
 
     broken holds those whose answers broke off, until the reason is known.
-    checks holds the tasks that find out.
+    checks holds the tasks that find out.  witness tries an upstream that
+    refuses this instance from elsewhere.
     """
 
     def __init__(
@@ -46,10 +70,14 @@
         board: board_lib.Board,
         pool: connection_pool.Pool,
         events: event_log.EventLog,
+        chance: random.Random,
+        witness: Witness = no_witness,
     ) -> None:
         self.board = board
         self.pool = pool
         self.events = events
+        self.chance = chance
+        self.witness = witness
         self.open: collections.defaultdict[str, dict[str, OpenRequest]] = (
             collections.defaultdict(dict)
         )
@@ -115,6 +143,7 @@
                 self.has_left(upstream)
                 or still_open
                 or not await self.refuses(upstream)
+                or not await self.is_believable(upstream)
             ):
                 return False
             self.record(upstream)
@@ -125,6 +154,10 @@
             if not self.open[incarnation]:
                 del self.open[incarnation]
 
+    def open_at(self, upstream: upstreams.Upstream) -> set[str]:
+        """Returns the ids of the requests that are open at an upstream."""
+        return set(self.open.get(upstream.entry.incarnation(), ()))
+
     def has_left(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether an upstream was to end, after its last requests."""
         if upstream.entry.draining:
@@ -149,6 +182,52 @@
         self.pool.release(key, connection, clock.monotonic())
         return False
 
+    async def is_believable(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream that refuses connections has crashed.
+
+        If nobody else says so, this instance believes itself only while it
+        reaches other upstreams.
+        """
+        answer = await self.witness(upstream)
+        match answer:
+            case WitnessAnswer.REFUSED:
+                return True
+            case WitnessAnswer.REACHED:
+                self.note_doubt(upstream, 'a witness reaches it')
+                return False
+            case WitnessAnswer.NO_ANSWER:
+                pass
+        others = controls(
+            self.board.upstreams.by_id.values(), upstream, self.chance
+        )
+        refused = await asyncio.gather(*map(self.refuses_now, others))
+        if refused and all(refused):
+            names = ','.join(one.entry.upstream_id for one in others)
+            self.note_doubt(upstream, f'{names} cannot be reached either')
+            return False
+        return True
+
+    def note_doubt(self, upstream: upstreams.Upstream, reason: str) -> None:
+        """Records that no crash is reported, and why."""
+        upstream.begin_probes(clock.monotonic(), self.chance)
+        self.events.info(
+            'crash-doubted',
+            upstream=upstream.entry.upstream_id,
+            reason=reason,
+        )
+
+    async def refuses_now(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether a new connection to an upstream fails."""
+        key, entry = upstream.key(), upstream.entry
+        try:
+            connection = await self.pool.open(
+                entry.host, entry.port, CONNECT_TIMEOUT_S
+            )
+        except (OSError, TimeoutError):
+            return True
+        self.pool.release(key, connection, clock.monotonic())
+        return False
+
     def record(self, upstream: upstreams.Upstream) -> None:
         """Records a crash and the requests that were open."""
         now = clock.monotonic()
@@ -165,12 +244,52 @@
             silent=','.join(sorted(report.silent)),
             answering=','.join(sorted(report.answering)),
         )
-        for blame in self.board.note_crash(incarnation, report, now):
-            self.events.info(
-                'request-blocked',
-                fingerprint=blame.fingerprint,
-                block_s=blame.block_s,
-            )
+        upstream.begin_probes(now, self.chance)
+        log_blames(
+            self.events, self.board.note_crash(incarnation, report, now)
+        )
+
+
+def controls(
+    known: collections.abc.Iterable[upstreams.Upstream],
+    suspect: upstreams.Upstream,
+    chance: random.Random,
+) -> list[upstreams.Upstream]:
+    """Returns some upstreams that show whether this instance's links work.
+
+    They are at other addresses than the suspect.  None is returned if all
+    others are set aside.
+    """
+    address = (suspect.entry.host, suspect.entry.port)
+    others = [
+        one
+        for one in known
+        if (one.entry.host, one.entry.port) != address
+        and one.removed_at is None
+        and one.set_aside_at is None
+    ]
+    return chance.sample(others, min(len(others), MAX_CONTROLS))
+
+
+def log_blames(
+    events: event_log.EventLog,
+    blames: collections.abc.Iterable[crash_ledger.Blame],
+) -> None:
+    """Logs which requests or targets are refused from now on."""
+    for blame in blames:
+        events.info(
+            'request-blocked',
+            fingerprint=blame.fingerprint,
+            block_s=blame.block_s,
+        )
+
+
+def log_unblocked(
+    events: event_log.EventLog, unblocked: collections.abc.Iterable[str]
+) -> None:
+    """Logs which requests or targets are no longer refused."""
+    for fingerprint in unblocked:
+        events.info('request-unblocked', fingerprint=fingerprint)
 
 
 def _fingerprints(
