Begin streams only at the start of an upstream that its entry names

The upstream is now asked which start it is on each new connection before a stream that may be continued begins there, and not only before one goes on.

tests/test_gateway_reports.py:: test_stream_of_an_unnoticed_restart_goes_on_at_no_other_version failed before (the second replica got the continuation), and passes now. The double of the versions' tests gives a replica the start that its entry names.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -118,7 +118,7 @@
                 body=progress.body,
                 deadline=progress.deadline,
                 last_event_id=progress.last_event_id,
-                continues=progress.origin is not None,
+                keeps_version=progress.admitted.route.is_resumable_stream(),
             ),
         )
         match outcome:
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -86,15 +86,15 @@
 class Outgoing:
     """What is sent to an upstream; deadline is that of the caller.
 
-    continues says that it is for a stream that an upstream of the same
-    version began, which upstreams do not check.
+    keeps_version says that it is for a stream that only upstreams of one
+    software version may run, from its beginning on; they do not check it.
     """
 
     admitted: admission.Admitted
     body: bytes
     deadline: float
     last_event_id: str | None
-    continues: bool
+    keeps_version: bool
 
 
 async def send_request(
@@ -124,7 +124,7 @@
     except (OSError, TimeoutError) as error:
         return NotConnected(reason=repr(error))
     try:
-        if outgoing.continues and not await is_incarnation(
+        if outgoing.keeps_version and not await is_incarnation(
             connection, codec, entry
         ):
             return NotConnected(reason='the upstream has started again')
--- a/tests/gateway_versions.py
+++ b/tests/gateway_versions.py
@@ -31,12 +31,12 @@
 def set_version(
     harness: gateway_desk.Harness, number: int, **changes: typing.Any
 ) -> None:
-    """Lets a replica be of another version, or other in its entry."""
-    harness.forwarder.board.upstreams.put(
-        gateway_support.entry(
-            f'u{number}', port=harness.replicas[number].port, **changes
-        )
+    """Lets a replica be of another version or start, as its entry says."""
+    entry = gateway_support.entry(
+        f'u{number}', port=harness.replicas[number].port, **changes
     )
+    harness.replicas[number].born_ms = entry.born_ms
+    harness.forwarder.board.upstreams.put(entry)
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_gateway_reports.py
+++ b/tests/test_gateway_reports.py
@@ -6,6 +6,7 @@
 import pytest
 
 from oleanderdrift.platform import codec
+from tests import gateway_desk
 from tests import gateway_versions
 
 EARLIER_REFUSAL: typing.Final = (
@@ -19,15 +20,38 @@
 NO_REPORT: typing.Final = b'HTTP/1.1 500 Answer\r\nContent-Length: 0\r\n\r\n'
 
 
+def close_idle(harness: gateway_desk.Harness) -> None:
+    """Closes the idle connections, as a restart of the replicas does."""
+    for kept in harness.forwarder.attempts.pool.idle.values():
+        for connection in kept:
+            connection.close()
+
+
+def test_stream_of_an_unnoticed_restart_goes_on_at_no_other_version() -> None:
+    """The entry that names the new version comes only after the stream."""
+
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1', 'v1') as harness:
+            gateway_versions.load(harness, 1)
+            harness.replicas[0].born_ms = 2
+            await harness.send_request()
+            begun_there = gateway_versions.served(harness, 0)
+            gateway_versions.set_version(harness, 0, version='v2', born_ms=2)
+            await harness.forwarder.origins.update(gateway_versions.now())
+            gateway_versions.load(harness, 0)
+            await gateway_versions.continue_stream(harness)
+            assert begun_there == 0 or gateway_versions.served(harness, 1) == 0
+
+    asyncio.run(scenario())
+
+
 def test_upstream_restarted_under_its_id_gets_no_stream_of_before() -> None:
     """Its entry is still that of the start before, with other software."""
 
     async def scenario() -> None:
         async with gateway_versions.run_versions('v1') as harness:
             await harness.send_request()
-            (kept,) = harness.forwarder.attempts.pool.idle.values()
-            for connection in kept:
-                connection.close()
+            close_idle(harness)
             harness.replicas[0].born_ms = 2
             gateway_versions.check_refused(
                 harness, await gateway_versions.continue_stream(harness)
@@ -50,6 +74,7 @@
     async def scenario() -> None:
         async with gateway_versions.run_versions('v1') as harness:
             await harness.send_request()
+            close_idle(harness)
             harness.replicas[0].born_ms = 2
             harness.replicas[0].before_report = before
             gateway_versions.check_refused(
@@ -69,8 +94,11 @@
             'v1', 'v1', behaviours={0: gateway_versions.CUT}, attempts=1
         ) as harness:
             gateway_versions.load(harness, 1)
+            task = asyncio.create_task(harness.send_request())
+            while not gateway_versions.served(harness, 0):
+                await asyncio.sleep(0)
             harness.replicas[0].silent_report = True
-            reply = await harness.send_request()
+            reply = await task
             assert reply.ended == 'aborted'
             assert gateway_versions.served_each(harness) == [1, 0]
 
