Let nothing come between a whole response and its end

What callers saw: a refusal or answer that was whole, then their next request on that connection ended without an answer.

Cause: the head with the whole body was written and awaited, and only then was the response marked as ended. What failed or was cancelled in between closed the connection as that of a response cut short, and the next request crossed it.

A response whose body is known is now ended as it is written.

--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -296,12 +296,15 @@
         if self.close_announced:
             fields['Connection'] = 'close'
         start_line = httputil.ResponseStartLine('HTTP/1.1', status, 'Answer')
-        return self.conn.write_headers(start_line, fields, body or None)
+        sending = self.conn.write_headers(start_line, fields, body or None)
+        if body is not None:
+            # Nothing can come between a whole response and its end.
+            self.end()
+        return sending
 
     def refuse(self, status: int, headers: reply_lib.Headers) -> None:
         """Sends a complete response without a body; does not wait."""
         sending = self.start_head(status, headers, b'')
-        self.end()
         if self.close_announced:
             sending.add_done_callback(lambda _: self.abort())
 
@@ -325,7 +328,7 @@
     ) -> None:
         """Sends a complete response."""
         await self.write_head(status, headers, body)
-        await self.finish()
+        await self.close_as_announced()
 
     async def start(self, status: int, headers: reply_lib.Headers) -> None:
         """Sends the status and headers of a response of unknown length."""
@@ -336,8 +339,12 @@
         await self.wait_until_sent(self.conn.write(chunk))
 
     async def finish(self) -> None:
-        """Marks the response as complete."""
+        """Marks a response of unknown length as complete."""
         self.end()
+        await self.close_as_announced()
+
+    async def close_as_announced(self) -> None:
+        """Closes the connection if the client was told so."""
         # Without a Connection: close header the client may already have
         # sent its next request, so the connection stays open.
         if self.close_announced:
--- a/oleanderdrift/gateway/reply.py
+++ b/oleanderdrift/gateway/reply.py
@@ -34,7 +34,7 @@
         """Sends a chunk of the body."""
 
     async def finish(self) -> None:
-        """Marks the response as complete."""
+        """Marks a response of unknown length as complete."""
 
     def abort(self) -> None:
         """Ends the response so that the client sees it as incomplete."""
