Let a drain wait for work whose caller has left

A request that is not idempotent goes on when its client leaves. Since the drain ends with the last connection, it would have ended before such a request and cut it at its upstream.

--- a/oleanderdrift/gateway/drain.py
+++ b/oleanderdrift/gateway/drain.py
@@ -53,7 +53,8 @@
             self.ingress.close_idle(clock.monotonic(), IDLE_TIMEOUT_S)
             # Also gives the connections just accepted the time to begin.
             await asyncio.sleep(POLL_INTERVAL_S)
-            if not self.ingress.readers:
+            # A request may go on when its client has left.
+            if not self.ingress.readers and not self.board.open_requests:
                 break
         if self.board.open_requests:
             logs.warning('requests-cut', open=self.board.open_requests)
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -106,6 +106,34 @@
     asyncio.run(play())
 
 
+def test_stop_waits_for_work_whose_caller_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A request that is not idempotent goes on once it was sent."""
+    route = {**whole.ROUTE, 'Kind': 'keyed', 'Retain': False}
+
+    async def play() -> None:
+        monkeypatch.setattr(drain, 'LOAD_BALANCER_GRACE_S', 0.0)
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [replica.Stream(pause_s=0.1)]
+            await whole.make_ready(env)
+            env.write_config(Version=2, Routes=[route])
+            board = env.gateway.board
+            await env.wait_until(
+                lambda: bool(board.config and board.config.version == 2)
+            )
+            client = send_blocking(env.port, b'q1')
+            await env.wait_until(lambda: bool(env.replica.received))
+            client.close()
+            readers = env.gateway.ingress.readers
+            await env.wait_until(lambda: not readers)
+            assert board.open_requests
+            await env.gateway.drain()
+            assert not board.open_requests
+
+    asyncio.run(play())
+
+
 def test_settlements_of_all_partitions_are_written_together() -> None:
     """One slow partition does not hold up the others at the end."""
 
