Fail the inputs of a batch whatever its append raises

What callers saw, by the code: their stream was cut at its end after 1.5 s, as the store had not answered; also for turns whose inputs came while the batch was being appended, until another turn began.

Cause: one task appends the inputs of many requests, and told them only of failures with a code. After any other exception nobody resolved what they wait for, and nobody appended what was queued behind them.

Evidence: test_inputs_behind_an_unforeseen_failure_are_stored failed on the code before (TimeoutError). The class is that of the request without an end: the task that may fail is the one that has to report its failure.

--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -81,6 +81,14 @@
             except errors.ResultError as error:
                 _fail_all(batch, error)
                 continue
+            except Exception as error:
+                # The inputs that came meanwhile are still to be appended.
+                logs.warning('inputs-not-appended', reason=repr(error))
+                _fail_all(
+                    batch,
+                    errors.ResultError(codes.LOG_UNAVAILABLE, repr(error)),
+                )
+                continue
             for one in batch:
                 location = records.InputLocation(
                     part=partition,
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -89,6 +89,34 @@
     assert asyncio.run(scenario()).size == len(b'second')
 
 
+def test_inputs_behind_an_unforeseen_failure_are_stored(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Both inputs of the first batch fail at once, the later one is kept."""
+
+    async def fail(*_: object) -> tuple[int, int]:
+        await asyncio.sleep(0)
+        monkeypatch.undo()
+        raise ValueError('injected')
+
+    async def scenario() -> list[records.InputLocation | BaseException]:
+        log = make_turn_log(gateway_support.MemoryLog(), 'north-1')
+        monkeypatch.setattr(turn_log.TurnLog, 'append_with_failover', fail)
+        names = (b'first', b'second')
+        inputs = [asyncio.create_task(log.append_input(one)) for one in names]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        inputs.append(asyncio.create_task(log.append_input(b'third')))
+        async with asyncio.timeout(5):
+            return await asyncio.gather(*inputs, return_exceptions=True)
+
+    first, second, third = asyncio.run(scenario())
+    for failed in (first, second):
+        assert isinstance(failed, errors.ResultError)
+        assert failed.code is codes.LOG_UNAVAILABLE
+    assert isinstance(third, records.InputLocation)
+
+
 def test_long_input_is_stored_in_chunks() -> None:
     async def scenario() -> bytes:
         log = gateway_support.MemoryLog(record_bytes=2_048)
