Restart a background task that was cancelled by what it waited for

What callers could have seen: an instance that served on from a configuration, entries or states of peers that were no longer updated. Not seen to happen.

Cause: only exceptions restarted a background task. A cancellation that was not its own, as of a shared read that it waited for, ended it for good, and so did a return; neither left a line.

Evidence: two of three rows of test_failed_background_task_is_restarted failed on the code before ("assert not True": the task was done). A task that is cancelled itself, as in a drain, still ends.

--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -117,20 +117,27 @@
             self.tasks.append(task)
 
     async def supervise(self, function: TaskFunction) -> None:
-        """Runs a background task and restarts it after an exception.
+        """Runs a background task until cancelled; restarts it if it ends.
 
         Without one of its tasks, the instance would go on serving from
         state that is no longer updated.
         """
         while True:
+            reason = 'it returned'
             try:
                 await function()
-                return
+            except asyncio.CancelledError as error:
+                own = asyncio.current_task()
+                if own is None or own.cancelling():
+                    raise
+                # Something that it waited for was cancelled.
+                reason = repr(error)
             except Exception as error:
-                self.events.info(
-                    'task-failed', task=function.__name__, reason=repr(error)
-                )
-                await asyncio.sleep(RESTART_DELAY_S)
+                reason = repr(error)
+            self.events.info(
+                'task-failed', task=function.__name__, reason=reason
+            )
+            await asyncio.sleep(RESTART_DELAY_S)
 
     async def run_housekeeping(self) -> None:
         """Writes settlements and discards expired state until cancelled."""
--- a/tests/test_gateway_whole.py
+++ b/tests/test_gateway_whole.py
@@ -291,8 +291,11 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(
+    'failure', [ValueError('injected'), asyncio.CancelledError(), None]
+)
 def test_failed_background_task_is_restarted(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, failure: BaseException | None
 ) -> None:
     async def play() -> None:
         monkeypatch.setattr(server, 'RESTART_DELAY_S', 0.001)
@@ -302,11 +305,15 @@
             async def failing() -> None:
                 nonlocal started
                 started += 1
-                raise ValueError('injected failure')
+                if failure is not None:
+                    raise failure
 
             task = asyncio.create_task(env.gateway.supervise(failing))
-            await env.wait_until(lambda: started > 2)
+            await env.wait_until(lambda: started > 2 or task.done())
+            assert not task.done()
             task.cancel()
+            await asyncio.wait([task])
+            assert task.cancelled()
 
     asyncio.run(play())
 
