Keep logging after a line that cannot be encoded

Cause: the thread that writes the log foresaw only OSError. A line with a character that the output's encoding lacks, as an id from a caller's header on an ASCII output, ended it, and the instance logged nothing from then on.

Evidence: test_line_that_cannot_be_encoded_does_not_end_the_log failed on the code before ("UnicodeEncodeError: 'ascii' codec can't encode character"). Such a batch now counts as lost, as one whose reader is gone.

--- a/oleanderdrift/gateway/event_log.py
+++ b/oleanderdrift/gateway/event_log.py
@@ -82,8 +82,9 @@
             try:
                 self.file.write(''.join(texts))
                 self.file.flush()
-            except OSError:
-                # The reader is gone, so the failure cannot be logged.
+            except (OSError, ValueError):
+                # The reader is gone or cannot take a character of a line, so
+                # the failure cannot be logged.
                 self.lost += len(texts)
 
 
--- a/tests/test_gateway_event_log.py
+++ b/tests/test_gateway_event_log.py
@@ -1,5 +1,6 @@
 """Tests of the rate-limited, non-blocking log."""
 
+import collections.abc
 import io
 import os
 import threading
@@ -46,6 +47,24 @@
     assert file.getvalue() == 'event=a\nevent=lines-lost n=3\n'
 
 
+def test_line_that_cannot_be_encoded_does_not_end_the_log() -> None:
+    data = io.BytesIO()
+    file = io.TextIOWrapper(data, encoding='ascii', write_through=True)
+    output = event_log.BoundedOutput(file)
+    output.write('event=request request=\xe9\n')
+    wait_until(lambda: output.lost == 1)
+    output.write('event=b\n')
+    output.close()
+    assert data.getvalue() == b'event=b\nevent=lines-lost n=1\n'
+
+
+def wait_until(condition: collections.abc.Callable[[], bool]) -> None:
+    """Waits until the condition is true."""
+    until = time.monotonic() + 5.0
+    while not condition() and time.monotonic() < until:
+        time.sleep(0.001)
+
+
 def test_each_kind_of_event_is_rate_limited(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
