Move the reply of a connection out of the ingress

The ingress had grown to reading, closing and writing. No change of behaviour; the reply is given the board instead of the ingress, of which it used only that.

--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -6,18 +6,16 @@
 
 from tornado import http1connection
 from tornado import httputil
-from tornado import iostream
 from tornado import netutil
 
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
-from oleanderdrift.gateway import progress as progress_lib
-from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import request_end
 
 READ_BYTES: typing.Final = 65_536
@@ -144,7 +142,9 @@
         self.idle_since = clock.monotonic()
         self.idle_timeout_s = ingress.limits.idle_timeout_s
         self.closed = False
-        self.reply = ConnectionReply(conn, ingress)
+        self.reply = connection_reply.ConnectionReply(
+            conn, ingress.forwarder.board
+        )
         self.task: asyncio.Task[None] | None = None
         stream = getattr(conn, 'stream', None)
         self.stream: client_stream.ClientStream | None = None
@@ -234,7 +234,7 @@
         if self.task is not None:
             self.task.cancel()
 
-    async def respond(self, reply: 'ConnectionReply') -> None:
+    async def respond(self, reply: connection_reply.ConnectionReply) -> None:
         """Decodes the request and has the forwarder serve it."""
         if self.head_bytes() > self.ingress.limits.header_bytes:
             await reply.send_complete(codes.HEAD_TOO_LARGE.status, [], b'')
@@ -253,122 +253,3 @@
         except Exception as error:
             raise errors.ResultError(codes.BAD_REQUEST, repr(error)) from error
         await self.ingress.forwarder.serve(request, reply)
-
-
-class ConnectionReply:
-    """Writes one response to a client connection."""
-
-    def __init__(
-        self, conn: httputil.HTTPConnection, ingress: Ingress
-    ) -> None:
-        self.conn = conn
-        self.ingress = ingress
-        self.started = False
-        self.progress: progress_lib.Progress | None = None
-        self.ended = False
-        self.close_announced = False
-
-    def should_close(self) -> bool:
-        """Returns whether the client should reconnect for its next request.
-
-        This is the case while the instance is not ready, as in a drain.
-        """
-        board = self.ingress.forwarder.board
-        return not board.is_ready(clock.monotonic(), clock.boot())
-
-    async def write_head(
-        self, status: int, headers: reply_lib.Headers, body: bytes | None
-    ) -> None:
-        """Sends the status and headers, and the body if it is given."""
-        await self.wait_until_sent(self.start_head(status, headers, body))
-
-    def start_head(
-        self, status: int, headers: reply_lib.Headers, body: bytes | None
-    ) -> 'asyncio.Future[None]':
-        """Begins to send what write_head sends."""
-        self.started = True
-        fields = httputil.HTTPHeaders()
-        for name, value in headers:
-            fields.add(name, value)
-        if body is not None:
-            fields['Content-Length'] = str(len(body))
-        self.close_announced = self.should_close()
-        if self.close_announced:
-            fields['Connection'] = 'close'
-        start_line = httputil.ResponseStartLine('HTTP/1.1', status, 'Answer')
-        sending = self.conn.write_headers(start_line, fields, body or None)
-        if body is not None:
-            # Nothing can come between a whole response and its end.
-            self.end()
-        return sending
-
-    def refuse(self, status: int, headers: reply_lib.Headers) -> None:
-        """Sends a complete response without a body; does not wait."""
-        sending = self.start_head(status, headers, b'')
-        if self.close_announced:
-            sending.add_done_callback(lambda _: self.abort())
-
-    def is_disconnected(self) -> bool:
-        """Returns whether the connection is closed."""
-        stream = getattr(self.conn, 'stream', None)
-        return stream is not None and bool(stream.closed())
-
-    async def wait_until_sent(self, future: 'asyncio.Future[None]') -> None:
-        """Waits for a write.
-
-        Raises ClientDisconnectedError if the connection is closed.
-        """
-        try:
-            await future
-        except (iostream.StreamClosedError, OSError) as error:
-            raise reply_lib.ClientDisconnectedError from error
-
-    async def send_complete(
-        self, status: int, headers: reply_lib.Headers, body: bytes
-    ) -> None:
-        """Sends a complete response."""
-        await self.write_head(status, headers, body)
-        await self.close_as_announced()
-
-    async def start(self, status: int, headers: reply_lib.Headers) -> None:
-        """Sends the status and headers of a response of unknown length."""
-        await self.write_head(status, headers, None)
-
-    async def write(self, chunk: bytes) -> None:
-        """Sends a chunk of the body."""
-        await self.wait_until_sent(self.conn.write(chunk))
-
-    async def finish(self) -> None:
-        """Marks a response of unknown length as complete."""
-        self.end()
-        await self.close_as_announced()
-
-    async def close_as_announced(self) -> None:
-        """Closes the connection if the client was told so."""
-        # Without a Connection: close header the client may already have
-        # sent its next request, so the connection stays open.
-        if self.close_announced:
-            await self.flush()
-            self.abort()
-
-    def end(self) -> None:
-        """Ends the response; the rest of it is still being sent."""
-        self.ended = True
-        self.conn.finish()
-
-    async def flush(self) -> None:
-        """Waits until all that was written is handed to the kernel.
-
-        Closing the connection drops what is not.  Tornado may have closed it
-        already, once all was written.
-        """
-        stream = getattr(self.conn, 'stream', None)
-        if stream is not None and not stream.closed():
-            await self.wait_until_sent(stream.write(b''))
-
-    def abort(self) -> None:
-        """Closes the connection at once."""
-        self.ended = True
-        stream = getattr(self.conn, 'stream', None)
-        if stream is not None:
-            stream.close()
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -11,9 +11,10 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import budget_log
+from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import drain
-from oleanderdrift.gateway import ingress
 from standins import platform_store
 from standins import replica
 from tests import gateway_support
@@ -186,9 +187,9 @@
 def test_response_is_sent_whole_before_its_connection_closes() -> None:
     async def play() -> None:
         conn = FakeConnection()
-        reply = ingress.ConnectionReply(
+        reply = connection_reply.ConnectionReply(
             typing.cast(httputil.HTTPConnection, conn),
-            typing.cast(ingress.Ingress, None),
+            typing.cast(board_lib.Board, None),
         )
         reply.close_announced = True
         finishing = asyncio.create_task(reply.finish())
@@ -207,9 +208,9 @@
     async def play() -> None:
         conn = FakeConnection()
         conn.stream.is_closed = True
-        reply = ingress.ConnectionReply(
+        reply = connection_reply.ConnectionReply(
             typing.cast(httputil.HTTPConnection, conn),
-            typing.cast(ingress.Ingress, None),
+            typing.cast(board_lib.Board, None),
         )
         reply.close_announced = True
         await reply.finish()
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -7,10 +7,13 @@
 import pytest
 from tornado import httputil
 
+from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import ingress
 from oleanderdrift.platform import codec
+from tests import gateway_support
 
 IDLE_S: typing.Final = 1.0
 
@@ -20,6 +23,7 @@
     """A stand-in that counts the requests it is given."""
 
     served: int = 0
+    board: board_lib.Board = attrs.field(factory=gateway_support.board)
     events: event_log.EventLog = attrs.field(factory=event_log.EventLog)
 
     async def serve(self, request: object, reply: object) -> None:
@@ -49,7 +53,7 @@
         )
         aborted: list[object] = []
         monkeypatch.setattr(
-            ingress.ConnectionReply,
+            connection_reply.ConnectionReply,
             'abort',
             lambda reply: aborted.append(reply.conn),
         )
--- a/tests/test_gateway_request_chaos.py
+++ b/tests/test_gateway_request_chaos.py
@@ -16,9 +16,9 @@
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import answer_relay
 from oleanderdrift.gateway import attempts
+from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import forwarder
-from oleanderdrift.gateway import ingress
 from oleanderdrift.gateway import request_end
 from oleanderdrift.gateway import server
 from oleanderdrift.gateway import turn_flow
@@ -55,11 +55,11 @@
     (answer_relay.AnswerRelay, 'relay'),
     (answer_relay.AnswerRelay, 'relay_stream'),
     (answer_relay.AnswerRelay, 'relay_event'),
-    (ingress.ConnectionReply, 'write_head'),
-    (ingress.ConnectionReply, 'send_complete'),
-    (ingress.ConnectionReply, 'write'),
-    (ingress.ConnectionReply, 'finish'),
-    (ingress.ConnectionReply, 'flush'),
+    (connection_reply.ConnectionReply, 'write_head'),
+    (connection_reply.ConnectionReply, 'send_complete'),
+    (connection_reply.ConnectionReply, 'write'),
+    (connection_reply.ConnectionReply, 'finish'),
+    (connection_reply.ConnectionReply, 'flush'),
 )
 CALLED: typing.Final[tuple[tuple[typing.Any, str], ...]] = (
     (codec.PlatformCodec, 'decode_request'),
