Name the request in a refusal before its admission, and log it

What callers saw: a 400 without the id of their request, and no line in any log, so that a complaint could not be followed.

The refusal now has the id, and request-refused has id, code and detail.

--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -236,20 +236,42 @@
 
     async def respond(self, reply: connection_reply.ConnectionReply) -> None:
         """Decodes the request and has the forwarder serve it."""
-        if self.head_bytes() > self.ingress.limits.header_bytes:
-            await reply.send_complete(codes.HEAD_TOO_LARGE.status, [], b'')
-            return
         try:
-            request = self.ingress.codec.decode_request(
-                self.start_line.method,
-                self.start_line.path,
-                self.headers,
-                b''.join(self.body_chunks),
-                self.received_at,
-            )
+            request = self.decode()
         except errors.ResultError as error:
-            await reply.send_complete(error.code.status, [], b'')
+            await self.refuse(reply, error)
             return
         except Exception as error:
             raise errors.ResultError(codes.BAD_REQUEST, repr(error)) from error
         await self.ingress.forwarder.serve(request, reply)
+
+    def decode(self) -> model.Request:
+        """Returns the request; raises ResultError if it is refused."""
+        if self.head_bytes() > self.ingress.limits.header_bytes:
+            raise errors.ResultError(codes.HEAD_TOO_LARGE)
+        return self.ingress.codec.decode_request(
+            self.start_line.method,
+            self.start_line.path,
+            self.headers,
+            b''.join(self.body_chunks),
+            self.received_at,
+        )
+
+    async def refuse(
+        self,
+        reply: connection_reply.ConnectionReply,
+        error: errors.ResultError,
+    ) -> None:
+        """Refuses a request that cannot be decoded; logs why."""
+        codec = self.ingress.codec
+        request_id = codec.request_id(self.headers)
+        self.ingress.forwarder.events.info(
+            'request-refused',
+            request=request_id,
+            code=error.code.number,
+            detail=error.detail[: request_end.LOGGED_CHARACTERS],
+        )
+        headers = codec.refusal_headers(
+            request_id or None, error.retry_after_s
+        )
+        await reply.send_complete(error.code.status, headers, b'')
--- a/tests/test_gateway_request_end.py
+++ b/tests/test_gateway_request_end.py
@@ -429,16 +429,21 @@
     ],
 )
 def test_whole_request_with_an_odd_header_gets_an_answer(
-    header: str, status: int
+    lines: Lines, header: str, status: int
 ) -> None:
+    """A refusal has the request's id, and so has its line."""
+
     async def play() -> None:
         async with whole.run_environment() as env:
             await whole.make_ready(env)
             async with asyncio.timeout(END_WITHIN_S):
                 answer = await send(env, f'{HEAD}{header}\r\n\r\n')
             assert answer.startswith(f'HTTP/1.1 {status} '.encode())
+            assert b'Attempt-Id: q1' in answer
 
     asyncio.run(play())
+    refused = [one['request'] for one in named(lines, 'request-refused')]
+    assert refused == (['q1'] if status == 400 else [])
 
 
 async def send(env: whole.Environment, data: str) -> bytes:
