Take only an upstream's report for a proof that it lives

No caller was seen to be harmed; found by reading the probes again. A probe took an idle connection that had been verified earlier for a sign of life, though its end may not have been heard of (a lost reset), withdrew the crash and told the peers so: one instance could have overturned a true crash for all, and the request that causes it would have gone on.

A probe asks for the report each time, also on an idle connection; only the report withdraws a crash and is told to the peers. A connection on which no report comes, or a request that stays open, is unclear: the upstream is used only where there is no other, and probed again, until one or the other is known. A connection whose end shows at the probe is replaced by a new one.

--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import enum
 import random
 import typing
 
@@ -22,7 +23,17 @@
 MAX_OPEN_PROBES: typing.Final = 16
 CHECK_INTERVAL_S: typing.Final = 0.1
 
-WitnessAnswer: typing.TypeAlias = crash_detector.WitnessAnswer
+
+class Finding(enum.Enum):
+    """What a probe says of an upstream.
+
+    LIVES needs its report.  UNCLEAR is a connection without a report, or a
+    request that has stayed open.
+    """
+
+    LIVES = 'lives'
+    UNCLEAR = 'unclear'
+    UNREACHED = 'unreached'
 
 
 def due(
@@ -83,92 +94,97 @@
     async def probe(self, upstream: upstreams_lib.Upstream) -> None:
         """Probes one upstream."""
         try:
-            reach = await self.try_to_reach(upstream)
-            self.conclude(upstream, reach, clock.monotonic())
+            finding = await self.examine(upstream)
+            self.conclude(upstream, finding, clock.monotonic())
         finally:
             self.tasks.pop(upstream.entry.incarnation(), None)
 
-    async def try_to_reach(
-        self, upstream: upstreams_lib.Upstream
-    ) -> WitnessAnswer:
-        """Returns whether an upstream, in this start of it, can be reached.
-
-        A request that stays open there shows it as well: where only new
-        connections are refused, old ones live on.
-        """
+    async def examine(self, upstream: upstreams_lib.Upstream) -> Finding:
+        """Finds out whether an upstream lives, in this start of it."""
         before = self.crashes.open_at(upstream)
-        reach = await self.connect(upstream)
-        if reach is WitnessAnswer.REACHED or not before:
-            return reach
-        await asyncio.sleep(crash_detector.SETTLE_S)
-        if before & self.crashes.open_at(upstream):
-            return WitnessAnswer.REACHED
-        return reach
-
-    async def connect(self, upstream: upstreams_lib.Upstream) -> WitnessAnswer:
-        """Returns how a connection to an upstream turns out.
-
-        One that is established is kept for requests.
+        finding = await self.ask(upstream)
+        if finding is Finding.UNREACHED and before:
+            await asyncio.sleep(crash_detector.SETTLE_S)
+            if before & self.crashes.open_at(upstream):
+                return Finding.UNCLEAR
+        return finding
+
+    async def ask(self, upstream: upstreams_lib.Upstream) -> Finding:
+        """Asks an upstream which start it is, also on an idle connection.
+
+        Where only new connections are refused, idle ones live on; but one
+        may have been closed without this instance having heard of it.
         """
-        key, entry = upstream.key(), upstream.entry
-        try:
-            connection = await self.pool.acquire(
-                key,
-                entry.host,
-                entry.port,
-                crash_detector.CONNECT_TIMEOUT_S,
-                clock.monotonic(),
-            )
-        except ConnectionError:
-            return WitnessAnswer.REFUSED
-        except (OSError, TimeoutError):
-            return WitnessAnswer.NO_ANSWER
-        try:
-            if not await exchange.is_incarnation(
-                connection, self.codec, entry
-            ):
-                return WitnessAnswer.REFUSED
-        except (TimeoutError, channel.ChannelError):
-            return WitnessAnswer.NO_ANSWER
-        self.pool.release(key, connection, clock.monotonic())
-        return WitnessAnswer.REACHED
+        key = upstream.key()
+        while True:
+            was_idle = self.pool.has_idle(key, clock.monotonic())
+            try:
+                connection = await self.pool.acquire(
+                    key,
+                    upstream.entry.host,
+                    upstream.entry.port,
+                    crash_detector.CONNECT_TIMEOUT_S,
+                    clock.monotonic(),
+                )
+            except (OSError, TimeoutError):
+                return Finding.UNREACHED
+            connection.is_verified = False
+            try:
+                if not await exchange.is_incarnation(
+                    connection, self.codec, upstream.entry
+                ):
+                    return Finding.UNREACHED
+            except TimeoutError:
+                return Finding.UNCLEAR
+            except channel.ChannelError:
+                if was_idle:
+                    continue
+                return Finding.UNCLEAR
+            self.pool.release(key, connection, clock.monotonic())
+            return Finding.LIVES
 
     def conclude(
-        self,
-        upstream: upstreams_lib.Upstream,
-        reach: WitnessAnswer,
-        now: float,
+        self, upstream: upstreams_lib.Upstream, finding: Finding, now: float
     ) -> None:
         """Takes an upstream back, or believes those who say it crashed."""
+        match finding:
+            case Finding.LIVES:
+                self.take_back(upstream, now)
+            case Finding.UNCLEAR:
+                upstream.schedule_probe(now, self.chance)
+                if upstream.set_aside_at is None:
+                    upstream.doubted_until = (
+                        upstream.probe_at + upstreams_lib.DOUBT_S
+                    )
+            case Finding.UNREACHED:
+                upstream.schedule_probe(now, self.chance)
+                self.believe(upstream, now)
+
+    def believe(self, upstream: upstreams_lib.Upstream, now: float) -> None:
+        """Records the crash of an upstream that peers told of, if any did."""
         incarnation = upstream.entry.incarnation()
         reports = self.board.accusations.take(incarnation, now)
-        peers = ','.join(sorted(reports))
-        if reach is WitnessAnswer.REACHED:
-            self.take_back(upstream, peers, now)
-            return
-        upstream.schedule_probe(now, self.chance)
         if not reports:
             return
         upstream.set_aside(now)
         self.events.info(
             'crash-believed',
             upstream=upstream.entry.upstream_id,
-            peers=peers,
-            reach=reach.value,
+            peers=','.join(sorted(reports)),
         )
         for report in reports.values():
             blames = self.board.crashes.note_crash(incarnation, report, now)
             crash_detector.log_blames(self.events, blames)
 
-    def take_back(
-        self, upstream: upstreams_lib.Upstream, peers: str, now: float
-    ) -> None:
+    def take_back(self, upstream: upstreams_lib.Upstream, now: float) -> None:
         """Sends an upstream requests again."""
-        if peers:
+        incarnation = upstream.entry.incarnation()
+        reports = self.board.accusations.take(incarnation, now)
+        if reports:
             self.events.info(
                 'crash-contradicted',
                 upstream=upstream.entry.upstream_id,
-                peers=peers,
+                peers=','.join(sorted(reports)),
             )
         if upstream.probe_failures:
             self.events.info(
@@ -178,8 +194,7 @@
                 probes=upstream.probe_failures,
                 was_set_aside=upstream.set_aside_at is not None,
             )
-        incarnation = upstream.entry.incarnation()
-        if peers or incarnation in self.board.crashes.crashes:
+        if reports or incarnation in self.board.crashes.crashes:
             unblocked = self.board.crashes.withdraw(incarnation, now)
             crash_detector.log_unblocked(self.events, unblocked)
         upstream.take_back()
