Take back upstreams that write no report

Those of some services answer 400 where a report is asked for, which the probe took for no answer: one that had been set aside would have stayed away until its entry changed.

Any answer shows now that requests can be served, so the upstream is used again. It does not say which start answers. So the crash is withdrawn at once only if it is less than a second old, and else once the same entry still stands 2 s after the first answer: the entry of another start would have been read by then.

--- a/oleanderdrift/gateway/accusations.py
+++ b/oleanderdrift/gateway/accusations.py
@@ -43,6 +43,16 @@
         """Returns whether a peer's report waits to be checked."""
         return peer in self.by_incarnation.get(incarnation, {})
 
+    def earliest(self, incarnation: str) -> float:
+        """Returns when an upstream crashed by the first; infinity if none."""
+        return min(
+            (
+                one.received - one.report.age_s
+                for one in self.by_incarnation.get(incarnation, {}).values()
+            ),
+            default=float('inf'),
+        )
+
     def take(
         self, incarnation: str, now: float
     ) -> dict[str, crash_ledger.CrashReport]:
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -26,6 +26,10 @@
 REPORT_STATUS: typing.Final = 200
 
 
+class NoReportError(channel.ChannelError):
+    """The upstream answered, but not with a report: not all write one."""
+
+
 @attrs.frozen(kw_only=True)
 class NotConnected:
     """The connection failed, so the request was not executed."""
@@ -212,7 +216,8 @@
     """Returns an upstream's report.
 
     Raises ChannelError if another answer comes in its place, as a second
-    copy of the answer to an earlier request would.
+    copy of the answer to an earlier request would, NoReportError if the
+    upstream writes none.
     """
     headers = [('Host', f'{entry.host}:{entry.port}')]
     await connection.send('GET', codec.report_target, headers, b'')
@@ -220,10 +225,15 @@
     head = codec.decode_upstream_head(
         raw.status, raw.headers, is_framed=raw.is_framed
     )
-    if head.status != REPORT_STATUS or head.request_id is not None:
+    if head.request_id is not None:
         raise channel.ChannelError(
             channel.Failure.MALFORMED,
-            f'status {head.status} of {head.request_id} is no report',
+            f'the answer to {head.request_id} is no report',
+        )
+    if head.status != REPORT_STATUS:
+        raise NoReportError(
+            channel.Failure.MALFORMED,
+            f'status {head.status} is no report',
         )
     return await connection.read_body(channel.MAX_SKIPPED_BYTES)
 
--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -21,17 +21,23 @@
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
 MAX_OPEN_PROBES: typing.Final = 16
+# Too soon after a crash for the upstream to have started again.
+RESTART_S: typing.Final = 1.0
+# The entry of another start is read within this time.
+CONFIRM_S: typing.Final = 2.0
 CHECK_INTERVAL_S: typing.Final = 0.1
 
 
 class Finding(enum.Enum):
     """What a probe says of an upstream.
 
-    LIVES needs its report.  UNCLEAR is a connection without a report, or a
-    request that has stayed open.
+    LIVES needs its report.  ANSWERS is an answer of one that writes none, so
+    that it may have started again.  UNCLEAR is a connection without an answer,
+    or a request that has stayed open.
     """
 
     LIVES = 'lives'
+    ANSWERS = 'answers'
     UNCLEAR = 'unclear'
     UNREACHED = 'unreached'
 
@@ -134,11 +140,16 @@
                     connection, self.codec, upstream.entry
                 ):
                     return Finding.UNREACHED
-            except TimeoutError:
-                return Finding.UNCLEAR
-            except channel.ChannelError:
-                if was_idle:
+            except exchange.NoReportError:
+                return Finding.ANSWERS
+            except (TimeoutError, channel.ChannelError) as error:
+                if was_idle and isinstance(error, channel.ChannelError):
                     continue
+                self.events.info(
+                    'probe-unclear',
+                    upstream=upstream.entry.upstream_id,
+                    reason=repr(error),
+                )
                 return Finding.UNCLEAR
             self.pool.release(key, connection, clock.monotonic())
             return Finding.LIVES
@@ -149,7 +160,11 @@
         """Takes an upstream back, or believes those who say it crashed."""
         match finding:
             case Finding.LIVES:
-                self.take_back(upstream, now)
+                self.use_again(upstream)
+                self.withdraw_crash(upstream, now)
+            case Finding.ANSWERS:
+                self.use_again(upstream)
+                self.confirm(upstream, now)
             case Finding.UNCLEAR:
                 upstream.schedule_probe(now, self.chance)
                 if upstream.set_aside_at is None:
@@ -158,6 +173,7 @@
                     )
             case Finding.UNREACHED:
                 upstream.schedule_probe(now, self.chance)
+                upstream.answered_at = None
                 self.believe(upstream, now)
 
     def believe(self, upstream: upstreams_lib.Upstream, now: float) -> None:
@@ -176,8 +192,44 @@
             blames = self.board.crashes.note_crash(incarnation, report, now)
             crash_detector.log_blames(self.events, blames)
 
-    def take_back(self, upstream: upstreams_lib.Upstream, now: float) -> None:
+    def use_again(self, upstream: upstreams_lib.Upstream) -> None:
         """Sends an upstream requests again."""
+        if upstream.probe_failures and upstream.answered_at is None:
+            self.events.info(
+                'upstream-returned',
+                upstream=upstream.entry.upstream_id,
+                reason='probe',
+                probes=upstream.probe_failures,
+                was_set_aside=upstream.set_aside_at is not None,
+            )
+        upstream.use_again()
+
+    def confirm(self, upstream: upstreams_lib.Upstream, now: float) -> None:
+        """Withdraws a crash once it cannot be another start that answers.
+
+        None starts so soon after a crash, and another start's entry would
+        have been read meanwhile.
+        """
+        if upstream.answered_at is None:
+            upstream.answered_at = now
+        confirmed_at = upstream.answered_at + CONFIRM_S
+        if now >= confirmed_at or now < self.crash_at(upstream) + RESTART_S:
+            self.withdraw_crash(upstream, now)
+        else:
+            upstream.probe_at = confirmed_at
+
+    def crash_at(self, upstream: upstreams_lib.Upstream) -> float:
+        """Returns when an upstream crashed, infinity if nobody says so."""
+        incarnation = upstream.entry.incarnation()
+        known = self.board.crashes.crashes.get(incarnation)
+        if known is not None:
+            return known.at
+        return self.board.accusations.earliest(incarnation)
+
+    def withdraw_crash(
+        self, upstream: upstreams_lib.Upstream, now: float
+    ) -> None:
+        """Withdraws what was said of an upstream, and ends its probes."""
         incarnation = upstream.entry.incarnation()
         reports = self.board.accusations.take(incarnation, now)
         if reports:
@@ -186,15 +238,7 @@
                 upstream=upstream.entry.upstream_id,
                 peers=','.join(sorted(reports)),
             )
-        if upstream.probe_failures:
-            self.events.info(
-                'upstream-returned',
-                upstream=upstream.entry.upstream_id,
-                reason='probe',
-                probes=upstream.probe_failures,
-                was_set_aside=upstream.set_aside_at is not None,
-            )
         if reports or incarnation in self.board.crashes.crashes:
             unblocked = self.board.crashes.withdraw(incarnation, now)
             crash_detector.log_unblocked(self.events, unblocked)
-        upstream.take_back()
+        upstream.end_probes()
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -66,7 +66,8 @@
     taken for crashed although its entry stands; it gets nothing until a probe
     reaches it.  doubted_until is when a peer's word that it has crashed
     expires unless this instance finds the same.  probe_at is when it is to be
-    probed, after probe_failures in a row.
+    probed, after probe_failures in a row.  answered_at is when a probe was
+    first answered without saying which start of the upstream answers.
     """
 
     entry: model.UpstreamEntry
@@ -88,6 +89,7 @@
     doubted_until: float = float('-inf')
     probe_at: float = float('inf')
     probe_failures: int = 0
+    answered_at: float | None = None
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -132,13 +134,17 @@
         self.probe_failures += 1
         self.probe_at = now + interval_s * (1 + spread)
 
-    def take_back(self) -> None:
+    def use_again(self) -> None:
         """Sends it requests again, after a probe has reached it."""
         self.set_aside_at = None
         self.doubted_until = float('-inf')
+        self.note_success()
+
+    def end_probes(self) -> None:
+        """Has it probed no more."""
         self.probe_at = float('inf')
         self.probe_failures = 0
-        self.note_success()
+        self.answered_at = None
 
     def note_failure(self, now: float) -> None:
         """Ejects the upstream, each time for longer."""
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -114,7 +114,7 @@
     all connections are reset, and it listens no more.  crashes counts that.
     version is named in each event.  born_ms is its start, as its report has
     it.  before_report comes BEFORE_REPORT_S earlier than the report; a
-    silent_report never comes.
+    silent_report never comes.  One without_report answers with 400.
     """
 
     behaviours: list[Behaviour]
@@ -130,6 +130,7 @@
     born_ms: int = 1
     before_report: bytes = b''
     silent_report: bool = False
+    without_report: bool = False
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> None:
@@ -188,6 +189,8 @@
 
     def report(self) -> bytes:
         """Returns what it says of itself; its start is all of that here."""
+        if self.without_report:
+            return b'HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n'
         body = json.dumps({'born': self.born_ms}).encode()
         head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
         return head.encode() + body
--- a/tests/test_gateway_false_crashes.py
+++ b/tests/test_gateway_false_crashes.py
@@ -5,6 +5,7 @@
 import random
 import typing
 
+import attrs
 import pytest
 
 from oleanderdrift.gateway import clock
@@ -199,7 +200,7 @@
     assert intervals_s[0] <= upstreams.FIRST_PROBE_S * spread
     assert intervals_s[0] < intervals_s[1] < intervals_s[-1]
     assert intervals_s[-1] <= upstreams.MAX_PROBE_S * spread
-    upstream.take_back()
+    upstream.end_probes()
     assert not upstream.probe_due(now + 60)
 
 
@@ -331,3 +332,49 @@
             assert fleet.forwarders[0].board.crashes.refuted
 
     asyncio.run(run())
+
+
+def test_upstream_without_a_report_returns_after_false_crash() -> None:
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            1, replica.CompleteResponse()
+        ) as fleet:
+            fleet.replicas[0].without_report = True
+            board = fleet.forwarders[0].board
+            accuse(fleet, 0, 'u0')
+            await asyncio.sleep(0.2)
+            assert serving(fleet, 0) == {'u0'}
+            assert board.crashes.refuted
+            # A later one, as of a cut that has just ended.
+            fleet.links[0].cut()
+            accuse(fleet, 0, 'u0')
+            await wait_until(lambda: is_set_aside(fleet, 0, 'u0'))
+            await asyncio.sleep(upstream_probes.RESTART_S)
+            fleet.links[0].is_cut = False
+            await asyncio.sleep(RETURN_S)
+            assert serving(fleet, 0) == {'u0'}
+            await wait_until(lambda: not board.crashes.crashes)
+            assert not board.upstreams.by_id['u0'].probe_due(1e12)
+
+    asyncio.run(run())
+
+
+def test_return_without_a_report_clears_no_blame_until_confirmed() -> None:
+    async def run() -> None:
+        async with gateway_fleet.run_fleet(
+            1, replica.CompleteResponse()
+        ) as fleet:
+            fleet.replicas[0].without_report = True
+            board = fleet.forwarders[0].board
+            upstream = board.upstreams.by_id['u0']
+            old = clock.monotonic() - upstream_probes.RESTART_S
+            board.note_crash(upstream.entry.incarnation(), NO_REQUESTS, old)
+            upstream.probe_at = old
+            await wait_until(lambda: not is_set_aside(fleet, 0, 'u0'))
+            assert board.crashes.crashes
+            # The entry of the start that answers.
+            board.upstreams.put(attrs.evolve(upstream.entry, born_ms=2))
+            await asyncio.sleep(upstream_probes.CONFIRM_S + 0.5)
+            assert board.crashes.crashes
+
+    asyncio.run(run())
