Tunnels: a peer carries the bytes of a connection to an upstream

Nothing could carry a request there: an instance only ever connected to upstreams itself.

open_tunnel opens a channel whose bytes a peer carries; all that a request needs stays with the instance that admitted it. The peer connects only to an upstream on its own board, of the start that is named, so it is no open proxy and there is no second hop. From the peer's side the bytes come in messages, so that an answer that ends with its connection is complete only if the upstream closed it; a carrier that is killed looks like a reset. The record of an instance names where it accepts tunnels; older records have none. Nothing opens a tunnel yet.

--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -75,11 +75,12 @@
     is_framed: bool
 
 
-class _Protocol(asyncio.Protocol):
+class BufferingProtocol(asyncio.Protocol):
     """Buffers received bytes for a Channel.
 
     idle says that no response is outstanding; bytes that arrive then belong
-    to no request and close the connection.
+    to no request and close the connection.  is_leaving says that the peer
+    takes no more requests on it.
     """
 
     def __init__(self) -> None:
@@ -87,6 +88,7 @@
         self.buffered_bytes = 0
         self.paused = False
         self.idle = False
+        self.is_leaving = False
         self.closed: Failure | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.transport: asyncio.Transport | None = None
@@ -121,6 +123,10 @@
         self.closed = self.closed or reason
         self.wake()
 
+    def has_unread(self) -> bool:
+        """Returns whether bytes wait to be read."""
+        return bool(self.received)
+
     def wake(self) -> None:
         """Wakes the waiting reader."""
         if self.waiter is not None and not self.waiter.done():
@@ -148,10 +154,14 @@
 
 
 class Channel:
-    """A connection that carries one request at a time."""
+    """A connection that carries one request at a time.
+
+    via names the instance that carries its bytes; empty if it is direct.
+    """
 
-    def __init__(self, protocol: _Protocol) -> None:
+    def __init__(self, protocol: BufferingProtocol, via: str = '') -> None:
         self.protocol = protocol
+        self.via = via
         self.h11_connection = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
@@ -318,7 +328,8 @@
         return (
             self.response_complete
             and self.protocol.closed is None
-            and not self.protocol.received
+            and not self.protocol.is_leaving
+            and not self.protocol.has_unread()
             and now < self.idle_deadline
             and (
                 not self.request_count
@@ -346,16 +357,23 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         transport, protocol = await loop.create_connection(
-            _Protocol, host, port
+            BufferingProtocol, host, port
         )
+    set_tcp_options(transport, TCP_USER_TIMEOUT_MS)
+    return Channel(protocol)
+
+
+def set_tcp_options(
+    transport: asyncio.BaseTransport, user_timeout_ms: int
+) -> None:
+    """Sends without delay, and detects a peer that cannot be reached."""
     sock = transport.get_extra_info('socket')
     for option, value in (
         (socket.TCP_NODELAY, 1),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+        (socket.TCP_USER_TIMEOUT, user_timeout_ms),
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    return Channel(protocol)
--- a/oleanderdrift/gateway/directory.py
+++ b/oleanderdrift/gateway/directory.py
@@ -41,6 +41,7 @@
             data_centre=settings.data_centre,
             address=settings.peer_listen,
             cores=settings.cores,
+            tunnel_address=settings.tunnel_listen,
         )
         self.instances: dict[str, relays.Instance] = {}
         self.changes = 0
@@ -58,6 +59,7 @@
                 peer_address=self.own.address,
                 data_centre=self.own.data_centre,
                 cores=self.own.cores,
+                tunnel_address=self.own.tunnel_address,
             )
         )
         while True:
@@ -116,6 +118,7 @@
             data_centre=decoded.data_centre,
             address=decoded.peer_address,
             cores=decoded.cores,
+            tunnel_address=decoded.tunnel_address,
         )
         if self.instances.get(record.key) != instance:
             self.instances[record.key] = instance
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -89,11 +89,15 @@
 
 @attrs.frozen(kw_only=True)
 class InstanceRecord:
-    """An instance's address for peers, and its share of processor cores."""
+    """An instance's addresses for peers, and its share of processor cores.
+
+    tunnel_address is empty in the records of builds without tunnels.
+    """
 
     peer_address: str
     data_centre: str
     cores: float
+    tunnel_address: str = ''
 
 
 _INSTANCE_DECODER: typing.Final = msgspec.json.Decoder(InstanceRecord)
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -24,6 +24,7 @@
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift.gateway import tunnel_server
 from oleanderdrift import logs
 from oleanderdrift import metrics
 
@@ -54,6 +55,7 @@
     store_watcher: follow.StoreWatcher
     directory: directory.Directory
     gossip: gossip.Gossip
+    tunnels: tunnel_server.TunnelServer
     events: event_log.EventLog
     load_settings: LoadSettings
     ready_path: str
@@ -62,20 +64,23 @@
     def listen(self) -> None:
         """Opens all sockets; raises OSError."""
         settings = self.board.settings
-        self.ingress.listen(*split_address(settings.listen))
-        host, port = split_address(settings.ready_listen)
+        self.ingress.listen(*settings_lib.split_address(settings.listen))
+        host, port = settings_lib.split_address(settings.ready_listen)
         application = web.Application(
             [(self.ready_path, _ReadyHandler, {'board': self.board})],
             log_function=_skip_access_log,
         )
         httpserver.HTTPServer(application).listen(port, host)
-        host, port = split_address(settings.metrics_listen)
+        host, port = settings_lib.split_address(settings.metrics_listen)
         application = web.Application(
             [(METRICS_PATH, _MetricsHandler, {'gateway': self})],
             log_function=_skip_access_log,
         )
         httpserver.HTTPServer(application).listen(port, host)
         self.gossip.bind()
+        self.tunnels.listen(
+            *settings_lib.split_address(settings.tunnel_listen)
+        )
 
     def gauges(self, boot_now: float) -> dict[str, float]:
         """Returns the current values of the gauge metrics."""
@@ -90,6 +95,7 @@
             'peers': len(self.gossip.peer_load.last_heard),
             'silent_data_centres': len(board.silent_data_centres),
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
+            'open_tunnels': len(self.tunnels.open),
             'store_calls': self.log.calls,
             'store_failures': self.log.failures,
             'store_appends_repeated': (
@@ -105,6 +111,7 @@
             self.directory.register,
             self.directory.follow,
             self.gossip.exchange_periodically,
+            self.tunnels.serve,
             self.forwarder.origins.follow,
             self.run_housekeeping,
             self.poll_settings,
@@ -249,12 +256,6 @@
         self.set_status(200 if ready else 503)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Splits a HOST:PORT string."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def build(
     settings: settings_lib.GatewaySettings,
     load_settings: LoadSettings,
@@ -281,6 +282,7 @@
         store_watcher=follow.StoreWatcher(board, codec, log, events),
         directory=fleet,
         gossip=gossip.Gossip(board, fleet, events, peer_sockets.PeerSockets()),
+        tunnels=tunnel_server.TunnelServer(board, events),
         events=events,
         load_settings=load_settings,
         ready_path=ready_path,
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -20,6 +20,7 @@
     listen: str
     ready_listen: str
     peer_listen: str
+    tunnel_listen: str
     metrics_listen: str
     store: str
     store_partitions: int
@@ -30,3 +31,9 @@
     upstream_drain_s: float
     cores: float
     turn_retention_s: float
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Splits a HOST:PORT string."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/oleanderdrift/gateway/tunnel_client.py
@@ -0,0 +1,125 @@
+"""Opens connections to upstreams whose bytes a peer carries."""
+
+import asyncio
+
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import settings
+from oleanderdrift.gateway import tunnel_wire
+
+
+class UpstreamRefusedError(Exception):
+    """The upstream refused the peer's connection."""
+
+
+class UpstreamUnreachableError(Exception):
+    """The peer has not connected to the upstream, for the reason given."""
+
+
+class _TunnelProtocol(channel.BufferingProtocol):
+    """Buffers the bytes of an upstream that arrive through a tunnel.
+
+    answer is the peer's answer to the Open; None if the tunnel failed first.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reader = tunnel_wire.message_reader()
+        loop = asyncio.get_running_loop()
+        self.answer: asyncio.Future[tunnel_wire.Message | None] = (
+            loop.create_future()
+        )
+
+    def data_received(self, data: bytes) -> None:
+        """Applies the messages that are complete."""
+        try:
+            messages = self.reader.feed(data)
+        except tunnel_wire.MalformedMessageError:
+            self.fail(channel.Failure.MALFORMED)
+            return
+        for message in messages:
+            self.apply(message)
+
+    def has_unread(self) -> bool:
+        """Returns whether bytes wait, or a part of a message."""
+        return super().has_unread() or bool(self.reader.rest)
+
+    def apply(self, message: tunnel_wire.Message) -> None:
+        """Applies one message."""
+        if not self.answer.done():
+            self.answer.set_result(message)
+            return
+        if self.closed is not None:
+            return
+        match message:
+            case tunnel_wire.Data():
+                super().data_received(message.data)
+            case tunnel_wire.End():
+                super().eof_received()
+                assert self.transport is not None
+                self.transport.close()
+            case tunnel_wire.Reset():
+                self.fail(channel.Failure.RESET)
+            case _:
+                self.fail(channel.Failure.MALFORMED)
+
+    def fail(self, failure: channel.Failure) -> None:
+        """Ends the tunnel; an answer under way has broken off."""
+        self.closed = self.closed or failure
+        if not self.answer.done():
+            self.answer.set_result(None)
+        if self.transport is not None:
+            self.transport.abort()
+        self.wake()
+
+    def eof_received(self) -> bool:
+        """Takes the end of the tunnel for a reset: no End came before it."""
+        self.fail(channel.Failure.RESET)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Takes the loss of the tunnel for a reset."""
+        self.fail(channel.Failure.RESET)
+
+
+async def open_tunnel(
+    address: str,
+    entry: model.UpstreamEntry,
+    timeout_s: float,
+    *,
+    via: str = '',
+) -> channel.Channel:
+    """Opens a connection to an upstream through the peer at HOST:PORT.
+
+    via is the peer's name.  Raises UpstreamRefusedError if the upstream
+    refused the peer, UpstreamUnreachableError if the peer has not connected
+    for another reason, and OSError or TimeoutError if the peer cannot be
+    reached.
+    """
+    host, port = settings.split_address(address)
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s):
+        transport, protocol = await loop.create_connection(
+            _TunnelProtocol, host, port
+        )
+        try:
+            channel.set_tcp_options(transport, channel.TCP_USER_TIMEOUT_MS)
+            message = tunnel_wire.Open(incarnation=entry.incarnation())
+            transport.write(tunnel_wire.encode(message))
+            _check_opened(await protocol.answer)
+        except BaseException:
+            transport.abort()
+            raise
+    return channel.Channel(protocol, via=via)
+
+
+def _check_opened(answer: tunnel_wire.Message | None) -> None:
+    match answer:
+        case tunnel_wire.Opened():
+            return
+        case tunnel_wire.Refused():
+            raise UpstreamRefusedError
+        case tunnel_wire.Unreachable():
+            raise UpstreamUnreachableError(answer.reason)
+        case _:
+            raise ConnectionError(f'the peer answered {answer!r}')
--- /dev/null
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -0,0 +1,298 @@
+"""Carries bytes between peers and the upstreams that they cannot reach.
+
+The peer keeps all that a request needs.  Here, a tunnel is two connections
+and the bytes between them; it only ever leads to an upstream that this
+instance knows.
+"""
+
+import asyncio
+import socket
+import typing
+
+from tornado import netutil
+
+from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import tunnel_wire
+
+# A peer sends its Open at once.
+OPEN_TIMEOUT_S: typing.Final = 1.0
+# The peer waits for the answer little longer than for a connection.
+CONNECT_TIMEOUT_S: typing.Final = 0.15
+# Each takes two file descriptors, and at most about 0.2 MB of buffers.
+MAX_TUNNELS: typing.Final = 256
+# More connections are closed unread.
+MAX_CONNECTIONS: typing.Final = MAX_TUNNELS + 64
+# A connection with more unsent bytes has its source wait.
+WRITE_BUFFER_BYTES: typing.Final = 32_768
+# A peer whose caller reads slowly has no window meanwhile, and TCP counts
+# that as unacknowledged.
+PEER_USER_TIMEOUT_MS: typing.Final = 10_000
+
+
+class TunnelServer:
+    """Accepts tunnels; open holds the connections of peers.
+
+    buffer receives the bytes of all connections, each in its turn.
+    """
+
+    def __init__(
+        self, board: board_lib.Board, events: event_log.EventLog
+    ) -> None:
+        self.board = board
+        self.events = events
+        self.open: set[_PeerSide] = set()
+        self.buffer = memoryview(bytearray(tunnel_wire.MAX_DATA_BYTES))
+        self.listeners: list[socket.socket] = []
+
+    def listen(self, host: str, port: int) -> None:
+        """Starts listening; raises OSError."""
+        self.listeners = netutil.bind_sockets(port, host)
+
+    async def serve(self) -> None:
+        """Accepts connections until cancelled."""
+        loop = asyncio.get_running_loop()
+        servers = [
+            await loop.create_server(lambda: _PeerSide(self), sock=one)
+            for one in self.listeners
+        ]
+        try:
+            await asyncio.Event().wait()
+        finally:
+            for server in servers:
+                server.close()
+
+    def find(self, incarnation: str) -> model.UpstreamEntry | None:
+        """Returns the entry of one start of an upstream, if it is known."""
+        upstream_id = incarnation.partition(model.INCARNATION_SEPARATOR)[0]
+        known = self.board.upstreams.by_id.get(upstream_id)
+        if known is None or known.entry.incarnation() != incarnation:
+            return None
+        return known.entry
+
+    def reason_to_refuse(self) -> str:
+        """Returns why no tunnel is opened now; empty if one may be."""
+        if self.board.stopping:
+            return 'the instance is stopping'
+        if len(self.open) > MAX_TUNNELS:
+            return f'more than {MAX_TUNNELS} tunnels'
+        return ''
+
+
+class _PeerSide(asyncio.BufferedProtocol):
+    """The connection from a peer; upstream_side is None until it is open."""
+
+    def __init__(self, server: TunnelServer) -> None:
+        self.server = server
+        self.reader = tunnel_wire.open_reader()
+        self.transport: asyncio.Transport | None = None
+        self.upstream_side: _UpstreamSide | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Waits for the Open."""
+        self.transport = typing.cast(asyncio.Transport, transport)
+        self.server.open.add(self)
+        if len(self.server.open) > MAX_CONNECTIONS:
+            self.log_refused('', f'more than {MAX_CONNECTIONS} connections')
+            self.transport.abort()
+            return
+        channel.set_tcp_options(transport, PEER_USER_TIMEOUT_MS)
+        self.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(OPEN_TIMEOUT_S, self.expire)
+
+    def expire(self) -> None:
+        """Closes a connection on which no Open came in time."""
+        assert self.transport is not None
+        self.log_refused('', f'no message within {OPEN_TIMEOUT_S} s')
+        self.transport.abort()
+
+    def log_refused(self, incarnation: str, reason: str) -> None:
+        """Logs why a tunnel was not opened."""
+        assert self.transport is not None
+        host, port = self.transport.get_extra_info('peername', ('', 0))
+        self.server.events.info(
+            'tunnel-refused',
+            upstream=incarnation.partition(model.INCARNATION_SEPARATOR)[0],
+            peer=f'{host}:{port}',
+            reason=reason,
+        )
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next bytes."""
+        return self.server.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Passes bytes on to the upstream, or reads the Open."""
+        data = bytes(self.server.buffer[:nbytes])
+        if self.upstream_side is not None:
+            self.upstream_side.write(data)
+            return
+        try:
+            messages = self.reader.feed(data)
+        except tunnel_wire.MalformedMessageError as error:
+            self.abort(f'malformed: {error}')
+            return
+        is_early = bool(messages and self.reader.rest) or len(messages) > 1
+        if self.opening is not None or is_early:
+            self.abort('bytes came before the answer')
+            return
+        if not messages:
+            return
+        assert self.timer is not None
+        self.timer.cancel()
+        self.opening = asyncio.create_task(self.connect(messages[0]))
+
+    def abort(self, reason: str) -> None:
+        """Closes a connection that does not keep to the protocol."""
+        assert self.transport is not None
+        self.log_refused('', reason)
+        self.transport.abort()
+
+    async def connect(self, message: tunnel_wire.Open) -> None:
+        """Connects to the upstream and answers the Open."""
+        assert self.transport is not None
+        answer = await self.try_connect(message.incarnation)
+        self.write(answer)
+        if self.upstream_side is not None:
+            self.upstream_side.resume_reading()
+            return
+        reason = getattr(answer, 'reason', 'the upstream refused')
+        self.log_refused(message.incarnation, reason)
+        self.transport.close()
+
+    async def try_connect(self, incarnation: str) -> tunnel_wire.Message:
+        """Connects to the upstream; returns the answer to the Open."""
+        reason = self.server.reason_to_refuse()
+        if reason:
+            return tunnel_wire.Unreachable(reason=reason)
+        entry = self.server.find(incarnation)
+        if entry is None:
+            return tunnel_wire.Unreachable(reason='not known')
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, self.upstream_side = await loop.create_connection(
+                    lambda: _UpstreamSide(self), entry.host, entry.port
+                )
+        except ConnectionRefusedError:
+            return tunnel_wire.Refused()
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            return tunnel_wire.Unreachable(reason=repr(error))
+        return tunnel_wire.Opened()
+
+    def write(self, message: tunnel_wire.Message) -> None:
+        """Sends a message to the peer."""
+        assert self.transport is not None
+        self.transport.write(tunnel_wire.encode(message))
+
+    def pause_reading(self) -> None:
+        """Reads nothing for now."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Goes on reading."""
+        if self.transport is not None:
+            self.transport.resume_reading()
+
+    def pause_writing(self) -> None:
+        """Has the upstream wait: the peer does not read."""
+        if self.upstream_side is not None:
+            self.upstream_side.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Goes on reading from the upstream."""
+        if self.upstream_side is not None:
+            self.upstream_side.resume_reading()
+
+    def eof_received(self) -> bool:
+        """Ends the tunnel at once: a peer that closes has left."""
+        assert self.transport is not None
+        self.transport.abort()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Closes the upstream's connection, so that it stops work."""
+        self.server.open.discard(self)
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.opening is not None:
+            self.opening.cancel()
+        if self.upstream_side is not None:
+            self.upstream_side.abort()
+
+
+class _UpstreamSide(asyncio.BufferedProtocol):
+    """The connection to the upstream of a tunnel."""
+
+    def __init__(self, peer_side: _PeerSide) -> None:
+        self.peer_side = peer_side
+        self.transport: asyncio.Transport | None = None
+        self.has_ended = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Reads nothing until the peer has its answer."""
+        self.transport = typing.cast(asyncio.Transport, transport)
+        channel.set_tcp_options(transport, channel.TCP_USER_TIMEOUT_MS)
+        self.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
+        self.transport.pause_reading()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next bytes."""
+        return self.peer_side.server.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Passes bytes on to the peer."""
+        data = bytes(self.peer_side.server.buffer[:nbytes])
+        self.peer_side.write(tunnel_wire.Data(data=data))
+
+    def write(self, data: bytes) -> None:
+        """Sends bytes to the upstream, unless its connection has ended."""
+        if not self.has_ended and self.transport is not None:
+            self.transport.write(data)
+
+    def pause_writing(self) -> None:
+        """Has the peer wait: the upstream does not read."""
+        self.peer_side.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Goes on reading from the peer."""
+        self.peer_side.resume_reading()
+
+    def pause_reading(self) -> None:
+        """Reads nothing for now."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Goes on reading."""
+        if self.transport is not None:
+            self.transport.resume_reading()
+
+    def eof_received(self) -> bool:
+        """Tells the peer that the upstream closed in order."""
+        self.end(tunnel_wire.End())
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the peer that the connection broke."""
+        self.end(tunnel_wire.Reset())
+
+    def end(self, message: tunnel_wire.End | tunnel_wire.Reset) -> None:
+        """Tells the peer how the connection ended; the peer then closes."""
+        if self.has_ended:
+            return
+        self.has_ended = True
+        self.peer_side.write(message)
+        self.peer_side.resume_reading()
+
+    def abort(self) -> None:
+        """Closes the connection at once; nobody waits for its bytes."""
+        self.has_ended = True
+        if self.transport is not None:
+            self.transport.abort()
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -97,6 +97,7 @@
         listen=file_settings.Listen.Front,
         ready_listen=file_settings.Listen.ReadyAddr,
         peer_listen=f'{file_settings.Ip}:{file_settings.PortRange[0]}',
+        tunnel_listen=f'{file_settings.Ip}:{file_settings.PortRange[0] + 1}',
         metrics_listen=f'{file_settings.Ip}:{METRICS_PORT}',
         store=file_settings.Platform.Address,
         store_partitions=file_settings.Platform.parts,
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -20,12 +20,13 @@
 FRONT_PORT: typing.Final = 8080
 READY_PORT: typing.Final = 8081
 PEER_PORT: typing.Final = 8100
+TUNNEL_PORT: typing.Final = 8101
 PARTITIONS: typing.Final = 4
 SETTINGS: typing.Final = """\
 Node = "{name}"
 Ip = "{address}"
 Zone = "north"
-PortRange = [{peer}, {peer}]
+PortRange = [{peer}, {tunnel}]
 [Listen]
 Front = "{address}:{front}"
 ReadyAddr = "{address}:{ready}"
@@ -108,6 +109,7 @@
                 name=name,
                 address=address,
                 peer=PEER_PORT,
+                tunnel=TUNNEL_PORT,
                 front=FRONT_PORT,
                 ready=READY_PORT,
                 store=link.listening_port,
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -24,6 +24,7 @@
     listen='127.0.0.1:0',
     ready_listen='127.0.0.1:0',
     peer_listen='127.0.0.1:0',
+    tunnel_listen='127.0.0.1:0',
     metrics_listen='127.0.0.1:0',
     store='127.0.0.1:1',
     store_partitions=4,
--- a/tests/test_gateway_whole.py
+++ b/tests/test_gateway_whole.py
@@ -119,7 +119,7 @@
     store_server = platform_store.start()
     replica_server = replica.Replica(behaviours=[replica.Stream()])
     await replica_server.start()
-    ports = free_ports(4)
+    ports = free_ports(5)
     addresses = [f'127.0.0.1:{port}' for port in ports]
     settings = attrs.evolve(
         gateway_support.SETTINGS,
@@ -127,6 +127,7 @@
         ready_listen=addresses[1],
         peer_listen=addresses[2],
         metrics_listen=addresses[3],
+        tunnel_listen=addresses[4],
         stop_s=5.0,
     )
     gateway = server.build(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -260,6 +260,7 @@
     result = settings.decode(SETTINGS.encode())
     assert result.instance == 'n1'
     assert result.peer_listen == '10.1.0.11:7780'
+    assert result.tunnel_listen == '10.1.0.11:7781'
     assert result.store_partitions == 12
     assert result.key_grace_s == 4.5
 
