Tunnels: tests of readers that do not read

A caller that reads slowly, or an upstream that does, must not make the carrying instance hold the bytes: with either end not reading 32 MB, it holds one message more than the 32 KiB that a connection may have unsent. Without the pause in either direction the tests fail, and so they do without the client's limit.

--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -43,7 +43,7 @@
     ) -> None:
         self.board = board
         self.events = events
-        self.open: set[_PeerSide] = set()
+        self.open: set[PeerSide] = set()
         self.buffer = memoryview(bytearray(tunnel_wire.MAX_DATA_BYTES))
         self.listeners: list[socket.socket] = []
 
@@ -55,7 +55,7 @@
         """Accepts connections until cancelled."""
         loop = asyncio.get_running_loop()
         servers = [
-            await loop.create_server(lambda: _PeerSide(self), sock=one)
+            await loop.create_server(lambda: PeerSide(self), sock=one)
             for one in self.listeners
         ]
         try:
@@ -81,14 +81,14 @@
         return ''
 
 
-class _PeerSide(asyncio.BufferedProtocol):
+class PeerSide(asyncio.BufferedProtocol):
     """The connection from a peer; upstream_side is None until it is open."""
 
     def __init__(self, server: TunnelServer) -> None:
         self.server = server
         self.reader = tunnel_wire.open_reader()
         self.transport: asyncio.Transport | None = None
-        self.upstream_side: _UpstreamSide | None = None
+        self.upstream_side: UpstreamSide | None = None
         self.opening: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
 
@@ -177,7 +177,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, self.upstream_side = await loop.create_connection(
-                    lambda: _UpstreamSide(self), entry.host, entry.port
+                    lambda: UpstreamSide(self), entry.host, entry.port
                 )
         except ConnectionRefusedError:
             return tunnel_wire.Refused()
@@ -227,10 +227,10 @@
             self.upstream_side.abort()
 
 
-class _UpstreamSide(asyncio.BufferedProtocol):
+class UpstreamSide(asyncio.BufferedProtocol):
     """The connection to the upstream of a tunnel."""
 
-    def __init__(self, peer_side: _PeerSide) -> None:
+    def __init__(self, peer_side: PeerSide) -> None:
         self.peer_side = peer_side
         self.transport: asyncio.Transport | None = None
         self.has_ended = False
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -151,6 +151,80 @@
     run(scenario)
 
 
+# A transport takes one more message over its limit.
+MAX_CARRIED: typing.Final = (
+    tunnel_server.WRITE_BUFFER_BYTES + tunnel_wire.MAX_MESSAGE_BYTES
+)
+# More than the kernel holds for the connections of one tunnel.
+ANSWER_BYTES: typing.Final = 33_554_432
+
+
+async def carried_bytes(transport: asyncio.Transport) -> int:
+    """Returns how many bytes wait to be sent, once these stay the same."""
+    seen, same = 0, 0
+    while not seen or same < 20:
+        await asyncio.sleep(0.01)
+        same = same + 1 if transport.get_write_buffer_size() == seen else 0
+        seen = transport.get_write_buffer_size()
+    return seen
+
+
+def test_caller_that_does_not_read_has_the_upstream_wait() -> None:
+    async def scenario(carrier: tunnel_support.Carrier) -> None:
+        opened, connection = await carrier.open_both()
+        await send(opened)
+        await read_request(connection)
+        connection.writer.write(
+            HEAD + b'Content-Length: %d\r\n\r\n' % ANSWER_BYTES
+        )
+        connection.writer.write(bytes(ANSWER_BYTES))
+        transport = carrier.only().transport
+        assert transport is not None
+        assert await carried_bytes(transport) <= MAX_CARRIED
+        assert opened.protocol.paused
+        # TCP takes a window that stays closed for a peer that is gone.
+        await asyncio.sleep(channel.TCP_USER_TIMEOUT_MS / 1_000 + 0.5)
+        await opened.read_head(clock.monotonic())
+        assert len(await opened.read_body(ANSWER_BYTES)) == ANSWER_BYTES
+
+    run(scenario)
+
+
+def test_upstream_that_does_not_read_has_the_caller_wait() -> None:
+    async def scenario(carrier: tunnel_support.Carrier) -> None:
+        opened, connection = await carrier.open_both()
+        await send(opened, bytes(ANSWER_BYTES))
+        upstream_side = carrier.only().upstream_side
+        assert upstream_side is not None
+        assert upstream_side.transport is not None
+        assert await carried_bytes(upstream_side.transport) <= MAX_CARRIED
+        await read_request(connection)
+        body = await connection.reader.readexactly(ANSWER_BYTES)
+        assert body == bytes(ANSWER_BYTES)
+
+    run(scenario)
+
+
+@pytest.mark.parametrize('reads_on', [False, True])
+def test_tunnel_of_a_caller_that_left_ends_whether_it_is_read_or_not(
+    reads_on: bool,
+) -> None:
+    async def scenario(carrier: tunnel_support.Carrier) -> None:
+        opened, connection = await carrier.open_both()
+        await send(opened, bytes(ANSWER_BYTES))
+        upstream_side = carrier.only().upstream_side
+        assert upstream_side is not None
+        assert upstream_side.transport is not None
+        await carried_bytes(upstream_side.transport)
+        opened.close()
+        if reads_on:
+            body = await connection.reader.read()
+            assert len(body) < ANSWER_BYTES
+        await tunnel_support.wait_until(lambda: not carrier.server.open)
+
+    run(scenario)
+
+
 def free_port() -> int:
     """Returns a port at which nothing listens."""
     with socket.socket() as sock:
--- a/tests/tunnel_support.py
+++ b/tests/tunnel_support.py
@@ -105,6 +105,11 @@
             self.address, entry or self.entry, timeout_s, via='north-2'
         )
 
+    def only(self) -> tunnel_server.PeerSide:
+        """Returns the peer's connection of the only tunnel."""
+        (found,) = self.server.open
+        return found
+
     async def open_both(self) -> tuple[channel.Channel, Connection]:
         """Opens a tunnel; returns both of its ends."""
         opened = await self.open()
