Tunnels: a stopping instance carries the open ones to their end

The drain ended once no caller had a connection, and would have cut the requests that peers send through this instance. It now waits for tunnels too, within the same time, and tells the peers at its start that it is leaving: a tunnel without a request ends at once, another one after its request. So an idle tunnel neither holds up the stop nor is cut just as a request goes into it. What is left at the end of the time is cut, counted in a line, and looks to the peer like a reset: the request may have run.

Pool.close_idle_via closes the idle tunnels over one peer. The idle connections of an instance that stops are closed as well.

--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -55,3 +55,16 @@
         """Closes the idle connections of a key."""
         for connection in self.idle.pop(key, []):
             connection.close()
+
+    def close_idle_via(self, peer: str) -> None:
+        """Closes the idle connections that a peer carries."""
+        for key, connections in self.idle.items():
+            for connection in connections:
+                if connection.via == peer:
+                    connection.close()
+            self.idle[key] = [one for one in connections if one.via != peer]
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for key in list(self.idle):
+            self.close_idle(key)
--- a/oleanderdrift/gateway/drain.py
+++ b/oleanderdrift/gateway/drain.py
@@ -3,7 +3,8 @@
 The instance first reports that it is not ready, so that the load balancer
 sends no new connections.  Callers on open connections are told to reconnect
 with each response.  Connections that were already on their way when the
-listener closes are accepted and served.
+listener closes are accepted and served.  New tunnels are refused, and peers
+are told to end theirs.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from oleanderdrift.gateway import budget_log
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import ingress as ingress_lib
+from oleanderdrift.gateway import tunnel_server
 from oleanderdrift import logs
 
 # The load balancer probes readiness once a second and notices a change
@@ -39,6 +41,7 @@
     board: board_lib.Board
     ingress: ingress_lib.Ingress
     budgets: budget_log.BudgetLog
+    tunnels: tunnel_server.TunnelServer
 
     async def run(self) -> None:
         """Completes the open requests within the time to stop."""
@@ -46,16 +49,27 @@
         deadline = started + self.board.settings.stop_s - STOP_MARGIN_S
         self.board.stopping = True
         self.board.stop_deadline = deadline
-        logs.info('draining', open=self.board.open_requests)
+        logs.info(
+            'draining',
+            open=self.board.open_requests,
+            tunnels=len(self.tunnels.open),
+        )
+        self.tunnels.leave()
         await asyncio.sleep(LOAD_BALANCER_GRACE_S)
         await close_listener(self.ingress)
-        while clock.monotonic() < deadline and self.ingress.readers:
+        while clock.monotonic() < deadline and self.has_work():
             self.ingress.close_idle(clock.monotonic(), IDLE_TIMEOUT_S)
             await asyncio.sleep(POLL_INTERVAL_S)
         if self.board.open_requests:
             logs.warning('requests-cut', open=self.board.open_requests)
+        if self.tunnels.open:
+            logs.warning('tunnels-cut', open=len(self.tunnels.open))
         await self.flush()
 
+    def has_work(self) -> bool:
+        """Returns whether callers or peers still use their connections."""
+        return bool(self.ingress.readers or self.tunnels.open)
+
     async def flush(self) -> None:
         """Returns unused token reservations to the store."""
         try:
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -218,9 +218,12 @@
             board=self.board,
             ingress=self.ingress,
             budgets=self.forwarder.turns.budgets,
+            tunnels=self.tunnels,
         ).run()
         for task in self.tasks:
             task.cancel()
+        self.forwarder.attempts.pool.close()
+        self.tunnels.close()
         self.gossip.close()
 
 
--- a/oleanderdrift/gateway/tunnel_client.py
+++ b/oleanderdrift/gateway/tunnel_client.py
@@ -60,9 +60,17 @@
                 self.transport.close()
             case tunnel_wire.Reset():
                 self.fail(channel.Failure.RESET)
+            case tunnel_wire.Leaving():
+                self.leave()
             case _:
                 self.fail(channel.Failure.MALFORMED)
 
+    def leave(self) -> None:
+        """Ends the tunnel after the request that it carries, if any."""
+        self.is_leaving = True
+        if self.idle:
+            self.fail(channel.Failure.CLOSED)
+
     def fail(self, failure: channel.Failure) -> None:
         """Ends the tunnel; an answer under way has broken off."""
         self.closed = self.closed or failure
--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -64,6 +64,16 @@
             for server in servers:
                 server.close()
 
+    def leave(self) -> None:
+        """Has the peers end their tunnels after the requests on them."""
+        for peer_side in self.open:
+            peer_side.leave()
+
+    def close(self) -> None:
+        """Ends all tunnels at once; a request on one may have run."""
+        for peer_side in list(self.open):
+            peer_side.close()
+
     def find(self, incarnation: str) -> model.UpstreamEntry | None:
         """Returns the entry of one start of an upstream, if it is known."""
         upstream_id = incarnation.partition(model.INCARNATION_SEPARATOR)[0]
@@ -97,19 +107,14 @@
         self.transport = typing.cast(asyncio.Transport, transport)
         self.server.open.add(self)
         if len(self.server.open) > MAX_CONNECTIONS:
-            self.log_refused('', f'more than {MAX_CONNECTIONS} connections')
-            self.transport.abort()
+            self.refuse(f'more than {MAX_CONNECTIONS} connections')
             return
         channel.set_tcp_options(transport, PEER_USER_TIMEOUT_MS)
         self.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(OPEN_TIMEOUT_S, self.expire)
-
-    def expire(self) -> None:
-        """Closes a connection on which no Open came in time."""
-        assert self.transport is not None
-        self.log_refused('', f'no message within {OPEN_TIMEOUT_S} s')
-        self.transport.abort()
+        self.timer = loop.call_later(
+            OPEN_TIMEOUT_S, self.refuse, f'no message in {OPEN_TIMEOUT_S} s'
+        )
 
     def log_refused(self, incarnation: str, reason: str) -> None:
         """Logs why a tunnel was not opened."""
@@ -135,11 +140,11 @@
         try:
             messages = self.reader.feed(data)
         except tunnel_wire.MalformedMessageError as error:
-            self.abort(f'malformed: {error}')
+            self.refuse(f'malformed: {error}')
             return
         is_early = bool(messages and self.reader.rest) or len(messages) > 1
         if self.opening is not None or is_early:
-            self.abort('bytes came before the answer')
+            self.refuse('bytes came before the answer')
             return
         if not messages:
             return
@@ -147,11 +152,10 @@
         self.timer.cancel()
         self.opening = asyncio.create_task(self.connect(messages[0]))
 
-    def abort(self, reason: str) -> None:
+    def refuse(self, reason: str) -> None:
         """Closes a connection that does not keep to the protocol."""
-        assert self.transport is not None
         self.log_refused('', reason)
-        self.transport.abort()
+        self.close()
 
     async def connect(self, message: tunnel_wire.Open) -> None:
         """Connects to the upstream and answers the Open."""
@@ -160,11 +164,23 @@
         self.write(answer)
         if self.upstream_side is not None:
             self.upstream_side.resume_reading()
+            if self.server.board.stopping:
+                self.leave()
             return
         reason = getattr(answer, 'reason', 'the upstream refused')
         self.log_refused(message.incarnation, reason)
         self.transport.close()
 
+    def leave(self) -> None:
+        """Has the peer send no more requests through this instance."""
+        if self.upstream_side is not None:
+            self.write(tunnel_wire.Leaving())
+
+    def close(self) -> None:
+        """Ends the tunnel at once."""
+        assert self.transport is not None
+        self.transport.abort()
+
     async def try_connect(self, incarnation: str) -> tunnel_wire.Message:
         """Connects to the upstream; returns the answer to the Open."""
         reason = self.server.reason_to_refuse()
@@ -212,8 +228,7 @@
 
     def eof_received(self) -> bool:
         """Ends the tunnel at once: a peer that closes has left."""
-        assert self.transport is not None
-        self.transport.abort()
+        self.close()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/oleanderdrift/gateway/tunnel_wire.py
+++ b/oleanderdrift/gateway/tunnel_wire.py
@@ -13,7 +13,7 @@
 import msgspec
 
 LENGTH_BYTES: typing.Final = 4
-MAX_OPEN_BYTES: typing.Final = 4_096
+MAX_OPEN_BYTES: typing.Final = 1_024
 # The most bytes in one Data message.
 MAX_DATA_BYTES: typing.Final = 32_768
 # Its kind and the encoded lengths need a few bytes more.
@@ -56,7 +56,13 @@
     """The connection to the upstream broke."""
 
 
-Message: typing.TypeAlias = Opened | Refused | Unreachable | Data | End | Reset
+class Leaving(msgspec.Struct, tag='leaving', array_like=True, frozen=True):
+    """The peer is stopping, and carries no request after this one."""
+
+
+Message: typing.TypeAlias = (
+    Opened | Refused | Unreachable | Data | End | Reset | Leaving
+)
 Received = typing.TypeVar('Received')
 
 
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -4,6 +4,7 @@
 import socket
 import typing
 
+import attrs
 import pytest
 from tornado import httputil
 from tornado import iostream
@@ -12,8 +13,10 @@
 from oleanderdrift import errors
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import budget_log
+from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import drain
 from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import tunnel_client
 from standins import platform_store
 from standins import replica
 from tests import gateway_support
@@ -87,6 +90,49 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(('events', 'is_whole'), [(4, True), (400, False)])
+def test_stop_carries_open_tunnels_to_their_end_within_its_time(
+    events: int, is_whole: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(drain, 'LOAD_BALANCER_GRACE_S', 0.0)
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            board = env.gateway.board
+            board.settings = attrs.evolve(board.settings, stop_s=2.0)
+            env.replica.behaviours = [
+                replica.Stream(events=events, pause_s=0.1, unframed=True)
+            ]
+            (upstream,) = board.upstreams.by_id.values()
+            opened = await tunnel_client.open_tunnel(
+                board.settings.tunnel_listen, upstream.entry, 1.0
+            )
+            idle = await tunnel_client.open_tunnel(
+                board.settings.tunnel_listen, upstream.entry, 1.0
+            )
+            idle.protocol.idle = True
+            pooled = await channel.connect('127.0.0.1', env.replica.port, 1.0)
+            env.gateway.forwarder.attempts.pool.release('u1', pooled, 0.0)
+            await opened.send('POST', '/a/b', [('Host', 'x')], b'')
+            await opened.read_head(0.0)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            stopping = asyncio.create_task(env.gateway.drain())
+            if is_whole:
+                assert b'e4' in await opened.read_body()
+                assert idle.protocol.closed
+                assert not pooled.protocol.closed
+            else:
+                with pytest.raises(channel.ChannelError):
+                    await opened.read_body()
+            await stopping
+            assert loop.time() - started < 2.0
+            assert pooled.protocol.closed
+
+    asyncio.run(play())
+
+
 def test_settlements_of_all_partitions_are_written_together() -> None:
     """One slow partition does not hold up the others at the end."""
 
