Tunnels: a queue for as many connections as are allowed

A data centre that is cut off opens tunnels to the same few peers at once. The queue of new connections held 100; an opening packet that finds it full is sent again after a second, long after the caller's time-out. It holds as many as the server allows now. Not tested: the length of the queue can't be read back. The decoders are made once, not for each tunnel.

--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -49,13 +49,17 @@
 
     def listen(self, host: str, port: int) -> None:
         """Starts listening; raises OSError."""
-        self.listeners = netutil.bind_sockets(port, host)
+        self.listeners = netutil.bind_sockets(
+            port, host, backlog=MAX_CONNECTIONS
+        )
 
     async def serve(self) -> None:
         """Accepts connections until cancelled."""
         loop = asyncio.get_running_loop()
         servers = [
-            await loop.create_server(lambda: PeerSide(self), sock=one)
+            await loop.create_server(
+                lambda: PeerSide(self), sock=one, backlog=MAX_CONNECTIONS
+            )
             for one in self.listeners
         ]
         try:
--- a/oleanderdrift/gateway/tunnel_wire.py
+++ b/oleanderdrift/gateway/tunnel_wire.py
@@ -64,6 +64,8 @@
     Opened | Refused | Unreachable | Data | End | Reset | Leaving
 )
 Received = typing.TypeVar('Received')
+_OPEN_DECODER: typing.Final = msgspec.msgpack.Decoder(Open)
+_MESSAGE_DECODER: typing.Final = msgspec.msgpack.Decoder(Message)
 
 
 class MalformedMessageError(Exception):
@@ -110,12 +112,12 @@
 
 def open_reader() -> Reader[Open]:
     """Returns a reader of what the opening instance sends first."""
-    return Reader(msgspec.msgpack.Decoder(Open), MAX_OPEN_BYTES)
+    return Reader(_OPEN_DECODER, MAX_OPEN_BYTES)
 
 
 def message_reader() -> Reader[Message]:
     """Returns a reader of what the carrying instance sends."""
-    return Reader(msgspec.msgpack.Decoder(Message), MAX_MESSAGE_BYTES)
+    return Reader(_MESSAGE_DECODER, MAX_MESSAGE_BYTES)
 
 
 def encode(message: Open | Message) -> bytes:
