--- a/oleanderdrift/gateway/drain.py
+++ b/oleanderdrift/gateway/drain.py
@@ -57,9 +57,12 @@
         self.tunnels.leave()
         await asyncio.sleep(LOAD_BALANCER_GRACE_S)
         await close_listener(self.ingress)
-        while clock.monotonic() < deadline and self.has_work():
+        while clock.monotonic() < deadline:
             self.ingress.close_idle(clock.monotonic(), IDLE_TIMEOUT_S)
+            # Also gives the connections just accepted the time to begin.
             await asyncio.sleep(POLL_INTERVAL_S)
+            if not self.has_work():
+                break
         if self.board.open_requests:
             logs.warning('requests-cut', open=self.board.open_requests)
         if self.tunnels.open:
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -4,18 +4,19 @@
 import socket
 import typing
 
-from tornado import httpserver
 from tornado import httputil
 from tornado import iostream
 from tornado import netutil
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import reply as reply_lib
+from oleanderdrift.gateway import request_end
 
 READ_BYTES: typing.Final = 65_536
 
@@ -56,7 +57,28 @@
 
     def on_close(self, server_conn: object) -> None:
         """Drops the reader of a closed connection."""
-        self.readers.pop(server_conn, None)
+        reader = self.readers.pop(server_conn, None)
+        if reader is not None:
+            self.log_idle_close(reader, clock.monotonic())
+
+    def log_idle_close(self, reader: '_RequestReader', now: float) -> None:
+        """Logs that this side closed a connection that awaited a request.
+
+        unread says whether bytes waited in its socket when it was closed.
+        """
+        stream = getattr(reader.conn, 'stream', None)
+        if reader.received_at or not isinstance(
+            stream, client_stream.ClientStream
+        ):
+            return
+        if stream.peer_closed or stream.closed_at < reader.idle_since:
+            return
+        self.forwarder.events.info(
+            'connection-closed',
+            idle_ms=round((now - reader.idle_since) * 1_000),
+            head_begun=stream.last_read_at > reader.idle_since,
+            unread=stream.was_unread,
+        )
 
     def close_idle(self, now: float, idle_timeout_s: float) -> None:
         """Closes connections that have been idle for at least the timeout."""
@@ -78,9 +100,9 @@
 
 def make_server(
     delegate: Ingress, limits: model.Limits
-) -> httpserver.HTTPServer:
+) -> client_stream.ClientServer:
     """Returns a server that passes its requests to the delegate."""
-    return httpserver.HTTPServer(
+    return client_stream.ClientServer(
         delegate,
         idle_connection_timeout=limits.idle_timeout_s,
         max_header_size=limits.header_bytes,
@@ -121,22 +143,30 @@
 
     def finish(self) -> None:
         """Starts the response to a complete request."""
+        reply = ConnectionReply(self.conn, self.ingress)
+        end = request_end.RequestEnd(
+            reply=reply,
+            codec=self.ingress.codec,
+            events=self.ingress.forwarder.events,
+            request_id=self.ingress.codec.request_id(self.headers),
+        )
         if self.closed:
             # The request arrived after the connection was closed, so no
             # client waits for its response.
+            end.log_end(None, 'closed')
             return
-        self.task = asyncio.create_task(self.respond())
+        self.task = asyncio.create_task(self.respond(reply))
         self.ingress.tasks.add(self.task)
         self.task.add_done_callback(self.ingress.tasks.discard)
+        self.task.add_done_callback(end.on_done)
 
     def on_connection_close(self) -> None:
         """Cancels the work for a client that disconnected."""
         if self.task is not None:
             self.task.cancel()
 
-    async def respond(self) -> None:
+    async def respond(self, reply: 'ConnectionReply') -> None:
         """Decodes the request and has the forwarder serve it."""
-        reply = ConnectionReply(self.conn, self.ingress)
         try:
             request = self.ingress.codec.decode_request(
                 self.start_line.method,
@@ -148,21 +178,9 @@
         except errors.ResultError as error:
             await reply.send_complete(error.code.status, [], b'')
             return
-        try:
-            await self.ingress.forwarder.serve(request, reply)
-        except asyncio.CancelledError:
-            return
-        except Exception:
-            self.ingress.forwarder.events.info(
-                'invariant-broken', request=request.request_id
-            )
-            if not reply.started:
-                await reply.send_complete(
-                    codes.INVARIANT_BROKEN.status, [], b''
-                )
-            else:
-                reply.abort()
-            raise
+        except Exception as error:
+            raise errors.ResultError(codes.BAD_REQUEST, repr(error)) from error
+        await self.ingress.forwarder.serve(request, reply)
 
 
 class ConnectionReply:
@@ -174,6 +192,8 @@
         self.conn = conn
         self.ingress = ingress
         self.started = False
+        self.may_have_run = False
+        self.ended = False
         self.close_announced = False
 
     def should_close(self) -> bool:
@@ -188,6 +208,12 @@
         self, status: int, headers: reply_lib.Headers, body: bytes | None
     ) -> None:
         """Sends the status and headers, and the body if it is given."""
+        await self.wait_until_sent(self.start_head(status, headers, body))
+
+    def start_head(
+        self, status: int, headers: reply_lib.Headers, body: bytes | None
+    ) -> 'asyncio.Future[None]':
+        """Begins to send what write_head sends."""
         self.started = True
         fields = httputil.HTTPHeaders()
         for name, value in headers:
@@ -198,9 +224,19 @@
         if self.close_announced:
             fields['Connection'] = 'close'
         start_line = httputil.ResponseStartLine('HTTP/1.1', status, 'Answer')
-        await self.wait_until_sent(
-            self.conn.write_headers(start_line, fields, body or None)
-        )
+        return self.conn.write_headers(start_line, fields, body or None)
+
+    def refuse(self, status: int, headers: reply_lib.Headers) -> None:
+        """Sends a complete response without a body; does not wait."""
+        sending = self.start_head(status, headers, b'')
+        self.end()
+        if self.close_announced:
+            sending.add_done_callback(lambda _: self.abort())
+
+    def is_disconnected(self) -> bool:
+        """Returns whether the connection is closed."""
+        stream = getattr(self.conn, 'stream', None)
+        return stream is not None and bool(stream.closed())
 
     async def wait_until_sent(self, future: 'asyncio.Future[None]') -> None:
         """Waits for a write.
@@ -229,13 +265,18 @@
 
     async def finish(self) -> None:
         """Marks the response as complete."""
-        self.conn.finish()
+        self.end()
         # Without a Connection: close header the client may already have
         # sent its next request, so the connection stays open.
         if self.close_announced:
             await self.flush()
             self.abort()
 
+    def end(self) -> None:
+        """Ends the response; the rest of it is still being sent."""
+        self.ended = True
+        self.conn.finish()
+
     async def flush(self) -> None:
         """Waits until all that was written is handed to the kernel.
 
@@ -248,6 +289,7 @@
 
     def abort(self) -> None:
         """Closes the connection at once."""
+        self.ended = True
         stream = getattr(self.conn, 'stream', None)
         if stream is not None:
             stream.close()
