Tunnels: an odd address of a peer is one that cannot be reached

A peer's record comes from the store, where another writer may leave an odd one. A port out of range, a host with a NUL or an overlong label, or no port at all made open_tunnel raise OverflowError, ValueError or UnicodeError, which callers take for neither a failed peer nor a failed upstream. It raises ConnectionError now. The nine addresses of the new test failed before.

--- a/oleanderdrift/gateway/tunnel_client.py
+++ b/oleanderdrift/gateway/tunnel_client.py
@@ -104,12 +104,8 @@
     for another reason, and OSError or TimeoutError if the peer cannot be
     reached.
     """
-    host, port = settings.split_address(address)
-    loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
-        transport, protocol = await loop.create_connection(
-            _TunnelProtocol, host, port
-        )
+        transport, protocol = await _connect(address)
         try:
             channel.set_tcp_options(transport, channel.TCP_USER_TIMEOUT_MS)
             message = tunnel_wire.Open(incarnation=entry.incarnation())
@@ -121,6 +117,18 @@
     return channel.Channel(protocol, via=via)
 
 
+async def _connect(
+    address: str,
+) -> tuple[asyncio.Transport, _TunnelProtocol]:
+    """Connects to a peer; raises OSError."""
+    loop = asyncio.get_running_loop()
+    try:
+        host, port = settings.split_address(address)
+        return await loop.create_connection(_TunnelProtocol, host, port)
+    except (ValueError, OverflowError) as error:
+        raise ConnectionError('the address cannot be used') from error
+
+
 def _check_opened(answer: tunnel_wire.Message | None) -> None:
     match answer:
         case tunnel_wire.Opened():
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -506,6 +506,17 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize(
+    'address',
+    ['', ':', 'x', '127.0.0.1:65536', '127.0.0.1:-1', 'x\0:1', 'a..b:1']
+    + ['127.0.0.1:' + '9' * 5_000, 'x' * 64 + '.y:1'],
+)
+def test_peer_with_an_odd_address_cannot_be_reached(address: str) -> None:
+    opening = tunnel_client.open_tunnel(address, gateway_support.entry(), 1.0)
+    with pytest.raises(OSError):
+        asyncio.run(opening)
+
+
 def test_peer_that_does_not_answer_is_given_up_in_time() -> None:
     async def play() -> None:
         with socket.create_server((tunnel_support.HOST, 0)) as silent:
