Tunnels: an upstream with an overlong name is not blamed on the peer

The peer closes a connection whose Open exceeds 1 KiB, and the first instance took that for a peer that cannot be reached, for all upstreams. Such an upstream is unreachable through any peer, which is told without asking one. The new test failed before: ConnectionError, the peer answered None.

--- a/oleanderdrift/gateway/tunnel_client.py
+++ b/oleanderdrift/gateway/tunnel_client.py
@@ -104,12 +104,15 @@
     for another reason, and OSError or TimeoutError if the peer cannot be
     reached.
     """
+    message = tunnel_wire.Open(incarnation=entry.incarnation())
+    opening = tunnel_wire.encode(message)
+    if len(opening) > tunnel_wire.MAX_OPEN_BYTES:
+        raise UpstreamUnreachableError('its name is too long')
     async with asyncio.timeout(timeout_s):
         transport, protocol = await _connect(address)
         try:
             channel.set_tcp_options(transport, channel.TCP_USER_TIMEOUT_MS)
-            message = tunnel_wire.Open(incarnation=entry.incarnation())
-            transport.write(tunnel_wire.encode(message))
+            transport.write(opening)
             _check_opened(await protocol.answer)
         except BaseException:
             transport.abort()
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -506,6 +506,16 @@
     asyncio.run(play())
 
 
+def test_upstream_with_an_odd_name_is_not_blamed_on_the_peer() -> None:
+    async def scenario(carrier: tunnel_support.Carrier) -> None:
+        odd = gateway_support.entry('u' * 2_000)
+        carrier.board.upstreams.put(odd)
+        with pytest.raises(tunnel_client.UpstreamUnreachableError):
+            await carrier.open(odd)
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     'address',
     ['', ':', 'x', '127.0.0.1:65536', '127.0.0.1:-1', 'x\0:1', 'a..b:1']
