--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -1,16 +1,25 @@
 """A pool of idle connections."""
 
 import collections.abc
+import typing
 
 import attrs
 
 from oleanderdrift.gateway import channel
 
+Connect: typing.TypeAlias = collections.abc.Callable[
+    [str, int, float], collections.abc.Awaitable[channel.Channel]
+]
+
 
 @attrs.define(kw_only=True)
 class Pool:
-    """Idle connections by a key that identifies one incarnation of a peer."""
+    """Idle connections by a key that identifies one incarnation of a peer.
+
+    connect opens a connection to a host and port, within a time in seconds.
+    """
 
+    connect: Connect = channel.connect
     idle: dict[collections.abc.Hashable, list[channel.Channel]] = attrs.field(
         factory=dict
     )
@@ -31,8 +40,14 @@
             if connection.is_reusable(now):
                 return connection
             connection.close()
+        return await self.open(host, port, timeout_s)
+
+    async def open(
+        self, host: str, port: int, timeout_s: float
+    ) -> channel.Channel:
+        """Opens a connection; raises OSError or TimeoutError."""
         self.opened += 1
-        return await channel.connect(host, port, timeout_s)
+        return await self.connect(host, port, timeout_s)
 
     def has_idle(self, key: collections.abc.Hashable, now: float) -> bool:
         """Returns whether a connection is open and waits for a request."""
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -8,6 +8,7 @@
 import collections
 import collections.abc
 import math
+import random
 import typing
 
 import attrs
@@ -17,12 +18,20 @@
 
 # Silence time-out of engines: longer than a slow one needs for a long prompt.
 ENGINE_SILENCE_S: typing.Final = 0.9
+# A sound upstream may be silent for a second or so; its requests wait for it.
+ABORT_DELAY_S: typing.Final = 1.1
 # An engine's time for a turn of usual length, without prefill.
 TURN_DECODE_S: typing.Final = 0.33
 # Silence time-out if the upstream's data centre is unreachable.
 UNREACHABLE_SILENCE_S: typing.Final = 0.4
 FIRST_EJECTION_S: typing.Final = 0.5
 MAX_EJECTION_S: typing.Final = 4.0
+# Longer than a connection attempt takes.
+DOUBT_S: typing.Final = 0.6
+FIRST_PROBE_S: typing.Final = 0.5
+MAX_PROBE_S: typing.Final = 2.0
+# The part of an interval by which probes are spread at random.
+PROBE_SPREAD: typing.Final = 0.2
 # Weight of the newest measurement in the moving average.
 SMOOTHING_FACTOR: typing.Final = 0.2
 MAX_SLOWNESS: typing.Final = 10.0
@@ -51,8 +60,13 @@
     for this instance, the most recent last.  abortable maps connections
     whose requests may be aborted to when these were sent.  last_received is
     when bytes last came from it, and silence_timeout_s how long it may send
-    nothing while such requests wait: only engines send all the time.
-    removed_at is when the entry was removed.
+    nothing while such requests wait before others are preferred: only engines
+    send all the time.
+    removed_at is when the entry was removed.  set_aside_at is when it was
+    taken for crashed although its entry stands; it gets nothing until a probe
+    reaches it.  doubted_until is when a peer's word that it has crashed
+    expires unless this instance finds the same.  probe_at is when it is to be
+    probed, after probe_failures in a row.
     """
 
     entry: model.UpstreamEntry
@@ -70,6 +84,10 @@
     abortable: dict[channel.Channel, float] = attrs.field(factory=dict)
     silence_timeout_s: float = float('inf')
     removed_at: float | None = None
+    set_aside_at: float | None = None
+    doubted_until: float = float('-inf')
+    probe_at: float = float('inf')
+    probe_failures: int = 0
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -83,8 +101,44 @@
         return (entry.upstream_id, entry.born_ms, entry.host, entry.port)
 
     def is_ejected(self, now: float) -> bool:
-        """Returns whether it is ejected after failures."""
-        return now < self.ejected_until
+        """Returns whether it is ejected after failures, or doubted."""
+        return now < max(self.ejected_until, self.doubted_until)
+
+    def doubt(self, now: float) -> None:
+        """Prefers others until a probe, due at once, has decided."""
+        self.doubted_until = now + DOUBT_S
+        self.probe_at = min(self.probe_at, now)
+
+    def set_aside(self, now: float) -> None:
+        """Sends it nothing until a probe reaches it."""
+        if self.set_aside_at is None:
+            self.set_aside_at = now
+            self.probe_failures = 0
+        self.doubted_until = float('-inf')
+
+    def probe_due(self, now: float) -> bool:
+        """Returns whether it is to be probed."""
+        return self.removed_at is None and now >= self.probe_at
+
+    def begin_probes(self, now: float, chance: random.Random) -> None:
+        """Has it probed from now on, if it is not probed yet."""
+        if self.probe_at == float('inf'):
+            self.schedule_probe(now, chance)
+
+    def schedule_probe(self, now: float, chance: random.Random) -> None:
+        """Sets when it is probed next, each time after a longer interval."""
+        interval_s = min(FIRST_PROBE_S * 2.0**self.probe_failures, MAX_PROBE_S)
+        spread = chance.uniform(-PROBE_SPREAD, PROBE_SPREAD)
+        self.probe_failures += 1
+        self.probe_at = now + interval_s * (1 + spread)
+
+    def take_back(self) -> None:
+        """Sends it requests again, after a probe has reached it."""
+        self.set_aside_at = None
+        self.doubted_until = float('-inf')
+        self.probe_at = float('inf')
+        self.probe_failures = 0
+        self.note_success()
 
     def note_failure(self, now: float) -> None:
         """Ejects the upstream, each time for longer."""
@@ -95,23 +149,24 @@
     def eject_if_silent(
         self, now: float, unreachable: bool
     ) -> list[channel.Channel]:
-        """Ejects it if requests time out; returns their connections.
+        """Ejects it if it is silent; returns the connections to abort.
 
         unreachable says that its data centre cannot be reached.  One whose
         slots are all taken has to end other requests first.
         """
-        limit_s = self.silence_timeout_s + self.queue_s(now)
+        eject_s = self.silence_timeout_s + self.queue_s(now)
+        abort_s = eject_s + ABORT_DELAY_S
         if unreachable:
-            limit_s = UNREACHABLE_SILENCE_S
-        silent = [
-            connection
+            eject_s = abort_s = UNREACHABLE_SILENCE_S
+        silent_s = {
+            connection: now - max(sent, self.last_received)
             for connection, sent in self.abortable.items()
-            if now - max(sent, self.last_received) > limit_s
-            and not connection.protocol.received
-        ]
-        if silent and not self.is_ejected(now):
+            if not connection.protocol.received
+        }
+        is_silent = any(each > eject_s for each in silent_s.values())
+        if is_silent and not self.is_ejected(now):
             self.note_failure(now)
-        return silent
+        return [one for one, each in silent_s.items() if each > abort_s]
 
     def queue_s(self, now: float) -> float:
         """Returns how long a request waits for a slot, by its load."""
@@ -215,6 +270,9 @@
             changed = 'returned'
         known.entry = entry
         known.removed_at = None
+        if known.set_aside_at is not None:
+            # An upstream writes its entry itself.
+            known.probe_at = float('-inf')
         return changed
 
     def remove(self, upstream_id: str, now: float) -> bool:
@@ -225,13 +283,13 @@
         known.removed_at = now
         return True
 
-    def remove_incarnation(self, incarnation: str, now: float) -> bool:
-        """Marks the entry of one start of an upstream as removed."""
+    def of_incarnation(self, incarnation: str) -> Upstream | None:
+        """Returns the upstream if this start of it is the one known."""
         upstream_id = incarnation.partition(model.INCARNATION_SEPARATOR)[0]
         known = self.by_id.get(upstream_id)
         if known is None or known.entry.incarnation() != incarnation:
-            return False
-        return self.remove(upstream_id, now)
+            return None
+        return known
 
     def keep_only(self, ids: set[str], now: float) -> list[str]:
         """Marks all other entries as removed; returns their ids."""
@@ -272,6 +330,7 @@
             for one in self.by_id.values()
             if one.entry.service == service
             and not one.entry.draining
+            and one.set_aside_at is None
             and (one.removed_at is None or include_lapsed)
         ]
 
