--- a/oleanderdrift/gateway/relays.py
+++ b/oleanderdrift/gateway/relays.py
@@ -37,12 +37,16 @@
 
 @attrs.frozen(kw_only=True)
 class Instance:
-    """An instance of the fleet; cores is its share of processors."""
+    """An instance of the fleet; cores is its share of processors.
+
+    tunnel_address is empty if it carries no bytes for its peers.
+    """
 
     name: str
     data_centre: str
     address: str
     cores: float
+    tunnel_address: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/oleanderdrift/gateway/tunnel_peers.py
@@ -0,0 +1,177 @@
+"""Chooses the peer through which an upstream is reached.
+
+A peer publishes the upstreams that it cannot reach directly, and only then:
+in a sound fleet of any size nothing is published.
+"""
+
+import collections.abc
+import enum
+import random
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import relays
+
+# States come at least every 0.25 s, in large fleets over two relays.
+HEARD_S: typing.Final = 0.6
+# A state lists at most so many upstreams, ten times a second.
+MAX_PUBLISHED: typing.Final = 16
+# A peer that did not answer is left out for this time, and one that did not
+# reach an upstream for that upstream.
+AVOIDANCE_S: typing.Final = 1.0
+# One that did not reach some upstream is a worse choice for others as well.
+DOUBT_S: typing.Final = 0.5
+
+
+class TunnelFailure(enum.Enum):
+    """Why a peer has not opened a tunnel.
+
+    REFUSED by the upstream and UNREACHABLE upstream are answers of the peer;
+    SILENT means that the peer itself was not reached.
+    """
+
+    REFUSED = 'refused'
+    UNREACHABLE = 'unreachable'
+    SILENT = 'silent'
+
+
+@attrs.define(kw_only=True)
+class Peer:
+    """What is known of a peer; unreachable is as it last published.
+
+    reaches_few says that it cannot reach more upstreams than it lists.
+    avoided_until and doubted_until follow from failed tunnels;
+    failed_upstreams holds when each may be tried again.
+    """
+
+    instance: relays.Instance
+    heard_at: float
+    unreachable: frozenset[str] = frozenset()
+    reaches_few: bool = False
+    avoided_until: float = float('-inf')
+    doubted_until: float = float('-inf')
+    failed_upstreams: dict[str, float] = attrs.field(factory=dict)
+
+    def carries(self, upstream_id: str, now: float) -> bool:
+        """Returns whether it is likely to reach an upstream."""
+        return (
+            now - self.heard_at < HEARD_S
+            and now >= self.avoided_until
+            and not self.reaches_few
+            and upstream_id not in self.unreachable
+            and now >= self.failed_upstreams.get(upstream_id, now)
+        )
+
+
+@attrs.define(kw_only=True)
+class TunnelPeers:
+    """The peers that are not leaving and accept tunnels, by name.
+
+    left holds those that left and whose tunnels are still to be closed.
+    """
+
+    by_name: dict[str, Peer] = attrs.field(factory=dict)
+    left: set[str] = attrs.field(factory=set)
+
+    def note_state(
+        self,
+        instance: relays.Instance,
+        unreachable: frozenset[str],
+        reaches_few: bool,
+        now: float,
+    ) -> None:
+        """Records a peer's state."""
+        if not instance.tunnel_address:
+            return
+        found = self.by_name.get(instance.name)
+        if found is None:
+            found = Peer(instance=instance, heard_at=now)
+            self.by_name[instance.name] = found
+        found.instance = instance
+        found.heard_at = now
+        found.unreachable = unreachable
+        found.reaches_few = reaches_few
+
+    def forget(self, name: str) -> None:
+        """Removes a peer that is leaving or silent."""
+        if self.by_name.pop(name, None) is not None:
+            self.left.add(name)
+
+    def take_left(self) -> set[str]:
+        """Returns the peers that were removed since the last call."""
+        left, self.left = self.left, set()
+        return left
+
+    def carries(self, name: str, upstream_id: str, now: float) -> bool:
+        """Returns whether a peer is likely to reach an upstream."""
+        found = self.by_name.get(name)
+        return found is not None and found.carries(upstream_id, now)
+
+    def note_failed(
+        self,
+        name: str,
+        upstream_id: str,
+        failure: TunnelFailure,
+        now: float,
+    ) -> None:
+        """Records that a peer has not opened a tunnel to an upstream."""
+        found = self.by_name.get(name)
+        if found is None:
+            return
+        if failure is TunnelFailure.SILENT:
+            found.avoided_until = now + AVOIDANCE_S
+            return
+        found.failed_upstreams = {
+            each: until
+            for each, until in found.failed_upstreams.items()
+            if now < until
+        }
+        found.failed_upstreams[upstream_id] = now + AVOIDANCE_S
+        found.doubted_until = now + DOUBT_S
+
+    def choose(
+        self,
+        entry: model.UpstreamEntry,
+        own_data_centre: str,
+        asked: collections.abc.Collection[relays.Instance],
+        now: float,
+        chance: random.Random,
+    ) -> relays.Instance | None:
+        """Returns the peer to ask for a tunnel to an upstream, if any.
+
+        Those in the upstream's data centre come first, then those in the
+        own one; asked holds peers that have failed, whose data centres
+        come last.
+        """
+        preference = [entry.data_centre, own_data_centre]
+        asked_names = {one.name for one in asked}
+        asked_places = {one.data_centre for one in asked}
+
+        def rank(peer: Peer) -> tuple[bool, bool, int]:
+            place = peer.instance.data_centre
+            nearness = (
+                preference.index(place)
+                if place in preference
+                else len(preference)
+            )
+            return place in asked_places, now < peer.doubted_until, nearness
+
+        ranked = [
+            (rank(peer), peer.instance)
+            for name, peer in self.by_name.items()
+            if name not in asked_names and peer.carries(entry.upstream_id, now)
+        ]
+        if not ranked:
+            return None
+        best = min(each for each, _ in ranked)
+        return chance.choice([one for each, one in ranked if each == best])
+
+
+def published(
+    upstream_ids: collections.abc.Collection[str],
+) -> tuple[frozenset[str], bool]:
+    """Returns the ids to publish, and whether there are more."""
+    listed = sorted(upstream_ids)[:MAX_PUBLISHED]
+    return frozenset(listed), len(upstream_ids) > MAX_PUBLISHED
