Gateway: reach upstreams through a peer where the own links are lost

Callers of an instance that had lost its links to the upstreams waited for 0.7 to 1 s and were refused, or their requests went into connections that hung and ended with 502, while the instance's peers served theirs.

The cause: a direct connection was the only way to an upstream, and each request found out for itself that there is none.

upstream_connections now opens and keeps all connections of requests. It takes a direct one, or a tunnel through a peer where the direct path is lost. A peer carries bytes only: limits, budgets, kept turns, seals and the end of a caller's connection are dealt with as over a direct connection. path_monitor has a path probed as soon as a request waits without a byte, and all paths in use once one is lost; it closes the connections that hang if their requests may be repeated, and probes a lost path every half second, so that no caller's request finds out whether it is back. An upstream that a peer reaches is not ejected. If nobody reaches an upstream, the request is refused at once, as not run.

Peers publish the upstreams that they cannot reach, and only then, as the last fields of their states. The crash detector's witness is the try of up to six peers; a probe that brings an upstream back may lead through a peer as well.

The test of old and new builds' states cut off the last two fields; it now cuts off all that follow the old build's, whatever their number.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -15,11 +15,13 @@
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import origin_log
+from oleanderdrift.gateway import path_monitor
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import upstream_choice
+from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstream_probes
 from oleanderdrift.gateway import upstreams
 
@@ -45,11 +47,26 @@
         self.turns = turns
         self.events = event_log
         self.pool = connection_pool.Pool()
-        self.crashes = crash_detector.CrashDetector(
+        self.connections = upstream_connections.UpstreamConnections(
             board, self.pool, event_log, random.Random()
         )
+        self.paths = path_monitor.PathMonitor(
+            board, self.connections, self.pool
+        )
+        self.crashes = crash_detector.CrashDetector(
+            board,
+            self.pool,
+            event_log,
+            random.Random(),
+            self.connections.witness,
+        )
         self.probes = upstream_probes.UpstreamProbes(
-            board, self.pool, codec, self.crashes, event_log, random.Random()
+            board,
+            self.connections,
+            codec,
+            self.crashes,
+            event_log,
+            random.Random(),
         )
         self.relay = answer_relay.AnswerRelay(turns, self.crashes, origins)
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
@@ -114,7 +131,7 @@
             progress.excluded.add(upstream_id)
         progress.possibly_ran.add(upstream_id)
         outcome = await exchange.send_request(
-            self.pool,
+            self.connections,
             self.codec,
             self.board,
             upstream,
@@ -166,7 +183,7 @@
                 return False
             case exchange.MayHaveRun():
                 return await self.handle_broken(
-                    progress, upstream, outcome.reason
+                    progress, upstream, outcome.reason, outcome.via
                 )
             case exchange.ResponseStarted():
                 self.note_rate_limit(progress, upstream, outcome.head)
@@ -242,12 +259,17 @@
         progress: progress_lib.Progress,
         upstream: upstreams.Upstream,
         reason: str,
+        via: str,
     ) -> bool:
         """Prepares for another try after a broken exchange.
 
-        Raises ResultError if the request must not be sent again.
+        via names the peer that carried it, if any.  Raises ResultError if
+        the request must not be sent again.
         """
         self.note_failed_try(progress, upstream, reason)
+        if not via and upstream.path.loss is not None:
+            self.note_lost_on_path(progress, upstream, reason)
+            return False
         check = self.crashes.note_broken(progress, upstream)
         if not progress.admitted.may_repeat():
             upstream.note_failure(clock.monotonic())
@@ -267,6 +289,22 @@
             progress.excluded.add(upstream.entry.upstream_id)
         return False
 
+    def note_lost_on_path(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        reason: str,
+    ) -> None:
+        """Prepares for another try after the direct path was lost.
+
+        The upstream is not to blame if a peer reaches it.  Raises ResultError
+        if the request must not be sent again.
+        """
+        if not upstream.path.confirmed:
+            upstream.note_failure(clock.monotonic())
+        if not progress.admitted.may_repeat():
+            raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
+
     async def relay_answer(
         self,
         progress: progress_lib.Progress,
@@ -281,14 +319,17 @@
             await self.relay.relay(progress, upstream, outcome, reply, started)
         except channel.ChannelError as error:
             connection.close()
-            return await self.handle_broken(progress, upstream, str(error))
+            return await self.handle_broken(
+                progress, upstream, str(error), connection.via
+            )
         except BaseException:
             # Closing the connection makes the upstream stop.
             connection.close()
             raise
         finally:
             upstream.abortable.pop(connection, None)
+            self.connections.forget(connection)
         upstream.note_success()
         self.board.crashes.note_success(progress.fingerprints)
-        self.pool.release(upstream.key(), connection, clock.monotonic())
+        self.connections.release(upstream, connection, clock.monotonic())
         return True
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import stream_origins
+from oleanderdrift.gateway import tunnel_peers as tunnel_peers_lib
 from oleanderdrift.gateway import upstream_limits as upstream_limits_lib
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
@@ -32,6 +33,8 @@
     silent_data_centres names the data centres that cannot be reached.
     instances is the number of instances that are heard, with this one.
     origins has the software versions that began the streams of this instance.
+    tunnel_peers are those that may carry connections to upstreams, and
+    lost_paths holds the upstreams that this instance cannot reach directly.
     exchanged_at is when states were last exchanged with peers, on the clock
     that also advances while the machine is suspended.
     """
@@ -67,6 +70,10 @@
     started_programs: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
+    tunnel_peers: tunnel_peers_lib.TunnelPeers = attrs.field(
+        factory=tunnel_peers_lib.TunnelPeers
+    )
+    lost_paths: dict[str, upstreams_lib.Upstream] = attrs.field(factory=dict)
     stopping: bool = False
     stop_deadline: float = float('inf')
     silent_data_centres: frozenset[str] = frozenset()
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -17,6 +17,7 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import clock
 
 # Bytes unacknowledged for this long mean that the peer is unreachable.
 TCP_USER_TIMEOUT_MS: typing.Final = 2_000
@@ -80,7 +81,7 @@
 
     idle says that no response is outstanding; bytes that arrive then belong
     to no request and close the connection.  is_leaving says that the peer
-    takes no more requests on it.
+    takes no more requests on it.  received_at is when bytes last arrived.
     """
 
     def __init__(self) -> None:
@@ -89,6 +90,7 @@
         self.paused = False
         self.idle = False
         self.is_leaving = False
+        self.received_at = float('-inf')
         self.closed: Failure | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.transport: asyncio.Transport | None = None
@@ -100,6 +102,7 @@
     def data_received(self, data: bytes) -> None:
         """Buffers bytes until they are read."""
         assert self.transport is not None
+        self.received_at = clock.monotonic()
         if self.idle:
             self.closed = self.closed or Failure.MALFORMED
             self.transport.abort()
--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -34,13 +34,22 @@
         now: float,
     ) -> channel.Channel:
         """Returns an idle connection, or opens one."""
+        idle = self.take(key, now)
+        if idle is not None:
+            return idle
+        return await self.open(host, port, timeout_s)
+
+    def take(
+        self, key: collections.abc.Hashable, now: float
+    ) -> channel.Channel | None:
+        """Returns an idle connection, if there is one."""
         idle = self.idle.get(key, [])
         while idle:
             connection = idle.pop()
             if connection.is_reusable(now):
                 return connection
             connection.close()
-        return await self.open(host, port, timeout_s)
+        return None
 
     async def open(
         self, host: str, port: int, timeout_s: float
@@ -70,3 +79,32 @@
         """Closes the idle connections of a key."""
         for connection in self.idle.pop(key, []):
             connection.close()
+
+    def close_idle_direct(self, key: collections.abc.Hashable) -> None:
+        """Closes the idle connections of a key that lead there directly."""
+        self._close_where(key, lambda one: not one.via)
+
+    def close_idle_tunnels(self, key: collections.abc.Hashable) -> None:
+        """Closes the idle connections of a key that lead through a peer."""
+        self._close_where(key, lambda one: bool(one.via))
+
+    def close_idle_via(self, peer: str) -> None:
+        """Closes the idle connections that lead through a peer."""
+        for key in list(self.idle):
+            self._close_where(key, lambda one: one.via == peer)
+
+    def _close_where(
+        self,
+        key: collections.abc.Hashable,
+        unwanted: collections.abc.Callable[[channel.Channel], bool],
+    ) -> None:
+        """Closes the idle connections of a key that are unwanted."""
+        idle = self.idle.pop(key, [])
+        kept = []
+        for connection in idle:
+            if unwanted(connection):
+                connection.close()
+            else:
+                kept.append(connection)
+        if kept:
+            self.idle[key] = kept
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -10,14 +10,11 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
-from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstreams
 
-# Connecting takes a few milliseconds; a lost SYN is retransmitted only
-# after one second.
-CONNECT_TIMEOUT_S: typing.Final = 0.25
 # How many responses to earlier requests are skipped on a connection.
 MAX_FOREIGN_RESPONSES: typing.Final = 4
 MISDIRECTED: typing.Final = 421
@@ -59,9 +56,13 @@
 
 @attrs.frozen(kw_only=True)
 class MayHaveRun:
-    """The exchange failed after sending; the request may have run."""
+    """The exchange failed after sending; the request may have run.
+
+    via names the peer that carried it, if any.
+    """
 
     reason: str
+    via: str
 
 
 @attrs.frozen(kw_only=True)
@@ -98,7 +99,7 @@
 
 
 async def send_request(
-    pool: connection_pool.Pool,
+    connections: upstream_connections.UpstreamConnections,
     codec: ports.Codec,
     board: board_lib.Board,
     upstream: upstreams.Upstream,
@@ -114,13 +115,7 @@
     admitted = outgoing.admitted
     request = admitted.request
     try:
-        connection = await pool.acquire(
-            upstream.key(),
-            entry.host,
-            entry.port,
-            CONNECT_TIMEOUT_S,
-            clock.monotonic(),
-        )
+        connection = await connections.acquire(upstream, clock.monotonic())
     except (OSError, TimeoutError) as error:
         return NotConnected(reason=repr(error))
     try:
@@ -148,27 +143,33 @@
         await connection.send(
             request.method, request.target, headers, outgoing.body
         )
+        sent_at = clock.monotonic()
+        connections.note_sent(
+            upstream, connection, admitted.may_repeat(), sent_at
+        )
         if admitted.may_abort():
-            upstream.abortable[connection] = clock.monotonic()
+            upstream.abortable[connection] = sent_at
         head = await _read_own_head(connection, codec, request.request_id)
         upstream.last_received = clock.monotonic()
         if head is None:
             return MayHaveRun(
-                reason='received only responses to other requests'
+                reason='received only responses to other requests',
+                via=connection.via,
             )
         if head.not_run:
             await connection.read_body(channel.MAX_SKIPPED_BYTES)
-            pool.release(upstream.key(), connection, clock.monotonic())
+            connections.release(upstream, connection, clock.monotonic())
             handed_over = True
             upstream.abortable.pop(connection, None)
             return NotRun(head=head)
         handed_over = True
         return ResponseStarted(head=head, connection=connection)
     except channel.ChannelError as error:
-        return MayHaveRun(reason=str(error))
+        return MayHaveRun(reason=str(error), via=connection.via)
     finally:
         if not handed_over:
             upstream.abortable.pop(connection, None)
+            connections.forget(connection)
             connection.close()
 
 
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -23,6 +23,7 @@
 from oleanderdrift.gateway import peer_sockets
 from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import relays
+from oleanderdrift.gateway import tunnel_peers
 
 # Relays forward at every turn of the loop, so that two relays on the way
 # add less than the interval between two states of an instance.
@@ -79,6 +80,7 @@
         self.sequence = 0
         self.published_at = float('-inf')
         self.published_work: dict[str, peer_messages.UpstreamLoad] = {}
+        self.published_unreachable: frozenset[str] = frozenset()
         self.sequences = peer_messages.Sequences()
         self.relay_health = relays.RelayHealth()
         self.peer_load = peer_load.PeerLoad(upstreams=board.upstreams)
@@ -175,6 +177,7 @@
             or self.board.rate_limiter.has_unannounced()
             or self.board.upstream_limits.has_unreported()
             or self.board.crashes.has_unreported(self.published_at)
+            or self.board.lost_paths.keys() != self.published_unreachable
             or self.current_work() != self.published_work
         )
 
@@ -196,6 +199,10 @@
         blocked = self.board.crashes.blocked_left_s(now) if whole else {}
         self.published_at = now
         self.published_work = self.current_work()
+        self.published_unreachable = frozenset(self.board.lost_paths)
+        unreachable, reaches_few = tunnel_peers.published(
+            self.published_unreachable
+        )
         self.sequence += 1
         state = peer_messages.StateUpdate(
             data_centre=self.board.settings.data_centre,
@@ -214,6 +221,8 @@
                 one: self.board.crashes.grounds.get(one, frozenset())
                 for one in blocked
             },
+            unreachable=unreachable,
+            reaches_few=reaches_few,
         )
         envelope = peer_messages.Envelope(
             instance=self.board.settings.instance,
@@ -322,6 +331,7 @@
         if state.leaving:
             self.leaving |= {name}
             self.board.reachability.forget(name)
+            self.board.tunnel_peers.forget(name)
         else:
             self.leaving -= {name}
             self.board.reachability.note_report(
@@ -332,6 +342,7 @@
                     store_age_s=state.store_age_s,
                 ),
             )
+            self.note_tunnel_peer(name, state, now)
         for limit in self.board.upstream_limits.note_reports(
             state.limits, now
         ):
@@ -347,8 +358,19 @@
         )
         self.peer_load.update(name, state.work)
 
+    def note_tunnel_peer(
+        self, name: str, state: peer_messages.StateUpdate, now: float
+    ) -> None:
+        """Records which upstreams a peer reaches."""
+        known = self.directory.instances.get(name)
+        if known is not None:
+            self.board.tunnel_peers.note_state(
+                known, state.unreachable, state.reaches_few, now
+            )
+
     def expire_silent(self, now: float) -> None:
         """Drops the load of peers whose states have stopped."""
         for name in self.peer_load.expire(now):
             self.events.info('peer-silent', peer=name)
+            self.board.tunnel_peers.forget(name)
         self.board.instances = len(self.peer_load.last_heard) + 1
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -55,6 +55,8 @@
     refused, by fingerprint; it comes with whole updates, and grounds with it,
     the crashes for which they are.  living holds for how many seconds
     upstreams are known to be alive that were said to have crashed.
+    unreachable holds the upstreams that the instance cannot reach directly;
+    reaches_few says that there are more.
     """
 
     data_centre: str
@@ -68,6 +70,8 @@
     blocked: dict[str, float] = {}
     living: dict[str, float] = {}
     grounds: dict[str, frozenset[str]] = {}
+    unreachable: frozenset[str] = frozenset()
+    reaches_few: bool = False
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -96,6 +96,10 @@
             'silent_data_centres': len(board.silent_data_centres),
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
             'open_tunnels': len(self.tunnels.open),
+            'lost_paths': len(board.lost_paths),
+            'tunnels_opened': (
+                self.forwarder.attempts.connections.tunnels_opened
+            ),
             'store_calls': self.log.calls,
             'store_failures': self.log.failures,
             'store_appends_repeated': (
@@ -117,6 +121,7 @@
             self.run_housekeeping,
             self.poll_settings,
             self.monitor_upstreams,
+            self.forwarder.attempts.paths.watch_paths,
         ):
             task = asyncio.create_task(self.supervise(function))
             self.tasks.append(task)
--- a/oleanderdrift/gateway/tunnel_peers.py
+++ b/oleanderdrift/gateway/tunnel_peers.py
@@ -37,13 +37,21 @@
     SILENT = 'silent'
 
 
+@attrs.frozen(kw_only=True)
+class FailedTunnel:
+    """Why a tunnel was not opened, and when another may be tried."""
+
+    failure: TunnelFailure
+    until: float
+
+
 @attrs.define(kw_only=True)
 class Peer:
     """What is known of a peer; unreachable is as it last published.
 
     reaches_few says that it cannot reach more upstreams than it lists.
     avoided_until and doubted_until follow from failed tunnels;
-    failed_upstreams holds when each may be tried again.
+    failed_upstreams holds those it did not reach lately.
     """
 
     instance: relays.Instance
@@ -52,7 +60,7 @@
     reaches_few: bool = False
     avoided_until: float = float('-inf')
     doubted_until: float = float('-inf')
-    failed_upstreams: dict[str, float] = attrs.field(factory=dict)
+    failed_upstreams: dict[str, FailedTunnel] = attrs.field(factory=dict)
 
     def carries(self, upstream_id: str, now: float) -> bool:
         """Returns whether it is likely to reach an upstream."""
@@ -61,9 +69,18 @@
             and now >= self.avoided_until
             and not self.reaches_few
             and upstream_id not in self.unreachable
-            and now >= self.failed_upstreams.get(upstream_id, now)
+            and self.recent_failure(upstream_id, now) is None
         )
 
+    def recent_failure(
+        self, upstream_id: str, now: float
+    ) -> TunnelFailure | None:
+        """Returns why it did not reach an upstream lately, if it tried."""
+        found = self.failed_upstreams.get(upstream_id)
+        if found is None or now >= found.until:
+            return None
+        return found.failure
+
 
 @attrs.define(kw_only=True)
 class TunnelPeers:
@@ -124,13 +141,25 @@
             found.avoided_until = now + AVOIDANCE_S
             return
         found.failed_upstreams = {
-            each: until
-            for each, until in found.failed_upstreams.items()
-            if now < until
+            each: failed
+            for each, failed in found.failed_upstreams.items()
+            if now < failed.until
         }
-        found.failed_upstreams[upstream_id] = now + AVOIDANCE_S
+        found.failed_upstreams[upstream_id] = FailedTunnel(
+            failure=failure, until=now + AVOIDANCE_S
+        )
         found.doubted_until = now + DOUBT_S
 
+    def recent_failures(
+        self, upstream_id: str, now: float
+    ) -> list[TunnelFailure]:
+        """Returns why peers did not reach an upstream lately."""
+        found = [
+            peer.recent_failure(upstream_id, now)
+            for peer in self.by_name.values()
+        ]
+        return [each for each in found if each is not None]
+
     def choose(
         self,
         entry: model.UpstreamEntry,
--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -12,11 +12,11 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
-from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
 MAX_OPEN_PROBES: typing.Final = 16
@@ -42,14 +42,14 @@
     def __init__(
         self,
         board: board_lib.Board,
-        pool: connection_pool.Pool,
+        connections: upstream_connections.UpstreamConnections,
         codec: ports.Codec,
         crashes: crash_detector.CrashDetector,
         events: event_log.EventLog,
         chance: random.Random,
     ) -> None:
         self.board = board
-        self.pool = pool
+        self.connections = connections
         self.codec = codec
         self.crashes = crashes
         self.events = events
@@ -110,14 +110,9 @@
 
         One that is established is kept for requests.
         """
-        key, entry = upstream.key(), upstream.entry
         try:
-            connection = await self.pool.acquire(
-                key,
-                entry.host,
-                entry.port,
-                crash_detector.CONNECT_TIMEOUT_S,
-                clock.monotonic(),
+            connection = await self.connections.acquire(
+                upstream, clock.monotonic()
             )
         except ConnectionError:
             return WitnessAnswer.REFUSED
@@ -125,12 +120,12 @@
             return WitnessAnswer.NO_ANSWER
         try:
             if not await exchange.is_incarnation(
-                connection, self.codec, entry
+                connection, self.codec, upstream.entry
             ):
                 return WitnessAnswer.REFUSED
         except (TimeoutError, channel.ChannelError):
             return WitnessAnswer.NO_ANSWER
-        self.pool.release(key, connection, clock.monotonic())
+        self.connections.release(upstream, connection, clock.monotonic())
         return WitnessAnswer.REACHED
 
     def conclude(
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -15,6 +15,7 @@
 
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import upstream_paths
 
 # Silence time-out of engines: longer than a slow one needs for a long prompt.
 ENGINE_SILENCE_S: typing.Final = 0.9
@@ -63,7 +64,8 @@
     taken for crashed although its entry stands; it gets nothing until a probe
     reaches it.  doubted_until is when a peer's word that it has crashed
     expires unless this instance finds the same.  probe_at is when it is to be
-    probed, after probe_failures in a row.
+    probed, after probe_failures in a row.  path is the direct path to
+    it.
     """
 
     entry: model.UpstreamEntry
@@ -85,6 +87,7 @@
     doubted_until: float = float('-inf')
     probe_at: float = float('inf')
     probe_failures: int = 0
+    path: upstream_paths.Path = attrs.field(factory=upstream_paths.Path)
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
--- a/tests/test_gateway_false_crashes.py
+++ b/tests/test_gateway_false_crashes.py
@@ -338,11 +338,15 @@
         work={},
         living={'u0': 1.0},
         grounds={'a': frozenset({'u0'})},
+        unreachable=frozenset({'u1'}),
+        reaches_few=True,
     )
+    names = [one.name for one in msgspec.structs.fields(state)]
     fields = msgspec.msgpack.decode(msgspec.msgpack.encode(state))
-    old = msgspec.msgpack.encode(fields[:-2])
+    old = msgspec.msgpack.encode(fields[: names.index('living')])
     found = msgspec.msgpack.decode(old, type=peer_messages.StateUpdate)
     assert (found.living, found.grounds) == ({}, {})
+    assert (found.unreachable, found.reaches_few) == (frozenset(), False)
     # Later fields are skipped.
     newer = msgspec.msgpack.encode([*fields, 'x'])
     assert state == msgspec.msgpack.decode(
