Gateway: have requests leave a tunnel that carries nothing

Requests in a tunnel whose peer was paused, or had lost its own links to the upstream, waited until their deadline: the upstream's silence shows nothing, and the peer does not know of the loss before it needs the path itself.

A tunnel that is silent for half a second now has another one opened beside it, once a second. If the peer cannot open it, or is not heard, or publishes that it cannot reach the upstream, the requests in its silent tunnels that may be repeated are sent again. Tunnels of a peer that is leaving, and of one that is only refused, go on to their end.

The witnesses for a crash are given 0.4 s together.

Before, test_request_hangs_in_a_tunnel_that_carries_nothing ends with a TimeoutError after 1.2 s if start_tunnel_probe does nothing.

--- a/oleanderdrift/gateway/path_monitor.py
+++ b/oleanderdrift/gateway/path_monitor.py
@@ -7,6 +7,7 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_pool
+from oleanderdrift.gateway import relays
 from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstream_paths
 from oleanderdrift.gateway import upstreams as upstreams_lib
@@ -22,7 +23,9 @@
 class PathMonitor:
     """Watches the paths that this instance uses.
 
-    probes holds the probes under way or waiting, by upstream.
+    probes holds the probes under way or waiting, by upstream, and
+    tunnel_probes those of tunnels.  tunnel_probes_at holds when tunnels
+    through a peer to an upstream were probed lately.
     """
 
     def __init__(
@@ -35,6 +38,8 @@
         self.connections = connections
         self.pool = pool
         self.probes: dict[str, asyncio.Task[None]] = {}
+        self.tunnel_probes: set[asyncio.Task[None]] = set()
+        self.tunnel_probes_at: dict[tuple[str, str], float] = {}
         self.may_probe = asyncio.Semaphore(MAX_OPEN_PROBES)
         self.suspected_at = float('-inf')
 
@@ -45,7 +50,7 @@
                 await asyncio.sleep(CHECK_INTERVAL_S)
                 self.check(clock.monotonic())
         finally:
-            for task in self.probes.values():
+            for task in (*self.probes.values(), *self.tunnel_probes):
                 task.cancel()
 
     def check(self, now: float) -> None:
@@ -86,7 +91,10 @@
         if self.hangs(connection, upstream, now):
             if sent.may_repeat:
                 connection.close()
-        elif not connection.via and upstream.path.is_suspect(
+        elif connection.via:
+            if silent_s > upstream_paths.ONE_SILENT_S:
+                self.start_tunnel_probe(connection.via, upstream, now)
+        elif upstream.path.is_suspect(
             sent.sent_at, self.connections.heard_at, now
         ):
             self.start_probe(upstream)
@@ -99,7 +107,7 @@
     ) -> bool:
         """Returns whether nothing can come on a silent connection."""
         if connection.via:
-            return not self.connections.peers.carries(
+            return self.connections.peers.hangs(
                 connection.via, upstream.entry.upstream_id, now
             )
         return upstream.path.loss is upstream_paths.Loss.TIMED_OUT
@@ -132,6 +140,34 @@
         if name not in self.probes:
             self.probes[name] = asyncio.create_task(self.probe(upstream))
 
+    def start_tunnel_probe(
+        self, via: str, upstream: upstreams_lib.Upstream, now: float
+    ) -> None:
+        """Tries another tunnel beside a silent one, once in a while."""
+        peer = self.connections.peers.by_name.get(via)
+        key = (via, upstream.entry.upstream_id)
+        since = self.tunnel_probes_at.get(key, float('-inf'))
+        if peer is None or now - since < upstream_paths.RECHECK_S:
+            return
+        self.tunnel_probes_at = {
+            each: at
+            for each, at in self.tunnel_probes_at.items()
+            if now - at < upstream_paths.RECHECK_S
+        }
+        self.tunnel_probes_at[key] = now
+        task = asyncio.create_task(self.probe_tunnel(peer.instance, upstream))
+        self.tunnel_probes.add(task)
+        task.add_done_callback(self.tunnel_probes.discard)
+
+    async def probe_tunnel(
+        self, peer: relays.Instance, upstream: upstreams_lib.Upstream
+    ) -> None:
+        """Tries another tunnel through a peer; a failure is remembered."""
+        async with self.may_probe:
+            found = await self.connections.ask(peer, upstream)
+        if found is not None:
+            self.connections.release(upstream, found, clock.monotonic())
+
     async def probe(self, upstream: upstreams_lib.Upstream) -> None:
         """Probes a path once, and asks a peer if it is lost."""
         name = upstream.entry.upstream_id
--- a/oleanderdrift/gateway/tunnel_peers.py
+++ b/oleanderdrift/gateway/tunnel_peers.py
@@ -72,6 +72,20 @@
             and self.recent_failure(upstream_id, now) is None
         )
 
+    def hangs(self, upstream_id: str, now: float) -> bool:
+        """Returns whether its tunnels to an upstream carry nothing now.
+
+        Those to an upstream that refuses new connections may live on.
+        """
+        failure = self.recent_failure(upstream_id, now)
+        return (
+            now - self.heard_at >= HEARD_S
+            or now < self.avoided_until
+            or self.reaches_few
+            or upstream_id in self.unreachable
+            or failure is TunnelFailure.UNREACHABLE
+        )
+
     def recent_failure(
         self, upstream_id: str, now: float
     ) -> TunnelFailure | None:
@@ -150,6 +164,14 @@
         )
         found.doubted_until = now + DOUBT_S
 
+    def hangs(self, name: str, upstream_id: str, now: float) -> bool:
+        """Returns whether a peer's tunnels carry nothing now.
+
+        Those of a peer that is leaving go on to their end.
+        """
+        found = self.by_name.get(name)
+        return found is not None and found.hangs(upstream_id, now)
+
     def recent_failures(
         self, upstream_id: str, now: float
     ) -> list[TunnelFailure]:
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -4,6 +4,7 @@
 over a direct connection, and a tunnel leads through one peer at most.
 """
 
+import asyncio
 import collections.abc
 import random
 import typing
@@ -30,6 +31,8 @@
 TUNNEL_TIMEOUT_S: typing.Final = 0.2
 MAX_PEERS_ASKED: typing.Final = 2
 MAX_WITNESSES: typing.Final = 6
+# A refusal takes some milliseconds; requests wait for the witnesses.
+WITNESS_TIMEOUT_S: typing.Final = 0.4
 
 OpenTunnel: typing.TypeAlias = collections.abc.Callable[
     [str, model.UpstreamEntry, float, str],
@@ -162,7 +165,11 @@
         """
         started = clock.monotonic()
         upstream.path.no_peer_until = started
-        found = await self.open_through_peer(upstream, MAX_WITNESSES)
+        try:
+            async with asyncio.timeout(WITNESS_TIMEOUT_S):
+                found = await self.open_through_peer(upstream, MAX_WITNESSES)
+        except TimeoutError:
+            return crash_detector.WitnessAnswer.NO_ANSWER
         if found is not None:
             self.note_reached_by_peer(
                 upstream, ConnectionRefusedError(), started, found.via
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import model
 from standins import replica
 from tests import gateway_fleet
@@ -222,11 +223,15 @@
     async def scenario() -> None:
         async with path_fleet.run_paths(DONE, DONE, DONE) as paths:
             await paths.warm()
+            paths.close_idle()
             paths.cut(Cut.HANG, paths.ports[:1])
-            await asyncio.gather(*[paths.send() for _ in range(9)])
-            await path_fleet.wait_until(
-                lambda: paths.upstream(0).path.confirmed
-            )
+            connections = paths.fleet.forwarders[0].attempts.connections
+            now = asyncio.get_running_loop().time()
+            carried = await connections.acquire(paths.upstream(0), now)
+            assert carried.via
+            connections.release(paths.upstream(0), carried, now)
+            assert paths.upstream(0).path.confirmed
+            await asyncio.sleep(path_fleet.NOTICED_S)
             answers = await paths.send_many(10)
             assert [one.reply.status for one in answers] == [200] * 10
             lost = paths.fleet.forwarders[0].board.lost_paths
@@ -379,3 +384,61 @@
             sent.cancel()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ('crashes', 'cut_instances', 'expected'),
+    [
+        (False, (0,), crash_detector.WitnessAnswer.REACHED),
+        (False, (0, 1), crash_detector.WitnessAnswer.REACHED),
+        (True, (), crash_detector.WitnessAnswer.REFUSED),
+        (True, (0,), crash_detector.WitnessAnswer.REFUSED),
+    ],
+)
+@pytest.mark.parametrize('asked_before', [False, True])
+def test_witnesses_take_an_instance_cut_off_for_a_crash(
+    crashes: bool,
+    cut_instances: tuple[int, ...],
+    expected: crash_detector.WitnessAnswer,
+    asked_before: bool,
+) -> None:
+    async def scenario() -> None:
+        async with path_fleet.run_paths(DONE) as paths:
+            for instance in cut_instances:
+                paths.cut(Cut.REFUSE, instance=instance)
+            if crashes:
+                paths.fleet.replicas[0].crash()
+            if asked_before:
+                await paths.send()
+            connections = paths.fleet.forwarders[0].attempts.connections
+            assert await connections.witness(paths.upstream(0)) is expected
+
+    asyncio.run(scenario())
+
+
+def test_witnesses_that_are_not_there_say_that_it_crashed() -> None:
+    async def scenario() -> None:
+        async with path_fleet.run_paths(DONE, instances=1) as paths:
+            connections = paths.fleet.forwarders[0].attempts.connections
+            answer = await connections.witness(paths.upstream(0))
+            assert answer is crash_detector.WitnessAnswer.NO_ANSWER
+
+    asyncio.run(scenario())
+
+
+def test_request_hangs_in_a_tunnel_that_carries_nothing() -> None:
+    async def scenario() -> None:
+        async with path_fleet.run_paths(replica.Silent()) as paths:
+            paths.cut(Cut.REFUSE)
+            sent = asyncio.create_task(paths.send())
+            await path_fleet.wait_until(lambda: len(paths.runs()) == 1)
+            paths.fleet.replicas[0].behaviours = [DONE]
+            (carrier,) = [
+                number for number, one in enumerate(paths.servers) if one.open
+            ]
+            paths.cut(Cut.HANG, instance=carrier)
+            async with asyncio.timeout(1.2):
+                answer = await sent
+            assert answer.reply.status == 200
+
+    asyncio.run(scenario())
