--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -13,11 +13,11 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
-from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
 MAX_OPEN_PROBES: typing.Final = 16
@@ -59,14 +59,14 @@
     def __init__(
         self,
         board: board_lib.Board,
-        pool: connection_pool.Pool,
+        connections: upstream_connections.UpstreamConnections,
         codec: ports.Codec,
         crashes: crash_detector.CrashDetector,
         events: event_log.EventLog,
         chance: random.Random,
     ) -> None:
         self.board = board
-        self.pool = pool
+        self.connections = connections
         self.codec = codec
         self.crashes = crashes
         self.events = events
@@ -123,15 +123,10 @@
         """
         key = upstream.key()
         while True:
-            was_idle = self.pool.has_idle(key, clock.monotonic())
+            now = clock.monotonic()
+            was_idle = self.connections.pool.has_idle(key, now)
             try:
-                connection = await self.pool.acquire(
-                    key,
-                    upstream.entry.host,
-                    upstream.entry.port,
-                    crash_detector.CONNECT_TIMEOUT_S,
-                    clock.monotonic(),
-                )
+                connection = await self.connections.acquire(upstream, now)
             except (OSError, TimeoutError):
                 return Finding.UNREACHED
             connection.is_verified = False
@@ -151,7 +146,7 @@
                     reason=repr(error),
                 )
                 return Finding.UNCLEAR
-            self.pool.release(key, connection, clock.monotonic())
+            self.connections.release(upstream, connection, clock.monotonic())
             return Finding.LIVES
 
     def conclude(
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -15,6 +15,7 @@
 
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import upstream_paths
 
 # Silence time-out of engines: longer than a slow one needs for a long prompt.
 ENGINE_SILENCE_S: typing.Final = 0.9
@@ -67,7 +68,8 @@
     reaches it.  doubted_until is when a peer's word that it has crashed
     expires unless this instance finds the same.  probe_at is when it is to be
     probed, after probe_failures in a row.  answered_at is when a probe was
-    first answered without saying which start of the upstream answers.
+    first answered without saying which start of the upstream answers.  path is
+    the direct path to it.
     """
 
     entry: model.UpstreamEntry
@@ -90,6 +92,7 @@
     probe_at: float = float('inf')
     probe_failures: int = 0
     answered_at: float | None = None
+    path: upstream_paths.Path = attrs.field(factory=upstream_paths.Path)
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
