Take an address that no peer can have for a failed connection

A request to an upstream whose entry names port 65536, a host with a NUL or a label of 64 characters ended without an answer: opening the connection raises OverflowError, ValueError or UnicodeError, and those who connect expect OSError or TimeoutError alone. The same would end a call to the store.

channel.connect, through which upstreams and the store are reached, turns these into OSError, so every caller treats them as "not connected": the request was not run and may go to another upstream.

--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -356,12 +356,18 @@
 
 
 async def connect(host: str, port: int, timeout_s: float) -> Channel:
-    """Opens a connection; raises OSError or TimeoutError."""
+    """Opens a connection; raises OSError or TimeoutError.
+
+    An address that no peer can have raises OSError as well.
+    """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
-        transport, protocol = await loop.create_connection(
-            _Protocol, host, port
-        )
+    try:
+        async with asyncio.timeout(timeout_s):
+            transport, protocol = await loop.create_connection(
+                _Protocol, host, port
+            )
+    except (ValueError, OverflowError) as error:
+        raise OSError(f'invalid address: {error}') from error
     sock = transport.get_extra_info('socket')
     for option, value in (
         (socket.TCP_NODELAY, 1),
