Leave out an upstream's entry that is odd, and go on with the others

Instances that read an entry with a very deeply nested field, also in a field that nobody reads, or with a port of 5,000 digits stopped following the upstreams: decoding raised RecursionError or ValueError where only msgspec's own errors were caught, the watcher began anew, read the whole list and met the same entry again, for ever. Others were decoded and did harm later: ports 0 and 65536, hosts that no resolver takes, slots of 400 digits (a division that no float holds), negative or huge times, and ids with line ends, which go into the headers of requests.

The cause is that an entry was trusted to be of the kind that upstreams write. The decoder now gets types with ranges (gateway/bounds.py), checks the address and the id, and catches all that decoding raises for any bytes; what isn't in range names no upstream. Its former entry holds, as for other unreadable entries. An entry without slots named an upstream with one; it names none now.

tests/test_gateway_odd_entries.py fails on the code before, in 19 of 22 odd entries ("RecursionError: maximum recursion depth exceeded while deserializing an object", "ValueError: invalid literal for int() with base 10"), in all 7 odd ids and in the search over drawn entries, and passes now.

--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -9,6 +9,7 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import model
 
 MS_PER_S: typing.Final = 1_000.0
@@ -79,15 +80,15 @@
 
 
 class _Entry(msgspec.Struct):
-    Service: str
+    Service: bounds.Text
     Address: str
-    Zone: str
-    Version: str
+    Zone: bounds.Text
+    Version: bounds.Text
     State: str
-    Slots: int
+    Slots: bounds.Slots
     # How much longer the upstream will be slow after its start.
-    ColdLeftMs: float = 0
-    born: int = 0
+    ColdLeftMs: bounds.Milliseconds = 0
+    born: bounds.Count = 0
 
 
 class _Report(msgspec.Struct):
@@ -181,22 +182,26 @@
     """Decodes an upstream's entry; None if it is not valid.
 
     Other programs write to the topic too, so entries may have missing
-    fields, wrong types, unknown states or undecodable bytes.
+    fields, wrong types, unknown states, values out of range, ids that no
+    header can carry, or undecodable bytes.
     """
     try:
         entry = _ENTRY_DECODER.decode(value)
-    except msgspec.MsgspecError:
+    except bounds.DECODE_ERRORS:
+        return None
+    address = bounds.parse_address(entry.Address)
+    if address is None or not bounds.is_name(upstream_id):
         return None
-    host, _, port = entry.Address.rpartition(':')
-    if entry.State not in _STATES or not port.isdigit() or not host:
+    if entry.State not in _STATES or not entry.Service:
         return None
+    host, port = address
     return model.UpstreamEntry(
         upstream_id=upstream_id,
         service=entry.Service,
         data_centre=entry.Zone,
         host=host,
-        port=int(port),
-        slots=max(entry.Slots, 1),
+        port=port,
+        slots=entry.Slots,
         draining=_STATES[entry.State],
         born_ms=entry.born,
         cold_s=entry.ColdLeftMs / MS_PER_S,
