Refuse an odd configuration with a code, and wait for the next

A configuration with a deeply nested field, also one that nobody reads, ended the watcher of the configuration: RecursionError was not caught, the watcher began anew and met the same value, so the configuration was not followed until a later one took its place. Others came into force though no operator can mean them: negative weights, rates and time-outs, times that no clock can add, a version that no later one exceeds, account names with line ends, which are sent in a header.

The decoder's types have ranges now, and all that decoding raises becomes CONFIG_INVALID: the former configuration stays and a later valid one applies. A configuration with one odd route, service or account is refused as a whole. The store accepts only valid ones, so an odd one is not what the operator asked for; and if its route were left out, requests of that route would get a 404, which callers take for final, while the configuration counts as in force.

--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -22,7 +22,7 @@
 
 class _Split(msgspec.Struct):
     Service: str
-    Weight: float
+    Weight: bounds.Weight
 
 
 class _Route(msgspec.Struct):
@@ -30,17 +30,17 @@
     PathPrefix: str
     Kind: str
     Name: str = ''
-    TimeoutMs: float = 30_000
+    TimeoutMs: bounds.Milliseconds = 30_000
     # A response is worth most within this time; a target, not a limit.
-    GoalMs: float = 1_000
-    Priority: int = 0
+    GoalMs: bounds.Milliseconds = 1_000
+    Priority: bounds.Rank = 0
     Service: str | None = None
     Split: list[_Split] | None = None
-    Attempts: int = 1
+    Attempts: bounds.Count = 1
     Retain: bool = False
     # How long turns are retained; in the settings file, the same name is
     # how long the store retains records.
-    RetainS: float = 60.0
+    RetainS: bounds.Seconds = 60.0
     Public: bool = False
     Resumable: bool = False
     Sticky: bool = False
@@ -48,7 +48,7 @@
 
 class _Engine(msgspec.Struct):
     # The number of tokens in one stream event.
-    Stride: int = 1
+    Stride: bounds.Count = 1
 
 
 class _Service(msgspec.Struct):
@@ -57,22 +57,23 @@
 
 
 class _Limits(msgspec.Struct):
-    HeaderBytes: int = 16_384
-    MaxBodyBytes: int = 4_194_304
-    HeaderTimeoutMs: float = 3_000
-    IdleTimeoutMs: float = 15_000
+    HeaderBytes: bounds.Count = 16_384
+    MaxBodyBytes: bounds.Count = 4_194_304
+    HeaderTimeoutMs: bounds.Milliseconds = 3_000
+    IdleTimeoutMs: bounds.Milliseconds = 15_000
 
 
 class _Tenant(msgspec.Struct):
-    Name: str
+    # Sent to upstreams in a header.
+    Name: bounds.Name
     ApiKeys: list[str] = []
-    Priority: int | None = None
-    RatePerS: float = 0
-    Burst: float = 0
+    Priority: bounds.Rank | None = None
+    RatePerS: bounds.PerSecond = 0
+    Burst: bounds.PerSecond = 0
 
 
 class _Config(msgspec.Struct):
-    Version: int
+    Version: bounds.Count
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -101,10 +102,14 @@
 
 
 def decode_configuration(value: bytes) -> model.Configuration:
-    """Decodes a configuration; raises ResultError CONFIG_INVALID."""
+    """Decodes a configuration; raises ResultError CONFIG_INVALID.
+
+    One that is invalid in a single part is refused as a whole: requests of
+    a route that is left out would be refused for good.
+    """
     try:
         config = _CONFIG_DECODER.decode(value)
-    except msgspec.MsgspecError as error:
+    except bounds.DECODE_ERRORS as error:
         raise errors.ResultError(codes.CONFIG_INVALID, str(error)) from error
     limits = config.Limits
     return model.Configuration(
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -11,7 +11,7 @@
 )
 # Nested deeper than any decoder follows.
 DEEP: typing.Final = b'[' * 100_000 + b']' * 100_000
-CONFIG: typing.Final = {
+CONFIG: typing.Final[dict[str, typing.Any]] = {
     'Version': 3,
     'Routes': [
         {
@@ -30,7 +30,7 @@
     'Tenants': [{'Name': 'w', 'ApiKeys': ['k'], 'RatePerS': 0, 'Burst': 3}],
     'Limits': {'HeaderBytes': 1},
 }
-ENTRY: typing.Final = {
+ENTRY: typing.Final[dict[str, typing.Any]] = {
     'Service': 'g',
     'Address': '10.0.0.1:80',
     'Zone': 'n',
--- a/tests/test_gateway_unreadable.py
+++ b/tests/test_gateway_unreadable.py
@@ -9,6 +9,7 @@
 from oleanderdrift import errors
 from oleanderdrift.gateway import records
 from oleanderdrift.platform import operator
+from tests import odd_values
 
 VALUES: typing.Final[tuple[object, ...]] = (
     None,
@@ -26,36 +27,32 @@
     1e308,
     2**70,
     '9' * 30,
+    10**399,
+    'a\x00b',
+    'a\r\nb',
+    '\x7f',
+    '\udc80',
+    '10.0.0.1:0',
+    '10.0.0.1:65536',
+    '10.0.0.1:\u00b2',
+    '10.0.0.1:' + '9' * 5_000,
+    'a\x00b:80',
+    'a' * 64 + '.example:80',
 )
-CONFIG: typing.Final = {
-    'Version': 3,
-    'Routes': [
-        {
-            'Name': 'r',
-            'Host': 'h',
-            'PathPrefix': '/a/',
-            'Kind': 'streaming',
-            'TimeoutMs': 5000,
-            'Service': 'g',
-            'Attempts': 1,
-            'Retain': True,
-            'RetainS': 60,
-        }
-    ],
-    'Services': [{'Name': 'g', 'Engine': {'Stride': 14}}],
-    'Tenants': [{'Name': 'w', 'ApiKeys': ['k'], 'RatePerS': 0, 'Burst': 3}],
-    'Limits': {'HeaderBytes': 1},
-}
-ENTRY: typing.Final = {
-    'Service': 'g',
-    'Address': '10.0.0.1:80',
-    'Zone': 'n',
-    'Version': 'v1',
-    'Slots': 4,
-    'State': 'ready',
-    'born': 1,
-    'ColdLeftMs': 1,
-}
+# What no encoder writes, in place of a value.
+RAW_VALUES: typing.Final = (
+    odd_values.DEEP,
+    b'{"a":' * 100_000 + b'1' + b'}' * 100_000,
+    b'[' * 100_000,
+    b'9' * 5_000,
+    b'1e999',
+    b'-1e999',
+    b'NaN',
+    b'-Infinity',
+    b'"\xff"',
+    b'"\\ud800"',
+)
+MARK: typing.Final = 'replaced'
 TRIES: typing.Final = 2_000
 
 
@@ -75,16 +72,35 @@
 
 def spoil(value: typing.Any, chance: random.Random) -> bytes:
     """Returns an encoded value with one part replaced, or cut short."""
+    if chance.random() < 0.2:
+        return insert_raw(value, chance.choice(RAW_VALUES), chance)
+    data = replace(value, chance.choice(VALUES), chance)
+    if chance.random() < 0.1:
+        return data[: chance.randrange(len(data))]
+    return data
+
+
+def replace(value: typing.Any, part: object, chance: random.Random) -> bytes:
+    """Returns an encoded value with one part of it replaced."""
     copy = json.loads(json.dumps(value))
     path = chance.choice(paths(copy)[1:])
     inner = copy
     for key in path[:-1]:
         inner = inner[key]
-    inner[path[-1]] = chance.choice(VALUES)
-    data = json.dumps(copy).encode()
-    if chance.random() < 0.1:
-        return data[: chance.randrange(len(data))]
-    return data
+    inner[path[-1]] = part
+    return json.dumps(copy).encode()
+
+
+def insert_raw(value: typing.Any, part: bytes, chance: random.Random) -> bytes:
+    """Returns an encoded value with raw bytes in place of one part.
+
+    Every other time, they are in a field that nobody reads.
+    """
+    if chance.random() < 0.5:
+        data = json.dumps({**value, 'Unread': MARK}).encode()
+    else:
+        data = replace(value, MARK, chance)
+    return data.replace(json.dumps(MARK).encode(), part)
 
 
 @pytest.mark.parametrize('seed', range(2))
@@ -93,7 +109,7 @@
     refused = 0
     for _ in range(TRIES):
         try:
-            operator.decode_configuration(spoil(CONFIG, chance))
+            operator.decode_configuration(spoil(odd_values.CONFIG, chance))
         except errors.ResultError:
             refused += 1
     assert refused > 0
@@ -103,7 +119,7 @@
 def test_entry_of_an_upstream_names_none(seed: int) -> None:
     chance = random.Random(seed)
     entries = [
-        operator.decode_upstream_entry('u1', spoil(ENTRY, chance))
+        operator.decode_upstream_entry('u1', spoil(odd_values.ENTRY, chance))
         for _ in range(TRIES)
     ]
     assert None in entries
