Answer a continued stream whose upstream's report cannot be decoded

A stream that went on at an upstream ended with an exception, and not with an answer, if the upstream's report was nested deeper than the decoder follows: decode_report caught msgspec's own errors alone, and RecursionError passed through everything that sends a request. Such a report does not say when the upstream started, as any other that can't be read.

Two cases of tests/test_gateway_reports.py failed on the code before ("RecursionError: maximum recursion depth exceeded while deserializing an object"), one of them through the gateway's whole path; both pass now.

--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -218,5 +218,5 @@
     """Decodes when an upstream started, None if the report does not say."""
     try:
         return _REPORT_DECODER.decode(body).born
-    except msgspec.MsgspecError:
+    except bounds.DECODE_ERRORS:
         return None
--- a/tests/test_gateway_reports.py
+++ b/tests/test_gateway_reports.py
@@ -3,11 +3,13 @@
 import asyncio
 import typing
 
+import hypothesis
 import pytest
 
 from oleanderdrift.platform import codec
 from tests import gateway_desk
 from tests import gateway_versions
+from tests import odd_values
 
 EARLIER_REFUSAL: typing.Final = (
     b'HTTP/1.1 503 Answer\r\nNot-Executed: 1\r\nAttempt-Id: q1\r\n'
@@ -17,6 +19,11 @@
     b'HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nAttempt-Id: q1\r\n'
     b'Content-Length: 4\r\n\r\ndone'
 )
+NESTED_BODY: typing.Final = b'{"Unread": ' + odd_values.DEEP + b'}'
+NESTED_REPORT: typing.Final = (
+    b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(NESTED_BODY)
+    + NESTED_BODY
+)
 NO_REPORT: typing.Final = b'HTTP/1.1 500 Answer\r\nContent-Length: 0\r\n\r\n'
 
 
@@ -113,7 +120,14 @@
         (b'{"born": "5"}', None),
         (b'not json', None),
         (b'', None),
+        (b'{"born": 5, "Unread": ' + odd_values.DEEP + b'}', None),
+        (b'{"born": ' + odd_values.DEEP + b'}', None),
+        (odd_values.DEEP, None),
+        (b'{"born": ' + b'9' * 5_000 + b'}', None),
+        (b'{"born": 1e999}', None),
+        (b'\xff', None),
     ],
+    ids=lambda value: str(value)[:30],
 )
 def test_report_says_when_an_upstream_started(
     body: bytes, born_ms: int | None
@@ -121,6 +135,24 @@
     assert codec.PlatformCodec().decode_report(body) == born_ms
 
 
+@odd_values.SEEDED
+@hypothesis.given(odd_values.changed({'born': 5, 'Busy': False}))
+def test_any_report_says_a_number_or_nothing(body: bytes) -> None:
+    found = codec.PlatformCodec().decode_report(body)
+    assert found is None or type(found) is int
+
+
+def test_stream_goes_on_beside_a_report_that_cannot_be_decoded() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1') as harness:
+            await harness.send_request()
+            harness.replicas[0].before_report = NESTED_REPORT
+            reply = await gateway_versions.continue_stream(harness)
+            assert reply.ended == 'complete'
+
+    asyncio.run(scenario())
+
+
 def test_upstream_is_asked_once_for_each_connection() -> None:
     async def scenario() -> None:
         async with gateway_versions.run_versions('v1') as harness:
