Read the store's list past a value that cannot be read

One record of a list whose value is no base64, or no text, failed the whole page: the instances that read the list got none of its upstreams, and read it again for ever. The client also trusted that each answer makes sense: a page that ends where the last one did was read again without end, deep nesting raised past its callers, and a record that had been cut was given out as a whole one.

Each record of a page is decoded alone. One with an odd value keeps its key, with an empty value that no reader decodes, so that it isn't taken for removed; one without a key is left out, with one line a page. Offsets have ranges, a page without new keys is an error, and a read ends before a record that was cut, or fails if it is the first.

--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -12,9 +12,11 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import ports
+from oleanderdrift import logs
 
 # A call times out after a multiple of the average response time, within
 # bounds: the store may become sixty times slower than usual.
@@ -35,25 +37,27 @@
 
 
 class _Appended(msgspec.Struct):
-    Offset: int
-    EndOffset: int = 0
+    Offset: bounds.Count
+    EndOffset: bounds.Count = 0
 
 
 class _Trimmed(msgspec.Struct):
-    FirstOffset: int = 0
+    FirstOffset: bounds.Count
 
 
 class _Item(msgspec.Struct):
     Key: str
-    Value: str = ''
-    Offset: int = 0
+    Value: object = ''
 
 
 class _Newest(msgspec.Struct):
     # The records; elsewhere, stream events have this name.
-    items: list[_Item] = []
+    items: list[msgspec.Raw] = []
     HasMore: bool = False
-    EndOffset: int = 0
+    EndOffset: bounds.Count = 0
+
+
+_ITEM_DECODER: typing.Final = msgspec.json.Decoder(_Item)
 
 
 class Store:
@@ -204,15 +208,21 @@
             # Later pages may be newer.  Reading continues from the first
             # page's end, so that no record in between is missed.
             end = page.EndOffset if end is None else end
-            records += [
-                ports.KeyedRecord(
-                    key=item.Key, value=base64.b64decode(item.Value)
+            found = _decode_items(page.items)
+            records += found
+            if len(found) < len(page.items):
+                logs.info(
+                    'store-records-unreadable',
+                    topic=topic,
+                    n=len(page.items) - len(found),
                 )
-                for item in page.items
-            ]
             if not page.HasMore or not page.items:
                 break
-            query['after'] = page.items[-1].Key
+            if not found or found[-1].key == query.get('after'):
+                raise errors.ResultError(
+                    codes.APPEND_UNCONFIRMED, 'a page without new keys'
+                )
+            query['after'] = found[-1].key
         return ports.KeyedRecords(records=tuple(records), end=end or 0)
 
     async def read_keyed(
@@ -251,12 +261,40 @@
     """Decodes a JSON response; raises ResultError APPEND_UNCONFIRMED."""
     try:
         return msgspec.json.decode(response, type=kind)
-    except msgspec.MsgspecError as error:
+    except bounds.DECODE_ERRORS as error:
         raise errors.ResultError(
             codes.APPEND_UNCONFIRMED, f'invalid response: {error}'
         ) from error
 
 
+def _decode_items(items: list[msgspec.Raw]) -> list[ports.KeyedRecord]:
+    """Decodes the records of a page; leaves out those without a key.
+
+    One whose value cannot be decoded has an empty value: its key is there,
+    and none of its readers can decode that.
+    """
+    found = []
+    for raw in items:
+        try:
+            item = _ITEM_DECODER.decode(raw)
+        except bounds.DECODE_ERRORS:
+            continue
+        found.append(
+            ports.KeyedRecord(key=item.Key, value=_decode_value(item))
+        )
+    return found
+
+
+def _decode_value(item: _Item) -> bytes:
+    """Returns a record's value; empty if it is not valid base64."""
+    if not isinstance(item.Value, str):
+        return b''
+    try:
+        return base64.b64decode(item.Value, validate=True)
+    except ValueError:
+        return b''
+
+
 def _check_status(status: int, path: str) -> None:
     if status != 200:
         raise errors.ResultError(
@@ -265,6 +303,10 @@
 
 
 def _decode_records(data: bytes, start: int) -> ports.LogRecords:
+    """Decodes the records of a read, up to one that was cut.
+
+    Raises ResultError APPEND_UNCONFIRMED if that is the first.
+    """
     if len(data) < _OFFSETS.size:
         raise errors.ResultError(
             codes.APPEND_UNCONFIRMED, 'the response has no offsets'
@@ -274,9 +316,15 @@
     records = []
     while at + _RECORD_LENGTH.size <= len(data):
         (length,) = _RECORD_LENGTH.unpack_from(data, at)
+        if at + _RECORD_LENGTH.size + length > len(data):
+            break
         at += _RECORD_LENGTH.size
         records.append(data[at : at + length])
         at += length
+    if at < len(data) and not records:
+        raise errors.ResultError(
+            codes.APPEND_UNCONFIRMED, 'the first record was cut'
+        )
     return ports.LogRecords(
         start=start, records=tuple(records), end=end, first=first
     )
