Leave out instances' records that no instance would write

One instance's record with an address such as "10.0.0.1" or one with a NUL ended the exchange of states at every instance that read it: zmq refuses to connect ("ZMQError: Invalid argument (addr='tcp://10.0.0.1')"), the exchange began anew and stopped there again, before anything was published. Deep nesting in a record of a turn, budget, origin or instance ended whoever read it, and negative tokens gave a program more than its budget.

The decoders of records have ranges, catch all that decoding raises, and take an instance's address only if it can be connected to. What isn't in range is left out, and an instance's former record holds.

--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -5,6 +5,8 @@
 import attrs
 import msgspec
 
+from oleanderdrift.gateway import bounds
+
 BUDGET_TOPIC: typing.Final = 'budgets'
 TURN_TOPIC: typing.Final = 'turns'
 INPUT_TOPIC: typing.Final = 'inputs'
@@ -23,9 +25,9 @@
 
     program: str
     turn: str
-    tokens: int
-    budget: int
-    spare: int = 0
+    tokens: bounds.Count
+    budget: bounds.Count
+    spare: bounds.Count = 0
 
 
 class Settle(msgspec.Struct, tag='s', array_like=True, frozen=True):
@@ -36,7 +38,7 @@
 
     program: str
     turn: str
-    tokens: int
+    tokens: bounds.Count
 
 
 class InputLocation(msgspec.Struct, array_like=True, frozen=True):
@@ -46,10 +48,10 @@
     offset on; size is its length in bytes.
     """
 
-    part: int
-    offset: int
-    count: int
-    size: int
+    part: bounds.Count
+    offset: bounds.Count
+    count: bounds.Count
+    size: bounds.Count
 
 
 class TurnEnd(msgspec.Struct, tag='t', array_like=True, frozen=True):
@@ -60,7 +62,7 @@
     account: str
     input: InputLocation
     output: bytes
-    ended_ms: int
+    ended_ms: bounds.Count
 
 
 class ListedOrigin(msgspec.Struct, tag='o', array_like=True, frozen=True):
@@ -93,7 +95,7 @@
 
     peer_address: str
     data_centre: str
-    cores: float
+    cores: bounds.Cores
 
 
 _INSTANCE_DECODER: typing.Final = msgspec.json.Decoder(InstanceRecord)
@@ -115,7 +117,7 @@
     """Decodes a listed origin; returns None for invalid bytes."""
     try:
         return _ORIGIN_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except bounds.DECODE_ERRORS:
         return None
 
 
@@ -123,7 +125,7 @@
     """Decodes a record of streams; returns None for invalid bytes."""
     try:
         return _STREAMS_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except bounds.DECODE_ERRORS:
         return None
 
 
@@ -131,7 +133,7 @@
     """Decodes a budget record; returns None for invalid bytes."""
     try:
         return _BUDGET_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except bounds.DECODE_ERRORS:
         return None
 
 
@@ -139,7 +141,7 @@
     """Decodes a turn's record; returns None for invalid bytes."""
     try:
         return _TURN_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except bounds.DECODE_ERRORS:
         return None
 
 
@@ -151,6 +153,7 @@
 def decode_instance(data: bytes) -> InstanceRecord | None:
     """Decodes an instance's record; returns None for invalid bytes."""
     try:
-        return _INSTANCE_DECODER.decode(data)
-    except msgspec.MsgspecError:
+        record = _INSTANCE_DECODER.decode(data)
+    except bounds.DECODE_ERRORS:
         return None
+    return record if bounds.parse_address(record.peer_address) else None
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 SEEDED: typing.Final = hypothesis.settings(
     derandomize=True, database=None, deadline=None, max_examples=300
@@ -68,3 +69,11 @@
         | json_values.map(lambda one: json.dumps(one).encode())
         | fields.map(lambda some: json.dumps({**value, **some}).encode())
     )
+
+
+def pack(value: object) -> bytes:
+    """Encodes a value in MessagePack; nothing if it cannot hold it."""
+    try:
+        return msgspec.msgpack.encode(value)
+    except (OverflowError, UnicodeError):
+        return b''
