Leave out peers' states that no peer would publish

One state with a deeply nested field ended the exchange of states at whoever received it (RecursionError was not caught). States that were decoded did harm: a negative number of requests made an upstream look idle, a demand or age that is no number spoilt the rate limiter, an infinite time blocked a request for ever, a crash in the future was never forgotten. An instance could also publish what nobody reads: a prompt with a count of 400 digits ended its own exchange, and a rate of 1e300 that an upstream names was passed on.

The messages' types have ranges; a state out of them is left out with the line that there was, and the others of its message hold. What an instance publishes is kept within the same ranges, and a peer's word blocks a request for no longer than an instance's own finding does.

--- a/oleanderdrift/gateway/crash_ledger.py
+++ b/oleanderdrift/gateway/crash_ledger.py
@@ -31,6 +31,7 @@
 import attrs
 import msgspec
 
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import fingerprints
 
 # Crashes with a request open after which it is blamed in any case, and after
@@ -67,7 +68,7 @@
     silent are those whose answer had not begun, answering the others.
     """
 
-    age_s: float
+    age_s: bounds.Seconds
     silent: frozenset[str]
     answering: frozenset[str] = frozenset()
 
@@ -314,7 +315,7 @@
             real = told - self.refuted.keys()
             if told and len(real) < _enough_crashes(fingerprint):
                 continue
-            self.block(fingerprint, now + each)
+            self.block(fingerprint, now + min(each, CERTAIN_BLOCK_S))
             self.grounds[fingerprint] = real
 
     def forget_old(self, now: float) -> None:
@@ -352,7 +353,9 @@
                 del self.own[name]
         return {
             name: CrashReport(
-                age_s=now - one.at, silent=one.silent, answering=one.answering
+                age_s=max(now - one.at, 0.0),
+                silent=one.silent,
+                answering=one.answering,
             )
             for name, one in self.own.items()
         }
@@ -363,7 +366,7 @@
         The values are for how many seconds this has been known.
         """
         return {
-            name: now - at
+            name: max(now - at, 0.0)
             for name, at in self.refuted.items()
             if now - at < REPORT_S
         }
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -11,9 +11,9 @@
 import typing
 
 import attrs
-import msgspec
 
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import directory as directory_lib
 from oleanderdrift.gateway import event_log
@@ -183,7 +183,7 @@
         return {
             name: peer_messages.UpstreamLoad(
                 running=one.own_requests,
-                pending=one.pending_tokens,
+                pending=min(one.pending_tokens, bounds.MAX_COUNT),
                 cached=tuple(one.new_parts),
             )
             for name, one in self.board.upstreams.by_id.items()
@@ -200,7 +200,8 @@
         state = peer_messages.StateUpdate(
             data_centre=self.board.settings.data_centre,
             store_age_s=min(
-                self.board.freshness.age_s(clock.boot()), MAX_STORE_AGE_S
+                max(self.board.freshness.age_s(clock.boot()), 0.0),
+                MAX_STORE_AGE_S,
             ),
             usage=self.board.rate_limiter.usage_update(now),
             whole=whole,
@@ -272,7 +273,7 @@
         """
         try:
             bundle = peer_messages.decode_bundle(data)
-        except msgspec.MsgspecError as error:
+        except bounds.DECODE_ERRORS as error:
             self.events.info('peer-message-unreadable', reason=error)
             return
         source = relays.Source(instance=bundle.publisher, topic=topic)
@@ -284,7 +285,7 @@
                 continue
             try:
                 state = peer_messages.decode_state(envelope)
-            except msgspec.MsgspecError as error:
+            except bounds.DECODE_ERRORS as error:
                 self.events.info(
                     'peer-state-unreadable',
                     peer=envelope.instance,
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -11,6 +11,7 @@
 import attrs
 import msgspec
 
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import rate_buckets
 from oleanderdrift.gateway import upstream_limits
@@ -40,8 +41,8 @@
     holds the parts of their prompts that the upstream has cached lately.
     """
 
-    running: int
-    pending: int
+    running: bounds.Count
+    pending: bounds.Count
     cached: tuple[str, ...] = ()
 
 
@@ -57,17 +58,17 @@
     upstreams are known to be alive that were said to have crashed.
     """
 
-    data_centre: str
-    store_age_s: float
+    data_centre: bounds.Text
+    store_age_s: bounds.Seconds
     usage: dict[str, rate_buckets.Usage]
     whole: bool
     work: dict[str, UpstreamLoad]
     leaving: bool = False
-    limits: dict[str, upstream_limits.Report] = {}
-    crashes: dict[str, crash_ledger.CrashReport] = {}
-    blocked: dict[str, float] = {}
-    living: dict[str, float] = {}
-    grounds: dict[str, frozenset[str]] = {}
+    limits: dict[bounds.Text, upstream_limits.Report] = {}
+    crashes: dict[bounds.Text, crash_ledger.CrashReport] = {}
+    blocked: dict[bounds.Text, bounds.Seconds] = {}
+    living: dict[bounds.Text, bounds.Seconds] = {}
+    grounds: dict[bounds.Text, frozenset[bounds.Text]] = {}
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
@@ -77,16 +78,16 @@
     of an instance.
     """
 
-    instance: str
+    instance: bounds.Text
     incarnation: int
-    sequence: int
+    sequence: bounds.Count
     state: msgspec.Raw
 
 
 class Bundle(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """The envelopes that one publisher sends at once."""
 
-    publisher: str
+    publisher: bounds.Text
     envelopes: list[Envelope]
 
 
@@ -100,7 +101,7 @@
 
 
 def decode_state(envelope: Envelope) -> StateUpdate:
-    """Decodes an envelope's state; raises msgspec.MsgspecError."""
+    """Decodes an envelope's state; raises one of bounds.DECODE_ERRORS."""
     return _STATE_DECODER.decode(envelope.state)
 
 
@@ -110,7 +111,7 @@
 
 
 def decode_bundle(data: bytes) -> Bundle:
-    """Decodes a message; raises msgspec.MsgspecError."""
+    """Decodes a message; raises one of bounds.DECODE_ERRORS."""
     return _BUNDLE_DECODER.decode(memoryview(data)[1:])
 
 
--- a/oleanderdrift/gateway/rate_buckets.py
+++ b/oleanderdrift/gateway/rate_buckets.py
@@ -5,6 +5,8 @@
 import attrs
 import msgspec
 
+from oleanderdrift.gateway import bounds
+
 
 class Limit(typing.Protocol):
     """A rate per second and a burst, under a name of its own."""
@@ -49,8 +51,8 @@
     the rate of all requests, admitted or refused, per second.
     """
 
-    spent: int
-    demand: float
+    spent: bounds.Count
+    demand: bounds.PerSecond
 
 
 @attrs.define(kw_only=True)
--- a/oleanderdrift/gateway/upstream_limits.py
+++ b/oleanderdrift/gateway/upstream_limits.py
@@ -23,6 +23,7 @@
 import msgspec
 
 from oleanderdrift.gateway import allotments
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
 # Seconds of the rate that may be spent at once after a pause in demand.
@@ -57,8 +58,8 @@
 class Report(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """What an instance last heard of an upstream's limit itself."""
 
-    rate_per_s: float | None
-    age_s: float
+    rate_per_s: bounds.PerSecond | None
+    age_s: bounds.Seconds
 
 
 @attrs.define(kw_only=True)
@@ -134,7 +135,9 @@
             del self.own[name]
         self.reported = self.own_rates()
         return {
-            name: Report(rate_per_s=one.rate_per_s, age_s=now - one.at)
+            name: Report(
+                rate_per_s=one.rate_per_s, age_s=max(now - one.at, 0.0)
+            )
             for name, one in self.own.items()
         }
 
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -1,13 +1,13 @@
 """Decodes requests and responses on the wire, and encodes their headers."""
 
 import collections.abc
-import math
 import typing
 
 from tornado import httputil
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.platform import operator
@@ -258,7 +258,7 @@
     except ValueError:
         return None
     # Also false for NaN.
-    return rate if 0 <= rate < math.inf else None
+    return rate if 0 <= rate <= bounds.MAX_PER_S else None
 
 
 def _affinity_key(headers: Headers) -> str | None:
