Fail an answer whose head broke off, instead of passing on an empty 200

Callers of a call or stream got a 200 with an empty body, framed as whole, if the upstream closed its connection inside the head of its answer: curl hands over the lines that came, takes the cut one for whole, and reports success unless a whole Content-Length came before. The head was also taken for there as soon as its status line was.

A Stream now counts the head as there once its blank line has come. An exchange that ends without it is UPSTREAM_FAILED, which says "may have run", as for other answers that break off; nothing is passed on of it.

--- a/oleanderdrift/http_out.py
+++ b/oleanderdrift/http_out.py
@@ -49,10 +49,13 @@
 
     If a sink is set, data is passed to it at once instead of being
     buffered for read(); the sink returns whether it accepted the data.
+    has_head says that the head has ended; curl passes its lines on as they
+    come, and takes one that breaks off for whole.
     """
 
     def __init__(self) -> None:
         self.status = 0
+        self.has_head = False
         self.headers = httputil.HTTPHeaders()
         self.chunks: list[bytes] = []
         self.buffered = 0
@@ -68,9 +71,9 @@
 
     async def start(self) -> None:
         """Waits for the response headers; raises ResultError if none came."""
-        while not self.status and not self.ended:
+        while not self.has_head and not self.ended:
             await self._wait()
-        if self.error is not None and not self.status:
+        if self.error is not None and not self.has_head:
             raise self.error
 
     async def read(self) -> bytes:
@@ -136,6 +139,7 @@
         elif text:
             self.headers.parse_line(text)
         elif self.status:
+            self.has_head = True
             self.changed.set()
 
     def on_body(self, data: bytes) -> int:
@@ -211,6 +215,10 @@
                 ),
                 raise_error=False,
             )
+            if not stream.has_head:
+                stream.error = errors.ResultError(
+                    codes.UPSTREAM_FAILED, 'the head of the answer broke off'
+                )
         except curl_httpclient.CurlError as error:
             stream.error = _to_result_error(error, stream)
         except Exception as error:
--- a/tests/test_http_out.py
+++ b/tests/test_http_out.py
@@ -10,6 +10,7 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift import http_out
+from tests import cut_heads
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n'
 
@@ -104,6 +105,66 @@
     assert caught.value.code is code
 
 
+@pytest.mark.parametrize('once', [False, True])
+@pytest.mark.parametrize('data', cut_heads.CUT.values(), ids=cut_heads.CUT)
+def test_cut_answer_may_have_run(data: bytes, once: bool) -> None:
+    async def use(
+        client: http_out.UpstreamClient, port: int, _server: Server
+    ) -> None:
+        await read_all(client.open(request(port, once=once)))
+
+    with pytest.raises(errors.ResultError) as caught:
+        asyncio.run(exchange(data, False, use))
+    assert caught.value.code is codes.UPSTREAM_FAILED
+
+
+@pytest.mark.parametrize('data', cut_heads.CUT.values(), ids=cut_heads.CUT)
+def test_cut_stream_is_not_passed_on_as_whole(data: bytes) -> None:
+    async def use(
+        client: http_out.UpstreamClient, port: int, _server: Server
+    ) -> None:
+        stream = client.open(request(port))
+        await stream.start()
+        await stream.pipe(lambda _data: True)
+
+    with pytest.raises(errors.ResultError) as caught:
+        asyncio.run(exchange(data, False, use))
+    assert caught.value.code is codes.UPSTREAM_FAILED
+
+
+@pytest.mark.parametrize('data', cut_heads.CUT.values(), ids=cut_heads.CUT)
+def test_cut_report_is_no_report(data: bytes) -> None:
+    async def use(
+        client: http_out.UpstreamClient, port: int, _server: Server
+    ) -> None:
+        await http_out.get(client, f'http://127.0.0.1:{port}/', 1.0)
+
+    with pytest.raises(errors.ResultError) as caught:
+        asyncio.run(exchange(data, False, use))
+    assert caught.value.code is codes.UPSTREAM_FAILED
+
+
+@pytest.mark.parametrize('data', cut_heads.WHOLE.values(), ids=cut_heads.WHOLE)
+def test_whole_answer_is_read(data: bytes) -> None:
+    async def use(
+        client: http_out.UpstreamClient, port: int, _server: Server
+    ) -> bytes:
+        return await read_all(client.open(request(port)))
+
+    assert asyncio.run(exchange(data, False, use)) == cut_heads.BODY
+
+
+def test_interim_answer_alone_may_have_run() -> None:
+    async def use(
+        client: http_out.UpstreamClient, port: int, _server: Server
+    ) -> None:
+        await read_all(client.open(request(port)))
+
+    with pytest.raises(errors.ResultError) as caught:
+        asyncio.run(exchange(b'HTTP/1.1 100 Continue\r\n\r\n', False, use))
+    assert caught.value.code is codes.UPSTREAM_FAILED
+
+
 def test_refused_connection_was_not_run() -> None:
     async def use(
         client: http_out.UpstreamClient, _port: int, _server: Server
