Give input that is nested too deeply a code, wherever it is decoded

The same cause as in the gateway's decoders: only msgspec's own errors were caught. A caller's body, an upstream's answer or load report, a record of the log and a change of the configuration that are nested deeper than the decoder follows raised RecursionError past the code that answers, reads on or refuses.

What decoding raises has one name now, decoding.DECODE_ERRORS, and each place that decodes what comes from outside catches it and answers as for other input that can't be read.

tests/test_nested_input.py: all 5 cases failed on the code before ("RecursionError: maximum recursion depth exceeded while deserializing an object"), and pass now.

--- a/oleanderdrift/codec.py
+++ b/oleanderdrift/codec.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from oleanderdrift import decoding
 from oleanderdrift import messages
 
 _PREFIX_BYTES: typing.Final = 2
@@ -34,5 +35,5 @@
         raise CodecError(f'unknown message kind {data[:_PREFIX_BYTES]!r}')
     try:
         return decoder.decode(data[_PREFIX_BYTES:])
-    except msgspec.MsgspecError as error:
+    except decoding.DECODE_ERRORS as error:
         raise CodecError(str(error)) from error
--- a/oleanderdrift/config_checks.py
+++ b/oleanderdrift/config_checks.py
@@ -12,6 +12,7 @@
 import attrs
 import msgspec
 
+from oleanderdrift import decoding
 from oleanderdrift import messages
 from oleanderdrift import model
 
@@ -58,7 +59,7 @@
     check_name('name', name)
     try:
         values = msgspec.json.decode(body, type=dict[str, typing.Any])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.DECODE_ERRORS as error:
         raise InvalidChange(f'the body is not a JSON object: {error}')
     unknown = sorted(values.keys() - _FIELDS[kind])
     if unknown:
--- a/oleanderdrift/conversation.py
+++ b/oleanderdrift/conversation.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import errors
 
 BYTES_PER_TOKEN: typing.Final = 4
@@ -76,7 +77,7 @@
     """Parses a request body; raises ResultError(MALFORMED_JSON)."""
     try:
         fields = msgspec.json.decode(body, type=_Json)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.ResultError(codes.MALFORMED_JSON, str(error)) from error
     model = fields.get('model')
     if not isinstance(model, str):
@@ -176,7 +177,7 @@
         message = answer['choices'][0]['message']
         return _answer(message, answer.get('usage') or {})
     except (
-        msgspec.MsgspecError,
+        *decoding.DECODE_ERRORS,
         LookupError,
         TypeError,
         AttributeError,
@@ -197,7 +198,7 @@
             for choice in event.get('choices', ()):
                 _merge_delta(choice['delta'], text, calls)
     except (
-        msgspec.MsgspecError,
+        *decoding.DECODE_ERRORS,
         LookupError,
         TypeError,
         AttributeError,
--- a/oleanderdrift/dispatch.py
+++ b/oleanderdrift/dispatch.py
@@ -17,6 +17,7 @@
 
 from oleanderdrift import blackboard
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import dispatch_group
 from oleanderdrift import errors
 from oleanderdrift import http_out
@@ -308,7 +309,7 @@
             dispatch.board.settings.limits.connect_timeout_s,
         )
         load = msgspec.json.decode(body, type=_Load)
-    except (errors.ResultError, msgspec.MsgspecError):
+    except (errors.ResultError, *decoding.DECODE_ERRORS):
         return
     now = time.monotonic()
     scheduler.on_load(group, now, upstream.name, load.running, load.waiting)
--- a/oleanderdrift/gateway/bounds.py
+++ b/oleanderdrift/gateway/bounds.py
@@ -9,14 +9,6 @@
 
 import msgspec
 
-# All that a decoder raises for any bytes; deep nesting exhausts the stack
-# even in fields that nobody reads.
-DECODE_ERRORS: typing.Final = (
-    msgspec.MsgspecError,
-    ValueError,
-    OverflowError,
-    RecursionError,
-)
 # Every integer up to here is exact as a float too.
 MAX_COUNT: typing.Final = 2**53
 # Some 30 years; the clocks' values stay exact beside it.
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from oleanderdrift import decoding
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import clock
@@ -273,7 +274,7 @@
         """
         try:
             bundle = peer_messages.decode_bundle(data)
-        except bounds.DECODE_ERRORS as error:
+        except decoding.DECODE_ERRORS as error:
             self.events.info('peer-message-unreadable', reason=error)
             return
         source = relays.Source(instance=bundle.publisher, topic=topic)
@@ -285,7 +286,7 @@
                 continue
             try:
                 state = peer_messages.decode_state(envelope)
-            except bounds.DECODE_ERRORS as error:
+            except decoding.DECODE_ERRORS as error:
                 self.events.info(
                     'peer-state-unreadable',
                     peer=envelope.instance,
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -101,7 +101,7 @@
 
 
 def decode_state(envelope: Envelope) -> StateUpdate:
-    """Decodes an envelope's state; raises one of bounds.DECODE_ERRORS."""
+    """Decodes an envelope's state; raises one of decoding.DECODE_ERRORS."""
     return _STATE_DECODER.decode(envelope.state)
 
 
@@ -111,7 +111,7 @@
 
 
 def decode_bundle(data: bytes) -> Bundle:
-    """Decodes a message; raises one of bounds.DECODE_ERRORS."""
+    """Decodes a message; raises one of decoding.DECODE_ERRORS."""
     return _BUNDLE_DECODER.decode(memoryview(data)[1:])
 
 
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from oleanderdrift import decoding
 from oleanderdrift.gateway import bounds
 
 BUDGET_TOPIC: typing.Final = 'budgets'
@@ -117,7 +118,7 @@
     """Decodes a listed origin; returns None for invalid bytes."""
     try:
         return _ORIGIN_DECODER.decode(data)
-    except bounds.DECODE_ERRORS:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -125,7 +126,7 @@
     """Decodes a record of streams; returns None for invalid bytes."""
     try:
         return _STREAMS_DECODER.decode(data)
-    except bounds.DECODE_ERRORS:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -133,7 +134,7 @@
     """Decodes a budget record; returns None for invalid bytes."""
     try:
         return _BUDGET_DECODER.decode(data)
-    except bounds.DECODE_ERRORS:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -141,7 +142,7 @@
     """Decodes a turn's record; returns None for invalid bytes."""
     try:
         return _TURN_DECODER.decode(data)
-    except bounds.DECODE_ERRORS:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -154,6 +155,6 @@
     """Decodes an instance's record; returns None for invalid bytes."""
     try:
         record = _INSTANCE_DECODER.decode(data)
-    except bounds.DECODE_ERRORS:
+    except decoding.DECODE_ERRORS:
         return None
     return record if bounds.parse_address(record.peer_address) else None
--- a/oleanderdrift/http_in.py
+++ b/oleanderdrift/http_in.py
@@ -30,6 +30,7 @@
 from oleanderdrift import codes
 from oleanderdrift import config_state
 from oleanderdrift import conversation
+from oleanderdrift import decoding
 from oleanderdrift import errors
 from oleanderdrift import http_base
 from oleanderdrift import http_operators
@@ -330,7 +331,7 @@
         await self.admit(caller)
         try:
             new_program = msgspec.json.decode(self.body(), type=NewProgram)
-        except msgspec.MsgspecError as error:
+        except decoding.DECODE_ERRORS as error:
             raise errors.ResultError(
                 codes.MALFORMED_JSON, str(error)
             ) from error
--- a/oleanderdrift/instance_client.py
+++ b/oleanderdrift/instance_client.py
@@ -8,6 +8,7 @@
 from tornado import httpclient
 
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import errors
 
 TIMEOUT_S: typing.Final = 10.0
@@ -55,10 +56,9 @@
         detail = str(body['error']['message'])
     except (
         httpclient.HTTPClientError,
-        msgspec.MsgspecError,
+        *decoding.DECODE_ERRORS,
         KeyError,
         TypeError,
-        ValueError,
     ) as error:
         raise errors.ResultError(
             codes.PEER_UNREACHABLE,
--- a/oleanderdrift/list_client.py
+++ b/oleanderdrift/list_client.py
@@ -6,6 +6,7 @@
 from tornado import httpclient
 
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import errors
 
 
@@ -45,7 +46,11 @@
                 request_timeout=self.timeout_s,
             )
             return _DECODER.decode(response.body)
-        except (httpclient.HTTPError, msgspec.MsgspecError, OSError) as error:
+        except (
+            httpclient.HTTPError,
+            *decoding.DECODE_ERRORS,
+            OSError,
+        ) as error:
             raise errors.ResultError(
                 codes.LOG_UNAVAILABLE, f'instance list: {error}'
             ) from error
--- a/oleanderdrift/log_client.py
+++ b/oleanderdrift/log_client.py
@@ -18,6 +18,7 @@
 from tornado import httpclient
 
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import errors
 
 CONNECT_TIMEOUT_S: typing.Final = 2.0
@@ -125,7 +126,7 @@
         if outcome.status == 201:
             try:
                 return _APPEND_DECODER.decode(outcome.body).offset
-            except msgspec.MsgspecError as error:
+            except decoding.DECODE_ERRORS as error:
                 outcome.detail = f'malformed response: {error}'
         refused = not outcome.sent or 400 <= outcome.status < 500
         raise errors.ResultError(
@@ -160,7 +161,7 @@
             )
         try:
             response = _READ_DECODER.decode(outcome.body)
-        except msgspec.MsgspecError as error:
+        except decoding.DECODE_ERRORS as error:
             self.note_failure()
             raise errors.ResultError(
                 codes.LOG_UNAVAILABLE, f'malformed response: {error}'
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import errors
 from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import model
@@ -109,7 +110,7 @@
     """
     try:
         config = _CONFIG_DECODER.decode(value)
-    except bounds.DECODE_ERRORS as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.ResultError(codes.CONFIG_INVALID, str(error)) from error
     limits = config.Limits
     return model.Configuration(
@@ -192,7 +193,7 @@
     """
     try:
         entry = _ENTRY_DECODER.decode(value)
-    except bounds.DECODE_ERRORS:
+    except decoding.DECODE_ERRORS:
         return None
     address = bounds.parse_address(entry.Address)
     if address is None or not bounds.is_name(upstream_id):
@@ -218,5 +219,5 @@
     """Decodes when an upstream started, None if the report does not say."""
     try:
         return _REPORT_DECODER.decode(body).born
-    except bounds.DECODE_ERRORS:
+    except decoding.DECODE_ERRORS:
         return None
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import errors
 from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import channel
@@ -261,7 +262,7 @@
     """Decodes a JSON response; raises ResultError APPEND_UNCONFIRMED."""
     try:
         return msgspec.json.decode(response, type=kind)
-    except bounds.DECODE_ERRORS as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.ResultError(
             codes.APPEND_UNCONFIRMED, f'invalid response: {error}'
         ) from error
@@ -277,7 +278,7 @@
     for raw in items:
         try:
             item = _ITEM_DECODER.decode(raw)
-        except bounds.DECODE_ERRORS:
+        except decoding.DECODE_ERRORS:
             continue
         found.append(
             ports.KeyedRecord(key=item.Key, value=_decode_value(item))
