Let an upstream's own entries win over a start in the future

One entry of another writer that names a start far in the future kept the upstream's own entries out for as long as its record was there: an entry of an earlier start is ignored, as a late write of a start that has ended would be. The instance went on with the odd address, software version and slots.

A start that has ended can't go on writing, so the third entry in a row of the same upstream with an earlier start is taken for true. A single late one is still ignored, and an entry of the later start begins the count anew.

tests/test_gateway_odd_entries.py::test_start_in_the_future_does_not_keep_the_ true_one_out failed on the code before ("assert None == 'restarted'") and passes now; test_late_entry_of_an_earlier_start_is_ignored passes on both.

--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -41,6 +41,9 @@
 MAX_CACHED_PARTS: typing.Final = 1_024
 # Objects recorded for each upstream; those of some minutes.
 MAX_WARM_OBJECTS: typing.Final = 1_024
+# A start that has ended may have written one entry that arrives late.  One
+# that is written again and again is alive, so the later start is not true.
+MAX_OLDER_ENTRIES: typing.Final = 3
 
 
 @attrs.define(kw_only=True)
@@ -66,7 +69,8 @@
     taken for crashed although its entry stands; it gets nothing until a probe
     reaches it.  doubted_until is when a peer's word that it has crashed
     expires unless this instance finds the same.  probe_at is when it is to be
-    probed, after probe_failures in a row.
+    probed, after probe_failures in a row.  older_entries counts those of an
+    earlier start that came since its own last entry.
     """
 
     entry: model.UpstreamEntry
@@ -88,6 +92,7 @@
     doubted_until: float = float('-inf')
     probe_at: float = float('inf')
     probe_failures: int = 0
+    older_entries: int = 0
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -100,6 +105,13 @@
         entry = self.entry
         return (entry.upstream_id, entry.born_ms, entry.host, entry.port)
 
+    def outlives(self, entry: model.UpstreamEntry) -> bool:
+        """Counts another start's entry; returns whether to ignore it."""
+        if entry.born_ms >= self.entry.born_ms:
+            return False
+        self.older_entries += 1
+        return self.older_entries < MAX_OLDER_ENTRIES
+
     def is_ejected(self, now: float) -> bool:
         """Returns whether it is ejected after failures, or doubted."""
         return now < max(self.ejected_until, self.doubted_until)
@@ -258,7 +270,7 @@
         """Adds or updates an entry; returns what changed, if anything."""
         known = self.by_id.get(entry.upstream_id)
         if known is None or _is_other_incarnation(known.entry, entry):
-            if known is not None and entry.born_ms < known.entry.born_ms:
+            if known is not None and known.outlives(entry):
                 return None
             self.by_id[entry.upstream_id] = Upstream(entry=entry)
             self.added += 1
@@ -273,6 +285,7 @@
         if known.set_aside_at is not None:
             # An upstream writes its entry itself.
             known.probe_at = float('-inf')
+        known.older_entries = 0
         return changed
 
     def remove(self, upstream_id: str, now: float) -> bool:
--- a/tests/test_gateway_odd_entries.py
+++ b/tests/test_gateway_odd_entries.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import follow
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import upstreams
 from oleanderdrift.platform import codec
 from oleanderdrift.platform import operator
 from tests import gateway_support
@@ -141,3 +142,20 @@
         assert 1 <= found.slots <= bounds.MAX_SLOTS
         assert 0 <= found.born_ms <= bounds.MAX_COUNT
         assert 0 <= found.cold_s <= bounds.MAX_S
+
+
+def test_start_in_the_future_does_not_keep_the_true_one_out() -> None:
+    true = gateway_support.entry(born_ms=7)
+    known = upstreams.UpstreamSet()
+    known.put(true)
+    known.put(gateway_support.entry(born_ms=bounds.MAX_COUNT))
+    changes = [known.put(true) for _ in range(upstreams.MAX_OLDER_ENTRIES)]
+    assert changes[-1] == 'restarted'
+    assert known.by_id['u1'].entry == true
+
+
+def test_late_entry_of_an_earlier_start_is_ignored() -> None:
+    known = upstreams.UpstreamSet()
+    for born_ms in (8, 7, 8, 7, 8, 7, 8, 7):
+        known.put(gateway_support.entry(born_ms=born_ms))
+    assert known.by_id['u1'].entry.born_ms == 8
