Bound an account's debt, so that a wrong count ends

A state of a peer that is in range but wrong, a count of 2^53 spent requests, took so many tokens from an account's bucket at every instance that heard it that the account got nothing again, until the instances restarted.

All instances together can owe no more than a burst each, and their rate for the seconds that silent ones are charged for. A debt beyond that, with 30 seconds of the rate to spare, is cut there when the bucket is next filled.

--- a/oleanderdrift/gateway/allotments.py
+++ b/oleanderdrift/gateway/allotments.py
@@ -50,6 +50,10 @@
 # and while the account's demand exceeds its rate.
 RESERVE_FRACTION: typing.Final = 0.3
 BUSY_RESERVE_FRACTION: typing.Final = 0.6
+# Instances that spend the same tokens at once owe a burst each, and those
+# that are silent their rate for some seconds.  A debt beyond that is a
+# wrong count of one peer's.
+MAX_DEBT_S: typing.Final = 30.0
 # The time that a peer's update takes, with the intervals of relays.
 TRANSIT_S: typing.Final = 0.1
 # A program retries only a few times, so retries must not follow each other
@@ -235,9 +239,15 @@
         bucket.updated = now
         limit = self.limit(name)
         if limit is not None:
+            bucket.tokens = max(bucket.tokens, -self.max_debt(limit))
             bucket.tokens += elapsed_s * limit.rate_per_s
             bucket.tokens = min(bucket.tokens, limit.burst)
 
+    def max_debt(self, limit: rate_buckets.Limit) -> float:
+        """Returns the most tokens that all instances can owe together."""
+        bursts = (len(self.peers) + 1) * limit.burst
+        return bursts + MAX_DEBT_S * limit.rate_per_s
+
     def overdue_s(self) -> float:
         """Returns the age at which a peer's next update is overdue."""
         return max(OVERDUE_S, OVERDUE_UPDATES * self.update_interval_s)
--- a/tests/test_gateway_allotments.py
+++ b/tests/test_gateway_allotments.py
@@ -287,3 +287,14 @@
         limiter.apply_update('peer', 1, {account.name: usage}, True, at)
     # The refill since then is not applied yet.
     assert limiter.bucket(account.name).tokens == pytest.approx(20.0 - 8.0)
+
+
+def test_wrong_count_of_a_peer_does_not_end_an_account_for_good() -> None:
+    account = gateway_support.account(rate=20.0, burst=20.0)
+    limiter = allotments.RateLimiter(started=0.0)
+    limiter.configure([account])
+    for spent in (0, 2**53):
+        usage = {account.name: rate_buckets.Usage(spent=spent, demand=0.0)}
+        limiter.apply_update('b', 1, usage, full=True, now=10.0)
+    assert not limiter.has_token(account, 10.0, program_started=True)
+    assert limiter.has_token(account, 50.0, program_started=True)
