--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -11,9 +11,10 @@
 import typing
 
 import attrs
-import msgspec
 
+from oleanderdrift import decoding
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import directory as directory_lib
 from oleanderdrift.gateway import event_log
@@ -186,7 +187,7 @@
         return {
             name: peer_messages.UpstreamLoad(
                 running=one.own_requests,
-                pending=one.pending_tokens,
+                pending=min(one.pending_tokens, bounds.MAX_COUNT),
                 cached=tuple(one.new_parts),
             )
             for name, one in self.board.upstreams.by_id.items()
@@ -207,7 +208,8 @@
         state = peer_messages.StateUpdate(
             data_centre=self.board.settings.data_centre,
             store_age_s=min(
-                self.board.freshness.age_s(clock.boot()), MAX_STORE_AGE_S
+                max(self.board.freshness.age_s(clock.boot()), 0.0),
+                MAX_STORE_AGE_S,
             ),
             usage=self.board.rate_limiter.usage_update(now),
             whole=whole,
@@ -281,7 +283,7 @@
         """
         try:
             bundle = peer_messages.decode_bundle(data)
-        except msgspec.MsgspecError as error:
+        except decoding.DECODE_ERRORS as error:
             self.events.info('peer-message-unreadable', reason=error)
             return
         source = relays.Source(instance=bundle.publisher, topic=topic)
@@ -293,7 +295,7 @@
                 continue
             try:
                 state = peer_messages.decode_state(envelope)
-            except msgspec.MsgspecError as error:
+            except decoding.DECODE_ERRORS as error:
                 self.events.info(
                     'peer-state-unreadable',
                     peer=envelope.instance,
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -5,6 +5,9 @@
 import attrs
 import msgspec
 
+from oleanderdrift import decoding
+from oleanderdrift.gateway import bounds
+
 BUDGET_TOPIC: typing.Final = 'budgets'
 TURN_TOPIC: typing.Final = 'turns'
 INPUT_TOPIC: typing.Final = 'inputs'
@@ -23,9 +26,9 @@
 
     program: str
     turn: str
-    tokens: int
-    budget: int
-    spare: int = 0
+    tokens: bounds.Count
+    budget: bounds.Count
+    spare: bounds.Count = 0
 
 
 class Settle(msgspec.Struct, tag='s', array_like=True, frozen=True):
@@ -36,7 +39,7 @@
 
     program: str
     turn: str
-    tokens: int
+    tokens: bounds.Count
 
 
 class InputLocation(msgspec.Struct, array_like=True, frozen=True):
@@ -46,10 +49,10 @@
     offset on; size is its length in bytes.
     """
 
-    part: int
-    offset: int
-    count: int
-    size: int
+    part: bounds.Count
+    offset: bounds.Count
+    count: bounds.Count
+    size: bounds.Count
 
 
 class TurnEnd(msgspec.Struct, tag='t', array_like=True, frozen=True):
@@ -60,7 +63,7 @@
     account: str
     input: InputLocation
     output: bytes
-    ended_ms: int
+    ended_ms: bounds.Count
 
 
 class ListedOrigin(msgspec.Struct, tag='o', array_like=True, frozen=True):
@@ -96,7 +99,7 @@
 
     peer_address: str
     data_centre: str
-    cores: float
+    cores: bounds.Cores
     tunnel_address: str = ''
 
 
@@ -119,7 +122,7 @@
     """Decodes a listed origin; returns None for invalid bytes."""
     try:
         return _ORIGIN_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -127,7 +130,7 @@
     """Decodes a record of streams; returns None for invalid bytes."""
     try:
         return _STREAMS_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -135,7 +138,7 @@
     """Decodes a budget record; returns None for invalid bytes."""
     try:
         return _BUDGET_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -143,7 +146,7 @@
     """Decodes a turn's record; returns None for invalid bytes."""
     try:
         return _TURN_DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except decoding.DECODE_ERRORS:
         return None
 
 
@@ -155,6 +158,10 @@
 def decode_instance(data: bytes) -> InstanceRecord | None:
     """Decodes an instance's record; returns None for invalid bytes."""
     try:
-        return _INSTANCE_DECODER.decode(data)
-    except msgspec.MsgspecError:
+        record = _INSTANCE_DECODER.decode(data)
+    except decoding.DECODE_ERRORS:
         return None
+    addresses = [record.peer_address]
+    if record.tunnel_address:
+        addresses.append(record.tunnel_address)
+    return record if all(map(bounds.parse_address, addresses)) else None
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -42,6 +42,9 @@
 MAX_CACHED_PARTS: typing.Final = 1_024
 # Objects recorded for each upstream; those of some minutes.
 MAX_WARM_OBJECTS: typing.Final = 1_024
+# A start that has ended may have written one entry that arrives late.  One
+# that is written again and again is alive, so the later start is not true.
+MAX_OLDER_ENTRIES: typing.Final = 3
 
 
 @attrs.define(kw_only=True)
@@ -69,7 +72,8 @@
     expires unless this instance finds the same.  probe_at is when it is to be
     probed, after probe_failures in a row.  answered_at is when a probe was
     first answered without saying which start of the upstream answers.  path is
-    the direct path to it.
+    the direct path to it.  older_entries counts those of an earlier start that
+    came since its own last entry.
     """
 
     entry: model.UpstreamEntry
@@ -93,6 +97,7 @@
     probe_failures: int = 0
     answered_at: float | None = None
     path: upstream_paths.Path = attrs.field(factory=upstream_paths.Path)
+    older_entries: int = 0
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -105,6 +110,13 @@
         entry = self.entry
         return (entry.upstream_id, entry.born_ms, entry.host, entry.port)
 
+    def outlives(self, entry: model.UpstreamEntry) -> bool:
+        """Counts another start's entry; returns whether to ignore it."""
+        if entry.born_ms >= self.entry.born_ms:
+            return False
+        self.older_entries += 1
+        return self.older_entries < MAX_OLDER_ENTRIES
+
     def is_ejected(self, now: float) -> bool:
         """Returns whether it is ejected after failures, or doubted."""
         return now < max(self.ejected_until, self.doubted_until)
@@ -267,7 +279,7 @@
         """Adds or updates an entry; returns what changed, if anything."""
         known = self.by_id.get(entry.upstream_id)
         if known is None or _is_other_incarnation(known.entry, entry):
-            if known is not None and entry.born_ms < known.entry.born_ms:
+            if known is not None and known.outlives(entry):
                 return None
             self.by_id[entry.upstream_id] = Upstream(entry=entry)
             self.added += 1
@@ -282,6 +294,7 @@
         if known.set_aside_at is not None:
             # An upstream writes its entry itself.
             known.probe_at = float('-inf')
+        known.older_entries = 0
         return changed
 
     def remove(self, upstream_id: str, now: float) -> bool:
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -8,7 +8,9 @@
 import msgspec
 
 from oleanderdrift import codes
+from oleanderdrift import decoding
 from oleanderdrift import errors
+from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import model
 
 MS_PER_S: typing.Final = 1_000.0
@@ -21,7 +23,7 @@
 
 class _Split(msgspec.Struct):
     Service: str
-    Weight: float
+    Weight: bounds.Weight
 
 
 class _Route(msgspec.Struct):
@@ -29,17 +31,17 @@
     PathPrefix: str
     Kind: str
     Name: str = ''
-    TimeoutMs: float = 30_000
+    TimeoutMs: bounds.Milliseconds = 30_000
     # A response is worth most within this time; a target, not a limit.
-    GoalMs: float = 1_000
-    Priority: int = 0
+    GoalMs: bounds.Milliseconds = 1_000
+    Priority: bounds.Rank = 0
     Service: str | None = None
     Split: list[_Split] | None = None
-    Attempts: int = 1
+    Attempts: bounds.Count = 1
     Retain: bool = False
     # How long turns are retained; in the settings file, the same name is
     # how long the store retains records.
-    RetainS: float = 60.0
+    RetainS: bounds.Seconds = 60.0
     Public: bool = False
     Resumable: bool = False
     Sticky: bool = False
@@ -47,7 +49,7 @@
 
 class _Engine(msgspec.Struct):
     # The number of tokens in one stream event.
-    Stride: int = 1
+    Stride: bounds.Count = 1
 
 
 class _Service(msgspec.Struct):
@@ -56,22 +58,23 @@
 
 
 class _Limits(msgspec.Struct):
-    HeaderBytes: int = 16_384
-    MaxBodyBytes: int = 4_194_304
-    HeaderTimeoutMs: float = 3_000
-    IdleTimeoutMs: float = 15_000
+    HeaderBytes: bounds.Count = 16_384
+    MaxBodyBytes: bounds.Count = 4_194_304
+    HeaderTimeoutMs: bounds.Milliseconds = 3_000
+    IdleTimeoutMs: bounds.Milliseconds = 15_000
 
 
 class _Tenant(msgspec.Struct):
-    Name: str
+    # Sent to upstreams in a header.
+    Name: bounds.Name
     ApiKeys: list[str] = []
-    Priority: int | None = None
-    RatePerS: float = 0
-    Burst: float = 0
+    Priority: bounds.Rank | None = None
+    RatePerS: bounds.PerSecond = 0
+    Burst: bounds.PerSecond = 0
 
 
 class _Config(msgspec.Struct):
-    Version: int
+    Version: bounds.Count
     Routes: list[_Route]
     Services: list[_Service]
     Limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -79,15 +82,15 @@
 
 
 class _Entry(msgspec.Struct):
-    Service: str
+    Service: bounds.Text
     Address: str
-    Zone: str
-    Version: str
+    Zone: bounds.Text
+    Version: bounds.Text
     State: str
-    Slots: int
+    Slots: bounds.Slots
     # How much longer the upstream will be slow after its start.
-    ColdLeftMs: float = 0
-    born: int = 0
+    ColdLeftMs: bounds.Milliseconds = 0
+    born: bounds.Count = 0
 
 
 class _Report(msgspec.Struct):
@@ -100,10 +103,14 @@
 
 
 def decode_configuration(value: bytes) -> model.Configuration:
-    """Decodes a configuration; raises ResultError CONFIG_INVALID."""
+    """Decodes a configuration; raises ResultError CONFIG_INVALID.
+
+    One that is invalid in a single part is refused as a whole: requests of
+    a route that is left out would be refused for good.
+    """
     try:
         config = _CONFIG_DECODER.decode(value)
-    except msgspec.MsgspecError as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.ResultError(codes.CONFIG_INVALID, str(error)) from error
     limits = config.Limits
     return model.Configuration(
@@ -181,22 +188,26 @@
     """Decodes an upstream's entry; None if it is not valid.
 
     Other programs write to the topic too, so entries may have missing
-    fields, wrong types, unknown states or undecodable bytes.
+    fields, wrong types, unknown states, values out of range, ids that no
+    header can carry, or undecodable bytes.
     """
     try:
         entry = _ENTRY_DECODER.decode(value)
-    except msgspec.MsgspecError:
+    except decoding.DECODE_ERRORS:
+        return None
+    address = bounds.parse_address(entry.Address)
+    if address is None or not bounds.is_name(upstream_id):
         return None
-    host, _, port = entry.Address.rpartition(':')
-    if entry.State not in _STATES or not port.isdigit() or not host:
+    if entry.State not in _STATES or not entry.Service:
         return None
+    host, port = address
     return model.UpstreamEntry(
         upstream_id=upstream_id,
         service=entry.Service,
         data_centre=entry.Zone,
         host=host,
-        port=int(port),
-        slots=max(entry.Slots, 1),
+        port=port,
+        slots=entry.Slots,
         draining=_STATES[entry.State],
         born_ms=entry.born,
         cold_s=entry.ColdLeftMs / MS_PER_S,
@@ -208,5 +219,5 @@
     """Decodes when an upstream started, None if the report does not say."""
     try:
         return _REPORT_DECODER.decode(body).born
-    except msgspec.MsgspecError:
+    except decoding.DECODE_ERRORS:
         return None
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -594,7 +594,9 @@
     log = gateway_support.MemoryLog()
     board = gateway_support.board()
     board.settings = attrs.evolve(
-        board.settings, tunnel_listen='10.0.0.1:7781'
+        board.settings,
+        peer_listen='10.0.0.1:7780',
+        tunnel_listen='10.0.0.1:7781',
     )
     known = directory.Directory(board, log, event_log.EventLog())
 
