Begin streams also at upstreams that write no report

Since streams begin only at the start of an upstream that its entry names, no caller of a stream that may be continued would have been served by a service whose upstreams answer 4xx where their report is asked for, as those of the plain service on the users' deployments do (400). Such an upstream is taken at its entry when a stream begins, and asked once; a stream still goes on only where the start is known.

tests/test_gateway_reports.py:: test_streams_begin_at_upstreams_that_write_no_report failed with the guard taken out.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -141,6 +141,7 @@
                 deadline=progress.deadline,
                 last_event_id=progress.last_event_id,
                 keeps_version=progress.admitted.route.is_resumable_stream(),
+                continues=progress.origin is not None,
             ),
         )
         match outcome:
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -21,11 +21,19 @@
 # A report needs no slot, so it takes a round trip.
 REPORT_TIMEOUT_S: typing.Final = 0.25
 REPORT_STATUS: typing.Final = 200
+# What an upstream answers that knows no reports.
+CLIENT_ERRORS: typing.Final = range(400, 500)
 
 
 class NoReportError(channel.ChannelError):
     """The upstream answered, but not with a report: not all write one."""
 
+    def __init__(self, status: int) -> None:
+        super().__init__(
+            channel.Failure.MALFORMED, f'status {status} is no report'
+        )
+        self.status = status
+
 
 @attrs.frozen(kw_only=True)
 class NotConnected:
@@ -93,6 +101,7 @@
 
     keeps_version says that it is for a stream that only upstreams of one
     software version may run, from its beginning on; they do not check it.
+    continues says that an upstream of that version has begun it.
     """
 
     admitted: admission.Admitted
@@ -100,6 +109,7 @@
     deadline: float
     last_event_id: str | None
     keeps_version: bool
+    continues: bool
 
 
 async def send_request(
@@ -118,17 +128,9 @@
     entry = upstream.entry
     admitted = outgoing.admitted
     request = admitted.request
-    try:
-        connection = await connections.acquire(upstream, clock.monotonic())
-    except (OSError, TimeoutError) as error:
-        return NotConnected(reason=repr(error))
-    try:
-        if outgoing.keeps_version and not await is_incarnation(
-            connection, codec, entry
-        ):
-            return NotConnected(reason='the upstream has started again')
-    except (TimeoutError, channel.ChannelError) as error:
-        return NotVerified(reason=f'no report came: {error!r}')
+    connection = await _connect(connections, codec, upstream, outgoing)
+    if not isinstance(connection, channel.Channel):
+        return connection
     handed_over = False
     try:
         try:
@@ -177,6 +179,39 @@
             connection.close()
 
 
+async def _connect(
+    connections: upstream_connections.UpstreamConnections,
+    codec: ports.Codec,
+    upstream: upstreams.Upstream,
+    outgoing: Outgoing,
+) -> channel.Channel | NotConnected | NotVerified:
+    """Returns a connection to the start that an upstream's entry names.
+
+    A stream may begin at one that writes no report, as its entry says, but
+    goes on only where the start is known.
+    """
+    try:
+        connection = await connections.acquire(upstream, clock.monotonic())
+    except (OSError, TimeoutError) as error:
+        return NotConnected(reason=repr(error))
+    if not outgoing.keeps_version:
+        return connection
+    if upstream.writes_no_report and not outgoing.continues:
+        return connection
+    try:
+        if await is_incarnation(connection, codec, upstream.entry):
+            return connection
+    except NoReportError as error:
+        upstream.writes_no_report = error.status in CLIENT_ERRORS
+        if outgoing.continues or not upstream.writes_no_report:
+            return NotVerified(reason=f'no report came: {error!r}')
+    except (TimeoutError, channel.ChannelError) as error:
+        return NotVerified(reason=f'no report came: {error!r}')
+    else:
+        return NotConnected(reason='the upstream has started again')
+    return await _connect(connections, codec, upstream, outgoing)
+
+
 async def is_incarnation(
     connection: channel.Channel,
     codec: ports.Codec,
@@ -232,10 +267,7 @@
             f'the answer to {head.request_id} is no report',
         )
     if head.status != REPORT_STATUS:
-        raise NoReportError(
-            channel.Failure.MALFORMED,
-            f'status {head.status} is no report',
-        )
+        raise NoReportError(head.status)
     return await connection.read_body(channel.MAX_SKIPPED_BYTES)
 
 
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -73,7 +73,8 @@
     probed, after probe_failures in a row.  answered_at is when a probe was
     first answered without saying which start of the upstream answers.  path is
     the direct path to it.  older_entries counts those of an earlier start that
-    came since its own last entry.
+    came since its own last entry.  writes_no_report says that it has answered
+    so.
     """
 
     entry: model.UpstreamEntry
@@ -98,6 +99,7 @@
     answered_at: float | None = None
     path: upstream_paths.Path = attrs.field(factory=upstream_paths.Path)
     older_entries: int = 0
+    writes_no_report: bool = False
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
--- a/tests/test_gateway_odd_addresses.py
+++ b/tests/test_gateway_odd_addresses.py
@@ -45,6 +45,7 @@
         deadline=float('inf'),
         last_event_id=None,
         keeps_version=False,
+        continues=False,
     )
     board = gateway_support.board()
     connections = upstream_connections.UpstreamConnections(
--- a/tests/test_gateway_reports.py
+++ b/tests/test_gateway_reports.py
@@ -52,6 +52,19 @@
     asyncio.run(scenario())
 
 
+def test_streams_begin_at_upstreams_that_write_no_report() -> None:
+    async def scenario() -> None:
+        async with gateway_versions.run_versions('v1') as harness:
+            harness.replicas[0].without_report = True
+            reply = await harness.send_request()
+            assert reply.status == 200
+            gateway_versions.check_refused(
+                harness, await gateway_versions.continue_stream(harness)
+            )
+
+    asyncio.run(scenario())
+
+
 def test_upstream_restarted_under_its_id_gets_no_stream_of_before() -> None:
     """Its entry is still that of the start before, with other software."""
 
