Let peers read what is said of an upstream with the longest id

The range that texts in peers' states got before is that of an id, and the name of one start of an upstream is its id with the start behind it: with an id of 240 characters, whatever an instance said of its limit or crash made its whole state unreadable. Texts may have twice that length now.

tests/test_gateway_odd_states.py::test_peers_read_what_is_said_of_any_upstream failed on the code before ("assert dict_keys([]) == {'a'}") and passes now.

--- a/oleanderdrift/gateway/bounds.py
+++ b/oleanderdrift/gateway/bounds.py
@@ -1,4 +1,4 @@
-"""The ranges of what comes from outside, and how it is decoded.
+"""The ranges of what comes from outside.
 
 Other programs than the writer in mind may have written it.  Decoders are
 given types from here, so that a value is in its range once it is decoded.
@@ -23,6 +23,8 @@
 MAX_PORT: typing.Final = 65_535
 # The length of a key in the store is one byte.
 MAX_NAME_LENGTH: typing.Final = 255
+# The name of one start of an upstream is longer than its id.
+MAX_TEXT_LENGTH: typing.Final = 512
 MAX_HOST_LENGTH: typing.Final = 253
 # Only these can be sent in a header on their own.
 _NAME: typing.Final = r'\A[!-~]+( +[!-~]+)*\Z'
@@ -34,7 +36,7 @@
     str, msgspec.Meta(pattern=_NAME, max_length=MAX_NAME_LENGTH)
 ]
 Text: typing.TypeAlias = typing.Annotated[
-    str, msgspec.Meta(max_length=MAX_NAME_LENGTH)
+    str, msgspec.Meta(max_length=MAX_TEXT_LENGTH)
 ]
 Count: typing.TypeAlias = typing.Annotated[
     int, msgspec.Meta(ge=0, le=MAX_COUNT)
--- a/tests/test_gateway_odd_states.py
+++ b/tests/test_gateway_odd_states.py
@@ -157,6 +157,22 @@
     assert work.pending == bounds.MAX_COUNT
 
 
+def test_peers_read_what_is_said_of_any_upstream(
+    listener: gossip.Gossip,
+) -> None:
+    name = gateway_support.entry(
+        'u' * bounds.MAX_NAME_LENGTH, born_ms=bounds.MAX_COUNT
+    ).incarnation()
+    said = state(
+        limits={name: [1.0, 0.1]},
+        crashes={name: [0.1, ['f'], []]},
+        living={name: 0.1},
+        grounds={'f': [name]},
+    )
+    listener.receive(TOPIC, message(said), 1.0)
+    assert listener.peer_load.last_heard.keys() == {'a'}
+
+
 @pytest.mark.parametrize('text', ['1e300', 'nan', 'inf', '-1', '9' * 400])
 def test_rate_that_peers_would_not_read_is_no_limit(text: str) -> None:
     head = codec.PlatformCodec().decode_upstream_head(
