Check the address of an upstream once, not with each of its entries

An instance decodes each entry of each upstream as often as that is renewed. Both depend on a text alone that comes again and again, so the results are kept, for as many as the upstreams of a large fleet; addresses have a length so that these stay small.

--- a/oleanderdrift/gateway/bounds.py
+++ b/oleanderdrift/gateway/bounds.py
@@ -4,6 +4,7 @@
 given types from here, so that a value is in its range once it is decoded.
 """
 
+import functools
 import re
 import typing
 
@@ -26,6 +27,8 @@
 # The name of one start of an upstream is longer than its id.
 MAX_TEXT_LENGTH: typing.Final = 512
 MAX_HOST_LENGTH: typing.Final = 253
+# Upstreams write their entries again and again; those of a large fleet.
+CACHED_TEXTS: typing.Final = 8_192
 # Only these can be sent in a header on their own.
 _NAME: typing.Final = r'\A[!-~]+( +[!-~]+)*\Z'
 _LABEL: typing.Final = r'[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?'
@@ -66,6 +69,7 @@
 _NAME_PATTERN: typing.Final = re.compile(_NAME)
 
 
+@functools.lru_cache(CACHED_TEXTS)
 def is_name(text: str) -> bool:
     """Returns whether a text is a name that can be sent in a header."""
     return (
@@ -73,6 +77,7 @@
     )
 
 
+@functools.lru_cache(CACHED_TEXTS)
 def parse_address(text: str) -> tuple[str, int] | None:
     """Returns the host and port of HOST:PORT, None if it has none."""
     host, _, port = text.rpartition(':')
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -94,7 +94,7 @@
 class InstanceRecord:
     """An instance's address for peers, and its share of processor cores."""
 
-    peer_address: str
+    peer_address: bounds.Text
     data_centre: str
     cores: bounds.Cores
 
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -83,7 +83,7 @@
 
 class _Entry(msgspec.Struct):
     Service: bounds.Text
-    Address: str
+    Address: bounds.Text
     Zone: bounds.Text
     Version: bounds.Text
     State: str
