--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -97,7 +97,7 @@
     tunnel_address is empty in the records of builds without tunnels.
     """
 
-    peer_address: str
+    peer_address: bounds.Text
     data_centre: str
     cores: bounds.Cores
     tunnel_address: str = ''
