Gateway: do not eject an upstream for hanging on a lost path

An engine whose direct connections hung at one instance was ejected there after 0.9 s of silence, although a peer reached it, so that its requests went elsewhere, away from their caches.

Silence counts against an upstream only on a tunnel, or while no peer has reached it.

test_upstream_that_a_peer_reaches_is_ejected_for_a_lost_path failed before: 'assert True is False' for a direct connection on a lost path.

--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -163,7 +163,9 @@
             if now - max(sent, self.last_received) > limit_s
             and not connection.protocol.received
         ]
-        if silent and not self.is_ejected(now):
+        # A peer that reaches it shows that its lost path is not its fault.
+        is_to_blame = any(one.via or not self.path.confirmed for one in silent)
+        if is_to_blame and not self.is_ejected(now):
             self.note_failure(now)
         return silent
 
--- a/tests/test_gateway_path_decisions.py
+++ b/tests/test_gateway_path_decisions.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import relays
 from oleanderdrift.gateway import tunnel_peers
 from oleanderdrift.gateway import upstream_paths
@@ -117,6 +118,26 @@
     assert found is expected
 
 
+@pytest.mark.parametrize(
+    ('via', 'confirmed', 'expected'),
+    [
+        ('', False, True),
+        ('', True, False),
+        ('north-2', True, True),
+    ],
+)
+def test_upstream_that_a_peer_reaches_is_ejected_for_a_lost_path(
+    via: str, confirmed: bool, expected: bool
+) -> None:
+    engine = gateway_support.upstream()
+    engine.silence_timeout_s = 0.9
+    engine.path.confirmed = confirmed
+    connection = channel.Channel(channel.BufferingProtocol(), via)
+    engine.abortable[connection] = 10.0
+    assert engine.eject_if_silent(11.0, unreachable=False) == [connection]
+    assert engine.is_ejected(11.0) is expected
+
+
 @pytest.mark.parametrize(
     ('names', 'asked', 'expected'),
     [
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -279,7 +279,9 @@
 
 
 class FakeConnection:
-    """A connection on which nothing has been received."""
+    """A direct connection on which nothing has been received."""
+
+    via = ''
 
     class protocol:  # noqa: N801 - stands for an attribute
         received = False
