--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -186,8 +186,12 @@
             for connection, sent in self.abortable.items()
             if not connection.protocol.received
         }
-        is_silent = any(each > eject_s for each in silent_s.values())
-        if is_silent and not self.is_ejected(now):
+        # A peer that reaches it shows that its lost path is not its fault.
+        is_to_blame = any(
+            each > eject_s and (one.via or not self.path.confirmed)
+            for one, each in silent_s.items()
+        )
+        if is_to_blame and not self.is_ejected(now):
             self.note_failure(now)
         return [one for one, each in silent_s.items() if each > abort_s]
 
