Gateway: end turns that hang on a path that a peer contradicts

A turn in a connection that hung since a cut began kept its program waiting: requests that may not be repeated were left to the silence time-out, two seconds on an engine, although nothing could come any more. A program sends a failed turn again by itself.

Once a peer has reached the upstream, turns that hang on the direct path end at once as well, as may have run. Other requests that may not be repeated wait as before.

test_turn_that_hangs_keeps_its_program_waiting failed before with a TimeoutError after 0.9 s.

--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -150,9 +150,7 @@
             request.method, request.target, headers, outgoing.body
         )
         sent_at = clock.monotonic()
-        connections.note_sent(
-            upstream, connection, admitted.may_repeat(), sent_at
-        )
+        connections.note_sent(upstream, connection, admitted, sent_at)
         if admitted.may_abort():
             upstream.abortable[connection] = sent_at
         head = await _read_own_head(connection, codec, request.request_id)
--- a/oleanderdrift/gateway/path_monitor.py
+++ b/oleanderdrift/gateway/path_monitor.py
@@ -89,7 +89,9 @@
             return
         upstream = sent.upstream
         if self.hangs(connection, upstream, now):
-            if sent.may_repeat:
+            # A program sends a turn again, once it is sure that it hangs.
+            is_sure = not connection.via and upstream.path.confirmed
+            if sent.may_repeat or (sent.may_abort and is_sure):
                 connection.close()
         elif connection.via:
             if silent_s > upstream_paths.ONE_SILENT_S:
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
@@ -49,11 +50,16 @@
 
 @attrs.frozen(kw_only=True)
 class SentRequest:
-    """A request that was sent on a connection."""
+    """A request that was sent on a connection.
+
+    may_abort says that it may be given up, and may_repeat that it may then
+    be sent again by this instance.
+    """
 
     upstream: upstreams.Upstream
     sent_at: float
     may_repeat: bool
+    may_abort: bool
 
 
 class UpstreamConnections:
@@ -249,12 +255,15 @@
         self,
         upstream: upstreams.Upstream,
         connection: channel.Channel,
-        may_repeat: bool,
+        admitted: admission.Admitted,
         now: float,
     ) -> None:
         """Records that a request was sent on a connection."""
         self.open[connection] = SentRequest(
-            upstream=upstream, sent_at=now, may_repeat=may_repeat
+            upstream=upstream,
+            sent_at=now,
+            may_repeat=admitted.may_repeat(),
+            may_abort=admitted.may_abort(),
         )
 
     def forget(self, connection: channel.Channel) -> None:
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -99,6 +99,22 @@
     asyncio.run(scenario())
 
 
+def test_turn_that_hangs_keeps_its_program_waiting() -> None:
+    async def scenario() -> None:
+        async with path_fleet.run_paths(
+            replica.Silent(), route=RETAINED
+        ) as paths:
+            sent = asyncio.create_task(paths.send())
+            await path_fleet.wait_until(lambda: len(paths.runs()) == 1)
+            paths.cut(Cut.HANG)
+            async with asyncio.timeout(path_fleet.NOTICED_S):
+                answer = await sent
+            assert answer.reply.status == 502
+            assert len(paths.runs()) == 1
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize('cut', [Cut.HANG, Cut.RESET], ids=['hang', 'reset'])
 def test_stream_ends_with_the_direct_path(cut: path_fleet.Cut) -> None:
     async def scenario() -> None:
