--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -458,3 +458,21 @@
             assert answer.reply.status == 200
 
     asyncio.run(scenario())
+
+
+def test_idle_tunnels_stay_open_through_a_peer_that_leaves() -> None:
+    async def scenario() -> None:
+        async with path_fleet.run_paths(DONE) as paths:
+            paths.cut(Cut.REFUSE)
+            assert (await paths.send()).reply.status == 200
+            (carrier,) = [
+                number for number, one in enumerate(paths.servers) if one.open
+            ]
+            paths.fleet.forwarders[carrier].board.stopping = True
+            await path_fleet.wait_until(
+                lambda: not paths.servers[carrier].open, 0.5
+            )
+            assert (await paths.send()).reply.status == 200
+            assert not paths.servers[carrier].open
+
+    asyncio.run(scenario())
