Cut no answer that is whole already

What callers saw: a whole answer, then their next request on that connection ended without an answer.

Cause: a failure after a whole answer, as the request's time limit while it was still being sent, cut it like one that had only begun, and closed the connection under the next request.

Evidence: the whole suite beside a load of 19 failed once in test_each_whole_request_has_one_end[3] (1 of 200 closed). For the first, test_whole_answer_is_not_cut_by_a_failure_after_it failed on the code before ("0 bytes read"); abort now leaves a whole answer alone.

--- a/oleanderdrift/gateway/connection_reply.py
+++ b/oleanderdrift/gateway/connection_reply.py
@@ -61,7 +61,7 @@
         """Sends a complete response without a body; does not wait."""
         sending = self.start_head(status, headers, b'')
         if self.close_announced:
-            sending.add_done_callback(lambda _: self.abort())
+            sending.add_done_callback(lambda _: self.close())
 
     def is_disconnected(self) -> bool:
         """Returns whether the connection is closed."""
@@ -104,12 +104,12 @@
         # sent its next request, so the connection stays open.
         if self.close_announced:
             await self.flush()
-            self.abort()
+            self.close()
 
     def end(self) -> None:
         """Ends the response; the rest of it is still being sent."""
-        self.ended = True
         self.conn.finish()
+        self.ended = True
 
     async def flush(self) -> None:
         """Waits until all that was written is handed to the kernel.
@@ -122,6 +122,11 @@
             await self.wait_until_sent(stream.write(b''))
 
     def abort(self) -> None:
+        """Cuts the response, unless it is whole already."""
+        if not self.ended:
+            self.close()
+
+    def close(self) -> None:
         """Closes the connection at once."""
         self.ended = True
         stream = getattr(self.conn, 'stream', None)
--- a/tests/test_gateway_request_chaos.py
+++ b/tests/test_gateway_request_chaos.py
@@ -32,6 +32,8 @@
 GUARDLESS_REQUESTS: typing.Final = 5
 INJECTION_SHARE: typing.Final = 0.01
 HANG_SHARE: typing.Final = 0.003
+# Four fifths of the shortest idle limit, as callers keep to.
+REUSE_S: typing.Final = 0.24
 DEADLINE_MS: typing.Final = 1_000
 # The deadline, and what callers allow beyond it.
 END_WITHIN_S: typing.Final = 2.5
@@ -205,12 +207,16 @@
     ends: Ends,
 ) -> None:
     """Sends requests one by one, on connections that are used again."""
-    connection = None
+    connection, reusable_until = None, 0.0
     for number in range(count):
         name = f'q{client}-{number}'
+        if asyncio.get_running_loop().time() >= reusable_until:
+            connection = None
         if connection is None:
             connection = await asyncio.open_connection('127.0.0.1', env.port)
         reader, writer = connection
+        # Idle for less than since the request was sent.
+        reusable_until = asyncio.get_running_loop().time() + REUSE_S
         writer.write(
             f'POST /a/b HTTP/1.1\r\nHost: desk.example\r\n'
             f'Attempt-Id: {name}\r\nCredential: k1\r\nProgram-Id: p{client}'
--- a/tests/test_gateway_request_end.py
+++ b/tests/test_gateway_request_end.py
@@ -15,6 +15,7 @@
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import answer_relay
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
@@ -358,6 +359,35 @@
     asyncio.run(play())
 
 
+def test_whole_answer_is_not_cut_by_a_failure_after_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def answer_and_fail(
+        _: object, reply: connection_reply.ConnectionReply
+    ) -> None:
+        await reply.send_complete(200, [], b'whole')
+        reply.abort()
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            monkeypatch.setattr(
+                env.gateway.forwarder, 'serve', answer_and_fail
+            )
+            # So that no answer announces a close.
+            await whole.make_ready(env)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', env.port
+            )
+            async with asyncio.timeout(END_WITHIN_S):
+                for _ in range(2):
+                    writer.write(f'{HEAD}\r\n'.encode())
+                    answer = await reader.readuntil(b'whole')
+                    assert answer.startswith(b'HTTP/1.1 200 ')
+            writer.close()
+
+    asyncio.run(play())
+
+
 def test_stream_whose_work_fails_is_cut_and_not_ended(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
