Gateway: close idle connections of a path whose connections are reset

A direct connection that breaks under a request tells the two apart: its path is probed at once, and the idle direct connections of all lost paths are closed, as are those of paths lost within a second of it.

test_idle_connections_are_reset_one_after_the_other failed before with a TimeoutError: no request after the reset looked at the path.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -268,6 +268,9 @@
         the request must not be sent again.
         """
         self.note_failed_try(progress, upstream, reason)
+        if not via:
+            self.connections.note_broken(clock.monotonic())
+            self.paths.start_probe(upstream)
         if not via and upstream.path.loss is not None:
             self.note_lost_on_path(progress, upstream, reason)
             return False
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -32,6 +32,9 @@
 TUNNEL_TIMEOUT_S: typing.Final = 0.2
 MAX_PEERS_ASKED: typing.Final = 2
 MAX_WITNESSES: typing.Final = 6
+# A path that is refused so soon after a direct connection broke is taken for
+# one whose open connections are reset as well.
+BREAK_MEMORY_S: typing.Final = 1.0
 # A refusal takes some milliseconds; requests wait for the witnesses.
 WITNESS_TIMEOUT_S: typing.Final = 0.4
 
@@ -66,7 +69,8 @@
     """The connections of one instance to the upstreams.
 
     open holds the connections with a request.  heard_at is when bytes last
-    came directly from an upstream, and lost_at when a path was last lost.
+    came directly from an upstream, broke_at when a direct connection with a
+    request last broke, and lost_at when a path was last lost.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         self.open_tunnel: OpenTunnel = open_tunnel
         self.open: dict[channel.Channel, SentRequest] = {}
         self.heard_at = float('-inf')
+        self.broke_at = float('-inf')
         self.lost_at = float('-inf')
         self.tunnels_opened = 0
 
@@ -280,6 +285,15 @@
         upstream.path.note_heard(received_at)
         self.heard_at = max(self.heard_at, received_at)
 
+    def note_broken(self, now: float) -> None:
+        """Records that a direct connection with a request broke.
+
+        Idle ones that are reset show it only by the next request.
+        """
+        self.broke_at = now
+        for upstream in self.board.lost_paths.values():
+            self.pool.close_idle_direct(upstream.key())
+
     def note_connected(self, upstream: upstreams.Upstream) -> None:
         """Records that an upstream was reached directly."""
         now = clock.monotonic()
@@ -330,7 +344,8 @@
         """Records that the path to an upstream was lost just now."""
         self.lost_at = now
         self.board.lost_paths[upstream.entry.upstream_id] = upstream
-        if loss is upstream_paths.Loss.TIMED_OUT:
+        is_breaking = now - self.broke_at < BREAK_MEMORY_S
+        if loss is upstream_paths.Loss.TIMED_OUT or is_breaking:
             self.pool.close_idle_direct(upstream.key())
         self.events.info(
             'path-lost',
--- a/tests/path_fleet.py
+++ b/tests/path_fleet.py
@@ -35,13 +35,15 @@
 class Cut(enum.Enum):
     """What becomes of the connections to upstreams.
 
-    All but NONE keep new ones from being established.
+    All but NONE keep new ones from being established.  With RESET_LATER, an
+    open one is reset by what is sent on it next.
     """
 
     NONE = 'none'
     HANG = 'hang'
     RESET = 'reset'
     REFUSE = 'refuse'
+    RESET_LATER = 'reset later'
 
 
 @attrs.define(kw_only=True)
@@ -68,7 +70,7 @@
                 case Cut.HANG:
                     await asyncio.sleep(timeout_s)
                     raise TimeoutError
-                case Cut.RESET | Cut.REFUSE:
+                case Cut.RESET | Cut.REFUSE | Cut.RESET_LATER:
                     raise ConnectionRefusedError
         link = self.by_port[port]
         opened = await channel.connect(HOST, link.listening_port, timeout_s)
@@ -88,12 +90,27 @@
                 if port in self.cut_ports:
                     opened.protocol.connection_lost(ConnectionResetError())
                     opened.close()
+        if cut is Cut.RESET_LATER:
+            for port, opened in self.opened:
+                if port in self.cut_ports:
+                    setattr(opened, 'send', reset_by(opened))
 
     def direct(self) -> int:
         """Returns the number of direct connections that are open."""
         return sum(one.protocol.closed is None for _, one in self.opened)
 
 
+def reset_by(opened: channel.Channel) -> typing.Any:
+    """Returns what sends on a connection that is reset by it."""
+
+    async def send(*args: object) -> None:
+        opened.protocol.connection_lost(ConnectionResetError())
+        opened.response_complete = False
+        raise channel.ChannelError(channel.Failure.RESET)
+
+    return send
+
+
 class CutTunnelServer(tunnel_server.TunnelServer):
     """Carries tunnels over the links of its instance."""
 
@@ -109,7 +126,7 @@
         match self.links.cut:
             case Cut.HANG:
                 return None
-            case Cut.RESET | Cut.REFUSE:
+            case Cut.RESET | Cut.REFUSE | Cut.RESET_LATER:
                 return attrs.evolve(entry, port=REFUSING_PORT)
         return entry
 
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -297,6 +297,24 @@
     asyncio.run(scenario())
 
 
+def test_idle_connections_are_reset_one_after_the_other() -> None:
+    async def scenario() -> None:
+        async with path_fleet.run_paths(DONE, route=ONCE) as paths:
+            await paths.warm()
+            pool = paths.fleet.forwarders[0].attempts.pool
+            assert len(pool.idle[paths.upstream(0).key()]) > 3
+            paths.cut(Cut.RESET_LATER)
+            first = await paths.send()
+            assert first.reply.status == 502
+            await path_fleet.wait_until(
+                lambda: paths.upstream(0).path.confirmed, 0.5
+            )
+            answers = await paths.send_many(5)
+            assert [one.reply.status for one in answers] == [200] * 5
+
+    asyncio.run(scenario())
+
+
 def test_connections_that_live_on_are_given_up() -> None:
     async def scenario() -> None:
         async with path_fleet.run_paths(DONE, DONE) as paths:
