Take no busy event loop for an upstream that cannot be reached

While the loop was busy for longer than a connection may take, the limit won over the connection that stood: the request was refused, the upstream was ejected, its path counted as lost and healthy idle connections were closed. Connecting, reports of upstreams, tunnels and the search for a stream's origin have the limits of the store's calls now.

--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -18,6 +18,7 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import time_limits
 
 # Bytes unacknowledged for this long mean that the peer is unreachable.  It
 # also decides when keep-alive probes give up, so it is longer than the time
@@ -376,7 +377,7 @@
     """
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(timeout_s):
+        async with time_limits.within(timeout_s):
             transport, protocol = await loop.create_connection(
                 BufferingProtocol, host, port
             )
--- a/oleanderdrift/gateway/continuations.py
+++ b/oleanderdrift/gateway/continuations.py
@@ -1,6 +1,5 @@
 """Decides where a stream that broke off may go on."""
 
-import asyncio
 import typing
 
 import attrs
@@ -11,6 +10,7 @@
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import origin_log
 from oleanderdrift.gateway import stream_origins
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import upstreams
 
 # If finding an origin takes longer, the store counts as unavailable.
@@ -45,7 +45,7 @@
             retry_after_s=UNKNOWN_RETRY_S,
         )
     try:
-        async with asyncio.timeout(FIND_TIMEOUT_S):
+        async with time_limits.within(FIND_TIMEOUT_S):
             origin = await origins.find(request.resumes)
     except (TimeoutError, errors.ResultError) as error:
         raise errors.ResultError(
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -1,6 +1,5 @@
 """Sends a request to an upstream and reads the response headers."""
 
-import asyncio
 import typing
 
 import attrs
@@ -12,6 +11,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstreams
 
@@ -226,7 +226,7 @@
     if connection.is_verified:
         return True
     try:
-        async with asyncio.timeout(REPORT_TIMEOUT_S):
+        async with time_limits.within(REPORT_TIMEOUT_S):
             body = await _read_report(connection, codec, entry)
         born_ms = codec.decode_report(body)
         connection.is_verified = born_ms in (None, entry.born_ms)
--- a/oleanderdrift/gateway/tunnel_client.py
+++ b/oleanderdrift/gateway/tunnel_client.py
@@ -5,6 +5,7 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import settings
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_wire
 
 
@@ -108,7 +109,7 @@
     opening = tunnel_wire.encode(message)
     if len(opening) > tunnel_wire.MAX_OPEN_BYTES:
         raise UpstreamUnreachableError('its name is too long')
-    async with asyncio.timeout(timeout_s):
+    async with time_limits.within(timeout_s):
         transport, protocol = await _connect(address)
         try:
             channel.set_tcp_options(transport, channel.TCP_USER_TIMEOUT_MS)
--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -15,6 +15,7 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_wire
 
 # A peer sends its Open at once.
@@ -195,7 +196,7 @@
             return tunnel_wire.Unreachable(reason='not known')
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with time_limits.within(CONNECT_TIMEOUT_S):
                 _, self.upstream_side = await loop.create_connection(
                     lambda: UpstreamSide(self), entry.host, entry.port
                 )
