End a request before its end is logged

Where the log line itself failed, the guard that ends each request failed with it: no byte came, and the connection stayed open.

tests/test_gateway_request_end.py:: test_request_has_an_end_where_its_log_line_fails hung before (its run was stopped by hand; it has a time limit now).

--- a/oleanderdrift/gateway/request_end.py
+++ b/oleanderdrift/gateway/request_end.py
@@ -52,21 +52,30 @@
             if isinstance(error, Exception):
                 self.log_end(error, 'had ended')
             return
+        # The log is last: it may be what has failed.
+        self.log_end(error, self.end(error))
+
+    def end(self, error: BaseException | None) -> str:
+        """Ends the reply; returns how."""
         if self.reply.started:
-            self.log_end(error, 'closed')
             self.reply.abort()
-            return
+            return 'closed'
+        try:
+            return self.refuse(error)
+        except Exception:
+            self.reply.abort()
+            return 'closed'
+
+    def refuse(self, error: BaseException | None) -> str:
+        """Refuses the request; returns the code."""
         progress = self.reply.progress
         may_have_run = progress is not None and progress.sent
         refusal = refusal_for(error, may_have_run)
-        self.log_end(error, str(refusal.code.number))
         headers = self.codec.refusal_headers(
             self.request_id or None, refusal.retry_after_s
         )
-        try:
-            self.reply.refuse(refusal.code.status, headers)
-        except Exception:
-            self.reply.abort()
+        self.reply.refuse(refusal.code.status, headers)
+        return str(refusal.code.number)
 
     def log_end(self, error: BaseException | None, end: str) -> None:
         """Logs how a request ended whose task did not end it."""
--- a/tests/test_gateway_request_end.py
+++ b/tests/test_gateway_request_end.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import answer_relay
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import connection_reply
+from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
@@ -484,3 +485,18 @@
         return await reader.readuntil(b'\r\n\r\n')
     finally:
         writer.close()
+
+
+def test_request_has_an_end_where_its_log_line_fails(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            monkeypatch.setattr(event_log.EventLog, 'info', fail)
+            monkeypatch.setattr(admission, 'admit', fail)
+            async with asyncio.timeout(END_WITHIN_S):
+                answer = await send(env, f'{HEAD}\r\n')
+            assert answer.startswith(b'HTTP/1.1 503 ')
+
+    asyncio.run(play())
