Judge silence after what has arrived is read

A connection whose answer waited in its socket was reset, its caller got 502 and the upstream was ejected, where the loop had been busy for longer than the silence allowed: the monitors' timers came before the bytes.

The monitors of upstreams and paths sleep once more when the loop comes late. tests/test_gateway_time_limits.py:: test_silence_is_judged_after_what_has_arrived_is_read fails without that.

--- a/oleanderdrift/gateway/path_monitor.py
+++ b/oleanderdrift/gateway/path_monitor.py
@@ -8,6 +8,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import relays
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstream_paths
 from oleanderdrift.gateway import upstreams as upstreams_lib
@@ -47,7 +48,7 @@
         """Watches all paths until cancelled."""
         try:
             while True:
-                await asyncio.sleep(CHECK_INTERVAL_S)
+                await time_limits.pause(CHECK_INTERVAL_S)
                 self.check(clock.monotonic())
         finally:
             for task in (*self.probes.values(), *self.tunnel_probes):
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -24,6 +24,7 @@
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_server
 from oleanderdrift import logs
 from oleanderdrift import metrics
@@ -190,7 +191,7 @@
     async def monitor_upstreams(self) -> None:
         """Ejects silent upstreams and closes their abortable connections."""
         while True:
-            await asyncio.sleep(UPSTREAM_CHECK_INTERVAL_S)
+            await time_limits.pause(UPSTREAM_CHECK_INTERVAL_S)
             now = clock.monotonic()
             silent = self.board.unreachable_data_centres(now)
             if silent != self.board.silent_data_centres:
--- a/oleanderdrift/gateway/time_limits.py
+++ b/oleanderdrift/gateway/time_limits.py
@@ -28,6 +28,19 @@
             timer.cancel()
 
 
+async def pause(seconds: float) -> None:
+    """Sleeps before something is judged by what has arrived until then.
+
+    If the loop comes late, it sleeps once more: what has arrived while the
+    loop was busy is read first.
+    """
+    loop = asyncio.get_running_loop()
+    due = loop.time() + seconds
+    await asyncio.sleep(seconds)
+    if loop.time() - due > LATE_S:
+        await asyncio.sleep(seconds)
+
+
 def _end(limit: asyncio.Timeout, deadline: float) -> None:
     """Ends a limit, at once unless the loop comes late."""
     now = asyncio.get_running_loop().time()
--- a/tests/test_gateway_time_limits.py
+++ b/tests/test_gateway_time_limits.py
@@ -1,6 +1,8 @@
 """A busy event loop does not count as the time of whom it waits for."""
 
 import asyncio
+import socket
+import threading
 import time
 import typing
 
@@ -39,3 +41,22 @@
         assert loop.time() - started >= max(LIMIT_S, busy_s) + grace_s
 
     asyncio.run(play())
+
+
+def test_silence_is_judged_after_what_has_arrived_is_read() -> None:
+    async def play() -> None:
+        near, far = socket.socketpair()
+        loop = asyncio.get_running_loop()
+        transport, protocol = await loop.create_connection(
+            channel.BufferingProtocol, sock=near
+        )
+        threading.Timer(3 * LIMIT_S, far.sendall, [b'answer']).start()
+        # The loop gets busy again in the turn that ends the pause.
+        loop.call_later(1.1 * LIMIT_S, time.sleep, 3 * LIMIT_S)
+        loop.call_soon(time.sleep, 1.5 * LIMIT_S)
+        await time_limits.pause(LIMIT_S)
+        assert protocol.has_unread()
+        transport.abort()
+        far.close()
+
+    asyncio.run(play())
