Tell peers only of upstreams that this instance found alive

Once an upstream's crash had been contradicted, later real crashes of it could be withdrawn everywhere for good, and the request that causes them would never be blamed: each instance passed on the word that it lives, a little younger at each hop, so that it never grew old in a larger fleet.

Peers are told what this instance's own probe found; all states reach all instances, so that nothing has to be passed on.

--- a/oleanderdrift/gateway/crash_ledger.py
+++ b/oleanderdrift/gateway/crash_ledger.py
@@ -107,9 +107,10 @@
 
     blocked holds until when requests are refused, by fingerprint, and grounds
     at which crashes they were open.  refuted holds as of when upstreams were
-    found alive that were said to have crashed.  proven
-    holds those that upstreams have run to their end for this instance, the
-    latest last.  own holds what this instance had open, as of a time.
+    found alive that were said to have crashed, by any instance, and
+    found_alive by this one: only that is told to the peers.  proven holds
+    those that upstreams have run to their end for this instance, the latest
+    last.  own holds what this instance had open, as of a time.
     undecided are those that may have to be blamed once all instances had the
     time to report the latest crash, at review_at.
     """
@@ -124,6 +125,7 @@
     refuted: collections.OrderedDict[str, float] = attrs.field(
         factory=collections.OrderedDict
     )
+    found_alive: dict[str, float] = attrs.field(factory=dict)
     proven: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -185,6 +187,14 @@
         """Returns whether an upstream was alive after its crash at a time."""
         return at <= self.refuted.get(incarnation, float('-inf'))
 
+    def note_alive(self, incarnation: str, now: float) -> list[str]:
+        """Notes that this instance has found an upstream alive; see withdraw.
+
+        Peers do not tell on what they were told: it would never end.
+        """
+        self.found_alive[incarnation] = now
+        return self.withdraw(incarnation, now)
+
     def withdraw(self, incarnation: str, alive_at: float) -> list[str]:
         """Withdraws the crash of an upstream that was alive later.
 
@@ -343,7 +353,7 @@
     def has_unreported(self, since: float) -> bool:
         """Returns whether this instance saw something of a crash since."""
         return any(one.at > since for one in self.own.values()) or any(
-            at > since for at in self.refuted.values()
+            at > since for at in self.found_alive.values()
         )
 
     def reports(self, now: float) -> dict[str, CrashReport]:
@@ -365,11 +375,14 @@
 
         The values are for how many seconds this has been known.
         """
-        return {
-            name: max(now - at, 0.0)
-            for name, at in self.refuted.items()
+        self.found_alive = {
+            name: at
+            for name, at in self.found_alive.items()
             if now - at < REPORT_S
         }
+        return {
+            name: max(now - at, 0.0) for name, at in self.found_alive.items()
+        }
 
     def blocked_left_s(self, now: float) -> dict[str, float]:
         """Returns for how long the latest requests are still refused."""
--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -234,6 +234,6 @@
                 peers=','.join(sorted(reports)),
             )
         if reports or incarnation in self.board.crashes.crashes:
-            unblocked = self.board.crashes.withdraw(incarnation, now)
+            unblocked = self.board.crashes.note_alive(incarnation, now)
             crash_detector.log_unblocked(self.events, unblocked)
         upstream.end_probes()
--- a/tests/test_gateway_withdrawn_crashes.py
+++ b/tests/test_gateway_withdrawn_crashes.py
@@ -5,6 +5,8 @@
 
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import peer_messages
+from tests import gateway_support
+from tests import peer_fleet
 
 
 def block(ledger: crash_ledger.CrashLedger, *crashes: str) -> None:
@@ -89,3 +91,25 @@
     assert state == msgspec.msgpack.decode(
         newer, type=peer_messages.StateUpdate
     )
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize(
+    'sizes', [{'a': 3, 'b': 3, 'c': 3}, {'a': 12, 'b': 12}]
+)
+def test_word_that_an_upstream_lives_does_not_outlive_its_crash(
+    sizes: dict[str, int], seed: int
+) -> None:
+    network = peer_fleet.build(sizes, seed)
+    network.run(3.0)
+    boards = [one.board for one in network.instances.values()]
+    incarnation = gateway_support.entry('u1').incarnation()
+    boards[0].crashes.note_alive(incarnation, network.now)
+    network.run(1.0)
+    assert all(one.crashes.refuted for one in boards)
+    network.run(3.0)
+    assert not any(one.crashes.living(network.now) for one in boards)
+    report = crash_ledger.CrashReport(age_s=0.0, silent=frozenset({'a'}))
+    boards[1].note_crash(incarnation, report, network.now)
+    network.run(1.0)
+    assert incarnation in boards[1].crashes.crashes
