Blame no upstream for the end of the peer that carries its requests

Where a peer that carried requests ended, each of them counted as a failure of its upstream, which was ejected for up to 4 s at an instance that could reach it through others.

tests/test_gateway_paths.py:: test_end_of_a_peer_that_carries_is_blamed_on_upstreams failed before.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -276,7 +276,8 @@
             return False
         check = self.crashes.note_broken(progress, upstream)
         if not progress.admitted.may_repeat():
-            upstream.note_failure(clock.monotonic())
+            if not via:
+                upstream.note_failure(clock.monotonic())
             raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
         if await asyncio.shield(check):
             # It runs no more there, and the upstream is not to blame.
@@ -286,7 +287,8 @@
             if progress.crashes >= MAX_CRASHES:
                 raise errors.ResultError(codes.UPSTREAM_FAILED, reason)
             return False
-        upstream.note_failure(clock.monotonic())
+        if not via:
+            upstream.note_failure(clock.monotonic())
         if upstream.entry.data_centre in self.board.silent_data_centres:
             # It cannot be reached, so another one may run the request.
             progress.possibly_ran.discard(upstream.entry.upstream_id)
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -494,3 +494,24 @@
             assert not paths.servers[carrier].open
 
     asyncio.run(scenario())
+
+
+def test_end_of_a_peer_that_carries_is_blamed_on_upstreams() -> None:
+    async def play() -> None:
+        silent = [replica.Silent()] * 3
+        async with path_fleet.run_paths(*silent, instances=2) as paths:
+            paths.cut(path_fleet.Cut.REFUSE)
+            sending = [
+                asyncio.create_task(paths.send(body=b'%d' % number))
+                for number in range(6)
+            ]
+            await path_fleet.wait_until(lambda: len(paths.runs()) >= 6)
+            paths.servers[1].close()
+            # Their connections break, and other tries follow.
+            await asyncio.sleep(0.15)
+            failures = [paths.upstream(number).failures for number in range(3)]
+            assert failures == [0, 0, 0]
+            for task in sending:
+                task.cancel()
+
+    asyncio.run(play())
