Keep the open tunnels through a peer that opens no more of them

A peer that was full, stopping or did not know an upstream yet answered as one that cannot reach it. Its open tunnels to that upstream were then taken for hanging: silent requests were closed after 0.25 s and run again elsewhere, though the upstream was sound.

--- a/oleanderdrift/gateway/tunnel_client.py
+++ b/oleanderdrift/gateway/tunnel_client.py
@@ -17,6 +17,10 @@
     """The peer has not connected to the upstream, for the reason given."""
 
 
+class PeerUnavailableError(UpstreamUnreachableError):
+    """The peer has not tried to connect, so its other tunnels may be sound."""
+
+
 class _TunnelProtocol(channel.BufferingProtocol):
     """Buffers the bytes of an upstream that arrive through a tunnel.
 
@@ -141,5 +145,7 @@
             raise UpstreamRefusedError
         case tunnel_wire.Unreachable():
             raise UpstreamUnreachableError(answer.reason)
+        case tunnel_wire.Unavailable():
+            raise PeerUnavailableError(answer.reason)
         case _:
             raise ConnectionError(f'the peer answered {answer!r}')
--- a/oleanderdrift/gateway/tunnel_peers.py
+++ b/oleanderdrift/gateway/tunnel_peers.py
@@ -28,12 +28,13 @@
 class TunnelFailure(enum.Enum):
     """Why a peer has not opened a tunnel.
 
-    REFUSED by the upstream and UNREACHABLE upstream are answers of the peer;
-    SILENT means that the peer itself was not reached.
+    REFUSED by the upstream, UNREACHABLE upstream and UNAVAILABLE peer are
+    answers of the peer; SILENT means that the peer itself was not reached.
     """
 
     REFUSED = 'refused'
     UNREACHABLE = 'unreachable'
+    UNAVAILABLE = 'unavailable'
     SILENT = 'silent'
 
 
--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -190,10 +190,10 @@
         """Connects to the upstream; returns the answer to the Open."""
         reason = self.server.reason_to_refuse()
         if reason:
-            return tunnel_wire.Unreachable(reason=reason)
+            return tunnel_wire.Unavailable(reason=reason)
         entry = self.server.find(incarnation)
         if entry is None:
-            return tunnel_wire.Unreachable(reason='not known')
+            return tunnel_wire.Unavailable(reason='not known')
         loop = asyncio.get_running_loop()
         try:
             async with time_limits.within(CONNECT_TIMEOUT_S):
--- a/oleanderdrift/gateway/tunnel_wire.py
+++ b/oleanderdrift/gateway/tunnel_wire.py
@@ -42,6 +42,14 @@
     reason: str
 
 
+class Unavailable(
+    msgspec.Struct, tag='unavailable', array_like=True, frozen=True
+):
+    """The peer has not tried to connect, for a reason."""
+
+    reason: str
+
+
 class Data(msgspec.Struct, tag='d', array_like=True, frozen=True):
     """Bytes that the upstream sent."""
 
@@ -61,7 +69,7 @@
 
 
 Message: typing.TypeAlias = (
-    Opened | Refused | Unreachable | Data | End | Reset | Leaving
+    Opened | Refused | Unreachable | Unavailable | Data | End | Reset | Leaving
 )
 Received = typing.TypeVar('Received')
 _OPEN_DECODER: typing.Final = msgspec.msgpack.Decoder(Open)
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -223,6 +223,8 @@
             )
         except tunnel_client.UpstreamRefusedError:
             failure = tunnel_peers.TunnelFailure.REFUSED
+        except tunnel_client.PeerUnavailableError:
+            failure = tunnel_peers.TunnelFailure.UNAVAILABLE
         except tunnel_client.UpstreamUnreachableError:
             failure = tunnel_peers.TunnelFailure.UNREACHABLE
         except OSError:
--- a/tests/test_gateway_path_decisions.py
+++ b/tests/test_gateway_path_decisions.py
@@ -165,6 +165,7 @@
         (FAILURES.SILENT, ('u1', 'u2')),
         (FAILURES.REFUSED, ('u1',)),
         (FAILURES.UNREACHABLE, ('u1',)),
+        (FAILURES.UNAVAILABLE, ('u1',)),
     ],
 )
 def test_a_peer_that_failed_is_left_out_for_a_moment(
@@ -179,6 +180,18 @@
     assert peers.carries('south-1', 'u1', 11.1)
 
 
+@pytest.mark.parametrize(
+    ('failure', 'hangs'),
+    [(FAILURES.UNREACHABLE, True), (FAILURES.UNAVAILABLE, False)],
+)
+def test_peer_that_opens_no_more_tunnels_is_taken_for_cut_off(
+    failure: tunnel_peers.TunnelFailure, hangs: bool
+) -> None:
+    peers = peers_of('south-1')
+    peers.note_failed('south-1', 'u1', failure, 10.0)
+    assert peers.hangs('south-1', 'u1', 10.1) is hangs
+
+
 def test_peers_that_left_are_silent_or_cut_off_are_not_asked() -> None:
     peers = peers_of(
         'south-1',
