Ask witnesses of a crash where the own links hang

tests/test_gateway_paths.py:: test_deadly_request_goes_on_at_an_instance_whose_links_hang failed before: six of six upstreams ended.

--- a/oleanderdrift/gateway/crash_detector.py
+++ b/oleanderdrift/gateway/crash_detector.py
@@ -166,7 +166,10 @@
         return upstream.removed_at is not None and not is_known
 
     async def refuses(self, upstream: upstreams.Upstream) -> bool:
-        """Returns whether an upstream refuses a connection."""
+        """Returns whether an upstream refuses a connection.
+
+        Where the own links to it hang, only a witness can tell.
+        """
         key, entry = upstream.key(), upstream.entry
         now = clock.monotonic()
         if self.pool.has_idle(key, now):
@@ -178,7 +181,8 @@
         except ConnectionError:
             return True
         except (OSError, TimeoutError):
-            return False
+            answer = await self.witness(upstream)
+            return answer is WitnessAnswer.REFUSED
         self.pool.release(key, connection, clock.monotonic())
         return False
 
--- a/tests/path_fleet.py
+++ b/tests/path_fleet.py
@@ -15,6 +15,7 @@
 
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import tunnel_server
@@ -162,6 +163,11 @@
         """Cuts an instance off from all replicas, or from some ports."""
         self.links[instance].apply(cut, self.ports if ports is None else ports)
 
+    def connect_without_relay(self) -> None:
+        """Has connections end with their replica: a relay would accept."""
+        for forwarder, links in zip(self.fleet.forwarders, self.links):
+            forwarder.attempts.pool.connect = _direct(links)
+
     def close_idle(self) -> None:
         """Closes the idle connections of all instances."""
         for forwarder in self.fleet.forwarders:
@@ -265,3 +271,19 @@
     for one in fleet.network.instances.values():
         one.directory.instances = dict(fleet.network.fleet)
         one.directory.changes += 1
+
+
+def _direct(links: Links) -> connection_pool.Connect:
+    """Returns what connects directly where the links lead."""
+
+    async def connect(
+        host: str, port: int, timeout_s: float
+    ) -> channel.Channel:
+        if port not in links.cut_ports:
+            return await channel.connect(host, port, timeout_s)
+        if links.cut is not Cut.HANG:
+            raise ConnectionRefusedError
+        await asyncio.sleep(timeout_s)
+        raise TimeoutError
+
+    return connect
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oleanderdrift.gateway import crash_detector
+from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import model
 from standins import replica
 from tests import gateway_fleet
@@ -515,3 +516,22 @@
                 task.cancel()
 
     asyncio.run(play())
+
+
+def test_deadly_request_goes_on_at_an_instance_whose_links_hang() -> None:
+    async def play() -> None:
+        behaviours = [replica.CompleteResponse()] * 6
+        async with path_fleet.run_paths(*behaviours) as paths:
+            paths.connect_without_relay()
+            await paths.warm()
+            paths.cut(path_fleet.Cut.HANG)
+            paths.close_idle()
+            await asyncio.gather(*[paths.send() for _ in range(8)])
+            for each in paths.fleet.replicas:
+                each.deadly_body = b'deadly'
+            for _ in range(4):
+                await paths.send(body=b'deadly')
+            ended = sum(each.crashes for each in paths.fleet.replicas)
+            assert ended <= crash_ledger.CERTAIN_CRASHES
+
+    asyncio.run(play())
