Log how reads of ended turns went, and what a late turn still lacked

A refused turn said only that the store did not answer in time. Whether a page of ended turns was read, failed or was thrown away when its caller's time was over, from which offset, how many bytes and for how long, could not be seen, so the hypotheses could not be told apart.

turns-read: partition, start, records, size, end, ms and outcome of each page. The detail of a refused turn names the conversation or the budget. No decision changes. tests/test_gateway_turns.py and tests/test_gateway_kept_turns.py: 22 passed.

--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -144,13 +144,16 @@
         request = progress.admitted.request
         reserving = asyncio.create_task(self.reserve(progress))
         reserving.add_done_callback(_mark_exception_retrieved)
+        has_chain = False
         try:
             async with time_limits.within(PREPARE_TIMEOUT_S):
                 chain = await self.chain(progress)
+                has_chain = True
                 return chain, await reserving
         except TimeoutError as error:
+            lacked = 'its budget' if has_chain else 'its conversation'
             raise self.store_unavailable_error(
-                request, 'the store did not answer in time'
+                request, f'the store did not answer in time: {lacked}'
             ) from error
         except errors.ResultError as error:
             if error.code in (codes.UNKNOWN_TURN, codes.BAD_REQUEST):
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -13,6 +13,9 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import routing
@@ -20,6 +23,7 @@
 from oleanderdrift import logs
 
 READ_BYTES: typing.Final = 1_048_576
+MS_PER_S: typing.Final = 1_000.0
 # Space reserved in a record for everything but its data.
 RECORD_MARGIN_BYTES: typing.Final = 1_024
 # Callers build no chain of turns this long; a longer one is taken to be a
@@ -53,6 +57,7 @@
         self.input_partitions = _two_partitions(instance, log.partitions)
         self.pending_inputs: list[_PendingInput] = []
         self.appender: asyncio.Task[None] | None = None
+        self.events = event_log.EventLog()
 
     async def append_input(self, data: bytes) -> records.InputLocation:
         """Appends a turn's input, batched with other pending inputs."""
@@ -237,9 +242,7 @@
     ) -> None:
         """Reads a partition's records into its index, up to its end."""
         while True:
-            read = await self.log.read(
-                records.TURN_TOPIC, partition, index.end, max_bytes=READ_BYTES
-            )
+            read = await self.read_page(partition, index.end)
             if read.trimmed:
                 index.end = read.first
                 continue
@@ -247,6 +250,33 @@
             if index.end >= read.end:
                 return
 
+    async def read_page(self, partition: int, start: int) -> ports.LogRecords:
+        """Reads ended turns from an offset on, and logs how that went."""
+        begun = clock.monotonic()
+        outcome = 'cancelled'
+        read = None
+        try:
+            read = await self.log.read(
+                records.TURN_TOPIC, partition, start, max_bytes=READ_BYTES
+            )
+            outcome = 'read'
+            return read
+        except errors.ResultError as error:
+            outcome = f'failed: {error.detail}'
+            raise
+        finally:
+            found = read.records if read is not None else ()
+            self.events.info(
+                'turns-read',
+                partition=partition,
+                start=start,
+                records=len(found),
+                size=sum(map(len, found)),
+                end=read.end if read is not None else -1,
+                ms=round((clock.monotonic() - begun) * MS_PER_S),
+                outcome=outcome,
+            )
+
     def forget(self, before_ms: int) -> None:
         """Drops turns that ended before a Unix time from the indexes."""
         for index in self.indexes:
