--- /dev/null
+++ b/tests/slow_link.py
@@ -0,0 +1,68 @@
+"""A log behind a slow link that all reads of an instance share."""
+
+import asyncio
+import typing
+
+import attrs
+
+from oleanderdrift.gateway import ports
+from tests import gateway_support
+
+LENGTH_BYTES: typing.Final = 4
+OFFSETS_BYTES: typing.Final = 16
+# What the link carries of one answer before it goes on with another one.
+PIECE_BYTES: typing.Final = 16_384
+ANSWER_S: typing.Final = 0.004
+BITS_PER_BYTE: typing.Final = 8
+BITS_PER_MEGABIT: typing.Final = 1_000_000
+
+
+@attrs.define(kw_only=True)
+class SlowLog(gateway_support.MemoryLog):
+    """A log whose answers to reads share a link of link_mbps.
+
+    An answer whose reader has left takes nothing more of the link.
+    carried counts the bytes of all answers, whole or not.
+    """
+
+    link_mbps: float = float('inf')
+    carried: int = 0
+    link: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    async def read(
+        self,
+        topic: str,
+        partition: int,
+        start: int,
+        *,
+        wait_s: float = 0.0,
+        max_bytes: int = 1_048_576,
+    ) -> ports.LogRecords:
+        """Returns the records from start on that fit, one at least."""
+        self.reads += 1
+        self.check(topic, partition)
+        stored = self.data[topic, partition]
+        size, count = OFFSETS_BYTES, 0
+        for record in stored[start:]:
+            grown = size + LENGTH_BYTES + len(record)
+            if count and grown > max_bytes:
+                break
+            size, count = grown, count + 1
+        await asyncio.sleep(ANSWER_S)
+        await self.carry(size)
+        return ports.LogRecords(
+            start=start,
+            records=tuple(stored[start : start + count]),
+            end=len(stored),
+            first=0,
+        )
+
+    async def carry(self, size: int) -> None:
+        """Waits until the link has carried an answer."""
+        bytes_per_s = self.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
+        while size > 0:
+            piece = min(size, PIECE_BYTES)
+            async with self.link:
+                await asyncio.sleep(piece / bytes_per_s)
+            self.carried += piece
+            size -= piece
