Read ended turns by tasks that outlast their callers, the latest first

Callers saw: after a loss of power, turns that continue others were refused again and again, at instances with slow links for ever. Cause: pages of ended turns were read inside the request that needed them; after the second that a turn may wait, the page was thrown away and its bytes were lost. Several partitions side by side shared the link, so no page of 1 MiB ended in time. They were also read from the first record on, although callers come back for recent turns.

Now a search is a task of the instance: requests wait for it and it goes on when they give up; one page of 64 KiB at a time, from the end of a partition backwards, each once for all that search. A refused turn comes back when the rest is likely to be read. What is kept of a turn is its place, not its output; a whole conversation's records and inputs are read by their places, shared as well.

--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -17,7 +17,7 @@
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import routing
-from oleanderdrift.gateway import shared_read
+from oleanderdrift.gateway import shared_work
 from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import write_pace
 
@@ -81,8 +81,8 @@
         self.pace = write_pace.WritePace()
         self.reviewed_upstreams = 0
         self.reviewed_at = float('-inf')
-        self.list_reads = shared_read.SharedRead(self.read_list)
-        self.stream_reads = shared_read.SharedRead(self.read_streams)
+        self.list_reads = shared_work.SharedRead(self.read_list)
+        self.stream_reads = shared_work.SharedRead(self.read_streams)
 
     async def follow(self) -> None:
         """Lists and records what is new until cancelled."""
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -66,6 +66,29 @@
     ended_ms: bounds.Count
 
 
+class StoredTurn(msgspec.Struct, array_like=True, frozen=True):
+    """Where an ended turn is stored.
+
+    Its record of size bytes has an offset in partition part of TURN_TOPIC.
+    """
+
+    turn: str
+    part: bounds.Count
+    offset: bounds.Count
+    size: bounds.Count
+    input: InputLocation
+
+
+class IndexedTurn(msgspec.Struct, tag='i', array_like=True, frozen=True):
+    """Where the latest turns of a conversation are stored, oldest first.
+
+    The last of them is the one that the record is looked up by.
+    """
+
+    turns: typing.Annotated[tuple[StoredTurn, ...], msgspec.Meta(min_length=1)]
+    ended_ms: bounds.Count
+
+
 class ListedOrigin(msgspec.Struct, tag='o', array_like=True, frozen=True):
     """A service and a software version at which streams may have begun."""
 
--- a/oleanderdrift/gateway/retrying_log.py
+++ b/oleanderdrift/gateway/retrying_log.py
@@ -52,6 +52,30 @@
         self.note_answer(topic, partition)
         return start
 
+    async def append_with_failover(
+        self,
+        topic: str,
+        partitions: tuple[int, ...],
+        data: collections.abc.Sequence[bytes],
+    ) -> tuple[int, int]:
+        """Appends to the first of several partitions that confirms it.
+
+        Returns the partition and the first record's offset.
+        """
+        *others, last = self.healthy_first(topic, partitions)
+        for partition in others:
+            try:
+                return partition, await self.append(topic, partition, data)
+            except errors.ResultError as error:
+                logs.info(
+                    'partition-left-out',
+                    topic=topic,
+                    partition=partition,
+                    code=error.code.number,
+                    detail=error.detail,
+                )
+        return last, await self.append(topic, last, data)
+
     async def append_with_retries(
         self,
         topic: str,
--- a/oleanderdrift/gateway/routing.py
+++ b/oleanderdrift/gateway/routing.py
@@ -76,3 +76,10 @@
     """Returns a 64-bit hash that is the same on every instance."""
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, 'big')
+
+
+def two_partitions(name: str, partitions: int) -> tuple[int, int]:
+    """Returns two partitions for a name, distinct if there are several."""
+    first = hash_of(name) % partitions
+    step = 1 + hash_of(f'{name}+') % max(partitions - 1, 1)
+    return first, (first + step) % partitions
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
+from oleanderdrift.gateway import shared_work
 from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import turn_log
 from oleanderdrift.gateway import turns
@@ -85,7 +86,7 @@
                 self.turns.append_input(request.body)
             )
             progress.input_location.add_done_callback(
-                _mark_exception_retrieved
+                shared_work.mark_exception_retrieved
             )
         chain, verdict = await self.query_store(progress)
         pieces = [piece for one in chain for piece in (one.input, one.output)]
@@ -131,7 +132,9 @@
         progress.input_location = asyncio.create_task(
             self.turns.append_input(progress.body)
         )
-        progress.input_location.add_done_callback(_mark_exception_retrieved)
+        progress.input_location.add_done_callback(
+            shared_work.mark_exception_retrieved
+        )
 
     async def query_store(
         self, progress: progress_lib.Progress
@@ -143,7 +146,7 @@
         """
         request = progress.admitted.request
         reserving = asyncio.create_task(self.reserve(progress))
-        reserving.add_done_callback(_mark_exception_retrieved)
+        reserving.add_done_callback(shared_work.mark_exception_retrieved)
         has_chain = False
         try:
             async with time_limits.within(PREPARE_TIMEOUT_S):
@@ -151,10 +154,7 @@
                 has_chain = True
                 return chain, await reserving
         except TimeoutError as error:
-            lacked = 'its budget' if has_chain else 'its conversation'
-            raise self.store_unavailable_error(
-                request, f'the store did not answer in time: {lacked}'
-            ) from error
+            raise self.late_error(request, has_chain=has_chain) from error
         except errors.ResultError as error:
             if error.code in (codes.UNKNOWN_TURN, codes.BAD_REQUEST):
                 raise
@@ -230,6 +230,27 @@
             ),
         )
 
+    def late_error(
+        self, request: model.Request, *, has_chain: bool
+    ) -> errors.ResultError:
+        """Returns the error for a turn that was not prepared in time.
+
+        A conversation that is being read goes on being read, and its caller
+        comes back when it is likely to be there.
+        """
+        lacked = 'the budget'
+        wait_s = 0.0
+        if not has_chain:
+            name = request.previous_turn or ''
+            lacked = self.turns.describe(name)
+            wait_s = self.turns.search.remaining_s(name)
+        error = self.store_unavailable_error(
+            request, f'the store did not answer in time: {lacked}'
+        )
+        wait_s = min(wait_s, admission.MAX_OUTAGE_RETRY_S)
+        error.retry_after_s = max(error.retry_after_s or 0.0, wait_s)
+        return error
+
     def tokens_spent_error(self, request: model.Request) -> errors.ResultError:
         """Returns the error for a turn that exceeds its program's budget."""
         held = self.budgets.describe(request.program_id)
@@ -298,12 +319,3 @@
         self.budgets.settle(
             request.request_id, progress.tokens, clock.monotonic()
         )
-
-
-def _mark_exception_retrieved(task: asyncio.Task[typing.Any]) -> None:
-    """Marks a failed task's exception as retrieved.
-
-    This avoids asyncio's warning; code that awaits the task still gets it.
-    """
-    if not task.cancelled():
-        task.exception()
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -15,15 +15,14 @@
 from oleanderdrift import errors
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
-from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import shared_work
+from oleanderdrift.gateway import turn_search
 from oleanderdrift.gateway import turns
 from oleanderdrift import logs
 
-READ_BYTES: typing.Final = 1_048_576
-MS_PER_S: typing.Final = 1_000.0
 # Space reserved in a record for everything but its data.
 RECORD_MARGIN_BYTES: typing.Final = 1_024
 # Callers build no chain of turns this long; a longer one is taken to be a
@@ -32,6 +31,9 @@
 # Framing of the store's read response: for each record, and for all.
 LENGTH_BYTES: typing.Final = 4
 OFFSETS_BYTES: typing.Final = 16
+# Reads of records at once; more would only wait for each other on the link.
+MAX_FETCHES: typing.Final = 4
+MS_PER_S: typing.Final = 1_000.0
 
 
 @attrs.define(kw_only=True)
@@ -45,19 +47,28 @@
 class TurnLog:
     """The turns of all conversations, read from and written to the store.
 
-    There is one index and one lock for each partition of the turns' topic.
+    search finds turns there.  loads and fetches are the reads of
+    conversations and single turns, which go on if their callers leave.
     input_partitions are the two that this instance appends inputs to.
     """
 
     def __init__(self, log: retrying_log.RetryingLog, instance: str) -> None:
         self.log = log
+        self.events = event_log.EventLog()
         self.cache = turns.TurnCache()
-        self.indexes = [turns.TurnIndex() for _ in range(log.partitions)]
-        self.locks = [asyncio.Lock() for _ in range(log.partitions)]
-        self.input_partitions = _two_partitions(instance, log.partitions)
+        self.search = turn_search.TurnSearch(log, self.events)
+        self.loads: shared_work.SharedTasks[list[turns.Turn]] = (
+            shared_work.SharedTasks()
+        )
+        self.fetches: shared_work.SharedTasks[turns.Turn] = (
+            shared_work.SharedTasks()
+        )
+        self.may_fetch = asyncio.Semaphore(MAX_FETCHES)
+        self.input_partitions = routing.two_partitions(
+            instance, log.partitions
+        )
         self.pending_inputs: list[_PendingInput] = []
         self.appender: asyncio.Task[None] | None = None
-        self.events = event_log.EventLog()
 
     async def append_input(self, data: bytes) -> records.InputLocation:
         """Appends a turn's input, batched with other pending inputs."""
@@ -80,7 +91,7 @@
             batch, self.pending_inputs = self.pending_inputs, []
             chunks = [chunk for one in batch for chunk in one.chunks]
             try:
-                partition, start = await self.append_with_failover(
+                partition, start = await self.log.append_with_failover(
                     records.INPUT_TOPIC, self.input_partitions, chunks
                 )
             except errors.ResultError as error:
@@ -106,7 +117,9 @@
                     one.location.set_result(location)
 
     async def store_turn(
-        self, turn: turns.Turn, location: records.InputLocation
+        self,
+        turn: turns.Turn,
+        location: records.InputLocation,
     ) -> None:
         """Stores a completed turn; raises ResultError if that fails."""
         record = records.TurnEnd(
@@ -122,40 +135,24 @@
             raise errors.ResultError(
                 codes.BODY_TOO_LARGE, 'the output exceeds the record size'
             )
-        partitions = self.partitions_of(turn.turn_id)
-        await self.append_with_failover(records.TURN_TOPIC, partitions, [data])
-        self.cache.put(turn)
-
-    async def append_with_failover(
-        self,
-        topic: str,
-        partitions: tuple[int, ...],
-        data: collections.abc.Sequence[bytes],
-    ) -> tuple[int, int]:
-        """Appends to the first of several partitions that confirms it.
-
-        Returns the partition and the first record's offset.
-        """
-        *others, last = self.log.healthy_first(topic, partitions)
-        for partition in others:
-            try:
-                return partition, await self.log.append(topic, partition, data)
-            except errors.ResultError as error:
-                logs.info(
-                    'partition-left-out',
-                    topic=topic,
-                    partition=partition,
-                    code=error.code.number,
-                    detail=error.detail,
-                )
-        return last, await self.log.append(topic, last, data)
+        partition, offset = await self.log.append_with_failover(
+            records.TURN_TOPIC, self.partitions_of(turn.turn_id), [data]
+        )
+        stored = records.StoredTurn(
+            turn=turn.turn_id,
+            part=partition,
+            offset=offset,
+            size=len(data),
+            input=location,
+        )
+        self.cache.put(attrs.evolve(turn, stored=stored))
 
     def partitions_of(self, turn: str) -> tuple[int, int]:
         """Returns the partitions that may hold a turn's record.
 
         The second one is used while the first one fails.
         """
-        return _two_partitions(turn, self.log.partitions)
+        return routing.two_partitions(turn, self.log.partitions)
 
     async def chain(self, last: str, account: str) -> list[turns.Turn]:
         """Returns a turn and all turns before it, oldest first.
@@ -167,127 +164,138 @@
         found: list[turns.Turn] = []
         name: str | None = last
         while name is not None:
-            if len(found) >= MAX_CHAIN:
-                raise errors.ResultError(
-                    codes.BAD_REQUEST,
-                    f'the conversation has more than {MAX_CHAIN} turns',
-                )
-            turn = self.cache.get(name) or await self.fetch(name)
-            if turn.account != account:
-                raise errors.ResultError(
-                    codes.UNKNOWN_TURN,
-                    f'turn {name} is one of {turn.account}, not of {account}',
-                )
-            found.append(turn)
-            name = turn.previous
+            for turn in await self.latest_turns(name):
+                if len(found) >= MAX_CHAIN:
+                    raise errors.ResultError(
+                        codes.BAD_REQUEST,
+                        f'the conversation has more than {MAX_CHAIN} turns',
+                    )
+                if turn.account != account:
+                    raise errors.ResultError(
+                        codes.UNKNOWN_TURN,
+                        f'turn {turn.turn_id} is one of {turn.account}, '
+                        f'not of {account}',
+                    )
+                found.append(turn)
+                name = turn.previous
         return found[::-1]
 
-    async def fetch(self, name: str) -> turns.Turn:
-        """Reads a turn from the store into the cache."""
-        record = await self.find_record(name)
-        location = record.input
-        read = await self.log.read(
-            records.INPUT_TOPIC,
-            location.part,
-            location.offset,
-            max_bytes=location.size
-            + location.count * LENGTH_BYTES
-            + OFFSETS_BYTES,
+    async def latest_turns(self, name: str) -> list[turns.Turn]:
+        """Returns a turn, and some of those before it, the latest first."""
+        cached = self.cache.get(name)
+        if cached is not None:
+            return [cached]
+        return await self.loads.get(name, lambda: self.load(name))
+
+    async def load(self, name: str) -> list[turns.Turn]:
+        """Reads a turn and those listed with it from the store.
+
+        Raises ResultError UNKNOWN_TURN if there is no such turn.
+        """
+        begun = clock.monotonic()
+        entry = await self.find(name)
+        if entry is None:
+            raise errors.ResultError(
+                codes.UNKNOWN_TURN, f'there is no record of turn {name}'
+            )
+        loaded = await asyncio.gather(
+            *(self.fetch(stored) for stored in reversed(entry.turns))
+        )
+        self.events.info(
+            'turns-loaded',
+            turn=name,
+            turns=len(loaded),
+            size=sum(len(one.input) + len(one.output) for one in loaded),
+            ms=round((clock.monotonic() - begun) * MS_PER_S),
+        )
+        return turns.connected(loaded)
+
+    async def find(self, name: str) -> records.IndexedTurn | None:
+        """Returns where a turn is stored, None if there is no such turn.
+
+        Raises the store's ResultError if that cannot be determined.
+        """
+        return await self.search.find(name)
+
+    async def fetch(self, stored: records.StoredTurn) -> turns.Turn:
+        """Returns a turn from the cache or from its place in the store."""
+        cached = self.cache.get(stored.turn)
+        if cached is not None:
+            return cached
+        return await self.fetches.get(stored, lambda: self.read_turn(stored))
+
+    async def read_turn(self, stored: records.StoredTurn) -> turns.Turn:
+        """Reads a turn from its place in the store into the cache.
+
+        Raises ResultError UNKNOWN_TURN if it has expired there.
+        """
+        place = stored.input
+        (data,), pieces = await asyncio.gather(
+            self.read_exactly(
+                records.TURN_TOPIC, stored.part, stored.offset, 1, stored.size
+            ),
+            self.read_exactly(
+                records.INPUT_TOPIC,
+                place.part,
+                place.offset,
+                place.count,
+                place.size,
+            ),
         )
-        if read.trimmed or len(read.records) < location.count:
+        record = records.decode_turn(data)
+        if record is None or record.turn != stored.turn:
             raise errors.ResultError(
-                codes.LOG_UNAVAILABLE, f'the input of turn {name} is missing'
+                codes.LOG_UNAVAILABLE,
+                f'the record of turn {stored.turn} is another one',
             )
         turn = turns.Turn(
-            turn_id=name,
+            turn_id=record.turn,
             previous=record.previous,
             account=record.account,
-            input=b''.join(read.records[: location.count]),
+            input=b''.join(pieces),
             output=record.output,
             ended_ms=record.ended_ms,
+            stored=stored,
         )
         self.cache.put(turn)
         return turn
 
-    async def find_record(self, name: str) -> records.TurnEnd:
-        """Returns a turn's record; raises ResultError UNKNOWN_TURN."""
-        partitions = self.partitions_of(name)
-        failed: errors.ResultError | None = None
-        for partition in self.log.healthy_first(
-            records.TURN_TOPIC, partitions
-        ):
-            try:
-                record = await self.find_record_in(partition, name)
-            except errors.ResultError as error:
-                failed = error
-                continue
-            if record is not None:
-                return record
-        raise failed or errors.ResultError(
-            codes.UNKNOWN_TURN, f'there is no record of turn {name}'
-        )
-
-    async def find_record_in(
-        self, partition: int, name: str
-    ) -> records.TurnEnd | None:
-        """Returns a turn's record if a partition has it, else None."""
-        index = self.indexes[partition]
-        async with self.locks[partition]:
-            if name not in index.ends:
-                await self.read_to_end(partition, index)
-        return index.ends.get(name)
-
-    async def read_to_end(
-        self, partition: int, index: turns.TurnIndex
-    ) -> None:
-        """Reads a partition's records into its index, up to its end."""
-        while True:
-            read = await self.read_page(partition, index.end)
-            if read.trimmed:
-                index.end = read.first
-                continue
-            index.apply_records(read.start, read.records)
-            if index.end >= read.end:
-                return
+    async def read_exactly(
+        self, topic: str, partition: int, offset: int, count: int, size: int
+    ) -> tuple[bytes, ...]:
+        """Returns records of a known place, count of them with size bytes.
 
-    async def read_page(self, partition: int, start: int) -> ports.LogRecords:
-        """Reads ended turns from an offset on, and logs how that went."""
-        begun = clock.monotonic()
-        outcome = 'cancelled'
-        read = None
-        try:
+        Raises ResultError UNKNOWN_TURN if they have expired, and
+        LOG_UNAVAILABLE if they are not there.
+        """
+        async with self.may_fetch:
             read = await self.log.read(
-                records.TURN_TOPIC, partition, start, max_bytes=READ_BYTES
+                topic,
+                partition,
+                offset,
+                max_bytes=size + count * LENGTH_BYTES + OFFSETS_BYTES,
             )
-            outcome = 'read'
-            return read
-        except errors.ResultError as error:
-            outcome = f'failed: {error.detail}'
-            raise
-        finally:
-            found = read.records if read is not None else ()
-            self.events.info(
-                'turns-read',
-                partition=partition,
-                start=start,
-                records=len(found),
-                size=sum(map(len, found)),
-                end=read.end if read is not None else -1,
-                ms=round((clock.monotonic() - begun) * MS_PER_S),
-                outcome=outcome,
+        where = f'records {offset} to {offset + count} of {topic} {partition}'
+        if read.trimmed:
+            raise errors.ResultError(codes.UNKNOWN_TURN, f'{where} expired')
+        if len(read.records) < count:
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE, f'{where} are missing'
             )
+        return read.records[:count]
+
+    def describe(self, name: str) -> str:
+        """Describes what is known of a turn, for error messages."""
+        if self.search.is_searching(name):
+            left = self.search.left(name)
+            return f'turn {name} is searched, {left} records left'
+        if name in self.loads.running:
+            return f'turn {name} is being read'
+        return f'an earlier turn of {name} is being read'
 
     def forget(self, before_ms: int) -> None:
         """Drops turns that ended before a Unix time from the indexes."""
-        for index in self.indexes:
-            index.forget(before_ms)
-
-
-def _two_partitions(name: str, partitions: int) -> tuple[int, int]:
-    """Returns two partitions for a name, distinct if there are several."""
-    first = routing.hash_of(name) % partitions
-    step = 1 + routing.hash_of(f'{name}+') % max(partitions - 1, 1)
-    return first, (first + step) % partitions
+        self.search.forget(before_ms)
 
 
 def _fail_all(
--- a/oleanderdrift/gateway/turns.py
+++ b/oleanderdrift/gateway/turns.py
@@ -1,6 +1,7 @@
 """A cache of conversations' turns, and an index of those in the store."""
 
 import collections
+import collections.abc
 import typing
 
 import attrs
@@ -17,7 +18,7 @@
     """A complete turn with its input and output.
 
     The input of one without a previous turn may hold those before it.
-    ended_ms is a Unix time.
+    ended_ms is a Unix time.  stored says where the store has it, if known.
     """
 
     turn_id: str
@@ -26,6 +27,7 @@
     input: bytes
     output: bytes
     ended_ms: int
+    stored: records.StoredTurn | None = None
 
 
 @attrs.define(kw_only=True)
@@ -58,26 +60,47 @@
 
 @attrs.define(kw_only=True)
 class TurnIndex:
-    """The ended turns in a partition's records before the offset `end`."""
+    """Where turns are stored, by the records before the offset end."""
 
     end: int = 0
-    ends: dict[str, records.TurnEnd] = attrs.field(factory=dict)
-
-    def apply_records(self, start: int, data: tuple[bytes, ...]) -> None:
-        """Applies records from offset start on; known ones are skipped."""
-        for place, each in enumerate(data):
-            if start + place < self.end:
-                continue
-            record = records.decode_turn(each)
-            if record is not None:
-                self.ends[record.turn] = record
-        self.end = max(self.end, start + len(data))
+    entries: dict[str, records.IndexedTurn] = attrs.field(factory=dict)
+
+    def add(self, entry: records.IndexedTurn) -> None:
+        """Adds the turn that an entry ends with."""
+        self.entries[entry.turns[-1].turn] = entry
 
     def forget(self, before_ms: int) -> None:
         """Removes turns that ended before a Unix time."""
         for name in [
             name
-            for name, record in self.ends.items()
-            if record.ended_ms < before_ms
+            for name, entry in self.entries.items()
+            if entry.ended_ms < before_ms
         ]:
-            del self.ends[name]
+            del self.entries[name]
+
+
+def entry_of_record(
+    data: bytes, part: int, offset: int
+) -> records.IndexedTurn | None:
+    """Returns the entry of a turn from its record, None if unreadable."""
+    record = records.decode_turn(data)
+    if record is None:
+        return None
+    stored = records.StoredTurn(
+        turn=record.turn,
+        part=part,
+        offset=offset,
+        size=len(data),
+        input=record.input,
+    )
+    return records.IndexedTurn(turns=(stored,), ended_ms=record.ended_ms)
+
+
+def connected(loaded: collections.abc.Sequence[Turn]) -> list[Turn]:
+    """Returns turns, the latest first, up to one that is not continued."""
+    found = list(loaded[:1])
+    for turn in loaded[1:]:
+        if found[-1].previous != turn.turn_id:
+            break
+        found.append(turn)
+    return found
--- a/tests/slow_link.py
+++ b/tests/slow_link.py
@@ -22,11 +22,13 @@
     """A log whose answers to reads share a link of link_mbps.
 
     An answer whose reader has left takes nothing more of the link.
-    carried counts the bytes of all answers, whole or not.
+    carried counts the bytes of all answers, whole or not.  firsts holds the
+    oldest offsets of partitions whose older records have expired.
     """
 
     link_mbps: float = float('inf')
     carried: int = 0
+    firsts: dict[tuple[str, int], int] = attrs.field(factory=dict)
     link: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
     async def read(
@@ -42,6 +44,11 @@
         self.reads += 1
         self.check(topic, partition)
         stored = self.data[topic, partition]
+        first = self.firsts.get((topic, partition), 0)
+        if start < first:
+            return ports.LogRecords(
+                start=first, records=(), end=first, first=first, trimmed=True
+            )
         size, count = OFFSETS_BYTES, 0
         for record in stored[start:]:
             grown = size + LENGTH_BYTES + len(record)
@@ -54,7 +61,7 @@
             start=start,
             records=tuple(stored[start : start + count]),
             end=len(stored),
-            first=0,
+            first=first,
         )
 
     async def carry(self, size: int) -> None:
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -102,7 +102,9 @@
 
     async def scenario() -> list[records.InputLocation | BaseException]:
         log = make_turn_log(gateway_support.MemoryLog(), 'north-1')
-        monkeypatch.setattr(turn_log.TurnLog, 'append_with_failover', fail)
+        monkeypatch.setattr(
+            retrying_log.RetryingLog, 'append_with_failover', fail
+        )
         names = (b'first', b'second')
         inputs = [asyncio.create_task(log.append_input(one)) for one in names]
         await asyncio.sleep(0)
