Index ended turns, so that finding one does not cost what all turns cost

Callers saw: conversations that go on at instances which had just started were found late, the later the more others had stored. Cause: a turn was found by reading its partition from the store, outputs included, and each turn of a conversation lay in another partition, one after the other. N instances read each partition N times, beside the 80 MB/s that the store reads out.

Now the end of a turn is followed by an entry of some tens of bytes for each turn of its conversation, in one of 768 small partitions (32 topics of 24) by the turn's id. One look gives the places of the whole conversation, and one round of reads side by side the rest. Old builds read the same records as before.

--- a/oleanderdrift/gateway/drain.py
+++ b/oleanderdrift/gateway/drain.py
@@ -13,10 +13,10 @@
 import attrs
 
 from oleanderdrift.gateway import board as board_lib
-from oleanderdrift.gateway import budget_log
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import ingress as ingress_lib
 from oleanderdrift.gateway import tunnel_server
+from oleanderdrift.gateway import turn_flow
 from oleanderdrift import logs
 
 # The load balancer probes readiness once a second and notices a change
@@ -42,7 +42,7 @@
 
     board: board_lib.Board
     ingress: ingress_lib.Ingress
-    budgets: budget_log.BudgetLog
+    turns: turn_flow.TurnFlow
     tunnels: tunnel_server.TunnelServer
 
     async def run(self) -> None:
@@ -84,12 +84,12 @@
         )
 
     async def flush(self) -> None:
-        """Returns unused token reservations to the store."""
+        """Writes what the store does not have yet."""
         try:
             async with asyncio.timeout(FLUSH_TIMEOUT_S):
-                await self.budgets.flush(float('inf'))
+                await self.turns.flush()
         except TimeoutError:
-            logs.warning('settlements-not-appended', reason='timeout at stop')
+            logs.warning('turns-not-flushed', reason='timeout at stop')
 
 
 async def close_listener(ingress: ingress_lib.Ingress) -> None:
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -26,7 +26,8 @@
     running_requests were the inputs of the last placement.  first_ms is the
     time until the first event, or -1.  origin is that of the stream that the
     caller has begun to receive.  holder counts the earlier turns in body.
-    is_renewed says that body is stored as the turn's input.
+    is_renewed says that body is stored as the turn's input, and earlier where
+    the turns before it are stored.
     """
 
     admitted: admission.Admitted
@@ -42,6 +43,7 @@
     output_bytes: int = 0
     input_location: asyncio.Task[records.InputLocation] | None = None
     is_renewed: bool = False
+    earlier: tuple[records.StoredTurn, ...] = ()
     excluded: set[str] = attrs.field(factory=set)
     possibly_ran: set[str] = attrs.field(factory=set)
     uncached_tokens: int = 0
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -11,6 +11,11 @@
 BUDGET_TOPIC: typing.Final = 'budgets'
 TURN_TOPIC: typing.Final = 'turns'
 INPUT_TOPIC: typing.Final = 'inputs'
+# Where ended turns are stored.  The index has many small partitions, so that
+# finding one turn takes a small read however many there are.
+TURN_INDEX_TOPICS: typing.Final = tuple(
+    f'turn-index-{number}' for number in range(32)
+)
 INSTANCE_TOPIC: typing.Final = 'instances'
 # The origins in service by key, and those of single streams.
 ORIGIN_TOPIC: typing.Final = 'origins'
@@ -108,7 +113,7 @@
 _MSGPACK_ENCODER: typing.Final = msgspec.msgpack.Encoder()
 _BUDGET_DECODER: typing.Final = msgspec.msgpack.Decoder(BudgetRecord)
 _TURN_DECODER: typing.Final = msgspec.msgpack.Decoder(TurnEnd)
-
+_INDEXED_TURN_DECODER: typing.Final = msgspec.msgpack.Decoder(IndexedTurn)
 _ORIGIN_DECODER: typing.Final = msgspec.msgpack.Decoder(ListedOrigin)
 _STREAMS_DECODER: typing.Final = msgspec.msgpack.Decoder(StreamsBegun)
 
@@ -129,7 +134,9 @@
 _INSTANCE_DECODER: typing.Final = msgspec.json.Decoder(InstanceRecord)
 
 
-def encode(record: BudgetRecord | TurnEnd | StreamsBegun) -> bytes:
+def encode(
+    record: BudgetRecord | TurnEnd | IndexedTurn | StreamsBegun,
+) -> bytes:
     """Encodes a record of a topic without keys."""
     return _MSGPACK_ENCODER.encode(record)
 
@@ -173,6 +180,14 @@
         return None
 
 
+def decode_indexed_turn(data: bytes) -> IndexedTurn | None:
+    """Decodes a record of the turns' index; returns None for invalid bytes."""
+    try:
+        return _INDEXED_TURN_DECODER.decode(data)
+    except decoding.DECODE_ERRORS:
+        return None
+
+
 def encode_instance(record: InstanceRecord) -> bytes:
     """Encodes an instance's record."""
     return msgspec.json.encode(record)
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -242,7 +242,7 @@
         await drain.Drain(
             board=self.board,
             ingress=self.ingress,
-            budgets=self.forwarder.turns.budgets,
+            turns=self.forwarder.turns,
             tunnels=self.tunnels,
         ).run()
         for task in self.tasks:
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -89,6 +89,7 @@
                 shared_work.mark_exception_retrieved
             )
         chain, verdict = await self.query_store(progress)
+        progress.earlier = turns.latest_stored(chain)
         pieces = [piece for one in chain for piece in (one.input, one.output)]
         progress.body = b''.join([*pieces, request.body])
         if chain and self.is_aging(chain[0], clock.unix_ms()):
@@ -303,12 +304,20 @@
                     output=b''.join(progress.output),
                     ended_ms=clock.unix_ms(),
                 )
-                await self.turns.store_turn(turn, location)
+                await self.turns.store_turn(
+                    turn, location, () if whole else progress.earlier
+                )
         except TimeoutError as error:
             raise errors.ResultError(
                 codes.LOG_UNAVAILABLE, 'storing the turn timed out'
             ) from error
 
+    async def flush(self) -> None:
+        """Returns unused tokens and writes the entries of the turns' index."""
+        await asyncio.gather(
+            self.budgets.flush(float('inf')), self.turns.index.flush()
+        )
+
     def settle(self, progress: progress_lib.Progress) -> None:
         """Returns the tokens that a turn reserved but did not use."""
         if progress.input_location is not None:
--- /dev/null
+++ b/oleanderdrift/gateway/turn_index_log.py
@@ -0,0 +1,148 @@
+"""The index of ended turns in the store: which records a turn needs.
+
+An entry is a few bytes for each turn of a conversation, in one of many small
+partitions, so that finding a turn costs the same however many turns others
+have stored and however long their outputs are.  It is written once the turn
+itself is stored, and nobody waits for it: until it is there, and for turns
+of builds that write none, `turn_search` finds the turn.
+"""
+
+import asyncio
+import typing
+
+from oleanderdrift import errors
+from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import records
+from oleanderdrift.gateway import retrying_log
+from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import shared_work
+from oleanderdrift.gateway import turns
+
+# One read; a partition hardly ever has more.
+READ_BYTES: typing.Final = 65_536
+# How soon entries that could not be written are tried again.
+RETRY_DELAY_S: typing.Final = 0.3
+# The turns of some minutes at a busy instance; later ones are left out.
+MAX_PENDING: typing.Final = 4_096
+
+# A topic of the index and the partitions that may have a turn's entry.
+Slot: typing.TypeAlias = tuple[str, tuple[int, int]]
+
+
+class TurnIndexLog:
+    """The index as one instance reads and writes it.
+
+    indexes and reads are those of the partitions that it has looked at.
+    pending holds the entries to write, and writers the tasks that do it.
+    """
+
+    def __init__(
+        self, log: retrying_log.RetryingLog, events: event_log.EventLog
+    ) -> None:
+        self.log = log
+        self.events = events
+        self.indexes: dict[tuple[str, int], turns.TurnIndex] = {}
+        self.reads: dict[
+            tuple[str, int], shared_work.SharedRead[turns.TurnIndex]
+        ] = {}
+        self.pending: dict[Slot, list[records.IndexedTurn]] = {}
+        self.writers: dict[Slot, asyncio.Task[None]] = {}
+
+    def slot_of(self, name: str) -> Slot:
+        """Returns where a turn's entry is; the second part is a spare."""
+        number = routing.hash_of(f'index of {name}')
+        topics = records.TURN_INDEX_TOPICS
+        topic = topics[number % len(topics)]
+        return topic, routing.two_partitions(name, self.log.partitions)
+
+    def note(self, entry: records.IndexedTurn) -> None:
+        """Has an entry written."""
+        if sum(map(len, self.pending.values())) >= MAX_PENDING:
+            self.events.info('turn-not-indexed', turn=entry.turns[-1].turn)
+            return
+        slot = self.slot_of(entry.turns[-1].turn)
+        self.pending.setdefault(slot, []).append(entry)
+        if slot not in self.writers:
+            task = shared_work.start(self.write(slot))
+            self.writers[slot] = task
+            task.add_done_callback(lambda _: self.writers.pop(slot, None))
+
+    async def write(self, slot: Slot) -> None:
+        """Writes the pending entries of a slot until there are none."""
+        topic, partitions = slot
+        while entries := self.pending.pop(slot, []):
+            data = [records.encode(entry) for entry in entries]
+            try:
+                await self.log.append_with_failover(topic, partitions, data)
+            except errors.ResultError as error:
+                self.events.info(
+                    'turns-not-indexed-yet',
+                    topic=topic,
+                    count=len(entries),
+                    detail=error.detail,
+                )
+                newer = self.pending.get(slot, [])
+                self.pending[slot] = entries + newer
+                await asyncio.sleep(RETRY_DELAY_S)
+
+    async def flush(self) -> None:
+        """Waits until no entry is left to write."""
+        while self.writers:
+            await asyncio.wait(self.writers.values())
+
+    async def find(self, name: str) -> records.IndexedTurn | None:
+        """Returns a turn's entry, None if the index has none.
+
+        Raises the store's ResultError if that cannot be determined.
+        """
+        topic, partitions = self.slot_of(name)
+        failed: errors.ResultError | None = None
+        for partition in self.log.healthy_first(topic, partitions):
+            key = (topic, partition)
+            known = self.indexes.get(key)
+            if known is not None and name in known.entries:
+                return known.entries[name]
+            try:
+                index = await self.reader(key).get()
+            except errors.ResultError as error:
+                failed = error
+                continue
+            if name in index.entries:
+                return index.entries[name]
+        if failed is not None:
+            raise failed
+        return None
+
+    def reader(
+        self, key: tuple[str, int]
+    ) -> shared_work.SharedRead[turns.TurnIndex]:
+        """Returns the shared read of a partition."""
+        if key not in self.reads:
+            self.reads[key] = shared_work.SharedRead(
+                lambda: self.read_to_end(key)
+            )
+        return self.reads[key]
+
+    async def read_to_end(self, key: tuple[str, int]) -> turns.TurnIndex:
+        """Reads what a partition has got since the last read."""
+        topic, partition = key
+        index = self.indexes.setdefault(key, turns.TurnIndex())
+        while True:
+            read = await self.log.read(
+                topic, partition, index.end, max_bytes=READ_BYTES
+            )
+            if read.trimmed:
+                index.end = read.first
+                continue
+            for data in read.records:
+                entry = records.decode_indexed_turn(data)
+                if entry is not None:
+                    index.add(entry)
+            index.end = read.start + len(read.records)
+            if index.end >= read.end:
+                return index
+
+    def forget(self, before_ms: int) -> None:
+        """Drops turns that ended before a Unix time."""
+        for index in self.indexes.values():
+            index.forget(before_ms)
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -3,6 +3,7 @@
 A turn's input is appended while the upstream works on it, batched with the
 other inputs of this instance.  When the turn ends, a small record with its
 output is appended before the end of the response is sent to the caller.
+Its place is noted in an index, which finds a whole conversation in one look.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import routing
 from oleanderdrift.gateway import shared_work
+from oleanderdrift.gateway import turn_index_log
 from oleanderdrift.gateway import turn_search
 from oleanderdrift.gateway import turns
 from oleanderdrift import logs
@@ -47,7 +49,7 @@
 class TurnLog:
     """The turns of all conversations, read from and written to the store.
 
-    search finds turns there.  loads and fetches are the reads of
+    index and search find turns there.  loads and fetches are the reads of
     conversations and single turns, which go on if their callers leave.
     input_partitions are the two that this instance appends inputs to.
     """
@@ -56,6 +58,7 @@
         self.log = log
         self.events = event_log.EventLog()
         self.cache = turns.TurnCache()
+        self.index = turn_index_log.TurnIndexLog(log, self.events)
         self.search = turn_search.TurnSearch(log, self.events)
         self.loads: shared_work.SharedTasks[list[turns.Turn]] = (
             shared_work.SharedTasks()
@@ -120,8 +123,12 @@
         self,
         turn: turns.Turn,
         location: records.InputLocation,
+        earlier: tuple[records.StoredTurn, ...] = (),
     ) -> None:
-        """Stores a completed turn; raises ResultError if that fails."""
+        """Stores a completed turn; raises ResultError if that fails.
+
+        earlier says where the turns just before it are stored.
+        """
         record = records.TurnEnd(
             turn=turn.turn_id,
             previous=turn.previous,
@@ -146,6 +153,7 @@
             input=location,
         )
         self.cache.put(attrs.evolve(turn, stored=stored))
+        self.index.note(turns.entry_of(turn, stored, earlier))
 
     def partitions_of(self, turn: str) -> tuple[int, int]:
         """Returns the partitions that may hold a turn's record.
@@ -215,7 +223,12 @@
 
         Raises the store's ResultError if that cannot be determined.
         """
-        return await self.search.find(name)
+        try:
+            entry = await self.index.find(name)
+        except errors.ResultError as error:
+            self.events.info('index-unread', turn=name, detail=error.detail)
+            entry = None
+        return entry or await self.search.find(name)
 
     async def fetch(self, stored: records.StoredTurn) -> turns.Turn:
         """Returns a turn from the cache or from its place in the store."""
@@ -288,13 +301,14 @@
         """Describes what is known of a turn, for error messages."""
         if self.search.is_searching(name):
             left = self.search.left(name)
-            return f'turn {name} is searched, {left} records left'
+            return f'turn {name} is not in the index, {left} records left'
         if name in self.loads.running:
             return f'turn {name} is being read'
         return f'an earlier turn of {name} is being read'
 
     def forget(self, before_ms: int) -> None:
         """Drops turns that ended before a Unix time from the indexes."""
+        self.index.forget(before_ms)
         self.search.forget(before_ms)
 
 
--- a/oleanderdrift/gateway/turn_search.py
+++ b/oleanderdrift/gateway/turn_search.py
@@ -1,7 +1,8 @@
-"""Finds ended turns in the store, the latest first.
+"""Finds turns that the index has no entry for, the latest first.
 
-Their partitions are read from the end backwards, in pages, by tasks that
-outlast their callers.
+Those are turns that have just ended, whose entry is on its way or could not be
+written, and turns of builds that write no index.  Their partitions are read
+from the end backwards, in pages, by tasks that outlast their callers.
 """
 
 import asyncio
--- a/oleanderdrift/gateway/turns.py
+++ b/oleanderdrift/gateway/turns.py
@@ -11,6 +11,9 @@
 # Complete turns in an instance's memory.  All instances together hold many
 # times as much, and the store has all turns.
 CACHE_BYTES: typing.Final = 24_000_000
+# Of a longer conversation, an entry of the index has the latest turns only:
+# each turn of it writes one.
+MAX_LISTED_TURNS: typing.Final = 32
 
 
 @attrs.frozen(kw_only=True)
@@ -79,6 +82,16 @@
             del self.entries[name]
 
 
+def entry_of(
+    turn: Turn,
+    stored: records.StoredTurn,
+    earlier: collections.abc.Sequence[records.StoredTurn],
+) -> records.IndexedTurn:
+    """Returns the index's entry of a turn, after some just before it."""
+    listed = (*earlier, stored)[-MAX_LISTED_TURNS:]
+    return records.IndexedTurn(turns=listed, ended_ms=turn.ended_ms)
+
+
 def entry_of_record(
     data: bytes, part: int, offset: int
 ) -> records.IndexedTurn | None:
@@ -96,6 +109,21 @@
     return records.IndexedTurn(turns=(stored,), ended_ms=record.ended_ms)
 
 
+def latest_stored(
+    chain: collections.abc.Sequence[Turn],
+) -> tuple[records.StoredTurn, ...]:
+    """Returns where the last turns of a conversation are stored.
+
+    It stops before the latest one of which that is not known.
+    """
+    found: list[records.StoredTurn] = []
+    for turn in reversed(chain):
+        if turn.stored is None or len(found) >= MAX_LISTED_TURNS:
+            break
+        found.append(turn.stored)
+    return tuple(reversed(found))
+
+
 def connected(loaded: collections.abc.Sequence[Turn]) -> list[Turn]:
     """Returns turns, the latest first, up to one that is not continued."""
     found = list(loaded[:1])
--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -3,7 +3,8 @@
 Each sample was written by the build of LAST_LANDING.  That this build writes
 the same bytes shows that the older one reads them.  A change of a format
 keeps the older sample in READ_ONLY, and says how the older build reads the
-new one.
+new one.  LAST_LANDING had no index of turns: it reads none of it, and finds
+turns by their own records.
 """
 
 import typing
@@ -50,6 +51,24 @@
             service='guide', version='v1', streams=[1, 2**63]
         ),
     ),
+    (
+        b'\x93\xa1i\x91\x95\xa2q2\x05\x07\x0b\x94\x03)\x01\x0c\xcf\x00\x00'
+        b'\x01\xa0\xc4Pl\x00',
+        records.IndexedTurn(
+            turns=(
+                records.StoredTurn(
+                    turn='q2',
+                    part=5,
+                    offset=7,
+                    size=11,
+                    input=records.InputLocation(
+                        part=3, offset=41, count=1, size=12
+                    ),
+                ),
+            ),
+            ended_ms=1_790_000_000_000,
+        ),
+    ),
     (
         b'\x93\xa1o\xa5guide\xa2v1',
         records.ListedOrigin(service='guide', version='v1'),
@@ -131,6 +150,8 @@
         return records.decode_budget(data)
     if kind is records.TurnEnd:
         return records.decode_turn(data)
+    if kind is records.IndexedTurn:
+        return records.decode_indexed_turn(data)
     if kind is records.StreamsBegun:
         return records.decode_streams(data)
     return records.decode_origin(data)
--- a/tests/test_gateway_slow_links.py
+++ b/tests/test_gateway_slow_links.py
@@ -6,12 +6,10 @@
 import pytest
 
 from oleanderdrift import errors
-from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import turn_log
-from oleanderdrift.gateway import turns
-from tests import gateway_support
 from tests import slow_link
+from tests import turn_support
 from tests import virtual_time
 
 PARTITIONS: typing.Final = 24
@@ -27,30 +25,19 @@
 COME_BACK_S: typing.Final = 0.2
 
 
-def make_turn_log(
-    log: gateway_support.MemoryLog, name: str
-) -> turn_log.TurnLog:
-    """Returns the turn log of an instance that has just started."""
-    return turn_log.TurnLog(retrying_log.RetryingLog(log), name)
-
-
 async def store_programs(
-    log: gateway_support.MemoryLog, programs: int, output_bytes: int
+    log: slow_link.SlowLog, programs: int, output_bytes: int
 ) -> list[str]:
     """Stores programs of several turns; returns the last turn of each."""
-    writer = make_turn_log(log, 'north-1')
+    writer = turn_support.make_turn_log(log, 'north-1')
     for number in range(TURNS):
         for program in range(programs):
-            data = f'in {program} {number};'.encode()
-            turn = turns.Turn(
-                turn_id=f'{program}-{number}',
-                previous=f'{program}-{number - 1}' if number else None,
-                account='ward',
-                input=data,
+            await turn_support.store_turn(
+                writer,
+                f'{program}-{number}',
+                f'{program}-{number - 1}' if number else None,
                 output=bytes(output_bytes),
-                ended_ms=1,
             )
-            await writer.store_turn(turn, await writer.append_input(data))
     return [f'{program}-{TURNS - 1}' for program in range(programs)]
 
 
@@ -80,7 +67,7 @@
         )
         lasts = await store_programs(log, PROGRAMS, OUTPUT_BYTES)
         log.link_mbps = link_mbps
-        started = make_turn_log(log, 'north-2')
+        started = turn_support.make_turn_log(log, 'north-2')
         async with asyncio.timeout(20 * RECOVERY_S):
             return await asyncio.gather(
                 *(served_after_s(started, last) for last in lasts[:CALLERS])
@@ -97,7 +84,7 @@
             partitions=PARTITIONS, record_bytes=RECORD_BYTES
         )
         lasts = await store_programs(log, programs, OUTPUT_BYTES)
-        started = make_turn_log(log, 'north-2')
+        started = turn_support.make_turn_log(log, 'north-2')
         await started.chain(lasts[0], 'ward')
         return log.carried
 
--- a/tests/test_gateway_turn_search.py
+++ b/tests/test_gateway_turn_search.py
@@ -1,4 +1,4 @@
-"""Finding ended turns in the store."""
+"""Finding turns that the index has no entry for."""
 
 import asyncio
 import typing
@@ -8,83 +8,26 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import records
-from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import shared_work
-from oleanderdrift.gateway import turn_log
 from oleanderdrift.gateway import turn_search
-from oleanderdrift.gateway import turns
-from tests import slow_link
+from tests import turn_support
 from tests import virtual_time
 
-PARTITIONS: typing.Final = 8
-RECORD_BYTES: typing.Final = 65_536
-
-
-def make_log() -> slow_link.SlowLog:
-    """Returns an empty log."""
-    return slow_link.SlowLog(partitions=PARTITIONS, record_bytes=RECORD_BYTES)
-
-
-def make_turn_log(log: slow_link.SlowLog, name: str) -> turn_log.TurnLog:
-    """Returns the turn log of an instance that has just started."""
-    return turn_log.TurnLog(retrying_log.RetryingLog(log), name)
-
-
-async def store_chain(
-    writer: turn_log.TurnLog, length: int, output: bytes = b'out\n'
-) -> str:
-    """Stores a conversation; returns its last turn."""
-    for number in range(length):
-        data = f'in {number};'.encode()
-        turn = turns.Turn(
-            turn_id=f't{number}',
-            previous=f't{number - 1}' if number else None,
-            account='ward',
-            input=data,
-            output=output,
-            ended_ms=1,
-        )
-        location = await writer.append_input(data)
-        await writer.store_turn(turn, location)
-    return f't{length - 1}'
-
-
-async def inputs(log: turn_log.TurnLog, last: str) -> list[bytes]:
-    """Returns the inputs of a conversation."""
-    return [one.input for one in await log.chain(last, 'ward')]
-
-
-def expected(length: int) -> list[bytes]:
-    """Returns the inputs of a conversation that store_chain stored."""
-    return [f'in {number};'.encode() for number in range(length)]
-
-
-def test_turn_is_found_while_its_first_partition_fails() -> None:
-    async def scenario() -> None:
-        log = make_log()
-        writer = make_turn_log(log, 'north-1')
-        first, _ = writer.partitions_of('t0')
-        log.failing_partitions.add((records.TURN_TOPIC, first))
-        last = await store_chain(writer, 1)
-        found = await inputs(make_turn_log(log, 'south-1'), last)
-        assert found == expected(1)
-        log.failing_partitions.clear()
-        found = await inputs(make_turn_log(log, 'south-2'), last)
-        assert found == expected(1)
-
-    virtual_time.run(scenario())
+OUTPUT: typing.Final = bytes(2_000)
 
 
 def test_unknown_turn_is_not_denied_while_a_partition_fails() -> None:
     async def scenario(fails: bool) -> codes.ResultCode:
-        log = make_log()
-        writer = make_turn_log(log, 'north-1')
-        await store_chain(writer, 3)
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        await turn_support.store_chain(writer, 3)
         if fails:
             _, second = writer.partitions_of('other')
             log.failing_partitions.add((records.TURN_TOPIC, second))
         with pytest.raises(errors.ResultError) as raised:
-            await make_turn_log(log, 'south-1').chain('other', 'ward')
+            await turn_support.make_turn_log(log, 'south-1').chain(
+                'other', 'ward'
+            )
         return raised.value.code
 
     assert virtual_time.run(scenario(True)) is codes.LOG_UNAVAILABLE
@@ -95,12 +38,15 @@
     """Guards against reading all that has ended to find what just has."""
 
     async def scenario() -> None:
-        log = make_log()
-        writer = make_turn_log(log, 'north-1')
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
         for number in range(400):
-            await store_single(writer, f'old-{number}')
-        await store_single(writer, 'new')
-        started = make_turn_log(log, 'south-1')
+            await turn_support.store_turn(
+                writer, f'old-{number}', output=OUTPUT
+            )
+        await turn_support.store_turn(writer, 'new', output=OUTPUT)
+        started = turn_support.make_turn_log(log, 'south-1')
         before = log.carried
         await started.chain('new', 'ward')
         steps = 2 * turn_search.FIRST_STEP_RECORDS * 2_200
@@ -110,27 +56,15 @@
     virtual_time.run(scenario())
 
 
-async def store_single(writer: turn_log.TurnLog, name: str) -> None:
-    """Stores a turn without earlier ones."""
-    turn = turns.Turn(
-        turn_id=name,
-        previous=None,
-        account='ward',
-        input=b'in',
-        output=bytes(2_000),
-        ended_ms=1,
-    )
-    await writer.store_turn(turn, await writer.append_input(b'in'))
-
-
 def test_records_are_read_once_for_all_that_search() -> None:
     async def scenario() -> None:
-        log = make_log()
-        writer = make_turn_log(log, 'north-1')
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
         names = [f'q{number}' for number in range(300)]
         for name in names:
-            await store_single(writer, name)
-        started = make_turn_log(log, 'south-1')
+            await turn_support.store_turn(writer, name, output=OUTPUT)
+        started = turn_support.make_turn_log(log, 'south-1')
         before = log.carried
         await asyncio.gather(*(started.search.find(name) for name in names))
         stored = 300 * 2_000
@@ -143,12 +77,13 @@
     """Guards against reads that are thrown away with each caller."""
 
     async def scenario() -> None:
-        log = make_log()
-        writer = make_turn_log(log, 'north-1')
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
         for number in range(600):
-            await store_single(writer, f'q{number}')
+            await turn_support.store_turn(writer, f'q{number}', output=OUTPUT)
         log.link_mbps = 0.5
-        started = make_turn_log(log, 'south-1')
+        started = turn_support.make_turn_log(log, 'south-1')
         tries = 0
         while True:
             tries += 1
@@ -158,7 +93,7 @@
                 break
             except TimeoutError:
                 assert started.search.remaining_s('q0') > 0
-                assert 'searched' in started.describe('q0')
+                assert 'not in the index' in started.describe('q0')
                 assert tries < 20
         assert tries > 1
 
@@ -167,14 +102,15 @@
 
 def test_turns_that_have_expired_are_passed_over() -> None:
     async def scenario() -> None:
-        log = make_log()
-        writer = make_turn_log(log, 'north-1')
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
         for number in range(100):
-            await store_single(writer, f'q{number}')
-        for partition in range(PARTITIONS):
+            await turn_support.store_turn(writer, f'q{number}', output=OUTPUT)
+        for partition in range(turn_support.PARTITIONS):
             key = (records.TURN_TOPIC, partition)
             log.firsts[key] = len(log.data[key]) // 2
-        started = make_turn_log(log, 'south-1')
+        started = turn_support.make_turn_log(log, 'south-1')
         await started.chain('q99', 'ward')
         with pytest.raises(errors.ResultError) as raised:
             await started.chain('q0', 'ward')
