Take no answer of the store for silent while its bytes arrive

What callers would see: an instance behind a slow link never gets a long answer of the store (a page of turns or budgets, a large configuration), and takes the store for failing. Cause: a call's time, 0.4 s at first, counted the whole answer. 1 MiB takes 0.76 s over 11 Mbit/s, so the answer was thrown away and the connection closed each time, the average response time was doubled, and turns were refused for calls that fail. Now nothing may come for that time, and a whole answer has 8 s; the average is of the time until an answer begins.

--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -14,18 +14,21 @@
 from oleanderdrift import errors
 from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import buffering
+from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import time_limits
 from oleanderdrift import logs
 
-# A call times out after a multiple of the average response time, within
-# bounds: the store may become sixty times slower than usual.
+# A call times out once nothing came for a multiple of the average response
+# time, within bounds: the store may become sixty times slower than usual.
 MIN_TIMEOUT_S: typing.Final = 0.4
 MAX_TIMEOUT_S: typing.Final = 1.6
 TIMEOUT_FACTOR: typing.Final = 8.0
 SMOOTHING: typing.Final = 0.2
 CONNECT_TIMEOUT_S: typing.Final = 0.5
+# The largest answer over the slowest link takes a part of it.
+MAX_ANSWER_S: typing.Final = 8.0
 _RECORD_LENGTH: typing.Final = struct.Struct('>I')
 _OFFSETS: typing.Final = struct.Struct('>QQ')
 _POOL_KEY: typing.Final = 'store'
@@ -65,7 +68,8 @@
     """The client of the store; one for each instance.
 
     consecutive_failures counts failed calls since the last successful one.
-    average_s is a moving average of the response time.
+    average_s is a moving average of the time until an answer begins; how long
+    its bytes take is a matter of the link.
     """
 
     def __init__(
@@ -114,7 +118,9 @@
             async with time_limits.within(wait_s + self.timeout_s()):
                 await connection.send(method, target, headers, body)
                 head = await connection.read_head(time.monotonic())
-                response = await connection.read_body()
+            elapsed_s = time.monotonic() - now
+            async with time_limits.within(MAX_ANSWER_S):
+                response = await self.read_body(connection)
         except (buffering.ChannelError, TimeoutError) as error:
             self.note_failure()
             if isinstance(error, TimeoutError):
@@ -133,12 +139,22 @@
             )
         self.consecutive_failures = 0
         if not wait_s:
-            elapsed_s = time.monotonic() - now
             self.average_s += SMOOTHING * (elapsed_s - self.average_s)
         return head.status, response
 
+    async def read_body(self, connection: channel.Channel) -> bytes:
+        """Reads an answer's body, however long it takes while bytes come."""
+        body = bytearray()
+        chunks = connection.read_chunks(channel.MAX_BODY_BYTES)
+        while True:
+            async with time_limits.within(self.timeout_s()):
+                chunk = await anext(chunks, b'')
+            if not chunk:
+                return bytes(body)
+            body += chunk
+
     def timeout_s(self) -> float:
-        """Returns the timeout of a call."""
+        """Returns for how long nothing may come of an answer."""
         limit_s = self.average_s * TIMEOUT_FACTOR
         return min(max(limit_s, MIN_TIMEOUT_S), MAX_TIMEOUT_S)
 
