Ask for no more turns at once than a link brings in a tenth of a second

What callers would see: while an instance reads conversations, appends, polls of the configuration and answers of upstreams wait behind megabytes on its link, are taken for lost and are repeated. Cause: any number of long reads was under way at once, whatever the link. Now reads of turns share a budget of bytes on their way, a tenth of a second of the link that the settings name, 64 KiB at least, in order of their calls.

--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -10,6 +10,7 @@
     store_writes_per_s is what the store takes from all instances together.
     upstream_drain_s is the time after which a leaving upstream may get no
     more requests.  cores is the share of processors that the instance may use.
+    link_mbps is the rate of the instance's link in Mbit/s.
     memory_bytes is what the process may use before it is killed.
     key_grace_s is how long after the last response from the store API
     keys are still accepted.  stop_s is the time between SIGTERM and
@@ -32,6 +33,7 @@
     upstream_drain_s: float
     cores: float
     memory_bytes: int
+    link_mbps: float
     turn_retention_s: float
 
 
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -47,7 +47,9 @@
             self.retrying_log, board.settings.turn_retention_s
         )
         self.turns = turn_log.TurnLog(
-            self.retrying_log, board.settings.instance
+            self.retrying_log,
+            board.settings.instance,
+            board.settings.link_mbps,
         )
 
     def max_output_bytes(self) -> int:
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 import attrs
@@ -16,6 +17,7 @@
 from oleanderdrift import errors
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import link_share
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import routing
@@ -33,8 +35,6 @@
 # Framing of the store's read response: for each record, and for all.
 LENGTH_BYTES: typing.Final = 4
 OFFSETS_BYTES: typing.Final = 16
-# Reads of records at once; more would only wait for each other on the link.
-MAX_FETCHES: typing.Final = 4
 MS_PER_S: typing.Final = 1_000.0
 
 
@@ -54,19 +54,24 @@
     input_partitions are the two that this instance appends inputs to.
     """
 
-    def __init__(self, log: retrying_log.RetryingLog, instance: str) -> None:
+    def __init__(
+        self,
+        log: retrying_log.RetryingLog,
+        instance: str,
+        link_mbps: float = math.inf,
+    ) -> None:
         self.log = log
+        self.share = link_share.LinkShare(link_mbps)
         self.events = event_log.EventLog()
         self.cache = turns.TurnCache()
         self.index = turn_index_log.TurnIndexLog(log, self.events)
-        self.search = turn_search.TurnSearch(log, self.events)
+        self.search = turn_search.TurnSearch(log, self.share, self.events)
         self.loads: shared_work.SharedTasks[list[turns.Turn]] = (
             shared_work.SharedTasks()
         )
         self.fetches: shared_work.SharedTasks[turns.Turn] = (
             shared_work.SharedTasks()
         )
-        self.may_fetch = asyncio.Semaphore(MAX_FETCHES)
         self.input_partitions = routing.two_partitions(
             instance, log.partitions
         )
@@ -281,12 +286,10 @@
         Raises ResultError UNKNOWN_TURN if they have expired, and
         LOG_UNAVAILABLE if they are not there.
         """
-        async with self.may_fetch:
+        max_bytes = size + count * LENGTH_BYTES + OFFSETS_BYTES
+        async with self.share.take(max_bytes):
             read = await self.log.read(
-                topic,
-                partition,
-                offset,
-                max_bytes=size + count * LENGTH_BYTES + OFFSETS_BYTES,
+                topic, partition, offset, max_bytes=max_bytes
             )
         where = f'records {offset} to {offset + count} of {topic} {partition}'
         if read.trimmed:
--- a/oleanderdrift/gateway/turn_search.py
+++ b/oleanderdrift/gateway/turn_search.py
@@ -14,6 +14,7 @@
 from oleanderdrift import errors
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import link_share
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
@@ -89,9 +90,13 @@
     """
 
     def __init__(
-        self, log: retrying_log.RetryingLog, events: event_log.EventLog
+        self,
+        log: retrying_log.RetryingLog,
+        share: link_share.LinkShare,
+        events: event_log.EventLog,
     ) -> None:
         self.log = log
+        self.share = share
         self.events = events
         self.partitions = [
             SearchedPartition(number=number)
@@ -205,7 +210,7 @@
         max_bytes: int = PAGE_BYTES,
     ) -> ports.LogRecords:
         """Reads records from an offset on into the partition's index."""
-        async with self.may_read:
+        async with self.may_read, self.share.take(max_bytes):
             begun = clock.monotonic()
             read = await self.log.read(
                 records.TURN_TOPIC,
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -41,6 +41,7 @@
     CpuShare: float = 1.0
     Cores: float = 1.0
     MemoryMb: float = 180
+    LinkMbps: float = 1_000
 
 
 class _Platform(msgspec.Struct):
@@ -110,5 +111,6 @@
         upstream_drain_s=bounds.DrainMs / MS_PER_S,
         cores=limits.CpuShare * limits.Cores,
         memory_bytes=int(limits.MemoryMb * BYTES_PER_MB),
+        link_mbps=limits.LinkMbps,
         turn_retention_s=file_settings.Platform.RetainS,
     )
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -35,6 +35,7 @@
     upstream_drain_s=2.0,
     cores=1.0,
     memory_bytes=188_743_680,
+    link_mbps=1_000.0,
     turn_retention_s=300.0,
 )
 
