--- a/oleanderdrift/gateway/turn_index_log.py
+++ b/oleanderdrift/gateway/turn_index_log.py
@@ -20,8 +20,10 @@
 
 # One read; a partition hardly ever has more.
 READ_BYTES: typing.Final = 65_536
-# How soon entries that could not be written are tried again.
+# How soon entries that could not be written are tried again; the delay doubles
+# with each failure, as all instances do so in an outage of the store.
 RETRY_DELAY_S: typing.Final = 0.3
+MAX_RETRY_DELAY_S: typing.Final = 4.8
 # The turns of some minutes at a busy instance; later ones are left out.
 MAX_PENDING: typing.Final = 4_096
 
@@ -70,6 +72,7 @@
     async def write(self, slot: Slot) -> None:
         """Writes the pending entries of a slot until there are none."""
         topic, partitions = slot
+        delay_s = RETRY_DELAY_S
         while entries := self.pending.pop(slot, []):
             data = [records.encode(entry) for entry in entries]
             try:
@@ -83,7 +86,10 @@
                 )
                 newer = self.pending.get(slot, [])
                 self.pending[slot] = entries + newer
-                await asyncio.sleep(RETRY_DELAY_S)
+                await asyncio.sleep(delay_s)
+                delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
+            else:
+                delay_s = RETRY_DELAY_S
 
     async def flush(self) -> None:
         """Waits until no entry is left to write."""
--- a/tests/test_gateway_turn_index.py
+++ b/tests/test_gateway_turn_index.py
@@ -87,6 +87,21 @@
     virtual_time.run(scenario())
 
 
+def test_entries_do_not_load_a_store_that_is_down() -> None:
+    async def scenario() -> int:
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        for number in range(20):
+            await turn_support.store_turn(writer, f'q{number}')
+        before = log.appends
+        await asyncio.sleep(60.0)
+        return log.appends - before
+
+    # Each entry has two partitions, and waits longer each time.
+    assert virtual_time.run(scenario()) <= 20 * 2 * 20
+
+
 @pytest.mark.parametrize(
     'topic', [records.TURN_TOPIC, *records.TURN_INDEX_TOPICS]
 )
