Reset the connection of a stream without chunks that is cut

A client of HTTP/1.0 can be given no chunks, so a stream to it ends with its connection. One that was cut, because its upstream broke off or because the instance ended, was closed as a complete one is, so that the client took it for whole. One that was complete never ended if the client had asked to keep the connection.

Cause: the cut and the end were the same close, and Tornado keeps the connection of a request with a length that asks for it, whatever the answer's framing.

From the beginning of such an answer the socket does not linger, so that each close, also that of the kernel when the process ends, is a reset. Only when the last byte is handed to the kernel is this taken back, and the connection closed.

--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -1,7 +1,9 @@
 """Client connections that know what has arrived on them."""
 
 import collections.abc
+import contextlib
 import socket
+import struct
 import typing
 
 from tornado import httpserver
@@ -11,6 +13,8 @@
 from oleanderdrift.gateway import clock
 
 _PEEK_FLAGS: typing.Final = socket.MSG_PEEK | socket.MSG_DONTWAIT
+# Whether to linger, and for how many seconds: without any, a close is a reset.
+_LINGER: typing.Final = struct.Struct('ii')
 
 
 class ClientStream(iostream.IOStream):
@@ -68,6 +72,19 @@
         except OSError:
             return False
 
+    def set_reset_on_close(self, is_reset: bool) -> None:
+        """Sets whether the client sees a close as a reset.
+
+        The kernel keeps to this also when the process ends.
+        """
+        # A closed socket has no options.
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                _LINGER.pack(is_reset, 0),
+            )
+
     def close_fd(self) -> None:
         """Closes the socket; notes whether bytes waited there."""
         self.closed_at = clock.monotonic()
--- a/oleanderdrift/gateway/connection_reply.py
+++ b/oleanderdrift/gateway/connection_reply.py
@@ -6,13 +6,19 @@
 from tornado import iostream
 
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 
 
 class ConnectionReply:
-    """Writes one response to a client connection."""
+    """Writes one response to a client connection.
+
+    takes_chunks says that the client can be given a body in chunks.  Without
+    them, a body of unknown length ends with the connection, as
+    ends_with_connection says: a cut is then a reset.
+    """
 
     def __init__(
         self, conn: httputil.HTTPConnection, board: board_lib.Board
@@ -23,6 +29,8 @@
         self.progress: progress_lib.Progress | None = None
         self.ended = False
         self.close_announced = False
+        self.takes_chunks = True
+        self.ends_with_connection = False
 
     def should_close(self) -> bool:
         """Returns whether the client should reconnect for its next request.
@@ -47,7 +55,10 @@
             fields.add(name, value)
         if body is not None:
             fields['Content-Length'] = str(len(body))
-        self.close_announced = self.should_close()
+        if not self.takes_chunks and 'Content-Length' not in fields:
+            self.ends_with_connection = True
+            self.reset_on_close(True)
+        self.close_announced = self.ends_with_connection or self.should_close()
         if self.close_announced:
             fields['Connection'] = 'close'
         start_line = httputil.ResponseStartLine('HTTP/1.1', status, 'Answer')
@@ -102,6 +113,10 @@
 
     async def finish(self) -> None:
         """Marks a response of unknown length as complete."""
+        if self.ends_with_connection:
+            # What is not sent yet would be cut off unseen.
+            await self.flush()
+            self.reset_on_close(False)
         self.end()
         await self.close_as_announced()
 
@@ -118,6 +133,12 @@
         self.conn.finish()
         self.ended = True
 
+    def reset_on_close(self, is_reset: bool) -> None:
+        """Sets whether the client sees a close as a reset."""
+        stream = getattr(self.conn, 'stream', None)
+        if isinstance(stream, client_stream.ClientStream):
+            stream.set_reset_on_close(is_reset)
+
     async def flush(self) -> None:
         """Waits until all that was written is handed to the kernel.
 
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -29,6 +29,8 @@
 # and refused with a code.
 HEAD_FACTOR: typing.Final = 2
 BODY_WITH_HEAD_BYTES: typing.Final = READ_BYTES
+# The only one for which Tornado writes chunks.
+CHUNKED_VERSION: typing.Final = 'HTTP/1.1'
 # Around the name and the value of each header.
 HEADER_FRAMING_BYTES: typing.Final = 4
 
@@ -204,6 +206,7 @@
         self.received_at = clock.monotonic()
         self.start_line = typing.cast(httputil.RequestStartLine, start_line)
         self.headers = list(headers.get_all())
+        self.reply.takes_chunks = self.start_line.version == CHUNKED_VERSION
         self.release()
         if isinstance(self.conn, http1connection.HTTP1Connection):
             self.conn.set_max_body_size(self.ingress.limits.body_bytes)
--- /dev/null
+++ b/tests/test_gateway_client_closes.py
@@ -0,0 +1,114 @@
+"""What a client sees when its connection ends, and what its own close ends."""
+
+import asyncio
+import typing
+
+import pytest
+
+from standins import replica
+from tests import test_gateway_whole as whole
+
+HEADERS: typing.Final = (
+    'Host: desk.example\r\nAttempt-Id: q1\r\nCredential: k1\r\n'
+    'Program-Id: p\r\nToken-Budget: 9000\r\nToken-Count: 10,588\r\n'
+    'Deadline-Ms: 5000\r\nContent-Length: 0\r\n'
+)
+FIRST_TWO: typing.Final = b'id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n'
+WHOLE: typing.Final = FIRST_TWO + b'id: 3\ndata: e3\n\nid: 4\ndata: e4\n\n'
+END_WITHIN_S: typing.Final = 2.0
+
+KEPT_OR_NOT: typing.Final = pytest.mark.parametrize(
+    'connection', ['', 'Connection: keep-alive\r\n']
+)
+
+
+async def read_end(reader: asyncio.StreamReader) -> tuple[bytes, bool]:
+    """Returns what follows, and whether the connection was reset."""
+    received = b''
+    async with asyncio.timeout(END_WITHIN_S):
+        try:
+            while data := await reader.read(65_536):
+                received += data
+        except ConnectionResetError:
+            return received, True
+    return received, False
+
+
+async def start_stream(
+    env: whole.Environment, connection: str
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Sends a turn as an HTTP/1.0 client; returns where its body begins."""
+    reader, writer = await asyncio.open_connection('127.0.0.1', env.port)
+    head = f'POST /a/b HTTP/1.0\r\n{HEADERS}{connection}\r\n'
+    writer.write(head.encode())
+    async with asyncio.timeout(END_WITHIN_S):
+        answer = await reader.readuntil(b'\r\n\r\n')
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    return reader, writer
+
+
+@KEPT_OR_NOT
+def test_cut_stream_without_chunks_does_not_look_complete(
+    connection: str,
+) -> None:
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [replica.Stream(cut_after=2)]
+            await whole.make_ready(env)
+            reader, writer = await start_stream(env, connection)
+            body, was_reset = await read_end(reader)
+            assert WHOLE.startswith(body)
+            assert was_reset
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_stream_without_chunks_looks_cut_when_its_process_ends() -> None:
+    """The kernel closes the sockets of a process that ends."""
+    head = (
+        b'HTTP/1.1 200 OK\r\nAttempt-Id: $ID\r\nResponse-Seal: s\r\n'
+        b'Content-Type: text/event-stream\r\n\r\n'
+    )
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [replica.Stalled(data=head + FIRST_TWO)]
+            await whole.make_ready(env)
+            reader, writer = await start_stream(env, '')
+            async with asyncio.timeout(END_WITHIN_S):
+                assert await reader.readexactly(len(FIRST_TWO)) == FIRST_TWO
+            [one] = env.gateway.ingress.readers.values()
+            assert one.stream is not None
+            one.stream.io_loop.remove_handler(one.stream.fileno())
+            one.stream.socket.close()
+            assert await read_end(reader) == (b'', True)
+            writer.close()
+
+    asyncio.run(play())
+
+
+@KEPT_OR_NOT
+def test_whole_stream_without_chunks_looks_complete(connection: str) -> None:
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            reader, writer = await start_stream(env, connection)
+            assert await read_end(reader) == (WHOLE, False)
+            writer.close()
+
+    asyncio.run(play())
+
+
+def test_whole_stream_without_chunks_is_read_late_and_whole() -> None:
+    """The client reads when the server has closed the connection."""
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            reader, writer = await start_stream(env, '')
+            await env.wait_until(lambda: not env.gateway.ingress.readers)
+            assert await read_end(reader) == (WHOLE, False)
+            writer.close()
+
+    asyncio.run(play())
