Send no request whose caller has left before its first byte

A request that is not idempotent reached an upstream after its caller had closed the connection, if the caller left while a connection to the upstream was being opened, or before the upstream said that it had not run it: it was then sent to the next upstream.

Cause: what has begun goes on when its caller leaves, and a request counted as begun from the choice of an upstream, before any byte was sent. It also counted so for each later try, and the departure was not kept.

Progress now has `begun`, set at the last step before the first byte and taken back with a refusal as not run, and `caller_left`. A request that has not begun is cancelled, as others are; one that has begun goes on, and a later try looks first whether the caller has left, once before an upstream is chosen and once before the first byte.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -1,6 +1,7 @@
 """Sends a request to upstreams until one has answered."""
 
 import asyncio
+import functools
 import random
 import typing
 
@@ -77,9 +78,11 @@
         """Sends a request to upstreams until one has answered.
 
         Raises ResultError if none does; its code says whether the request
-        may have run.
+        may have run.  Raises ClientDisconnectedError if the caller has left
+        before a try.
         """
         for _ in range(MAX_TRIES):
+            _check_caller(progress)
             self.check_blocked(progress)
             upstream = await self.chooser.acquire(progress)
             if upstream is None:
@@ -143,6 +146,7 @@
                 is_first=not was_sent,
                 keeps_version=progress.admitted.route.is_resumable_stream(),
                 continues=progress.origin is not None,
+                begin=functools.partial(_begin, progress),
             ),
         )
         match outcome:
@@ -179,6 +183,7 @@
             case exchange.NotRun():
                 self.note_rate_limit(progress, upstream, outcome.head)
                 progress.sent = was_sent
+                progress.begun = was_sent
                 progress.excluded.add(upstream_id)
                 if not is_repeat:
                     progress.possibly_ran.discard(upstream_id)
@@ -353,3 +358,15 @@
         self.board.crashes.note_success(progress.fingerprints)
         self.connections.release(upstream, connection, clock.monotonic())
         return True
+
+
+def _check_caller(progress: progress_lib.Progress) -> None:
+    """Raises ClientDisconnectedError if the caller has left."""
+    if progress.caller_left:
+        raise reply_lib.ClientDisconnectedError
+
+
+def _begin(progress: progress_lib.Progress) -> None:
+    """Notes that a request is sent; raises as _check_caller does."""
+    _check_caller(progress)
+    progress.begun = True
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -1,5 +1,6 @@
 """Sends a request to an upstream and reads the response headers."""
 
+import collections.abc
 import typing
 
 import attrs
@@ -111,6 +112,8 @@
     keeps_version says that it is for a stream that only upstreams of one
     software version may run, from its beginning on; they do not check it.
     continues says that an upstream of that version has begun it.
+    begin is called before the first byte is sent; what it raises is passed
+    on, with nothing sent.
     """
 
     admitted: admission.Admitted
@@ -120,6 +123,7 @@
     is_first: bool
     keeps_version: bool
     continues: bool
+    begin: collections.abc.Callable[[], None]
 
 
 async def send_request(
@@ -162,6 +166,7 @@
         headers = codec.upstream_headers(
             request, entry, admitted.account, left_s, outgoing.last_event_id
         )
+        outgoing.begin()
         await connection.send(
             request.method, request.target, headers, outgoing.body
         )
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -314,11 +314,14 @@
     def on_connection_close(self) -> None:
         """Cancels the work for a client that disconnected.
 
-        One that is not idempotent goes on once it may have begun.
+        One that is not idempotent goes on once it may have begun, but is
+        not sent again.
         """
         progress = self.reply.progress
-        if progress is not None and progress.must_complete():
-            return
+        if progress is not None:
+            progress.caller_left = True
+            if progress.must_complete():
+                return
         if self.task is not None:
             self.task.cancel()
 
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -19,7 +19,9 @@
     body is sent to upstreams.  fingerprints are those of what the caller
     sent; a request that comes again has the same.  crashes counts the
     upstreams that crashed while they ran it.  reserved says that its tokens
-    may be reserved, and sent that an upstream may have run it.  possibly_ran
+    may be reserved, and sent that an upstream may have run it.  begun says
+    that a first byte of it may be on its way to one, and caller_left that
+    the caller has closed its connection.  possibly_ran
     holds the upstreams that may have run it and may still do so, excluded
     those that must not get it again.  tokens and output are those sent to
     the caller, output_bytes the output's size.  uncached_tokens and
@@ -37,6 +39,8 @@
     crashes: int = 0
     reserved: bool = False
     sent: bool = False
+    begun: bool = False
+    caller_left: bool = False
     tokens: int = 0
     last_event_id: str | None = None
     output: list[bytes] = attrs.field(factory=list)
@@ -57,7 +61,7 @@
     def must_complete(self) -> bool:
         """Returns whether its work goes on if the caller leaves."""
         kind = self.admitted.route.kind
-        return self.sent and kind is model.RouteKind.NON_IDEMPOTENT
+        return self.begun and kind is model.RouteKind.NON_IDEMPOTENT
 
     def release(self) -> None:
         """Ends the count of the conversation's bytes."""
--- a/tests/test_gateway_client_closes.py
+++ b/tests/test_gateway_client_closes.py
@@ -1,10 +1,13 @@
 """What a client sees when its connection ends, and what its own close ends."""
 
 import asyncio
+import json
 import typing
 
 import pytest
 
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import connection_pool
 from standins import replica
 from tests import test_gateway_whole as whole
 
@@ -112,3 +115,109 @@
             writer.close()
 
     asyncio.run(play())
+
+
+def count_received(*replicas: replica.Replica) -> int:
+    """Returns how many requests reached upstreams."""
+    return sum(len(one.received) for one in replicas)
+
+
+async def send_call(env: whole.Environment, kind: str) -> asyncio.StreamWriter:
+    """Sends a request of a kind of route; does not wait for its answer."""
+    route = {**whole.ROUTE, 'Kind': kind, 'Retain': False, 'Attempts': 3}
+    env.write_config(Version=2, Routes=[route])
+    board = env.gateway.board
+    await env.wait_until(
+        lambda: bool(board.config and board.config.version == 2)
+    )
+    _, writer = await asyncio.open_connection('127.0.0.1', env.port)
+    headers = HEADERS.replace('Token-Budget: 9000\r\n', '')
+    writer.write(f'POST /a/b HTTP/1.1\r\n{headers}\r\n'.encode())
+    return writer
+
+
+KINDS: typing.Final = pytest.mark.parametrize(
+    'kind', ['keyed', 'unsafe', 'idempotent']
+)
+
+
+@KINDS
+def test_request_whose_caller_left_before_a_connection_is_not_sent(
+    monkeypatch: pytest.MonkeyPatch, kind: str
+) -> None:
+    connect = connection_pool.Pool.open
+    may_connect = asyncio.Event()
+    asked: list[str] = []
+
+    async def connect_later(
+        pool: connection_pool.Pool, host: str, port: int, timeout_s: float
+    ) -> channel.Channel:
+        asked.append(host)
+        await may_connect.wait()
+        return await connect(pool, host, port, timeout_s)
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            monkeypatch.setattr(connection_pool.Pool, 'open', connect_later)
+            writer = await send_call(env, kind)
+            await env.wait_until(lambda: bool(asked))
+            writer.close()
+            await env.wait_until(lambda: not env.gateway.ingress.readers)
+            may_connect.set()
+            await asyncio.sleep(0.1)
+            assert count_received(env.replica) == 0
+            assert env.gateway.board.open_requests == 0
+
+    asyncio.run(play())
+
+
+@KINDS
+def test_request_whose_caller_left_is_not_sent_to_a_second_upstream(
+    kind: str,
+) -> None:
+    """The first one says, after the caller has left, that it has not run."""
+    refusal = replica.CompleteResponse(
+        status=503,
+        sealed=False,
+        headers=(('Not-Executed', '1'),),
+        pause_s=0.2,
+    )
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [refusal]
+            second = replica.Replica(behaviours=[refusal])
+            await second.start()
+            await whole.make_ready(env)
+            register(env, second)
+            upstreams = env.gateway.board.upstreams
+            await env.wait_until(
+                lambda: len(upstreams.of_service('guide', False)) == 2
+            )
+            writer = await send_call(env, kind)
+            await env.wait_until(
+                lambda: count_received(env.replica, second) == 1
+            )
+            writer.close()
+            await env.wait_until(lambda: not env.gateway.ingress.readers)
+            await asyncio.sleep(0.4)
+            assert count_received(env.replica, second) == 1
+            assert env.gateway.board.open_requests == 0
+            await second.stop()
+
+    asyncio.run(play())
+
+
+def register(env: whole.Environment, another: replica.Replica) -> None:
+    """Writes the entry of another replica to the store."""
+    entry = {
+        'Service': 'guide',
+        'Address': f'127.0.0.1:{another.port}',
+        'Zone': 'north',
+        'Version': 'v1',
+        'Slots': 4,
+        'State': 'ready',
+        'born': 1,
+    }
+    env.store.put('keyed.servers', 'u2', json.dumps(entry).encode())
--- a/tests/test_gateway_odd_addresses.py
+++ b/tests/test_gateway_odd_addresses.py
@@ -47,6 +47,7 @@
         is_first=True,
         keeps_version=False,
         continues=False,
+        begin=lambda: None,
     )
     board = gateway_support.board()
     connections = upstream_connections.UpstreamConnections(
