Keep the idle limit that held when a request came, after its answer

After a new configuration had shortened IdleTimeoutMs while an answer was under way, the connection was closed sooner than its client expected, and the next request on it got neither an answer nor a refusal.

Cause: the limit of an idle connection was the longest in force since it became idle. A change under an answer came before that, so that the shorter limit counted at once, though the client had sent its request under the longer one.

A reader now counts the longest limit in force since its request came, and hands it to the next one on the connection. The idle time after that has the new limit.

Evidence: the new test failed before, with the connection closed and the second request unanswered, and passes now. It also checks that the shorter limit holds after the second answer.

--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -67,6 +67,9 @@
     ) -> httputil.HTTPMessageDelegate:
         """Returns the reader for one request."""
         reader = _RequestReader(self, request_conn)
+        previous = self.readers.get(server_conn)
+        if previous is not None:
+            reader.keep_idle_timeout(previous.idle_timeout_s)
         self.readers[server_conn] = reader
         return reader
 
@@ -110,8 +113,9 @@
     def apply_limits(self, limits: model.Limits) -> None:
         """Applies the configured limits to later requests.
 
-        A connection that is idle now may be so for the longer of both times:
-        its client may not know of the change.
+        A connection that is idle now, or after the answer that is under way,
+        may be so for the longer of both times: its client may not know of
+        the change.
         """
         self.limits = limits
         self.server.conn_params.max_body_size = limits.body_bytes
@@ -119,9 +123,7 @@
             MIN_HEAD_BYTES, limits.header_bytes * HEAD_FACTOR
         )
         for reader in self.readers.values():
-            reader.idle_timeout_s = max(
-                reader.idle_timeout_s, limits.idle_timeout_s
-            )
+            reader.keep_idle_timeout(limits.idle_timeout_s)
 
 
 def make_server(
@@ -143,8 +145,9 @@
     """Reads one request and starts the task that answers it.
 
     received_at is when its head had been read, 0 before.  idle_timeout_s is
-    how long its connection may be idle before it begins.  holder counts the
-    bytes of its head while that is read, then those of its body.
+    how long its connection may be idle before it begins, and from then on
+    how long it may be idle after the answer at least.  holder counts the bytes
+    of its head while that is read, then those of its body.
     """
 
     def __init__(
@@ -169,6 +172,10 @@
             stream.expect_request()
             stream.on_read = self.note_read
 
+    def keep_idle_timeout(self, timeout_s: float) -> None:
+        """Lets the connection be idle for at least this time."""
+        self.idle_timeout_s = max(self.idle_timeout_s, timeout_s)
+
     def is_idle(self) -> bool:
         """Returns whether no byte of a request has arrived."""
         if self.received_at:
@@ -204,6 +211,7 @@
         # Not in __init__: Tornado creates the reader as soon as the previous
         # request has ended.
         self.received_at = clock.monotonic()
+        self.idle_timeout_s = self.ingress.limits.idle_timeout_s
         self.start_line = typing.cast(httputil.RequestStartLine, start_line)
         self.headers = list(headers.get_all())
         self.reply.takes_chunks = self.start_line.version == CHUNKED_VERSION
--- a/tests/test_gateway_client_closes.py
+++ b/tests/test_gateway_client_closes.py
@@ -8,6 +8,7 @@
 
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import connection_pool
+from oleanderdrift.gateway import server
 from standins import replica
 from tests import test_gateway_whole as whole
 
@@ -221,3 +222,58 @@
         'born': 1,
     }
     env.store.put('keyed.servers', 'u2', json.dumps(entry).encode())
+
+
+LONG_IDLE_MS: typing.Final = 1_000
+SHORT_IDLE_MS: typing.Final = 100
+
+
+async def limit_idle(
+    env: whole.Environment, version: int, idle_ms: int
+) -> None:
+    """Writes a configuration with an idle limit; waits until it is applied."""
+    env.write_config(Version=version, Limits={'IdleTimeoutMs': idle_ms})
+    ingress = env.gateway.ingress
+    await env.wait_until(
+        lambda: ingress.limits.idle_timeout_s == idle_ms / 1_000
+    )
+
+
+async def read_stream(reader: asyncio.StreamReader) -> bytes:
+    """Returns a whole answer in chunks."""
+    async with asyncio.timeout(END_WITHIN_S):
+        return await reader.readuntil(b'\r\n0\r\n\r\n')
+
+
+def test_idle_limit_that_shrinks_under_an_answer_counts_from_the_next(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its client may be idle for as long as when it sent its request."""
+    monkeypatch.setattr(server, 'CONNECTION_CHECK_INTERVAL_S', 0.01)
+    request = f'POST /a/b HTTP/1.1\r\n{HEADERS}\r\n'.encode()
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            env.replica.behaviours = [
+                replica.Stream(pause_s=0.1),
+                replica.Stream(),
+            ]
+            await whole.make_ready(env)
+            await limit_idle(env, 2, LONG_IDLE_MS)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', env.port
+            )
+            writer.write(request)
+            await env.wait_until(lambda: bool(env.replica.received))
+            await limit_idle(env, 3, SHORT_IDLE_MS)
+            await read_stream(reader)
+            # Four fifths of the limit, as clients keep to.
+            await asyncio.sleep(LONG_IDLE_MS * 0.8 / 1_000)
+            writer.write(request)
+            answer = await read_stream(reader)
+            assert answer.startswith(b'HTTP/1.1 200 ')
+            await asyncio.sleep(4 * SHORT_IDLE_MS / 1_000)
+            assert reader.at_eof()
+            writer.close()
+
+    asyncio.run(play())
