Begin shared work again once it has ended

Nobody has seen it yet: a call for a key whose task had ended in the same turn of the event loop got that task's result, of work that began before the call. A caller that reads until an offset is reached would have asked again without ever giving up its turn. Cause: an ended task left the table by a callback, one turn of the loop later. Now a task that has ended is replaced, and leaves the table only if it is its own place. Evidence: test_work_that_has_just_ended_is_begun_again failed before ([0] for [0, 1]) and passes.

--- a/oleanderdrift/gateway/shared_work.py
+++ b/oleanderdrift/gateway/shared_work.py
@@ -62,15 +62,36 @@
         Raises what the task raises, and ResultError LOG_UNAVAILABLE if too
         many are running.
         """
-        task = self.running.get(key)
-        if task is None:
-            if len(self.running) >= MAX_TASKS:
-                raise errors.ResultError(
-                    codes.LOG_UNAVAILABLE, 'too many reads are under way'
-                )
-            task = self.running[key] = start(work())
-            task.add_done_callback(lambda _: self.running.pop(key, None))
-        return await asyncio.shield(task)
+        return await asyncio.shield(self.ensure(key, work))
+
+    def ensure(
+        self,
+        key: collections.abc.Hashable,
+        work: collections.abc.Callable[
+            [], collections.abc.Coroutine[typing.Any, typing.Any, _T]
+        ],
+    ) -> asyncio.Task[_T]:
+        """Returns a key's task, which is begun unless it is running.
+
+        Raises ResultError LOG_UNAVAILABLE if too many are running.
+        """
+        running = self.running.get(key)
+        if running is not None and not running.done():
+            return running
+        if len(self.running) >= MAX_TASKS:
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE, 'too many reads are under way'
+            )
+        task = self.running[key] = start(work())
+        task.add_done_callback(lambda _: self.forget(key, task))
+        return task
+
+    def forget(
+        self, key: collections.abc.Hashable, task: asyncio.Task[_T]
+    ) -> None:
+        """Forgets a task that has ended, unless another has its place."""
+        if self.running.get(key) is task:
+            del self.running[key]
 
 
 def start(
--- a/tests/test_gateway_turn_search.py
+++ b/tests/test_gateway_turn_search.py
@@ -141,6 +141,28 @@
     virtual_time.run(scenario())
 
 
+def test_work_that_has_just_ended_is_begun_again() -> None:
+    """Guards against a caller that gets what was read before its call."""
+
+    async def scenario() -> list[int]:
+        shared: shared_work.SharedTasks[None] = shared_work.SharedTasks()
+        runs: list[int] = []
+
+        async def work() -> None:
+            runs.append(len(runs))
+
+        first = asyncio.create_task(shared.get('key', work))
+        # Until the work has ended and nobody has been told yet.
+        while not runs:
+            await asyncio.sleep(0)
+        await shared.get('key', work)
+        await first
+        assert not shared.running
+        return runs
+
+    assert virtual_time.run(scenario()) == [0, 1]
+
+
 def test_too_much_shared_work_is_refused() -> None:
     async def scenario() -> None:
         shared: shared_work.SharedTasks[None] = shared_work.SharedTasks()
