Read budgets by tasks that outlast their callers

What callers would see: at an instance that has started beside many budget records and has a slow link, turns with a budget are refused again and again. Cause: a partition was read under a lock inside the request that needed it. Its page of 256 KiB was thrown away with the request's second; partitions side by side shared the link, so that no page ended in time. Now a partition is read by a task of the instance: callers wait for the page that has their record, and the task goes on when they leave. Pages have 64 KiB, less if only some records are left, and share the bytes on their way with reads of turns. The ledger is still the fold of the records in their order; what was read counts as read at the latest time that a caller gave before the page was asked for, so a record is never taken for younger than it is. A turn that is refused while its budget is read gets 503, runs nowhere, and its reservation is settled with 0; these two are guards and were not seen to fail.

--- a/oleanderdrift/gateway/budget_log.py
+++ b/oleanderdrift/gateway/budget_log.py
@@ -10,13 +10,14 @@
 
 import asyncio
 import collections
+import math
 import typing
 
-import attrs
-
 from oleanderdrift import errors
+from oleanderdrift.gateway import budget_reads
 from oleanderdrift.gateway import budgets
 from oleanderdrift.gateway import grants
+from oleanderdrift.gateway import link_share
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import routing
@@ -37,43 +38,31 @@
 # Records are written again once they may have this part of the store's
 # retention, so that one that starts later finds all that was used.
 RENEWAL_FRACTION: typing.Final = 0.4
-# Size of one read: a few thousand records.
-READ_BYTES: typing.Final = 262_144
-
-
-@attrs.define(kw_only=True)
-class Partition:
-    """One partition's ledger, and settlements not yet appended to it.
-
-    pending_since is when the oldest of them was queued.  read_at is when the
-    ledger last had all records of the partition.
-    """
-
-    number: int
-    ledger: budgets.BudgetLedger = attrs.field(factory=budgets.BudgetLedger)
-    pending: list[records.BudgetRecord] = attrs.field(factory=list)
-    read_at: float = float('-inf')
-    pending_since: float = float('inf')
-    read_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
 
 class BudgetLog:
     """The budgets of all programs, computed from the store's records."""
 
     def __init__(
-        self, log: ports.RecordLog, retention_s: float = float('inf')
+        self,
+        log: ports.RecordLog,
+        retention_s: float = math.inf,
+        share: link_share.LinkShare | None = None,
     ) -> None:
         self.log = log
+        share = share or link_share.LinkShare(math.inf)
+        self.reads = budget_reads.BudgetReads(log, share)
         self.renewal_age_s = retention_s * RENEWAL_FRACTION
         self.grants = grants.Grants()
         self.seen: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
         self.partitions = [
-            Partition(number=number) for number in range(log.partitions)
+            budget_reads.Partition(number=number)
+            for number in range(log.partitions)
         ]
 
-    def partition_of(self, program: str) -> Partition:
+    def partition_of(self, program: str) -> budget_reads.Partition:
         """Returns the partition of a program's records."""
         index = routing.hash_of(program) % len(self.partitions)
         return self.partitions[index]
@@ -142,7 +131,7 @@
         self.renew(program, now)
         try:
             end = await self.append(partition, [record], now)
-            await self.read_up_to(partition, end, now)
+            await self.reads.read_up_to(partition, end, now)
             partition.ledger.note_written(program, turn, now)
             # Also what was read just now.
             self.renew(program, now)
@@ -181,7 +170,7 @@
 
     async def append(
         self,
-        partition: Partition,
+        partition: budget_reads.Partition,
         new: list[records.BudgetRecord],
         now: float,
     ) -> int:
@@ -211,27 +200,6 @@
             partition.read_at = now
         return start + len(data)
 
-    async def read_up_to(
-        self, partition: Partition, end: int, now: float
-    ) -> None:
-        """Applies records to the ledger until it reaches an offset."""
-        async with partition.read_lock:
-            while partition.ledger.end < end:
-                found = await self.log.read(
-                    records.BUDGET_TOPIC,
-                    partition.number,
-                    partition.ledger.end,
-                    max_bytes=READ_BYTES,
-                )
-                if found.trimmed:
-                    partition.ledger.end = found.first
-                    continue
-                partition.ledger.apply_records(
-                    found.start, found.records, now, partition.read_at
-                )
-                if partition.ledger.end >= found.end:
-                    partition.read_at = now
-
     async def flush(self, now: float) -> None:
         """Appends settlements that have been queued for SETTLE_DELAY_S.
 
@@ -250,7 +218,7 @@
         )
 
     async def append_settlements(
-        self, partition: Partition, now: float
+        self, partition: budget_reads.Partition, now: float
     ) -> None:
         """Appends a partition's queued settlements, or logs why not."""
         try:
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -43,14 +43,17 @@
         self.board = board
         self.log = log
         self.retrying_log = retrying_log.RetryingLog(log)
-        self.budgets = budget_log.BudgetLog(
-            self.retrying_log, board.settings.turn_retention_s
-        )
         self.turns = turn_log.TurnLog(
             self.retrying_log,
             board.settings.instance,
             board.settings.link_mbps,
         )
+        # Both read over the same link.
+        self.budgets = budget_log.BudgetLog(
+            self.retrying_log,
+            board.settings.turn_retention_s,
+            self.turns.share,
+        )
 
     def max_output_bytes(self) -> int:
         """Returns the size of the longest output that can be stored."""
--- a/tests/test_gateway_kept_turns.py
+++ b/tests/test_gateway_kept_turns.py
@@ -7,9 +7,12 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import budget_log
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
+from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import turn_log
 from oleanderdrift.gateway import turns
 from standins import replica
@@ -157,6 +160,49 @@
     asyncio.run(scenario())
 
 
+def test_turn_whose_budget_is_read_too_late_holds_no_tokens(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(turn_flow, 'PREPARE_TIMEOUT_S', 0.2)
+
+    async def scenario() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route=RETAINED
+        ) as harness:
+            other = budget_log.BudgetLog(harness.log)
+            await other.reserve('p', 'other', 80, 900, 0.0)
+            gate = asyncio.Event()
+            log = harness.forwarder.turns.retrying_log
+            read = log.read
+
+            async def read_late(
+                topic: str, *args: typing.Any, **options: typing.Any
+            ) -> ports.LogRecords:
+                if topic == records.BUDGET_TOPIC:
+                    await gate.wait()
+                return await read(topic, *args, **options)
+
+            monkeypatch.setattr(log, 'read', read_late)
+            turn = {'token_budget': 900, 'max_tokens': 80, 'program_id': 'p'}
+            refused = await harness.send_request(request_id='t1', **turn)
+            assert refused.status == 503
+            assert not harness.replicas[0].received
+            gate.set()
+            served = await harness.send_request(request_id='t2', **turn)
+            assert served.status == 200
+            assert len(harness.replicas[0].received) == 1
+            await harness.forwarder.turns.flush()
+            partition = other.partition_of('p')
+            stored = harness.log.data[records.BUDGET_TOPIC, partition.number]
+            await other.reads.read_up_to(partition, len(stored), 0.0)
+            known = partition.ledger.programs['p']
+            refused_one = known.reservations['t1']
+            assert refused_one.settled
+            assert refused_one.held == 0
+
+    asyncio.run(scenario())
+
+
 def test_turn_that_cannot_be_stored_is_aborted() -> None:
     async def scenario() -> None:
         slow = replica.Stream(pause_s=0.05)
