Ask again for a page of a list that fails, instead of for all of it

What callers would see: an instance that starts, or whose place in a topic was dropped, has no upstreams, peers or origins for longer than the store is at fault, the longer the more pages the list has. Cause: Store.newest read the pages one after the other, and one that failed threw all before it away: n pages, each of which fails with probability p, came with (1 - p)^n. Now a page after the first is asked for up to three times. The list is as exact as before: it is followed from where its first page ended, and counts as read when the call began. A failing first page is told at once. At 195 instances only the upstreams' entries may have two pages, so nobody need have met this.

--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -1,5 +1,6 @@
 """The client of the platform's store, an append-only log over HTTP."""
 
+import asyncio
 import base64
 import collections.abc
 import struct
@@ -35,6 +36,9 @@
 # Prefix of topics that retain the newest record of each key.
 KEYED_PREFIX: typing.Final = 'keyed.'
 BYTES_PER_KB: typing.Final = 1024
+# How often in a row a page after the first is asked for, and how soon again.
+PAGE_TRIES: typing.Final = 3
+PAGE_RETRY_S: typing.Final = 0.1
 # The partition does not end where the append expects.
 CONDITION_FAILED: typing.Final = 412
 _T = typing.TypeVar('_T')
@@ -217,11 +221,7 @@
             'part': 0,
         }
         while True:
-            status, response = await self.call('GET', '/-/log-newest', query)
-            if status == 404:
-                break
-            _check_status(status, '/-/log-newest')
-            page = _decode_json(response, _Newest)
+            page = await self.newest_page(query)
             # Later pages may be newer.  Reading continues from the first
             # page's end, so that no record in between is missed.
             end = page.EndOffset if end is None else end
@@ -242,6 +242,28 @@
             query['after'] = found[-1].key
         return ports.KeyedRecords(records=tuple(records), end=end or 0)
 
+    async def newest_page(self, query: dict[str, str | int]) -> _Newest:
+        """Returns a page of a keyed topic, which may not exist yet.
+
+        The first is not asked for again: nothing is lost with it.
+        """
+        tries = PAGE_TRIES if 'after' in query else 1
+        while True:
+            tries -= 1
+            try:
+                status, response = await self.call(
+                    'GET', '/-/log-newest', query
+                )
+                break
+            except errors.ResultError:
+                if not tries:
+                    raise
+            await asyncio.sleep(PAGE_RETRY_S)
+        if status == 404:
+            return _Newest()
+        _check_status(status, '/-/log-newest')
+        return _decode_json(response, _Newest)
+
     async def read_keyed(
         self, topic: str, start: int, *, wait_s: float
     ) -> ports.KeyedRecords | None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -5,6 +5,7 @@
 import contextlib
 import math
 import time
+import typing
 
 import pytest
 
@@ -87,6 +88,62 @@
     asyncio.run(play())
 
 
+def test_page_that_fails_does_not_lose_those_before_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a list that is begun anew again and again."""
+
+    async def play() -> None:
+        async with running() as (client, _):
+            for key in 'abcdefgh':
+                await client.put('t', key, key.encode())
+            call, calls = client.call, 0
+
+            async def call_store(
+                *args: typing.Any, **options: typing.Any
+            ) -> tuple[int, bytes]:
+                nonlocal calls
+                calls += 1
+                if calls % 2 == 0:
+                    raise errors.ResultError(codes.LOG_UNAVAILABLE, 'busy')
+                return await call(*args, **options)
+
+            monkeypatch.setattr(client, 'call', call_store)
+            result = await client.newest('t')
+            assert [one.key for one in result.records] == list('abcdefgh')
+            assert calls == 7
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize('pages', [0, 1])
+def test_list_is_given_up_when_the_store_stays_away(
+    monkeypatch: pytest.MonkeyPatch, pages: int
+) -> None:
+    async def play() -> int:
+        async with running() as (client, _):
+            for key in 'abcd':
+                await client.put('t', key, key.encode())
+            call, calls = client.call, 0
+
+            async def call_store(
+                *args: typing.Any, **options: typing.Any
+            ) -> tuple[int, bytes]:
+                nonlocal calls
+                calls += 1
+                if calls > pages:
+                    raise errors.ResultError(codes.LOG_UNAVAILABLE, 'away')
+                return await call(*args, **options)
+
+            monkeypatch.setattr(client, 'call', call_store)
+            with pytest.raises(errors.ResultError):
+                await client.newest('t')
+            return calls - pages
+
+    # Nothing is lost with the first page; callers learn at once.
+    assert asyncio.run(play()) == (store.PAGE_TRIES if pages else 1)
+
+
 def test_removed_key_is_read_as_none() -> None:
     async def play() -> None:
         async with running() as (client, _):
