Give long appends the time that their bytes take

What callers would see: behind a slow link, turns with long inputs, and conversations that are written again, are aborted because they could not be stored; their bytes are sent again and again. Cause: the time for which an answer may be silent, 0.4 s at first, began before the request's bytes were sent. 1 MiB takes 0.76 s over 11 Mbit/s. Now it is longer by what an uplink of 500 kB/s takes for the request's body. A short append is given up as soon as before.

--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -30,6 +30,8 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.5
 # The largest answer over the slowest link takes a part of it.
 MAX_ANSWER_S: typing.Final = 8.0
+# What an uplink carries of one request at the least, beside others.
+UPLINK_BYTES_PER_S: typing.Final = 500_000
 _RECORD_LENGTH: typing.Final = struct.Struct('>I')
 _OFFSETS: typing.Final = struct.Struct('>QQ')
 _POOL_KEY: typing.Final = 'store'
@@ -118,8 +120,9 @@
             ) from error
         target = f'{path}?{urllib.parse.urlencode(query)}'
         headers = [('Host', f'{self.host}:{self.port}')]
+        silent_s = wait_s + len(body) / UPLINK_BYTES_PER_S + self.timeout_s()
         try:
-            async with time_limits.within(wait_s + self.timeout_s()):
+            async with time_limits.within(silent_s):
                 await connection.send(method, target, headers, body)
                 head = await connection.read_head(time.monotonic())
             elapsed_s = time.monotonic() - now
--- a/tests/test_platform_store_slow_links.py
+++ b/tests/test_platform_store_slow_links.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import re
 import struct
 import typing
 
@@ -13,6 +14,9 @@
 from oleanderdrift.platform import store
 
 RECORD: typing.Final = bytes(60_000)
+LENGTH: typing.Final = re.compile(rb'(?i)content-length: (\d+)')
+# 11 Mbit/s.
+LINK_BYTES_PER_S: typing.Final = 1_375_000
 TICK_S: typing.Final = 0.1
 # More than the time for which the store may be silent.
 TICKS: typing.Final = 10
@@ -57,6 +61,48 @@
     server.close()
 
 
+@contextlib.asynccontextmanager
+async def behind_slow_uplink() -> collections.abc.AsyncIterator[store.Store]:
+    """Runs a store that gets appends at LINK_BYTES_PER_S; yields a client."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                found = LENGTH.search(head)
+                assert found is not None
+                size = int(found[1])
+                await reader.readexactly(size)
+                await asyncio.sleep(size / LINK_BYTES_PER_S)
+                body = b'{"Offset": 3, "EndOffset": 9}'
+                lines = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}'
+                writer.write(lines.encode() + b'\r\n\r\n' + body)
+        except asyncio.IncompleteReadError:
+            pass
+        finally:
+            writer.transport.abort()
+
+    server = await asyncio.start_server(serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    client = store.Store(f'127.0.0.1:{port}', 4, len(RECORD))
+    yield client
+    client.pool.close()
+    server.close()
+
+
+def test_long_append_over_a_slow_link_is_confirmed() -> None:
+    """Guards against appends that are given up while they are sent."""
+
+    async def scenario() -> None:
+        async with behind_slow_uplink() as client:
+            assert await client.append('t', 0, [RECORD] * 18) == 3
+            assert client.failures == 0
+
+    asyncio.run(scenario())
+
+
 def test_answer_that_goes_on_arriving_is_read_whole() -> None:
     """Guards against pages that are thrown away again and again."""
 
