Read the origins of streams in pages that leave room on the link

What callers would see: when a stream is continued at an instance that has just started, appends, polls of the configuration and answers of upstreams wait behind megabytes on a slow link. Cause: both partitions were read side by side in pages of 1 MiB, outside the bytes that long reads may have on their way. Now a page has 64 KiB and waits for its place among the other long reads. Evidence: test_streams_leave_room_on_the_link_while_they_are_read failed before (2 MiB asked for at once, 137,500 bytes allowed) and passes. The reads themselves outlasted their callers and kept their progress before.

--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -40,7 +40,7 @@
         self.codec = codec
         self.turns = turn_flow.TurnFlow(board, log)
         self.origins = origin_log.OriginLog(
-            board, log, self.turns.retrying_log, event_log
+            board, log, self.turns.retrying_log, self.turns.share, event_log
         )
         self.attempts = attempts.Attempts(
             board, codec, self.turns, self.origins, event_log
--- a/oleanderdrift/gateway/origin_log.py
+++ b/oleanderdrift/gateway/origin_log.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import link_share
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
@@ -30,6 +31,8 @@
 # Streams are recorded in these partitions of their topic.  All are read to
 # find one, so they are as few as leave one when the other fails.
 PARTITIONS: typing.Final = (0, 1)
+# A page takes a slow link for some 50 ms; other answers wait behind it.
+PAGE_BYTES: typing.Final = 65_536
 # The smallest read: it shows where a partition ends.
 PEEK_BYTES: typing.Final = 1_024
 # Streams in one record, so that it stays far below the store's limit.
@@ -66,12 +69,14 @@
         board: board_lib.Board,
         log: ports.Log,
         appends: retrying_log.RetryingLog,
+        share: link_share.LinkShare,
         events: event_log.EventLog,
     ) -> None:
         self.board = board
         self.origins = board.origins
         self.log = log
         self.appends = appends
+        self.share = share
         self.events = events
         self.found: collections.OrderedDict[StreamKey, Origin] = (
             collections.OrderedDict()
@@ -249,23 +254,14 @@
     async def read_partition(self, partition: int) -> None:
         """Reads the rest of one partition."""
         if partition not in self.ends:
-            read = await self.appends.read(
-                records.STREAM_TOPIC, partition, 0, max_bytes=PEEK_BYTES
-            )
+            read = await self.read_page(partition, 0, PEEK_BYTES)
             if read.trimmed:
-                read = await self.appends.read(
-                    records.STREAM_TOPIC,
-                    partition,
-                    read.first,
-                    max_bytes=PEEK_BYTES,
-                )
+                read = await self.read_page(partition, read.first, PEEK_BYTES)
             self.ends[partition] = max(
                 read.first, read.end - self.max_read_records()
             )
         while True:
-            read = await self.appends.read(
-                records.STREAM_TOPIC, partition, self.ends[partition]
-            )
+            read = await self.read_page(partition, self.ends[partition])
             if read.trimmed:
                 self.ends[partition] = read.first
                 continue
@@ -274,6 +270,15 @@
             if self.ends[partition] >= read.end or not read.records:
                 return
 
+    async def read_page(
+        self, partition: int, start: int, max_bytes: int = PAGE_BYTES
+    ) -> ports.LogRecords:
+        """Reads records from an offset on."""
+        async with self.share.take(max_bytes):
+            return await self.appends.read(
+                records.STREAM_TOPIC, partition, start, max_bytes=max_bytes
+            )
+
     def apply(self, found: collections.abc.Iterable[bytes]) -> None:
         """Applies records of streams; skips what cannot be decoded."""
         for data in found:
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -48,11 +48,12 @@
             board.settings.instance,
             board.settings.link_mbps,
         )
-        # Both read over the same link.
+        # All long reads come over one link.
+        self.share = self.turns.share
         self.budgets = budget_log.BudgetLog(
             self.retrying_log,
             board.settings.turn_retention_s,
-            self.turns.share,
+            self.share,
         )
 
     def max_output_bytes(self) -> int:
