Ask for whole pages of budgets, and count what is likely to come

A page of 1 KiB was asked for when a few records were left; a store that sends no record that is longer than the page would never have sent one with a long program id. Found by reading; no test stand-in sends less than one record. A page of 64 KiB is asked for as for turns, and only the share of the link counts the likely size.

--- a/oleanderdrift/gateway/budget_reads.py
+++ b/oleanderdrift/gateway/budget_reads.py
@@ -16,9 +16,7 @@
 
 # A page takes a slow link for some 50 ms; other answers wait behind it.
 PAGE_BYTES: typing.Final = 65_536
-# Less is asked for if only some records are left, for which others need not
-# wait.  The smallest read of the store, and more than a record has.
-MIN_PAGE_BYTES: typing.Final = 1_024
+# Others need not wait for a whole page if only some records are left.
 LIKELY_RECORD_BYTES: typing.Final = 256
 
 
@@ -44,10 +42,10 @@
         self.wanted = max(self.wanted, end)
         self.asked_at = max(self.asked_at, now)
 
-    def page_bytes(self) -> int:
-        """Returns how much to ask for next."""
-        left = self.wanted - self.ledger.end
-        return min(max(left * LIKELY_RECORD_BYTES, MIN_PAGE_BYTES), PAGE_BYTES)
+    def likely_bytes(self) -> int:
+        """Returns how much the next page is likely to bring."""
+        left = max(self.wanted - self.ledger.end, 1)
+        return min(left * LIKELY_RECORD_BYTES, PAGE_BYTES)
 
     def apply(self, found: ports.LogRecords, asked_at: float) -> None:
         """Applies what was read after a time to the ledger."""
@@ -107,13 +105,12 @@
 
     async def read_page(self, partition: Partition) -> None:
         """Reads a page into the ledger."""
-        size = partition.page_bytes()
-        async with self.share.take(size):
+        async with self.share.take(partition.likely_bytes()):
             asked_at = partition.asked_at
             found = await self.log.read(
                 records.BUDGET_TOPIC,
                 partition.number,
                 partition.ledger.end,
-                max_bytes=size,
+                max_bytes=PAGE_BYTES,
             )
         partition.apply(found, asked_at)
