Append inputs in batches that the store takes in one call

What callers would see: turns are aborted because their inputs could not be stored, all at once, when several long ones wait together, as after an outage or behind a slow link, when conversations are written again. Cause: all inputs that waited were appended in one call, however many bytes they had; a call over the store's limit is refused, for all of them. Now a batch ends at 512 KiB; a single input may have more. Evidence: test_inputs_that_wait_together_are_within_a_call failed before (4.8 MB in one call, 2 MiB allowed) and passes.

--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -29,6 +29,9 @@
 
 # Space reserved in a record for everything but its data.
 RECORD_MARGIN_BYTES: typing.Final = 1_024
+# The store takes some MiB in one call, and the turns of a batch wait for all
+# of it.  A single input may have more.
+BATCH_BYTES: typing.Final = 524_288
 # Callers build no chain of turns this long; a longer one is taken to be a
 # loop and cut off here.
 MAX_CHAIN: typing.Final = 1_000
@@ -45,6 +48,10 @@
     chunks: list[bytes]
     location: asyncio.Future[records.InputLocation]
 
+    def size(self) -> int:
+        """Returns its length in bytes."""
+        return sum(map(len, self.chunks))
+
 
 class TurnLog:
     """The turns of all conversations, read from and written to the store.
@@ -96,7 +103,7 @@
     async def append_pending_inputs(self) -> None:
         """Appends inputs in batches until none is pending."""
         while self.pending_inputs:
-            batch, self.pending_inputs = self.pending_inputs, []
+            batch = self.take_batch()
             chunks = [chunk for one in batch for chunk in one.chunks]
             try:
                 partition, start = await self.log.append_with_failover(
@@ -118,12 +125,24 @@
                     part=partition,
                     offset=start,
                     count=len(one.chunks),
-                    size=sum(len(chunk) for chunk in one.chunks),
+                    size=one.size(),
                 )
                 start += len(one.chunks)
                 if not one.location.done():
                     one.location.set_result(location)
 
+    def take_batch(self) -> list[_PendingInput]:
+        """Takes the oldest pending inputs that make one call."""
+        size = count = 0
+        for one in self.pending_inputs:
+            size += one.size()
+            if count and size > BATCH_BYTES:
+                break
+            count += 1
+        batch = self.pending_inputs[:count]
+        self.pending_inputs = self.pending_inputs[count:]
+        return batch
+
     async def store_turn(
         self,
         turn: turns.Turn,
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -1,6 +1,8 @@
 """Stored turns: any instance can continue a conversation."""
 
 import asyncio
+import collections.abc
+import typing
 
 import pytest
 
@@ -12,6 +14,9 @@
 from oleanderdrift.gateway import turns
 from tests import gateway_support
 
+# What the store takes in one call.
+CALL_BYTES: typing.Final = 2_097_152
+
 
 async def store(
     log: turn_log.TurnLog, name: str, previous: str | None, account: str
@@ -90,6 +95,36 @@
     assert asyncio.run(scenario()).size == len(b'second')
 
 
+class LimitedLog(gateway_support.MemoryLog):
+    """A log that takes a limited number of bytes in one call."""
+
+    async def append(
+        self,
+        topic: str,
+        partition: int,
+        records: collections.abc.Sequence[bytes],
+    ) -> int:
+        """Appends all records if they are within the limit."""
+        if sum(map(len, records)) > CALL_BYTES:
+            raise errors.ResultError(codes.APPEND_UNCONFIRMED, 'too much')
+        return await super().append(topic, partition, records)
+
+
+def test_inputs_that_wait_together_are_within_a_call() -> None:
+    """Guards against turns that fail because others wait as well."""
+
+    async def scenario() -> None:
+        memory = LimitedLog(record_bytes=262_144)
+        log = make_turn_log(memory, 'north-1')
+        sizes = [900_000, 10, 900_000, 900_000, CALL_BYTES]
+        places = await asyncio.gather(
+            *(log.append_input(bytes(size)) for size in sizes)
+        )
+        assert [place.size for place in places] == sizes
+
+    asyncio.run(scenario())
+
+
 def test_inputs_behind_an_unforeseen_failure_are_stored(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
