--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -43,14 +43,18 @@
         self.board = board
         self.log = log
         self.retrying_log = retrying_log.RetryingLog(log)
-        self.budgets = budget_log.BudgetLog(
-            self.retrying_log, board.settings.turn_retention_s
-        )
         self.turns = turn_log.TurnLog(
             self.retrying_log,
             board.settings.instance,
             board.settings.link_mbps,
         )
+        # All long reads come over one link.
+        self.share = self.turns.share
+        self.budgets = budget_log.BudgetLog(
+            self.retrying_log,
+            board.settings.turn_retention_s,
+            self.share,
+        )
 
     def max_output_bytes(self) -> int:
         """Returns the size of the longest output that can be stored."""
