Take no path for lost while the own link is full of other bytes

Cause: the times to connect, 0.25 s, and to open a tunnel, 0.2 s, counted as silence of the far end also while its answer waited behind other bytes of this instance. Now the instance counts the bytes that arrive on its connections to upstreams and the store and on tunnels, and the time that its link (LinkMbps) took for them does not count against a connection or a tunnel that is being opened, 0.4 s at the most: a lost path is gone round in 1.75 s, before the 2 s after which clients abandon a stream. A path that is cut beside a full link is still found.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -46,7 +46,7 @@
         self.codec = codec
         self.turns = turns
         self.events = event_log
-        self.pool = connection_pool.Pool()
+        self.pool = connection_pool.Pool(link=board.link)
         self.connections = upstream_connections.UpstreamConnections(
             board, self.pool, event_log, random.Random()
         )
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import freshness as freshness_lib
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import stream_origins
@@ -36,7 +37,8 @@
     origins has the software versions that began the streams of this instance.
     tunnel_peers are those that may carry connections to upstreams, and
     lost_paths holds the upstreams that this instance cannot reach directly.
-    held counts the bytes of others that are in memory.
+    held counts the bytes of others that are in memory, and link those that
+    lately came over the link of this instance.
     exchanged_at is when states were last exchanged with peers, on the clock
     that also advances while the machine is suspended.
     """
@@ -83,6 +85,12 @@
             takes_self=True,
         )
     )
+    link: own_link.OwnLink = attrs.field(
+        default=attrs.Factory(
+            lambda self: own_link.OwnLink(mbps=self.settings.link_mbps),
+            takes_self=True,
+        )
+    )
     lost_paths: dict[str, upstreams_lib.Upstream] = attrs.field(factory=dict)
     stopping: bool = False
     stop_deadline: float = float('inf')
--- a/oleanderdrift/gateway/buffering.py
+++ b/oleanderdrift/gateway/buffering.py
@@ -11,6 +11,7 @@
 
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import held_bytes
+from oleanderdrift.gateway import own_link
 
 # A connection with more unread bytes is not read until its reader catches up.
 MAX_BUFFERED: typing.Final = 32_768
@@ -42,7 +43,8 @@
     to no request and close the connection.  is_leaving says that the peer
     takes no more requests on it.  received_at is when bytes last arrived.
     in_use counts the bytes that its reader took last.  holder counts the bytes
-    of an answer, unread ones and those that its reader keeps.
+    of an answer, unread ones and those that its reader keeps.  link counts
+    all that comes over the link of this instance.
     """
 
     def __init__(self) -> None:
@@ -57,6 +59,7 @@
         self.transport: asyncio.Transport | None = None
         self.in_use = 0
         self.holder: held_bytes.Holder | None = None
+        self.link: own_link.OwnLink | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport."""
@@ -68,6 +71,8 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Takes the next bytes."""
+        if self.link is not None:
+            self.link.note(nbytes, clock.monotonic())
         self.data_received(bytes(_READ_BUFFER[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -6,6 +6,7 @@
 import attrs
 
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import own_link
 
 Connect: typing.TypeAlias = collections.abc.Callable[
     [str, int, float], collections.abc.Awaitable[channel.Channel]
@@ -17,6 +18,7 @@
     """Idle connections by a key that identifies one incarnation of a peer.
 
     connect opens a connection to a host and port, within a time in seconds.
+    link counts what comes on the connections.
     """
 
     connect: Connect = channel.connect
@@ -24,6 +26,7 @@
         factory=dict
     )
     opened: int = 0
+    link: own_link.OwnLink | None = None
 
     async def acquire(
         self,
@@ -56,7 +59,9 @@
     ) -> channel.Channel:
         """Opens a connection; raises OSError or TimeoutError."""
         self.opened += 1
-        return await self.connect(host, port, timeout_s)
+        connection = await self.connect(host, port, timeout_s)
+        connection.protocol.link = self.link
+        return connection
 
     def has_idle(self, key: collections.abc.Hashable, now: float) -> bool:
         """Returns whether a connection is open and waits for a request."""
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -20,6 +20,7 @@
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import gossip
 from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import peer_sockets
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import reachability
@@ -235,6 +236,7 @@
             return
         if settings != self.board.settings:
             self.board.settings = settings
+            self.board.link.mbps = settings.link_mbps
             logs.info('reload', instance=settings.instance)
 
     async def drain(self) -> None:
@@ -290,14 +292,20 @@
     codec: ports.Codec,
     log: ports.Log,
     ready_path: str,
+    link: own_link.OwnLink | None = None,
 ) -> Gateway:
-    """Returns a gateway instance that is not listening yet."""
+    """Returns a gateway instance that is not listening yet.
+
+    link counts what comes over the instance's link; that of the log as well,
+    if it was given the same.
+    """
     board = board_lib.Board(
         settings=settings,
         rate_limiter=allotments.RateLimiter(started=clock.monotonic()),
         reachability=reachability.Reachability(
             data_centre=settings.data_centre
         ),
+        link=link or own_link.OwnLink(mbps=settings.link_mbps),
     )
     events = event_log.EventLog()
     fleet = directory.Directory(board, log, events)
--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -13,6 +13,7 @@
 
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import time_limits
@@ -138,6 +139,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes bytes on to the upstream, or reads the Open."""
+        self.server.board.link.note(nbytes, clock.monotonic())
         data = bytes(self.server.buffer[:nbytes])
         if self.upstream_side is not None:
             self.upstream_side.write(data)
@@ -268,7 +270,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes bytes on to the peer."""
-        data = bytes(self.peer_side.server.buffer[:nbytes])
+        server = self.peer_side.server
+        server.board.link.note(nbytes, clock.monotonic())
+        data = bytes(server.buffer[:nbytes])
         self.peer_side.write(tunnel_wire.Data(data=data))
 
     def write(self, data: bytes) -> None:
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -19,7 +19,9 @@
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import relays
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_client
 from oleanderdrift.gateway import tunnel_peers
 from oleanderdrift.gateway import upstream_paths
@@ -136,10 +138,14 @@
         """Opens a direct connection; raises OSError or TimeoutError."""
         entry = upstream.entry
         started = clock.monotonic()
+        held = self.board.link.held_s
         try:
-            connection = await self.pool.open(
-                entry.host, entry.port, CONNECT_TIMEOUT_S
-            )
+            async with time_limits.within(CONNECT_TIMEOUT_S, held):
+                connection = await self.pool.open(
+                    entry.host,
+                    entry.port,
+                    CONNECT_TIMEOUT_S + own_link.MAX_HELD_S,
+                )
         except TimeoutError:
             self.note_timed_out(upstream, started)
             raise
@@ -214,13 +220,17 @@
     ) -> channel.Channel | None:
         """Asks a peer for a tunnel to an upstream; None if it fails."""
         self.tunnels_opened += 1
+        held = self.board.link.held_s
         try:
-            return await self.open_tunnel(
-                peer.tunnel_address,
-                upstream.entry,
-                TUNNEL_TIMEOUT_S,
-                peer.name,
-            )
+            async with time_limits.within(TUNNEL_TIMEOUT_S, held):
+                found = await self.open_tunnel(
+                    peer.tunnel_address,
+                    upstream.entry,
+                    TUNNEL_TIMEOUT_S + own_link.MAX_HELD_S,
+                    peer.name,
+                )
+            found.protocol.link = self.board.link
+            return found
         except tunnel_client.UpstreamRefusedError:
             failure = tunnel_peers.TunnelFailure.REFUSED
         except tunnel_client.PeerUnavailableError:
--- a/oleanderdrift/platform/run.py
+++ b/oleanderdrift/platform/run.py
@@ -5,6 +5,7 @@
 import typing
 
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import server
 from oleanderdrift.gateway import settings as gateway_settings
 from oleanderdrift.platform import codec
@@ -25,6 +26,7 @@
 async def _serve(
     settings: gateway_settings.GatewaySettings, path: pathlib.Path
 ) -> None:
+    link = own_link.OwnLink(mbps=settings.link_mbps)
     gateway = server.build(
         settings,
         lambda: settings_lib.load(path),
@@ -33,7 +35,9 @@
             settings.store,
             settings.store_partitions,
             settings.store_record_bytes,
+            link,
         ),
         READY_PATH,
+        link,
     )
     await gateway.run()
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import buffering
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import connection_pool
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import time_limits
 from oleanderdrift import logs
@@ -73,14 +74,18 @@
     """
 
     def __init__(
-        self, address: str, partitions: int, record_bytes: int
+        self,
+        address: str,
+        partitions: int,
+        record_bytes: int,
+        link: own_link.OwnLink | None = None,
     ) -> None:
         host, _, port = address.rpartition(':')
         self.host = host
         self.port = int(port)
         self.partitions = partitions
         self.record_bytes = record_bytes
-        self.pool = connection_pool.Pool()
+        self.pool = connection_pool.Pool(link=link)
         self.calls = 0
         self.failures = 0
         self.average_s = 0.01
