Take no report for missing while the own link is full

What callers saw: a resumable stream that needs a new connection was answered 503 by an instance with a full link, though its upstreams were sound. Cause: the upstream's report, which says which start it is, had 0.25 s, of which the own link took most for other bytes; each upstream was left out for it. Now that time does not count, as with connections. Evidence: the row `resumable` of test_full_link_is_not_taken_for_lost_paths_and_silent_peers failed before (503 three times) and passes.

--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -243,8 +243,10 @@
     """
     if connection.is_verified:
         return True
+    link = connection.protocol.link
+    held = link.held_s if link is not None else time_limits.nothing_held
     try:
-        async with time_limits.within(REPORT_TIMEOUT_S):
+        async with time_limits.within(REPORT_TIMEOUT_S, held):
             body = await _read_report(connection, codec, entry)
         born_ms = codec.decode_report(body)
         connection.is_verified = born_ms in (None, entry.born_ms)
--- a/tests/test_gateway_full_links.py
+++ b/tests/test_gateway_full_links.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from oleanderdrift.gateway import model
 from standins import replica
+from tests import gateway_fleet
+from tests import gateway_support
 from tests import path_fleet
 from tests import shared_link
 from tests import tunnel_support
@@ -18,6 +21,7 @@
 # Clients abandon a stream after a longer gap.
 CLIENTS_WAIT_S: typing.Final = 2.0
 DONE: typing.Final = replica.CompleteResponse()
+RESUMABLE: typing.Final = gateway_support.route(resumable=True, attempts=2)
 
 
 def record_events(
@@ -30,13 +34,22 @@
     return events
 
 
+@pytest.mark.parametrize(
+    ('route', 'behaviour'),
+    [(gateway_fleet.CALLS, DONE), (RESUMABLE, replica.Stream())],
+    ids=['call', 'resumable'],
+)
 def test_full_link_is_not_taken_for_lost_paths_and_silent_peers(
+    route: model.Route,
+    behaviour: replica.Behaviour,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against sound paths given up for bytes that come late."""
 
     async def scenario() -> None:
-        async with path_fleet.run_paths(DONE, DONE) as paths:
+        async with path_fleet.run_paths(
+            behaviour, behaviour, route=route
+        ) as paths:
             shared, _ = await shared_link.slow_down(paths, MBPS)
             events = record_events(paths, monkeypatch)
             async with shared_link.fill(paths, shared, CONNECTIONS):
