Blame no upstream for a peer's full link when a tunnel is asked for

What callers would see: requests under way on sound tunnels through a peer are ended, once that peer has not connected to their upstream in time for another tunnel. Cause: a peer whose own link is full answered that the upstream cannot be reached, and an instance takes open tunnels to it for hanging then. Evidence: test_upstream_is_unreachable_for_a_peer_whose_link_is_full failed before (Unreachable) and passes.

--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -23,6 +23,8 @@
 OPEN_TIMEOUT_S: typing.Final = 1.0
 # The peer waits for the answer little longer than for a connection.
 CONNECT_TIMEOUT_S: typing.Final = 0.15
+# A connection is no evidence if the own link was full for a part of it.
+HELD_S: typing.Final = 0.05
 # Each takes two file descriptors, and at most about 0.2 MB of buffers.
 MAX_TUNNELS: typing.Final = 256
 # More connections are closed unread.
@@ -197,6 +199,7 @@
         if entry is None:
             return tunnel_wire.Unavailable(reason='not known')
         loop = asyncio.get_running_loop()
+        began = clock.monotonic()
         try:
             async with time_limits.within(CONNECT_TIMEOUT_S):
                 _, self.upstream_side = await loop.create_connection(
@@ -205,6 +208,10 @@
         except ConnectionRefusedError:
             return tunnel_wire.Refused()
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            link = self.server.board.link
+            if link.held_s(began, clock.monotonic()) > HELD_S:
+                # The upstream may be sound, and open tunnels to it as well.
+                return tunnel_wire.Unavailable(reason='its own link is full')
             return tunnel_wire.Unreachable(reason=repr(error))
         return tunnel_wire.Opened()
 
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -329,6 +329,34 @@
     run(scenario)
 
 
+def test_upstream_is_unreachable_for_a_peer_whose_link_is_full(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against sound tunnels given up for one late connection."""
+
+    async def scenario(carrier: tunnel_support.Carrier) -> None:
+        carrier.board.link.mbps = 8.0
+
+        async def fill() -> None:
+            while True:
+                carrier.board.link.note(10_000, clock.monotonic())
+                await asyncio.sleep(0.01)
+
+        filling = asyncio.create_task(fill())
+        host, port = carrier.server.listeners[0].getsockname()
+        reader, writer = await asyncio.open_connection(host, port)
+        loop = asyncio.get_running_loop()
+        monkeypatch.setattr(loop, 'create_connection', hang)
+        message = tunnel_wire.Open(incarnation=carrier.entry.incarnation())
+        writer.write(tunnel_wire.encode(message))
+        (found,) = tunnel_wire.message_reader().feed(await reader.read())
+        filling.cancel()
+        assert isinstance(found, tunnel_wire.Unavailable)
+        writer.close()
+
+    run(scenario)
+
+
 def test_too_many_tunnels_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(tunnel_server, 'MAX_TUNNELS', 2)
 
