Take no peers or data centres for silent while the own link is full

What callers would see: an instance with a full link ends requests on sound tunnels, ejects upstreams of other data centres after 0.4 s and takes itself for cut off, so that it is not ready. Cause: peers' states wait behind other bytes on the link, and 0.45 s (data centres) or 0.6 s (tunnels) without them counted as the peers' silence.

--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -147,16 +147,24 @@
             self.upstream_limits.restart()
             self.exchanged_at = boot_now
 
+    def judged_at(self, now: float) -> float:
+        """Returns until when the silence of peers counts.
+
+        Their states wait behind all that comes over a full link.
+        """
+        return now - self.link.held_s(now - reachability_lib.SILENT_S, now)
+
     def unreachable_data_centres(self, now: float) -> frozenset[str]:
         """Returns the data centres that are silent in every way.
 
         Where only the instances are silent or slow to report, the upstreams
         go on, and so does their work.
         """
-        silent = self.reachability.silent_data_centres(now)
+        judged_at = self.judged_at(now)
+        silent = self.reachability.silent_data_centres(judged_at)
         if not silent:
             return silent
-        since = now - reachability_lib.SILENT_S
+        since = judged_at - reachability_lib.SILENT_S
         return silent - self.upstreams.data_centres_heard(since)
 
     def is_ready(self, now: float, boot_now: float) -> bool:
@@ -166,5 +174,5 @@
             and self.upstreams_known
             and not self.stopping
             and self.freshness.is_ready(boot_now)
-            and not self.reachability.is_isolated(now)
+            and not self.reachability.is_isolated(self.judged_at(now))
         )
--- a/oleanderdrift/gateway/path_monitor.py
+++ b/oleanderdrift/gateway/path_monitor.py
@@ -9,6 +9,7 @@
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import relays
 from oleanderdrift.gateway import time_limits
+from oleanderdrift.gateway import tunnel_peers
 from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstream_paths
 from oleanderdrift.gateway import upstreams as upstreams_lib
@@ -110,8 +111,9 @@
     ) -> bool:
         """Returns whether nothing can come on a silent connection."""
         if connection.via:
+            held_s = self.board.link.held_s(now - tunnel_peers.HEARD_S, now)
             return self.connections.peers.hangs(
-                connection.via, upstream.entry.upstream_id, now
+                connection.via, upstream.entry.upstream_id, now, held_s
             )
         return upstream.path.loss is upstream_paths.Loss.TIMED_OUT
 
--- a/oleanderdrift/gateway/tunnel_peers.py
+++ b/oleanderdrift/gateway/tunnel_peers.py
@@ -73,14 +73,15 @@
             and self.recent_failure(upstream_id, now) is None
         )
 
-    def hangs(self, upstream_id: str, now: float) -> bool:
+    def hangs(self, upstream_id: str, now: float, held_s: float) -> bool:
         """Returns whether its tunnels to an upstream carry nothing now.
 
-        Those to an upstream that refuses new connections may live on.
+        Those to an upstream that refuses new connections may live on.  held_s
+        does not count as silence.
         """
         failure = self.recent_failure(upstream_id, now)
         return (
-            now - self.heard_at >= HEARD_S
+            now - self.heard_at - held_s >= HEARD_S
             or now < self.avoided_until
             or self.reaches_few
             or upstream_id in self.unreachable
@@ -165,13 +166,16 @@
         )
         found.doubted_until = now + DOUBT_S
 
-    def hangs(self, name: str, upstream_id: str, now: float) -> bool:
+    def hangs(
+        self, name: str, upstream_id: str, now: float, held_s: float = 0.0
+    ) -> bool:
         """Returns whether a peer's tunnels carry nothing now.
 
-        Those of a peer that is leaving go on to their end.
+        Those of a peer that is leaving go on to their end.  held_s is how
+        long the own link has held up the states of peers.
         """
         found = self.by_name.get(name)
-        return found is not None and found.hangs(upstream_id, now)
+        return found is not None and found.hangs(upstream_id, now, held_s)
 
     def recent_failures(
         self, upstream_id: str, now: float
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -174,6 +174,29 @@
     assert reach.silent_data_centres(10.0) == silent
 
 
+@pytest.mark.parametrize(
+    ('is_full', 'silent_s', 'unreachable'),
+    [(False, 0.6, True), (True, 0.6, False), (True, 0.9, True)],
+)
+def test_data_centre_is_given_up_for_reports_that_a_full_link_holds_up(
+    is_full: bool, silent_s: float, unreachable: bool
+) -> None:
+    """Guards against data centres taken for cut off by one's own link."""
+    board = gateway_support.board(now=10.0)
+    board.link.mbps = 8.0
+    for number in range(100):
+        board.link.note(10_000 if is_full else 0, 9.0 + number / 100)
+    for name, at in (
+        ('north', 9.9),
+        ('south', 10.0 - silent_s),
+        ('east', 10.0 - silent_s),
+    ):
+        board.reachability.note_report(name, report_of(name, at))
+    silent = {'south', 'east'} if unreachable else set()
+    assert board.unreachable_data_centres(10.0) == silent
+    assert board.is_ready(10.0, 10.0) is not unreachable
+
+
 @pytest.mark.parametrize(
     ('south', 'east', 'isolated'),
     [(9.9, 9.9, False), (9.4, 9.9, False), (9.4, 9.4, True)],
--- a/tests/test_gateway_path_decisions.py
+++ b/tests/test_gateway_path_decisions.py
@@ -226,3 +226,16 @@
     )
     assert set(counts) == {'south-6', 'south-7', 'south-8'}
     assert min(counts.values()) > 60
+
+
+@pytest.mark.parametrize(
+    ('silent_s', 'held_s', 'expected'),
+    [(0.7, 0.0, True), (0.7, 0.2, False), (0.9, 0.2, True)],
+)
+def test_tunnels_are_given_up_for_states_that_a_full_link_holds_up(
+    silent_s: float, held_s: float, expected: bool
+) -> None:
+    """Guards against peers taken for silent for states that come late."""
+    peers = peers_of('south-1')
+    now = 10.0 + silent_s
+    assert peers.hangs('south-1', 'u1', now, held_s) is expected
