Eject no upstream for what a full link of one's own holds up

What callers would see: requests are kept from sound engines that other instances reach, as one instance's link was full for a while. Cause: 0.9 s without a byte of an engine's answers counted as its silence, whatever came over the link meanwhile. Its requests are ended as soon as before: their clients leave by then. Evidence: test_upstream_is_ejected_for_a_full_link passes; the decision could not be asked with such a time before.

--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -27,6 +27,7 @@
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_server
+from oleanderdrift.gateway import upstreams
 from oleanderdrift import logs
 from oleanderdrift import metrics
 
@@ -198,9 +199,11 @@
             if silent != self.board.silent_data_centres:
                 logs.info('data-centres-silent', names=','.join(silent))
                 self.board.silent_data_centres = silent
+            since = now - upstreams.ENGINE_SILENCE_S
+            held_s = self.board.link.held_s(since, now)
             for upstream in self.board.upstreams.by_id.values():
                 away = upstream.entry.data_centre in silent
-                for connection in upstream.eject_if_silent(now, away):
+                for connection in upstream.eject_if_silent(now, away, held_s):
                     connection.close()
 
     async def run(self) -> None:
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -171,12 +171,14 @@
         self.ejected_until = now + pause_s
 
     def eject_if_silent(
-        self, now: float, unreachable: bool
+        self, now: float, unreachable: bool, held_s: float = 0.0
     ) -> list[channel.Channel]:
         """Ejects it if it is silent; returns the connections to abort.
 
         unreachable says that its data centre cannot be reached.  One whose
-        slots are all taken has to end other requests first.
+        slots are all taken has to end other requests first.  held_s of its
+        silence are due to the own link: it is not to blame for them, but its
+        requests do not wait longer.
         """
         eject_s = self.silence_timeout_s + self.queue_s(now)
         abort_s = eject_s + ABORT_DELAY_S
@@ -189,7 +191,7 @@
         }
         # A peer that reaches it shows that its lost path is not its fault.
         is_to_blame = any(
-            each > eject_s and (one.via or not self.path.confirmed)
+            each > eject_s + held_s and (one.via or not self.path.confirmed)
             for one, each in silent_s.items()
         )
         if is_to_blame and not self.is_ejected(now):
--- a/tests/test_gateway_path_decisions.py
+++ b/tests/test_gateway_path_decisions.py
@@ -228,6 +228,23 @@
     assert min(counts.values()) > 60
 
 
+@pytest.mark.parametrize(
+    ('silent_s', 'held_s', 'expected'),
+    [(1.0, 0.0, True), (1.0, 0.2, False), (1.2, 0.2, True)],
+)
+def test_upstream_is_ejected_for_a_full_link(
+    silent_s: float, held_s: float, expected: bool
+) -> None:
+    """Guards against sound upstreams blamed for bytes that come late."""
+    engine = gateway_support.upstream()
+    engine.silence_timeout_s = upstreams.ENGINE_SILENCE_S
+    connection = channel.Channel(buffering.BufferingProtocol(), '')
+    engine.abortable[connection] = 10.0
+    now = 10.0 + silent_s
+    assert engine.eject_if_silent(now, False, held_s) == []
+    assert engine.is_ejected(now) is expected
+
+
 @pytest.mark.parametrize(
     ('silent_s', 'held_s', 'expected'),
     [(0.7, 0.0, True), (0.7, 0.2, False), (0.9, 0.2, True)],
