Count requests and peers' states among what comes over the own link

What fills a link need not come from upstreams, the store or tunnels: bodies of requests and, in large fleets, the states of peers take a part of it. Evidence: test_states_of_peers_come_over_the_link and test_bodies_of_requests_come_over_the_link failed before and pass.

--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -274,6 +274,7 @@
                 data = self.sockets.receive(topic)
                 if data is None:
                     break
+                self.board.link.note(len(data), now)
                 self.receive(topic, data, now)
 
     def receive(self, topic: Topic, data: bytes, now: float) -> None:
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -279,6 +279,8 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body."""
+        link = self.ingress.forwarder.board.link
+        link.note(len(chunk), clock.monotonic())
         if self.closed:
             return
         self.body_chunks.append(chunk)
--- a/tests/test_gateway_own_link.py
+++ b/tests/test_gateway_own_link.py
@@ -9,6 +9,10 @@
 from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstream_paths
+from oleanderdrift.platform import store
+from standins import platform_store
+from tests import peer_fleet
+from tests import test_gateway_whole as whole
 from tests import virtual_time
 
 MBPS: typing.Final = 8.0
@@ -97,3 +101,45 @@
     connecting_s = upstream_connections.CONNECT_TIMEOUT_S + held_s
     tunnel_s = upstream_connections.TUNNEL_TIMEOUT_S + held_s
     assert silent_s + connecting_s + tunnel_s < CLIENTS_WAIT_S
+
+
+def test_states_of_peers_come_over_the_link() -> None:
+    network = peer_fleet.build({'north': 2}, 1)
+    network.run(1.0)
+    for one in network.instances.values():
+        assert sum(one.board.link.arrived.values()) > 0
+
+
+def test_bodies_of_requests_come_over_the_link() -> None:
+    body = bytes(100_000)
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', env.port
+            )
+            writer.write(
+                b'POST /a/b HTTP/1.1\r\nHost: x\r\nCredential: k1\r\n'
+                b'Content-Length: %d\r\n\r\n' % len(body) + body
+            )
+            await reader.readuntil(b'\r\n\r\n')
+            writer.close()
+            arrived = env.gateway.board.link.arrived
+            assert sum(arrived.values()) >= len(body)
+
+    asyncio.run(play())
+
+
+def test_answers_of_the_store_come_over_the_link() -> None:
+    async def play() -> None:
+        link = own_link.OwnLink(mbps=MBPS)
+        server = platform_store.start()
+        client = store.Store(f'127.0.0.1:{server.port}', 4, 262_144, link)
+        await client.append('t', 0, [bytes(100_000)])
+        await client.read('t', 0, 0)
+        assert sum(link.arrived.values()) >= 100_000
+        client.pool.close()
+        server.stop()
+
+    asyncio.run(play())
