Hold nothing up for a link of an odd rate

A LinkMbps of 0, as for no limit elsewhere, ended the tasks that judge silence with a division by zero. Evidence: test_link_of_an_odd_rate_holds_up_nothing failed before (ZeroDivisionError, and negative and undefined times) and passes.

--- a/oleanderdrift/gateway/own_link.py
+++ b/oleanderdrift/gateway/own_link.py
@@ -24,7 +24,8 @@
 class OwnLink:
     """The bytes that lately came over the link of this instance.
 
-    mbps is its rate in Mbit/s.  arrived counts the bytes by steps of time.
+    mbps is its rate in Mbit/s; without a positive one, it holds up nothing.
+    arrived counts the bytes by steps of time.
     """
 
     mbps: float = float('inf')
@@ -42,6 +43,8 @@
 
     def held_s(self, since: float, now: float) -> float:
         """Returns the time of a span that does not count as silence."""
+        if not self.mbps > 0.0:
+            return 0.0
         first = int(since / STEP_S) + 1
         steps = range(first, int(now / STEP_S) + 1)
         count = sum(self.arrived.get(step, 0) for step in steps)
--- a/tests/test_gateway_own_link.py
+++ b/tests/test_gateway_own_link.py
@@ -54,6 +54,13 @@
     assert 0.0 <= found < min(silent_s, own_link.MAX_HELD_S) + 1e-9
 
 
+@pytest.mark.parametrize('mbps', [0.0, -1.0, float('nan')])
+def test_link_of_an_odd_rate_holds_up_nothing(mbps: float) -> None:
+    link = filled(1.0, 11.0)
+    link.mbps = mbps
+    assert link.held_s(10.5, 11.0) == 0.0
+
+
 def test_bytes_from_before_a_silence_explain_none_of_it() -> None:
     link = filled(1.0, 10.5)
     assert link.held_s(10.5 + own_link.STEP_S, 11.0) == 0.0
