--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -32,6 +32,8 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.25
 # Some round trips, between data centres as well.
 TUNNEL_TIMEOUT_S: typing.Final = 0.2
+# A lost path's log line says how long the own link was full in this time.
+HELD_SPAN_S: typing.Final = 1.0
 MAX_PEERS_ASKED: typing.Final = 2
 MAX_WITNESSES: typing.Final = 6
 # A path that is refused so soon after a direct connection broke is taken for
@@ -393,4 +395,5 @@
             upstream=upstream.entry.upstream_id,
             reason=loss.value,
             via=via,
+            held_s=round(self.board.link.held_s(now - HELD_SPAN_S, now), 2),
         )
