--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import freshness as freshness_lib
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import stream_origins
@@ -36,7 +37,8 @@
     origins has the software versions that began the streams of this instance.
     tunnel_peers are those that may carry connections to upstreams, and
     lost_paths holds the upstreams that this instance cannot reach directly.
-    held counts the bytes of others that are in memory.
+    held counts the bytes of others that are in memory, and link those that
+    lately came over the link of this instance.
     exchanged_at is when states were last exchanged with peers, on the clock
     that also advances while the machine is suspended.
     """
@@ -83,6 +85,12 @@
             takes_self=True,
         )
     )
+    link: own_link.OwnLink = attrs.field(
+        default=attrs.Factory(
+            lambda self: own_link.OwnLink(mbps=self.settings.link_mbps),
+            takes_self=True,
+        )
+    )
     lost_paths: dict[str, upstreams_lib.Upstream] = attrs.field(factory=dict)
     stopping: bool = False
     stop_deadline: float = float('inf')
@@ -139,16 +147,24 @@
             self.upstream_limits.restart()
             self.exchanged_at = boot_now
 
+    def judged_at(self, now: float) -> float:
+        """Returns until when the silence of peers counts.
+
+        Their states wait behind all that comes over a full link.
+        """
+        return now - self.link.held_s(now - reachability_lib.SILENT_S, now)
+
     def unreachable_data_centres(self, now: float) -> frozenset[str]:
         """Returns the data centres that are silent in every way.
 
         Where only the instances are silent or slow to report, the upstreams
         go on, and so does their work.
         """
-        silent = self.reachability.silent_data_centres(now)
+        judged_at = self.judged_at(now)
+        silent = self.reachability.silent_data_centres(judged_at)
         if not silent:
             return silent
-        since = now - reachability_lib.SILENT_S
+        since = judged_at - reachability_lib.SILENT_S
         return silent - self.upstreams.data_centres_heard(since)
 
     def is_ready(self, now: float, boot_now: float) -> bool:
@@ -158,5 +174,5 @@
             and self.upstreams_known
             and not self.stopping
             and self.freshness.is_ready(boot_now)
-            and not self.reachability.is_isolated(now)
+            and not self.reachability.is_isolated(self.judged_at(now))
         )
--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -13,6 +13,7 @@
 
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import time_limits
@@ -22,6 +23,8 @@
 OPEN_TIMEOUT_S: typing.Final = 1.0
 # The peer waits for the answer little longer than for a connection.
 CONNECT_TIMEOUT_S: typing.Final = 0.15
+# A connection is no evidence if the own link was full for a part of it.
+HELD_S: typing.Final = 0.05
 # Each takes two file descriptors, and at most about 0.2 MB of buffers.
 MAX_TUNNELS: typing.Final = 256
 # More connections are closed unread.
@@ -138,6 +141,7 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes bytes on to the upstream, or reads the Open."""
+        self.server.board.link.note(nbytes, clock.monotonic())
         data = bytes(self.server.buffer[:nbytes])
         if self.upstream_side is not None:
             self.upstream_side.write(data)
@@ -195,6 +199,7 @@
         if entry is None:
             return tunnel_wire.Unavailable(reason='not known')
         loop = asyncio.get_running_loop()
+        began = clock.monotonic()
         try:
             async with time_limits.within(CONNECT_TIMEOUT_S):
                 _, self.upstream_side = await loop.create_connection(
@@ -203,6 +208,10 @@
         except ConnectionRefusedError:
             return tunnel_wire.Refused()
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
+            link = self.server.board.link
+            if link.held_s(began, clock.monotonic()) > HELD_S:
+                # The upstream may be sound, and open tunnels to it as well.
+                return tunnel_wire.Unavailable(reason='its own link is full')
             return tunnel_wire.Unreachable(reason=repr(error))
         return tunnel_wire.Opened()
 
@@ -268,7 +277,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         """Passes bytes on to the peer."""
-        data = bytes(self.peer_side.server.buffer[:nbytes])
+        server = self.peer_side.server
+        server.board.link.note(nbytes, clock.monotonic())
+        data = bytes(server.buffer[:nbytes])
         self.peer_side.write(tunnel_wire.Data(data=data))
 
     def write(self, data: bytes) -> None:
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -19,7 +19,9 @@
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import relays
+from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_client
 from oleanderdrift.gateway import tunnel_peers
 from oleanderdrift.gateway import upstream_paths
@@ -30,6 +32,8 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.25
 # Some round trips, between data centres as well.
 TUNNEL_TIMEOUT_S: typing.Final = 0.2
+# A lost path's log line says how long the own link was full in this time.
+HELD_SPAN_S: typing.Final = 1.0
 MAX_PEERS_ASKED: typing.Final = 2
 MAX_WITNESSES: typing.Final = 6
 # A path that is refused so soon after a direct connection broke is taken for
@@ -136,10 +140,14 @@
         """Opens a direct connection; raises OSError or TimeoutError."""
         entry = upstream.entry
         started = clock.monotonic()
+        held = self.board.link.held_s
         try:
-            connection = await self.pool.open(
-                entry.host, entry.port, CONNECT_TIMEOUT_S
-            )
+            async with time_limits.within(CONNECT_TIMEOUT_S, held):
+                connection = await self.pool.open(
+                    entry.host,
+                    entry.port,
+                    CONNECT_TIMEOUT_S + own_link.MAX_HELD_S,
+                )
         except TimeoutError:
             self.note_timed_out(upstream, started)
             raise
@@ -214,13 +222,17 @@
     ) -> channel.Channel | None:
         """Asks a peer for a tunnel to an upstream; None if it fails."""
         self.tunnels_opened += 1
+        held = self.board.link.held_s
         try:
-            return await self.open_tunnel(
-                peer.tunnel_address,
-                upstream.entry,
-                TUNNEL_TIMEOUT_S,
-                peer.name,
-            )
+            async with time_limits.within(TUNNEL_TIMEOUT_S, held):
+                found = await self.open_tunnel(
+                    peer.tunnel_address,
+                    upstream.entry,
+                    TUNNEL_TIMEOUT_S + own_link.MAX_HELD_S,
+                    peer.name,
+                )
+            found.protocol.link = self.board.link
+            return found
         except tunnel_client.UpstreamRefusedError:
             failure = tunnel_peers.TunnelFailure.REFUSED
         except tunnel_client.PeerUnavailableError:
@@ -383,4 +395,5 @@
             upstream=upstream.entry.upstream_id,
             reason=loss.value,
             via=via,
+            held_s=round(self.board.link.held_s(now - HELD_SPAN_S, now), 2),
         )
