Send reads again whose answer is lost, and reads of known places until they succeed

Cause: a conversation takes one read for each record, and the first that failed ended all; a lost look-up in the index began a search. Now a read is sent again when its answer is late, at most four times and with a limit on retries as for appends. Reads of single turns have no limit of their number: they wait for the link. A page that no record fits in is asked for in the size of a record.

--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -73,10 +73,9 @@
         partition: int,
         start: int,
         *,
-        wait_s: float = 0.0,
         max_bytes: int = 1_048_576,
     ) -> LogRecords:
-        """Reads records from start on; waits up to wait_s for the first."""
+        """Reads records from start on, as many as are within a size."""
 
 
 class Log(RecordLog, typing.Protocol):
--- a/oleanderdrift/gateway/retrying_log.py
+++ b/oleanderdrift/gateway/retrying_log.py
@@ -1,4 +1,4 @@
-"""Appends idempotent records, retrying until one append is confirmed.
+"""Appends idempotent records and reads, retrying what has no answer.
 
 Readers of these topics ignore duplicate records, even if the first append
 takes effect long after the second.
@@ -8,6 +8,7 @@
 import collections.abc
 import typing
 
+from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import breakers
 from oleanderdrift.gateway import clock
@@ -17,6 +18,12 @@
 
 # How often a pending append is checked for being late.
 POLL_INTERVAL_S: typing.Final = 0.03
+# A read's answer may have long bytes, on a slow link.
+MIN_LATE_READ_S: typing.Final = 0.2
+# Framing of a record in the store's answer, and of the answer.
+FRAMING_BYTES: typing.Final = 64
+
+_T = typing.TypeVar('_T')
 
 
 class RetryingLog:
@@ -30,8 +37,11 @@
         self.partitions = log.partitions
         self.record_bytes = log.record_bytes
         self.retry_limiter = repeats.RetryLimiter()
+        self.read_limiter = repeats.RetryLimiter(
+            min_late_s=MIN_LATE_READ_S, needs_later=False
+        )
         self.breakers = breakers.Breakers()
-        self.repeated_appends = 0
+        self.repeated_calls = 0
 
     async def append(
         self,
@@ -45,7 +55,10 @@
         ResultError of the last attempt if all fail.
         """
         try:
-            start = await self.append_with_retries(topic, partition, records)
+            start = await self.send_with_retries(
+                lambda: self.log.append(topic, partition, records),
+                self.retry_limiter,
+            )
         except errors.ResultError as error:
             self.note_failure(topic, partition, error)
             raise
@@ -76,14 +89,15 @@
                 )
         return last, await self.append(topic, last, data)
 
-    async def append_with_retries(
+    async def send_with_retries(
         self,
-        topic: str,
-        partition: int,
-        records: collections.abc.Sequence[bytes],
-    ) -> int:
-        """Appends, and starts another append whenever the response is late."""
-        pending = {self.start_append(topic, partition, records)}
+        send: collections.abc.Callable[
+            [], collections.abc.Coroutine[typing.Any, typing.Any, _T]
+        ],
+        limiter: repeats.RetryLimiter,
+    ) -> _T:
+        """Sends a call, and sends it again whenever the response is late."""
+        pending = {asyncio.create_task(_timed(send, limiter))}
         sends, last_sent = 1, clock.monotonic()
         try:
             while True:
@@ -92,19 +106,19 @@
                     timeout=POLL_INTERVAL_S,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
-                for append in done:
-                    if append.exception() is None:
-                        return append.result()
+                for call in done:
+                    if call.exception() is None:
+                        return call.result()
                 if done and not pending:
                     return done.pop().result()
                 now = clock.monotonic()
-                if self.retry_limiter.try_retry(sends, last_sent, now):
+                if limiter.try_retry(sends, last_sent, now):
                     sends, last_sent = sends + 1, now
-                    self.repeated_appends += 1
-                    pending.add(self.start_append(topic, partition, records))
+                    self.repeated_calls += 1
+                    pending.add(asyncio.create_task(_timed(send, limiter)))
         finally:
-            for append in pending:
-                append.cancel()
+            for call in pending:
+                call.cancel()
 
     async def read(
         self,
@@ -112,13 +126,32 @@
         partition: int,
         start: int,
         *,
-        wait_s: float = 0.0,
         max_bytes: int = 1_048_576,
     ) -> ports.LogRecords:
-        """Reads records from start on; waits up to wait_s for the first."""
+        """Reads records from start on, one at least if there is one."""
+        found = await self.read_page(topic, partition, start, max_bytes)
+        if found.records or found.trimmed or found.end <= start:
+            return found
+        # The first record has more.
+        max_bytes = self.record_bytes + FRAMING_BYTES
+        found = await self.read_page(topic, partition, start, max_bytes)
+        if found.records or found.trimmed or found.end <= start:
+            return found
+        raise errors.ResultError(
+            codes.LOG_UNAVAILABLE,
+            f'{topic} {partition} shows no record from {start} to {found.end}',
+        )
+
+    async def read_page(
+        self, topic: str, partition: int, start: int, max_bytes: int
+    ) -> ports.LogRecords:
+        """Reads what records from start on are within a size."""
         try:
-            found = await self.log.read(
-                topic, partition, start, wait_s=wait_s, max_bytes=max_bytes
+            found = await self.send_with_retries(
+                lambda: self.log.read(
+                    topic, partition, start, max_bytes=max_bytes
+                ),
+                self.read_limiter,
             )
         except errors.ResultError as error:
             self.note_failure(topic, partition, error)
@@ -154,25 +187,19 @@
             ),
         )
 
-    def start_append(
-        self,
-        topic: str,
-        partition: int,
-        records: collections.abc.Sequence[bytes],
-    ) -> asyncio.Task[int]:
-        """Starts one attempt to append."""
-        return asyncio.create_task(
-            self.timed_append(topic, partition, records)
-        )
-
-    async def timed_append(
-        self,
-        topic: str,
-        partition: int,
-        records: collections.abc.Sequence[bytes],
-    ) -> int:
-        """Appends and records how long the response took."""
-        sent = clock.monotonic()
-        start = await self.log.append(topic, partition, records)
-        self.retry_limiter.note_answer(sent, clock.monotonic())
-        return start
+    def is_open(self, topic: str, partition: int) -> bool:
+        """Returns whether calls to a partition are likely to fail."""
+        return self.breakers.is_open((topic, partition), clock.monotonic())
+
+
+async def _timed(
+    send: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, _T]
+    ],
+    limiter: repeats.RetryLimiter,
+) -> _T:
+    """Sends a call and records how long the response took."""
+    sent = clock.monotonic()
+    result = await send()
+    limiter.note_answer(sent, clock.monotonic())
+    return result
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -106,8 +106,8 @@
             ),
             'store_calls': self.log.calls,
             'store_failures': self.log.failures,
-            'store_appends_repeated': (
-                self.forwarder.turns.retrying_log.repeated_appends
+            'store_calls_repeated': (
+                self.forwarder.turns.retrying_log.repeated_calls
             ),
         }
 
--- a/oleanderdrift/gateway/shared_work.py
+++ b/oleanderdrift/gateway/shared_work.py
@@ -45,9 +45,10 @@
 
 
 class SharedTasks(typing.Generic[_T]):
-    """Runs at most one task for each key."""
+    """Runs at most one task for each key, and limit tasks together."""
 
-    def __init__(self) -> None:
+    def __init__(self, limit: float = MAX_TASKS) -> None:
+        self.limit = limit
         self.running: dict[collections.abc.Hashable, asyncio.Task[_T]] = {}
 
     async def get(
@@ -78,7 +79,7 @@
         running = self.running.get(key)
         if running is not None and not running.done():
             return running
-        if len(self.running) >= MAX_TASKS:
+        if len(self.running) >= self.limit:
             raise errors.ResultError(
                 codes.LOG_UNAVAILABLE, 'too many reads are under way'
             )
--- a/tests/test_gateway_slow_links.py
+++ b/tests/test_gateway_slow_links.py
@@ -1,6 +1,7 @@
 """Conversations go on after a loss of power, over slow links as well."""
 
 import asyncio
+import random
 import typing
 
 import pytest
@@ -67,7 +68,7 @@
         )
         lasts = await store_programs(log, PROGRAMS, OUTPUT_BYTES)
         log.link_mbps = link_mbps
-        started = turn_support.make_turn_log(log, 'north-2')
+        started = turn_support.make_turn_log(log, 'north-2', link_mbps)
         async with asyncio.timeout(20 * RECOVERY_S):
             return await asyncio.gather(
                 *(served_after_s(started, last) for last in lasts[:CALLERS])
@@ -91,3 +92,27 @@
     few = virtual_time.run(scenario(PROGRAMS // 10))
     many = virtual_time.run(scenario(PROGRAMS))
     assert many < 2 * few
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('link_mbps', [11.0, 75.0])
+def test_conversations_go_on_while_answers_of_the_store_are_lost(
+    link_mbps: float, seed: int
+) -> None:
+    """Guards against many reads of which each has to succeed at once."""
+
+    async def scenario() -> list[float]:
+        log = slow_link.SlowLog(
+            partitions=PARTITIONS, record_bytes=RECORD_BYTES
+        )
+        lasts = await store_programs(log, PROGRAMS, OUTPUT_BYTES)
+        log.link_mbps = link_mbps
+        log.lost_share = 1 / 3
+        log.chance = random.Random(seed)
+        started = turn_support.make_turn_log(log, 'north-2', link_mbps)
+        async with asyncio.timeout(20 * RECOVERY_S):
+            return await asyncio.gather(
+                *(served_after_s(started, last) for last in lasts[:CALLERS])
+            )
+
+    assert max(virtual_time.run(scenario())) <= RECOVERY_S
--- a/tests/turn_support.py
+++ b/tests/turn_support.py
@@ -1,5 +1,6 @@
 """Turn logs on a log behind a link, and conversations to store in them."""
 
+import math
 import typing
 
 from oleanderdrift.gateway import records
@@ -17,9 +18,11 @@
     return slow_link.SlowLog(partitions=PARTITIONS, record_bytes=RECORD_BYTES)
 
 
-def make_turn_log(log: slow_link.SlowLog, name: str) -> turn_log.TurnLog:
+def make_turn_log(
+    log: slow_link.SlowLog, name: str, link_mbps: float = math.inf
+) -> turn_log.TurnLog:
     """Returns the turn log of an instance that has just started."""
-    return turn_log.TurnLog(retrying_log.RetryingLog(log), name)
+    return turn_log.TurnLog(retrying_log.RetryingLog(log), name, link_mbps)
 
 
 def fail_index(log: slow_link.SlowLog) -> None:
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -5,6 +5,10 @@
 import selectors
 import typing
 
+import pytest
+
+from oleanderdrift.gateway import clock
+
 _T = typing.TypeVar('_T')
 # A loop that waits for nothing would never end.
 MAX_IDLE_SELECTS: typing.Final = 1_000
@@ -45,6 +49,13 @@
 
 
 def run(main: collections.abc.Coroutine[typing.Any, typing.Any, _T]) -> _T:
-    """Runs a coroutine that uses no sockets; returns its result."""
-    with asyncio.Runner(loop_factory=_Loop) as runner:
+    """Runs a coroutine that uses no sockets; returns its result.
+
+    The instances' monotonic clock shows the virtual time, too.
+    """
+    with (
+        asyncio.Runner(loop_factory=_Loop) as runner,
+        pytest.MonkeyPatch.context() as patch,
+    ):
+        patch.setattr(clock, 'monotonic', runner.get_loop().time)
         return runner.run(main)
