Search the latest turns first each time, without one queue for all searches

Callers would see: a turn that has just ended is found late at an instance that searched before (it read on from there, 506 KB after 2,000 turns), or while one client names unknown turns (44.6 s beside 200 of them at a store that takes 0.24 s), or while another partition is silent (3.2 s); the review's trials. Cause: what had come since the last search was read forward, and one page of all searches at a time. Now the spans of records not yet read are kept, and the latest is read first, from its end, in pages sized by the latest records. All that wait for news of a partition share a read. A partition that is failing is not waited for. Evidence: tests of later searches, large turns, unknown turns and silent partitions.

--- a/oleanderdrift/gateway/turn_search.py
+++ b/oleanderdrift/gateway/turn_search.py
@@ -6,11 +6,11 @@
 """
 
 import asyncio
-import collections.abc
 import typing
 
 import attrs
 
+from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
@@ -19,67 +19,79 @@
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import shared_work
 from oleanderdrift.gateway import turns
 
 # A page takes a slow link for some 50 ms; other answers wait behind it.
 PAGE_BYTES: typing.Final = 65_536
 # The smallest read: it shows where a partition ends.
 PEEK_BYTES: typing.Final = 1_024
-# Until a page has shown how large records are.
-FIRST_STEP_RECORDS: typing.Final = 16
+# Until a page has shown how large the latest records are.
+FIRST_PAGE_RECORDS: typing.Final = 4
 SMOOTHING: typing.Final = 0.2
 MS_PER_S: typing.Final = 1_000.0
 
 
 @attrs.define(kw_only=True)
-class SearchedPartition:
-    """How far one partition has been read, from its end backwards.
+class UnreadRecords:
+    """The offsets of a partition that have not been read yet.
 
-    All records from start to index.end have been read, and in the step under
-    way those from step_start to step_at.  first is the oldest record that the
-    store still has.
+    spans are those from a start to an end, the latest last.  end is the
+    offset up to which they are known, None before the first read.
+    page_records is how many are read at once.
     """
 
-    number: int
-    index: turns.TurnIndex = attrs.field(factory=turns.TurnIndex)
-    is_begun: bool = False
-    step_records: int = FIRST_STEP_RECORDS
-    first: int = 0
-    start: int = 0
-    step_start: int = 0
-    step_at: int = 0
-    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
-
-    def begin(self, first: int, end: int) -> None:
-        """Begins to read a partition, a step before its end."""
-        self.is_begun = True
-        self.first = first
-        self.start = max(first, end - self.step_records)
-        self.index.end = self.step_at = self.start
-
-    def next_older(self) -> int | None:
-        """Returns the next offset to read, None if no older ones are left."""
-        if self.step_at >= self.start:
-            if self.start <= self.first:
-                return None
-            self.step_start = max(self.first, self.start - self.step_records)
-            self.step_at = self.step_start
-        return self.step_at
-
-    def note_older(self, first: int, end: int) -> None:
-        """Records that the step was read up to an offset."""
-        self.first = max(self.first, first)
-        self.step_at = max(self.first, end)
-        if self.step_at >= self.start:
-            self.start = self.step_start
+    spans: list[tuple[int, int]] = attrs.field(factory=list)
+    end: int | None = None
+    page_records: int = FIRST_PAGE_RECORDS
+
+    def note_end(self, first: int, end: int) -> None:
+        """Adds the records that have come, from the first still there on."""
+        start = first if self.end is None else max(first, self.end)
+        if start < end:
+            self.spans.append((start, end))
+        self.end = end
+
+    def next_page(self) -> int | None:
+        """Returns the offset of the latest page, None if all are read."""
+        if not self.spans:
+            return None
+        start, end = self.spans[-1]
+        return max(start, end - self.page_records)
+
+    def note_read(self, offset: int, until: int) -> None:
+        """Removes the records from an offset until another one."""
+        spans = []
+        for start, end in self.spans:
+            spans += [
+                (start, min(end, offset)),
+                (max(start, until), end),
+            ]
+        self.spans = [(start, end) for start, end in spans if start < end]
 
     def note_size(self, record_bytes: float) -> None:
-        """Fits the next steps to the average size of some records."""
-        self.step_records = max(1, int(PAGE_BYTES / max(record_bytes, 1.0)))
+        """Fits the next page to the average size of some records."""
+        self.page_records = max(1, int(PAGE_BYTES / max(record_bytes, 1.0)))
 
-    def left(self) -> int:
+    def count(self) -> int:
         """Returns how many records have not been read yet."""
-        return max(self.start - self.first, 0)
+        return sum(end - start for start, end in self.spans)
+
+
+class SearchedPartition:
+    """What is known of one partition.
+
+    newer is the read of what has come, shared by all that wait for it.
+    """
+
+    def __init__(
+        self, number: int, newer: shared_work.SharedRead[None]
+    ) -> None:
+        self.number = number
+        self.newer = newer
+        self.index = turns.TurnIndex()
+        self.unread = UnreadRecords()
+        self.lock = asyncio.Lock()
 
 
 class TurnSearch:
@@ -99,13 +111,16 @@
         self.share = share
         self.events = events
         self.partitions = [
-            SearchedPartition(number=number)
-            for number in range(log.partitions)
+            self.make_partition(number) for number in range(log.partitions)
         ]
         self.record_s = 0.0
         self.searched: set[str] = set()
-        # One page at a time, so that other answers of the store get through.
-        self.may_read = asyncio.Lock()
+
+    def make_partition(self, number: int) -> SearchedPartition:
+        """Returns a partition that has not been read."""
+        return SearchedPartition(
+            number, shared_work.SharedRead(lambda: self.peek(number))
+        )
 
     async def find(self, name: str) -> records.IndexedTurn | None:
         """Returns a turn's entry, None if there is no such turn.
@@ -119,22 +134,26 @@
             self.searched.discard(name)
 
     async def read_until_found(self, name: str) -> records.IndexedTurn | None:
-        """Reads a turn's partitions side by side until one has it."""
+        """Reads a turn's partitions, a page of each in turn."""
         partitions = self.partitions_of(name)
         failed: errors.ResultError | None = None
-        read = self.read_newer
+        is_peeked = False
         while partitions:
             left = []
             for partition in partitions:
                 try:
-                    if await self.look(partition, name, read):
+                    if not is_peeked:
+                        self.check(partition)
+                        await partition.newer.get()
+                        left.append(partition)
+                    elif await self.read_older(partition, name):
                         left.append(partition)
                 except errors.ResultError as error:
                     failed = error
                 entry = partition.index.entries.get(name)
                 if entry is not None:
                     return entry
-            partitions, read = left, self.read_older
+            partitions, is_peeked = left, True
         if failed is not None:
             raise failed
         return None
@@ -147,13 +166,21 @@
             for number in self.log.healthy_first(records.TURN_TOPIC, numbers)
         ]
 
+    def check(self, partition: SearchedPartition) -> None:
+        """Raises ResultError if a partition is failing."""
+        if self.log.is_open(records.TURN_TOPIC, partition.number):
+            raise errors.ResultError(
+                codes.LOG_UNAVAILABLE,
+                f'partition {partition.number} of turns is failing',
+            )
+
     def is_searching(self, name: str) -> bool:
         """Returns whether a turn is being looked for."""
         return name in self.searched
 
     def left(self, name: str) -> int:
         """Returns how many records may be read until a turn is found."""
-        return sum(one.left() for one in self.partitions_of(name))
+        return sum(one.unread.count() for one in self.partitions_of(name))
 
     def remaining_s(self, name: str) -> float:
         """Estimates how long the search for a turn takes yet."""
@@ -161,56 +188,45 @@
             return 0.0
         return self.left(name) * self.record_s
 
-    async def look(
-        self,
-        partition: SearchedPartition,
-        name: str,
-        read: collections.abc.Callable[
-            [SearchedPartition], collections.abc.Awaitable[bool]
-        ],
+    async def peek(self, number: int) -> None:
+        """Finds out where a partition ends, and reads what fits beside."""
+        partition = self.partitions[number]
+        start = partition.unread.end or 0
+        read = await self.read_page(partition, start, PEEK_BYTES)
+        if read.trimmed:
+            start = read.first
+            read = await self.read_page(partition, start, PEEK_BYTES)
+        partition.unread.note_end(start, read.end)
+        partition.unread.note_read(0, read.first)
+        partition.unread.note_read(start, start + len(read.records))
+
+    async def read_older(
+        self, partition: SearchedPartition, name: str
     ) -> bool:
-        """Reads on unless others have found the turn meanwhile.
+        """Reads the latest page, unless others have found a turn meanwhile.
 
         Returns whether there may be more to read.
         """
         async with partition.lock:
             if name in partition.index.entries:
                 return False
-            return await read(partition)
-
-    async def read_newer(self, partition: SearchedPartition) -> bool:
-        """Reads what a partition has got since the last time.
-
-        Returns whether it has been read; older records may be left.
-        """
-        if not partition.is_begun:
-            peek = await self.read_page(partition, 0, PEEK_BYTES)
-            if peek.trimmed:
-                peek = await self.read_page(partition, peek.first, PEEK_BYTES)
-            partition.begin(peek.first, peek.end)
-        while True:
-            read = await self.read_page(partition, partition.index.end)
-            partition.index.end = read.start + len(read.records)
-            if not read.trimmed and partition.index.end >= read.end:
-                return True
-
-    async def read_older(self, partition: SearchedPartition) -> bool:
-        """Reads one page backwards; returns False if there is none."""
-        start = partition.next_older()
-        if start is None:
-            return False
-        read = await self.read_page(partition, start)
-        partition.note_older(read.first, read.start + len(read.records))
+            start = partition.unread.next_page()
+            if start is None:
+                return False
+            self.check(partition)
+            read = await self.read_page(partition, start, PAGE_BYTES)
+        partition.unread.note_read(0, read.first)
+        partition.unread.note_read(start, start + len(read.records))
+        size = sum(map(len, read.records))
+        if read.records:
+            partition.unread.note_size(size / len(read.records))
         return True
 
     async def read_page(
-        self,
-        partition: SearchedPartition,
-        start: int,
-        max_bytes: int = PAGE_BYTES,
+        self, partition: SearchedPartition, start: int, max_bytes: int
     ) -> ports.LogRecords:
         """Reads records from an offset on into the partition's index."""
-        async with self.may_read, self.share.take(max_bytes):
+        async with self.share.take(max_bytes):
             begun = clock.monotonic()
             read = await self.log.read(
                 records.TURN_TOPIC,
@@ -225,9 +241,7 @@
             )
             if entry is not None:
                 partition.index.add(entry)
-        size = sum(map(len, read.records))
         if read.records:
-            partition.note_size(size / len(read.records))
             each_s = took_s / len(read.records)
             self.record_s += SMOOTHING * (each_s - self.record_s)
         self.events.info(
@@ -235,7 +249,7 @@
             partition=partition.number,
             start=read.start,
             records=len(read.records),
-            size=size,
+            size=sum(map(len, read.records)),
             first=read.first,
             end=read.end,
             ms=round(took_s * MS_PER_S),
--- a/tests/test_gateway_turn_search.py
+++ b/tests/test_gateway_turn_search.py
@@ -1,6 +1,7 @@
 """Finding turns that the index has no entry for."""
 
 import asyncio
+import random
 import typing
 
 import pytest
@@ -49,7 +50,7 @@
         started = turn_support.make_turn_log(log, 'south-1')
         before = log.carried
         await started.chain('new', 'ward')
-        steps = 2 * turn_search.FIRST_STEP_RECORDS * 2_200
+        steps = 2 * turn_search.FIRST_PAGE_RECORDS * 2_200
         assert log.carried - before <= 2 * turn_search.PAGE_BYTES + steps
         await started.chain('old-0', 'ward')
 
@@ -89,11 +90,11 @@
             tries += 1
             try:
                 async with asyncio.timeout(1.0):
-                    await started.chain('q0', 'ward')
+                    await started.chain('q40', 'ward')
                 break
             except TimeoutError:
-                assert started.search.remaining_s('q0') > 0
-                assert 'not in the index' in started.describe('q0')
+                assert started.search.remaining_s('q40') > 0
+                assert 'not in the index' in started.describe('q40')
                 assert tries < 20
         assert tries > 1
 
@@ -175,3 +176,157 @@
         assert raised.value.code is codes.LOG_UNAVAILABLE
 
     virtual_time.run(scenario())
+
+
+def test_later_search_reads_the_latest_turns_first_as_well() -> None:
+    """Guards against reading all that ended since the search before."""
+
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        await turn_support.store_turn(writer, 'first', output=OUTPUT)
+        started = turn_support.make_turn_log(log, 'south-1')
+        await started.chain('first', 'ward')
+        for number in range(1_000):
+            await turn_support.store_turn(writer, f'q{number}', output=OUTPUT)
+        await turn_support.store_turn(writer, 'new', output=OUTPUT)
+        before = log.carried
+        await started.chain('new', 'ward')
+        assert log.carried - before <= 2 * turn_search.PAGE_BYTES
+        await started.chain('q0', 'ward')
+
+    virtual_time.run(scenario())
+
+
+def test_large_turn_behind_small_ones_is_found_by_a_small_read() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        for number in range(40):
+            await turn_support.store_turn(writer, f's{number}')
+        for number in range(400):
+            output = bytes(18_000)
+            await turn_support.store_turn(writer, f'q{number}', output=output)
+        started = turn_support.make_turn_log(log, 'south-1')
+        before = log.carried
+        await started.chain('q399', 'ward')
+        assert log.carried - before <= 4 * turn_search.PAGE_BYTES
+
+    virtual_time.run(scenario())
+
+
+def test_unknown_turns_do_not_hold_up_others() -> None:
+    """Guards against one client that keeps an instance searching."""
+
+    async def scenario() -> float:
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        for number in range(100):
+            await turn_support.store_turn(writer, f'q{number}', output=OUTPUT)
+        started = turn_support.make_turn_log(log, 'south-1')
+        log.answer_s = 0.24
+        loop = asyncio.get_running_loop()
+        unknown = [
+            shared_work.start(started.chain(f'unknown-{number}', 'ward'))
+            for number in range(200)
+        ]
+        began = loop.time()
+        await started.chain('q99', 'ward')
+        took_s = loop.time() - began
+        await asyncio.gather(*unknown, return_exceptions=True)
+        return took_s
+
+    assert virtual_time.run(scenario()) <= 8 * 0.24
+
+
+def test_silent_partition_does_not_hold_up_searches_of_others() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        names = [f'q{number}' for number in range(60)]
+        for name in names:
+            await turn_support.store_turn(writer, name)
+        silent = writer.partitions_of('q0')
+        others = [
+            name
+            for name in names
+            if not set(silent) & set(writer.partitions_of(name))
+        ]
+        log.silent_partitions = {(records.TURN_TOPIC, one) for one in silent}
+        started = turn_support.make_turn_log(log, 'south-1')
+        for name in names[:1]:
+            shared_work.start(started.chain(name, 'ward'))
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(0.5):
+            for name in others[:3]:
+                await started.chain(name, 'ward')
+
+    virtual_time.run(scenario())
+
+
+def test_old_turn_in_its_spare_partition_is_found() -> None:
+    """Guards against a false denial of a turn that is kept."""
+
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        first, _ = writer.partitions_of('mine')
+        log.failing_partitions.add((records.TURN_TOPIC, first))
+        await turn_support.store_turn(writer, 'mine')
+        log.failing_partitions.discard((records.TURN_TOPIC, first))
+        for number in range(1_000):
+            await turn_support.store_turn(writer, f'q{number}', output=OUTPUT)
+        started = turn_support.make_turn_log(log, 'south-1')
+        assert len(await started.chain('mine', 'ward')) == 1
+
+    virtual_time.run(scenario())
+
+
+def test_record_larger_than_a_page_is_read() -> None:
+    """Guards against asking for the same page for ever."""
+
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        log.is_strict = True
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        for number in range(20):
+            output = bytes(turn_support.RECORD_BYTES - 1_000)
+            await turn_support.store_turn(writer, f'q{number}', output=output)
+        started = turn_support.make_turn_log(log, 'south-1')
+        async with asyncio.timeout(10.0):
+            await started.chain('q0', 'ward')
+
+    virtual_time.run(scenario())
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_unread_records_are_those_not_read(seed: int) -> None:
+    """The spans against a plain set of offsets."""
+    chance = random.Random(seed)
+    unread = turn_search.UnreadRecords()
+    plain: set[int] = set()
+    first = end = 0
+    for _ in range(200):
+        if chance.random() < 0.3:
+            known, end = end, end + chance.randrange(1, 30)
+            plain |= set(range(max(first, known), end))
+            unread.note_end(first, end)
+        if chance.random() < 0.1:
+            first = chance.randint(first, end)
+            unread.note_read(0, first)
+            plain -= set(range(first))
+        offset = unread.next_page()
+        assert (offset is None) == (not plain)
+        if offset is not None:
+            assert offset >= max(plain) + 1 - unread.page_records
+            until = offset + chance.randrange(1, 9)
+            unread.note_read(offset, until)
+            plain -= set(range(offset, until))
+        assert unread.count() == len(plain)
+        unread.note_size(chance.choice([10_000.0, 40_000.0]))
