Keep entries of the index small, and write each that is noted

Entries list eight turns, name their account, and the writer's end is seen at once. A conversation longer than eight turns takes a look-up for each eight. Evidence: test_entry_that_comes_as_its_writer_ends_is_written and others in tests/test_gateway_turn_index.py.

--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -85,11 +85,12 @@
 
 
 class IndexedTurn(msgspec.Struct, tag='i', array_like=True, frozen=True):
-    """Where the latest turns of a conversation are stored, oldest first.
+    """Where the latest turns of an account's conversation are stored.
 
-    The last of them is the one that the record is looked up by.
+    They are the oldest first; the record is looked up by the last of them.
     """
 
+    account: str
     turns: typing.Annotated[tuple[StoredTurn, ...], msgspec.Meta(min_length=1)]
     ended_ms: bounds.Count
 
--- a/oleanderdrift/gateway/turn_index_log.py
+++ b/oleanderdrift/gateway/turn_index_log.py
@@ -27,8 +27,10 @@
 # The turns of some minutes at a busy instance; later ones are left out.
 MAX_PENDING: typing.Final = 4_096
 
-# A topic of the index and the partitions that may have a turn's entry.
+# A topic of the index, and the two partitions that may have a turn's entry.
 Slot: typing.TypeAlias = tuple[str, tuple[int, int]]
+# A topic of the index and one of its partitions.
+Partition: typing.TypeAlias = tuple[str, int]
 
 
 class TurnIndexLog:
@@ -43,12 +45,14 @@
     ) -> None:
         self.log = log
         self.events = events
-        self.indexes: dict[tuple[str, int], turns.TurnIndex] = {}
+        self.indexes: dict[Partition, turns.TurnIndex] = {}
         self.reads: dict[
-            tuple[str, int], shared_work.SharedRead[turns.TurnIndex]
+            Partition, shared_work.SharedRead[turns.TurnIndex]
         ] = {}
         self.pending: dict[Slot, list[records.IndexedTurn]] = {}
-        self.writers: dict[Slot, asyncio.Task[None]] = {}
+        self.writers: shared_work.SharedTasks[None] = shared_work.SharedTasks(
+            MAX_PENDING
+        )
 
     def slot_of(self, name: str) -> Slot:
         """Returns where a turn's entry is; the second part is a spare."""
@@ -64,10 +68,7 @@
             return
         slot = self.slot_of(entry.turns[-1].turn)
         self.pending.setdefault(slot, []).append(entry)
-        if slot not in self.writers:
-            task = shared_work.start(self.write(slot))
-            self.writers[slot] = task
-            task.add_done_callback(lambda _: self.writers.pop(slot, None))
+        self.writers.ensure(slot, lambda: self.write(slot))
 
     async def write(self, slot: Slot) -> None:
         """Writes the pending entries of a slot until there are none."""
@@ -93,8 +94,8 @@
 
     async def flush(self) -> None:
         """Waits until no entry is left to write."""
-        while self.writers:
-            await asyncio.wait(self.writers.values())
+        while self.writers.running:
+            await asyncio.wait(self.writers.running.values())
 
     async def find(self, name: str) -> records.IndexedTurn | None:
         """Returns a turn's entry, None if the index has none.
@@ -120,7 +121,7 @@
         return None
 
     def reader(
-        self, key: tuple[str, int]
+        self, key: Partition
     ) -> shared_work.SharedRead[turns.TurnIndex]:
         """Returns the shared read of a partition."""
         if key not in self.reads:
@@ -129,7 +130,7 @@
             )
         return self.reads[key]
 
-    async def read_to_end(self, key: tuple[str, int]) -> turns.TurnIndex:
+    async def read_to_end(self, key: Partition) -> turns.TurnIndex:
         """Reads what a partition has got since the last read."""
         topic, partition = key
         index = self.indexes.setdefault(key, turns.TurnIndex())
--- a/oleanderdrift/gateway/turns.py
+++ b/oleanderdrift/gateway/turns.py
@@ -13,7 +13,7 @@
 CACHE_BYTES: typing.Final = 24_000_000
 # Of a longer conversation, an entry of the index has the latest turns only:
 # each turn of it writes one.
-MAX_LISTED_TURNS: typing.Final = 32
+MAX_LISTED_TURNS: typing.Final = 8
 
 
 @attrs.frozen(kw_only=True)
@@ -89,7 +89,9 @@
 ) -> records.IndexedTurn:
     """Returns the index's entry of a turn, after some just before it."""
     listed = (*earlier, stored)[-MAX_LISTED_TURNS:]
-    return records.IndexedTurn(turns=listed, ended_ms=turn.ended_ms)
+    return records.IndexedTurn(
+        account=turn.account, turns=listed, ended_ms=turn.ended_ms
+    )
 
 
 def entry_of_record(
@@ -106,7 +108,9 @@
         size=len(data),
         input=record.input,
     )
-    return records.IndexedTurn(turns=(stored,), ended_ms=record.ended_ms)
+    return records.IndexedTurn(
+        account=record.account, turns=(stored,), ended_ms=record.ended_ms
+    )
 
 
 def latest_stored(
@@ -125,7 +129,7 @@
 
 
 def connected(loaded: collections.abc.Sequence[Turn]) -> list[Turn]:
-    """Returns turns, the latest first, up to one that is not continued."""
+    """Returns turns as far as each is the previous one of the one before."""
     found = list(loaded[:1])
     for turn in loaded[1:]:
         if found[-1].previous != turn.turn_id:
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -44,11 +44,12 @@
 class MemoryLog:
     """An in-memory log with injected faults.
 
-    Every call raises failure if it is set, and calls to
-    failing_partitions fail; with failing_puts, writes of keys do.  The next
-    unconfirmed_appends appends take effect but raise APPEND_UNCONFIRMED; the
-    next hanging_appends take effect but never return.  Appends to
-    blocked_topic wait for the gate, and so do removals, which are counted.
+    With blocked_reads, reads wait for the gate.  Every call raises failure
+    if it is set, and calls to failing_partitions fail; with failing_puts,
+    writes of keys do.  The next unconfirmed_appends appends take effect but
+    raise APPEND_UNCONFIRMED; the next hanging_appends take effect but never
+    return.  Appends to blocked_topic wait for the gate, and so do removals,
+    which are counted.
     """
 
     partitions: int = 4
@@ -58,6 +59,7 @@
     unconfirmed_appends: int = 0
     hanging_appends: int = 0
     blocked_topic: str = ''
+    blocked_reads: bool = False
     waiting: int = 0
     failing_partitions: set[tuple[str, int]] = attrs.field(factory=set)
     gate: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -118,6 +120,8 @@
         """Returns the records from start on."""
         self.reads += 1
         await asyncio.sleep(0)
+        if self.blocked_reads:
+            await self.gate.wait()
         self.check(topic, partition)
         found = self.data[topic, partition]
         return ports.LogRecords(
--- a/tests/test_gateway_kept_turns.py
+++ b/tests/test_gateway_kept_turns.py
@@ -12,6 +12,7 @@
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
+from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import turn_log
 from oleanderdrift.gateway import turns
@@ -298,3 +299,50 @@
             assert len(harness.replicas[0].received) == 1
 
     asyncio.run(scenario())
+
+
+def test_conversation_is_listed_whole_in_the_index() -> None:
+    """Guards against one look-up for each turn of a conversation."""
+
+    async def scenario() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route=RETAINED
+        ) as harness:
+            previous = None
+            for name in ('t1', 't2', 't3'):
+                reply = await harness.send_request(
+                    request_id=name, body=b'x', previous_turn=previous
+                )
+                assert reply.ended == 'complete'
+                previous = name
+            await harness.forwarder.turns.flush()
+            other = turn_log.TurnLog(
+                retrying_log.RetryingLog(harness.log), 'south-1'
+            )
+            entry = await other.index.find('t3')
+            assert entry is not None
+            listed = [one.turn for one in entry.turns]
+            assert listed == ['t1', 't2', 't3']
+
+    asyncio.run(scenario())
+
+
+def test_late_turn_comes_back_when_its_search_has_likely_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(turn_flow, 'PREPARE_TIMEOUT_S', 0.1)
+
+    async def scenario() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route=RETAINED
+        ) as harness:
+            log = harness.forwarder.turns.turns
+            monkeypatch.setattr(log.search, 'remaining_s', lambda name: 1.5)
+            harness.log.blocked_reads = True
+            reply = await harness.send_request(
+                request_id='t2', body=b'x', previous_turn='t1'
+            )
+            assert reply.status == 503
+            assert float(reply.headers['retry-after']) >= 1.5
+
+    asyncio.run(scenario())
--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -52,9 +52,10 @@
         ),
     ),
     (
-        b'\x93\xa1i\x91\x95\xa2q2\x05\x07\x0b\x94\x03)\x01\x0c\xcf\x00\x00'
-        b'\x01\xa0\xc4Pl\x00',
+        b'\x94\xa1i\xa4ward\x91\x95\xa2q2\x05\x07\x0b\x94\x03)\x01\x0c'
+        b'\xcf\x00\x00\x01\xa0\xc4Pl\x00',
         records.IndexedTurn(
+            account='ward',
             turns=(
                 records.StoredTurn(
                     turn='q2',
--- a/tests/test_gateway_turn_index.py
+++ b/tests/test_gateway_turn_index.py
@@ -2,18 +2,20 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import records
+from oleanderdrift.gateway import shared_work
 from oleanderdrift.gateway import turn_index_log
 from oleanderdrift.gateway import turns
 from tests import turn_support
 from tests import virtual_time
 
 
-@pytest.mark.parametrize('length', [1, 3, 32])
+@pytest.mark.parametrize('length', [1, 3, turns.MAX_LISTED_TURNS])
 def test_whole_conversation_is_found_in_one_look(length: int) -> None:
     async def scenario() -> int:
         log = turn_support.make_log()
@@ -158,3 +160,127 @@
         assert entry is not None
 
     virtual_time.run(scenario())
+
+
+def test_wrong_entry_is_got_over() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        last = await turn_support.store_chain(writer, 3)
+        await writer.index.flush()
+        entry = await writer.index.find(last)
+        assert entry is not None
+        wrong = msgspec.structs.replace(entry, turns=entry.turns[:1] * 2)
+        listed = msgspec.structs.replace(entry.turns[-1], offset=999)
+        missing = msgspec.structs.replace(entry, turns=(listed,))
+        for one in (wrong, missing):
+            topic, (first, _) = writer.index.slot_of(last)
+            renamed = msgspec.structs.replace(one.turns[-1], turn=last)
+            data = records.encode(
+                msgspec.structs.replace(one, turns=(*one.turns[:-1], renamed))
+            )
+            await log.append(topic, first, [data])
+            started = turn_support.make_turn_log(log, 'south-1')
+            found = await turn_support.inputs(started, last)
+            assert found == turn_support.expected_inputs(3)
+
+    virtual_time.run(scenario())
+
+
+def test_entry_in_its_spare_partition_is_found() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        topic, (first, _) = writer.index.slot_of('mine')
+        log.failing_partitions.add((topic, first))
+        await turn_support.store_turn(writer, 'mine')
+        await writer.index.flush()
+        log.failing_partitions.clear()
+        started = turn_support.make_turn_log(log, 'south-1')
+        assert await started.index.find('mine') is not None
+
+    virtual_time.run(scenario())
+
+
+def test_turns_of_another_account_are_not_read() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        last = await turn_support.store_chain(writer, 3)
+        await writer.index.flush()
+        started = turn_support.make_turn_log(log, 'south-1')
+        log.reads = 0
+        with pytest.raises(errors.ResultError) as raised:
+            await started.chain(last, 'other')
+        assert raised.value.code is codes.UNKNOWN_TURN
+        assert log.reads == 1
+        found = await turn_support.inputs(started, last)
+        assert found == turn_support.expected_inputs(3)
+
+    virtual_time.run(scenario())
+
+
+def test_entry_that_comes_as_its_writer_ends_is_written() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        await turn_support.store_turn(writer, 't0')
+        entry = turns.entry_of_record(
+            records.encode(
+                records.TurnEnd(
+                    turn='t0',
+                    previous=None,
+                    account='ward',
+                    input=records.InputLocation(
+                        part=0, offset=0, count=1, size=1
+                    ),
+                    output=b'',
+                    ended_ms=1,
+                )
+            ),
+            0,
+            0,
+        )
+        assert entry is not None
+        [task] = writer.index.writers.running.values()
+        task.add_done_callback(lambda _: writer.index.note(entry))
+        while not task.done():
+            await asyncio.sleep(0)
+        writer.index.note(entry)
+        await writer.index.flush()
+        assert not writer.index.pending
+
+    virtual_time.run(scenario())
+
+
+def test_many_conversations_are_read_at_once() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        names = [f'q{number}' for number in range(shared_work.MAX_TASKS)]
+        for name in names:
+            await turn_support.store_turn(writer, name)
+            await turn_support.store_turn(writer, f'{name}b', name)
+        await writer.index.flush()
+        started = turn_support.make_turn_log(log, 'south-1')
+        await asyncio.gather(
+            *(started.chain(f'{name}b', 'ward') for name in names)
+        )
+
+    virtual_time.run(scenario())
+
+
+def test_turns_that_ended_long_ago_are_forgotten() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        await turn_support.store_turn(writer, 't0')
+        await writer.index.flush()
+        started = turn_support.make_turn_log(log, 'south-1')
+        assert await started.index.find('t0') is not None
+        await started.search.find('t0')
+        started.forget(2)
+        assert not any(one.entries for one in started.index.indexes.values())
+        assert not any(one.index.entries for one in started.search.partitions)
+
+    virtual_time.run(scenario())
