Hold back an answer's finish reason until its end is recorded

What callers saw: the finish reason, which clients take for the end of an answer, before the owner was asked to record the end; if it then could not, the stream was cut, but the caller had a whole answer that the history lacks. Cause: only [DONE] was held back. Evidence: test_conversation.py::test_finish_reason_is_not_passed_on_before_the_end_is_recorded failed before and passes now. None of the lost histories that were traced came this way. Why it works: what is passed on ends inside the event with the finish reason, so that no parser of events shows it. A quoted finish reason is escaped and not taken for one.

--- a/oleanderdrift/call_exchange.py
+++ b/oleanderdrift/call_exchange.py
@@ -174,16 +174,16 @@
         content_type = stream.headers.get('Content-Type', 'text/event-stream')
         relay.writer.begin(stream.status, content_type, call.grant)
     relay.parts.append(data)
-    # The event that ends the answer is held back until the owner has
+    # What ends the answer for its caller is held back until the owner has
     # recorded the end, so that the caller's next call finds this one ended.
     if relay.held_back:
         relay.held_back += data
         return True
-    done = conversation.find_done(relay.parts)
-    if done < 0:
+    end = conversation.find_done(relay.parts)
+    if end < 0:
         relay.writer.write(data)
         return True
-    if done:
-        relay.writer.write(data[:done])
-    relay.held_back = data[done:]
+    if end:
+        relay.writer.write(data[:end])
+    relay.held_back = data[end:]
     return True
--- a/oleanderdrift/conversation.py
+++ b/oleanderdrift/conversation.py
@@ -6,6 +6,7 @@
 """
 
 import hashlib
+import re
 import typing
 
 import attrs
@@ -23,6 +24,9 @@
 _DATA: typing.Final = b'data: '
 _DONE: typing.Final = b'[DONE'
 _EVENT_END: typing.Final = b'\n\n'
+_FINISHED: typing.Final = re.compile(rb'"finish_reason"\s*:\s*"')
+# Longer than any match of _FINISHED that an engine sends.
+_FINISHED_BYTES: typing.Final = 32
 _CANONICAL_KEYS: typing.Final = (
     'role',
     'name',
@@ -257,6 +261,27 @@
 
 
 def find_done(parts: list[bytes]) -> int:
+    """Returns the offset in the last part from which the answer is over.
+
+    That is where a finish reason or the [DONE] event begins, since callers
+    take either for the end of the answer.  It is 0 if that began in an
+    earlier part, and -1 if neither has been received.
+    """
+    found = [
+        offset
+        for offset in (_find_finished(parts), _find_done_event(parts))
+        if offset >= 0
+    ]
+    return min(found, default=-1)
+
+
+def _find_finished(parts: list[bytes]) -> int:
+    overlap = _tail(parts, _FINISHED_BYTES)
+    match = _FINISHED.search(overlap + parts[-1])
+    return max(0, match.start() - len(overlap)) if match else -1
+
+
+def _find_done_event(parts: list[bytes]) -> int:
     """Returns the offset in the last part at which the [DONE] event begins.
 
     It is 0 if the event began in an earlier part, and -1 if the event has
@@ -266,11 +291,11 @@
     whole = last.endswith(_EVENT_END) and last.startswith(_DATA)
     if whole and _DONE not in last:
         return -1
-    before = b''
-    for part in reversed(parts[:-1]):
-        before = part + before
-        if len(before) >= len(DONE_EVENT):
-            break
-    overlap = before[1 - len(DONE_EVENT) :]
+    overlap = _tail(parts, len(DONE_EVENT) - 1)
     found = (overlap + last).find(DONE_EVENT)
     return max(0, found - len(overlap)) if found >= 0 else -1
+
+
+def _tail(parts: list[bytes], size: int) -> bytes:
+    """Returns up to size bytes before the last part, which are not empty."""
+    return b''.join(parts[-size - 1 : -1])[-size:]
--- a/tests/test_conversation.py
+++ b/tests/test_conversation.py
@@ -25,6 +25,35 @@
     assert conversation.find_done(parts) == found
 
 
+TOKEN = b'data: {"choices":[{"finish_reason":null,"delta":{}}]}\n\n'
+FINISH = b'data: {"choices":[{"delta":{},"finish_reason": "stop"}]}\n\n'
+
+
+@pytest.mark.parametrize('cut', range(1, len(FINISH)))
+def test_finish_reason_is_not_passed_on_before_the_end_is_recorded(
+    cut: int,
+) -> None:
+    """Callers take a finish reason for the end, before [DONE]."""
+    passed_on = b''
+    parts: list[bytes] = []
+    for part in (TOKEN, FINISH[:cut], FINISH[cut:]):
+        parts.append(part)
+        end = conversation.find_done(parts)
+        passed_on += part if end < 0 else part[:end]
+        if end >= 0:
+            break
+    assert end >= 0
+    assert passed_on.startswith(TOKEN)
+    assert b'"stop"' not in passed_on
+    assert not passed_on.endswith(b'\n\n')
+
+
+def test_quoted_finish_reason_does_not_end_an_answer() -> None:
+    """A finish reason in an answer's text is no end."""
+    quoted = rb'data: {"delta":{"content":"\"finish_reason\": \"stop\""}}'
+    assert conversation.find_done([TOKEN, quoted + b'\n\n']) < 0
+
+
 @pytest.mark.parametrize(
     'body',
     [
