Refuse an end that adds history to a program that is not known

What callers saw: a whole answer, whose owner was killed while it was under way; none of it is in the log. Cause: an instance that did not know the program, as an owner that restarted does not, answered its end with success, since only the release of the prefix mattered there. Evidence: test_programs.py::test_end_of_an_unknown_program_may_not_add_to_the_history failed before and passes now. Ends without history are answered as before.

--- a/oleanderdrift/call_ends.py
+++ b/oleanderdrift/call_ends.py
@@ -63,16 +63,33 @@
 
     The upstream of a late end is still recorded, or released at once if
     the program has ended.  A late end that would add to the history is
-    refused, so that no caller gets an answer that the history lacks.
+    refused, so that no caller gets an answer that the history lacks, and
+    so is such an end of a program that is not known here.
     """
     program = ledger_lib.find(ledger, message.program)
     if program is None:
-        return decisions.release_prefixes(message.program, (message.upstream,))
+        return _end_unknown(message)
     if not is_current(program, message):
         return _end_late(ledger, program, message)
     return _end_current(ledger, now, program, message)
 
 
+def _end_unknown(message: messages.EndCall) -> decisions.Decision:
+    decision = decisions.release_prefixes(message.program, (message.upstream,))
+    if not message.history:
+        return decision
+    return _refuse_history(decision, 'the program is not known here')
+
+
+def _refuse_history(
+    decision: decisions.Decision, detail: str
+) -> decisions.Decision:
+    refusal = decisions.refuse(codes.OUTCOME_UNAVAILABLE, detail)
+    return attrs.evolve(
+        decision, reply=refusal.reply, commit_if_available=False
+    )
+
+
 def _end_late(
     ledger: decisions.Ledger,
     program: ledger_lib.Program,
@@ -86,12 +103,7 @@
         )
     if not message.history or _is_recorded(program, message):
         return decision
-    refusal = decisions.refuse(
-        codes.OUTCOME_UNAVAILABLE, 'another attempt was recorded first'
-    )
-    return attrs.evolve(
-        decision, reply=refusal.reply, commit_if_available=False
-    )
+    return _refuse_history(decision, 'another attempt was recorded first')
 
 
 def _is_recorded(
--- a/tests/test_programs.py
+++ b/tests/test_programs.py
@@ -225,6 +225,16 @@
     assert isinstance(reply, messages.SuccessReply) == recorded
 
 
+def test_end_of_an_unknown_program_may_not_add_to_the_history() -> None:
+    """An owner that restarted knows none of its former programs."""
+    restarted = decisions.Ledger()
+    told = attrs.evolve(END, history=b'["told"]', history_digest=b'told')
+    decision = run(restarted, told)
+    assert decision.reply.code == codes.OUTCOME_UNAVAILABLE.number
+    assert len(decision.releases) == 1
+    assert run(restarted, END).reply == messages.SuccessReply()
+
+
 def test_sub_agents_share_the_budget_and_end_with_the_root(
     ledger: decisions.Ledger,
 ) -> None:
