Copy what the log has not taken before an answer tells of it

What callers saw: whole answers in an outage of the log; their owner was killed before it ended, and none of the program's messages are in the log. Now a reply that tells of a history (an end, its repeat, a repeated call) is sent only once the shard's waiting records are in the log or copied to all that may hold the shard next. If not all take them, the answer is cut, 4010. Old builds do not know the new message (52) and give no copy, so that beside them an answer in an outage may be cut. Records in the log have the same format.

--- a/oleanderdrift/call_ends.py
+++ b/oleanderdrift/call_ends.py
@@ -101,8 +101,10 @@
         decision = decisions.release_prefixes(
             message.program, (message.upstream,)
         )
-    if not message.history or _is_recorded(program, message):
+    if not message.history:
         return decision
+    if _is_recorded(program, message):
+        return attrs.evolve(decision, tells_history=program.program)
     return _refuse_history(decision, 'another attempt was recorded first')
 
 
@@ -142,6 +144,7 @@
         records=records,
         commit_if_available=message.execution is codes.Execution.RAN,
         releases=releases,
+        tells_history=program.program if message.history else '',
     )
 
 
--- a/oleanderdrift/daemon.py
+++ b/oleanderdrift/daemon.py
@@ -37,6 +37,7 @@
 from oleanderdrift import owner_client as owner_client_lib
 from oleanderdrift import peers as peers_lib
 from oleanderdrift import probes
+from oleanderdrift import record_copies
 from oleanderdrift import releases as releases_lib
 from oleanderdrift import settings as settings_lib
 from oleanderdrift import shard_feed
@@ -110,11 +111,21 @@
     )
     commit = _make_commit(settings, log)
     manager = _make_shard_manager(board)
+    copier = record_copies.Copier(
+        commit=commit,
+        fleet=manager.fleet,
+        ask=lambda name, message: owner_client_lib.ask_instance(
+            owners, name, message
+        ),
+        neighbours=lambda shard: daemon_events.neighbours(board, shard),
+        timeout_s=settings.fleet.peer_timeout_s / 2,
+    )
     owner = owner_lib.Owner(
         board=board,
         commit=commit,
         release=lambda release: releases_lib.submit(releases, release),
         shard_manager=manager,
+        copier=copier,
     )
     peers = peers_lib.Peers(
         name=settings.instance.name,
@@ -182,6 +193,7 @@
         ),
         write=lambda decision: owner_lib.append_records(owner, decision),
         is_durable=lambda: not commit.entries,
+        waiting_shards=lambda: {entry.shard for entry in commit.entries},
     )
     daemon = daemon_parts.Daemon(
         board=board,
--- a/oleanderdrift/daemon_events.py
+++ b/oleanderdrift/daemon_events.py
@@ -19,6 +19,7 @@
 from oleanderdrift import outbound
 from oleanderdrift import owner as owner_lib
 from oleanderdrift import probes
+from oleanderdrift import record_copies
 from oleanderdrift import shard_manager
 from oleanderdrift import share_feed
 
@@ -134,6 +135,10 @@
             return shard_manager.on_promise_request(
                 daemon.shard_manager, time.monotonic(), message
             )
+        case messages.CopyRecords():
+            return record_copies.keep(
+                daemon.shard_manager.fleet, daemon.commit, message
+            )
         case messages.SlotReleased():
             dispatch_lib.on_release(daemon.dispatch, message)
             return None
@@ -204,6 +209,17 @@
     return {member.name for member in members}
 
 
+def neighbours(board: blackboard.Board, key: str) -> list[str]:
+    """Returns the other live instances of the data centre, best first."""
+    this = board.members.this
+    names = [
+        member.name
+        for member in membership.alive(board.members, time.monotonic())
+        if member.data_centre == this.data_centre and member.name != this.name
+    ]
+    return sorted(names, key=lambda name: membership.weight(name, key))
+
+
 def send_to(
     daemon: daemon_parts.Daemon, name: str, message: messages.Message
 ) -> None:
--- a/oleanderdrift/decisions.py
+++ b/oleanderdrift/decisions.py
@@ -28,13 +28,16 @@
     commit_required, they must be durable and the lease still held before
     the reply is sent; otherwise the call must be ended as not run.  With
     commit_if_available, the reply waits for the commit while the log
-    answers, and is sent without it during a log outage.
+    answers, and is sent without it during a log outage.  The reply tells
+    of the history of the program tells_history, if any; it must not be
+    sent before that history outlasts the death of this instance.
     """
 
     reply: messages.Message
     records: tuple[messages.Message, ...] = ()
     commit_required: bool = False
     commit_if_available: bool = False
+    tells_history: str = ''
     releases: tuple[PrefixRelease, ...] = ()
 
 
--- a/oleanderdrift/group_commit.py
+++ b/oleanderdrift/group_commit.py
@@ -29,12 +29,16 @@
 
 @attrs.frozen(kw_only=True)
 class Entry:
-    """A record to be appended, and a future for its offset."""
+    """A record to be appended, and a future for its offset.
+
+    keepers are the other instances that have a copy of it.
+    """
 
     shard: str
     epoch: int
     data: bytes
     durable: asyncio.Future[int]
+    keepers: set[typing.Any] = attrs.field(factory=set)
 
 
 class GroupCommit:
@@ -56,10 +60,15 @@
         self, shard: str, epoch: int, record: messages.Message
     ) -> asyncio.Future[int]:
         """Queues a shard's record; the future yields its batch's offset."""
+        return self.add_encoded(shard, epoch, codec.encode(record))
+
+    def add_encoded(
+        self, shard: str, epoch: int, data: bytes
+    ) -> asyncio.Future[int]:
+        """Queues an encoded record, as add does."""
         durable: asyncio.Future[int] = (
             asyncio.get_running_loop().create_future()
         )
-        data = codec.encode(record)
         entry = Entry(shard=shard, epoch=epoch, data=data, durable=durable)
         self.entries.append(entry)
         self.ready.set()
@@ -79,7 +88,7 @@
     async def _append_all(self) -> None:
         while self.entries:
             self.appended_at = time.monotonic()
-            batch = _first_batch(self.entries)
+            batch = first_batch(self.entries)
             offset = await self._append_with_retries(batch)
             del self.entries[: len(batch)]
             for entry in batch:
@@ -123,7 +132,8 @@
     )
 
 
-def _first_batch(entries: list[Entry]) -> list[Entry]:
+def first_batch(entries: list[Entry]) -> list[Entry]:
+    """Returns the first entries that fit into one batch, at least one."""
     size = 0
     batch: list[Entry] = []
     for entry in entries:
--- a/oleanderdrift/lease_promises.py
+++ b/oleanderdrift/lease_promises.py
@@ -63,10 +63,7 @@
     Returns None if this instance did not open the request's home, holds
     the shard itself, or has sent a claim that may still succeed.
     """
-    claim = fleet.claims.get(request.shard)
-    if request.home not in fleet.homes or request.shard in fleet.own:
-        return None
-    if claim is not None and _may_succeed(fleet, claim):
+    if not may_wait(fleet, request.shard, request.home):
         return None
     promise_s = fleet.lease_s * PROMISE_LEASE_FRACTION
     fleet.given_promises[request.shard] = ownership.GivenPromise(
@@ -81,6 +78,18 @@
     )
 
 
+def may_wait(fleet: ownership.FleetView, shard: str, home: str) -> bool:
+    """Tells whether this instance is free not to claim a shard.
+
+    It is not if it did not open the home, holds the shard itself, or has
+    sent a claim that may still succeed.
+    """
+    if home not in fleet.homes or shard in fleet.own:
+        return False
+    claim = fleet.claims.get(shard)
+    return claim is None or not _may_succeed(fleet, claim)
+
+
 def _may_succeed(
     fleet: ownership.FleetView, claim: messages.ShardTaken
 ) -> bool:
--- a/oleanderdrift/ledger.py
+++ b/oleanderdrift/ledger.py
@@ -70,6 +70,7 @@
     status: int
     content_type: str
     answer: bytes
+    adds_history: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -322,6 +323,7 @@
         status=record.status,
         content_type=record.content_type,
         answer=record.answer,
+        adds_history=bool(record.history),
     )
 
 
--- a/oleanderdrift/messages.py
+++ b/oleanderdrift/messages.py
@@ -409,6 +409,20 @@
     promise_s: float
 
 
+@attrs.frozen(kw_only=True)
+class CopyRecords:
+    """Asks a peer to append a shard's records if their writer dies.
+
+    home is the peer's shard through which it could take this one over, or
+    empty if nobody can.  records are encoded, in their order.
+    """
+
+    shard: str
+    home: str
+    epoch: int
+    records: tuple[bytes, ...]
+
+
 # --- Peer messages: slots on upstreams ----------------------------------
 
 
@@ -752,6 +766,7 @@
     49: CallPlaced,
     50: PromiseRequest,
     51: LeasePromise,
+    52: CopyRecords,
     60: SlotRequest,
     61: SlotGranted,
     62: SlotRefused,
--- a/oleanderdrift/owner.py
+++ b/oleanderdrift/owner.py
@@ -24,6 +24,7 @@
 from oleanderdrift import ownership
 from oleanderdrift import program_ends
 from oleanderdrift import programs
+from oleanderdrift import record_copies
 from oleanderdrift import shard_manager
 
 EXPIRE_INTERVAL_S: typing.Final = 1.0
@@ -55,6 +56,7 @@
     commit: group_commit.GroupCommit
     release: Releaser
     shard_manager: shard_manager.ShardManager
+    copier: record_copies.Copier
     attempts: dict[AttemptId, str] = attrs.field(factory=dict)
 
 
@@ -144,9 +146,28 @@
         # Records that follow a successor's fence in the log are ignored,
         # so the lease must still be held.
         epoch_of(owner, decision.records[0].program)
+    if decision.tells_history:
+        await _await_kept(owner, decision.tells_history)
     return reply
 
 
+async def _await_kept(owner: Owner, program: str) -> None:
+    """Waits until a program's history outlasts this instance's death.
+
+    Raises ResultError(OUTCOME_UNAVAILABLE) if neither the log nor the
+    other instances take its records.
+    """
+    shard = ledger_lib.shard_of(program)
+    if not await record_copies.protect(owner.copier, shard):
+        raise errors.ResultError(
+            codes.OUTCOME_UNAVAILABLE,
+            'neither the log nor a peer has taken the history',
+            retry_after_s=owner.board.settings.platform.timeout_s,
+        )
+    # Copies count only if they were made while the lease was held.
+    epoch_of(owner, program)
+
+
 def _append(owner: Owner, record: messages.Message) -> asyncio.Future[int]:
     shard = ledger_lib.shard_of(record.program)
     state = owner.board.ledger.shards.get(shard)
--- a/oleanderdrift/programs.py
+++ b/oleanderdrift/programs.py
@@ -231,7 +231,8 @@
         content_type=stored.content_type,
         answer=stored.answer,
     )
-    return decisions.Decision(reply=reply)
+    told = program.program if stored.adds_history else ''
+    return decisions.Decision(reply=reply, tells_history=told)
 
 
 def _check_order(
--- a/oleanderdrift/shard_feed.py
+++ b/oleanderdrift/shard_feed.py
@@ -39,7 +39,8 @@
 
     ask sends a request to the named instance, write queues the records of
     a takeover for the log, is_durable tells whether all queued records
-    are in the log.  last_contact is when the log last answered a read of
+    are in the log, waiting_shards returns the shards of those that are
+    not.  last_contact is when the log last answered a read of
     the fleet stream, in monotonic seconds.
     """
 
@@ -49,6 +50,9 @@
     ask: Ask
     write: Write
     is_durable: collections.abc.Callable[[], bool]
+    waiting_shards: collections.abc.Callable[[], collections.abc.Set[str]] = (
+        frozenset
+    )
     last_contact: float | None = None
     caught_up: asyncio.Event = attrs.field(factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -112,6 +116,7 @@
                 now,
                 log_answers=_log_answers(feed, now),
                 durable=feed.is_durable(),
+                copied=feed.waiting_shards(),
             ):
                 _spawn(feed, _perform(feed, action))
         await asyncio.sleep(lease_s / STEPS_PER_LEASE)
--- a/oleanderdrift/shard_manager.py
+++ b/oleanderdrift/shard_manager.py
@@ -6,6 +6,7 @@
 taken over is served once its records have been replayed up to the fence.
 """
 
+import collections.abc
 import math
 import random
 import typing
@@ -190,12 +191,18 @@
 
 
 def step(
-    manager: ShardManager, now: float, *, log_answers: bool, durable: bool
+    manager: ShardManager,
+    now: float,
+    *,
+    log_answers: bool,
+    durable: bool,
+    copied: collections.abc.Set[str] = frozenset(),
 ) -> list[Action]:
     """Returns the actions that are due; call it a few times a second.
 
     log_answers says that the log has answered recently, durable that
-    every record of the ledger so far is in the log.
+    every record of the ledger so far is in the log.  copied are the shards
+    of which records wait for the log here; they are not claimed before.
     """
     fleet = manager.fleet
     if durable:
@@ -207,7 +214,7 @@
         actions += _openings(manager, now, durable=durable)
         if durable:
             actions += _closings(manager, now)
-        actions += _claims(manager, now)
+        actions += _claims(manager, now, copied)
         actions += _takeovers(manager)
     if ownership.renewal_due(fleet, now):
         actions.append(AppendFleet(record=ownership.next_renewal(fleet, now)))
@@ -262,11 +269,13 @@
     return actions
 
 
-def _claims(manager: ShardManager, now: float) -> list[AppendFleet]:
+def _claims(
+    manager: ShardManager, now: float, copied: collections.abc.Set[str]
+) -> list[AppendFleet]:
     return [
         AppendFleet(record=takeovers.claim_record(manager.fleet, now, shard))
         for shard in takeovers.takeover_candidates(manager.fleet, now)
-        if _may_send(manager, now, f'take {shard}')
+        if shard not in copied and _may_send(manager, now, f'take {shard}')
     ]
 
 
