Check takeovers after ends that were acknowledged by copies

The random machine acknowledges ends by copies too, and a scene kills an owner whose copies land late.

--- a/tests/owner_fleet.py
+++ b/tests/owner_fleet.py
@@ -16,9 +16,11 @@
 from oleanderdrift import decisions
 from oleanderdrift import errors
 from oleanderdrift import held_shards
+from oleanderdrift import lease_promises
 from oleanderdrift import ledger as ledger_lib
 from oleanderdrift import messages
 from oleanderdrift import model
+from oleanderdrift import ownership
 from oleanderdrift import programs
 from oleanderdrift import shard_manager
 
@@ -168,6 +170,7 @@
             self.clock(node),
             log_answers=True,
             durable=not node.entries,
+            copied={shard for shard, _epoch, _record in node.entries},
         )
         for action in actions:
             match action:
@@ -247,6 +250,42 @@
         record = messages.Batch(records=records)
         self.append(node, 'programs', record, on_answer, on_failure)
 
+    def copy(self, node: Node, shard: str) -> bool:
+        """Copies a shard's waiting records to all its possible successors.
+
+        Returns whether all have taken them.
+        """
+        fleet = node.manager.fleet
+        if shard not in fleet.own or ownership.is_private(fleet, shard):
+            return False
+        homes = ownership.own_successors(fleet, shard)
+        waiting = [entry for entry in node.entries if entry[0] == shard]
+        for home in homes:
+            if not self.keep(fleet.shards[home].opener, home, waiting):
+                return False
+        now = self.clock(node)
+        if not homes or not ownership.may_serve(fleet, now, shard):
+            return False
+        ownership.note_unrecorded(fleet)
+        return True
+
+    def keep(
+        self,
+        name: str,
+        home: str,
+        entries: list[tuple[str, int, messages.Message]],
+    ) -> bool:
+        """Gives an instance copies; returns whether it has taken them."""
+        for node in self.nodes:
+            if node.name == name and all(
+                lease_promises.may_wait(node.manager.fleet, shard, home)
+                for shard, _epoch, _record in entries
+            ):
+                node.entries += entries
+                node.written += len(entries)
+                return True
+        return False
+
     def land_append(self, append: Append, *, answered: bool) -> None:
         """Adds an append to its stream; without an answer it has failed."""
         self.appends.remove(append)
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -53,6 +53,7 @@
         self.calls: list[messages.BeginCall] = []
         self.fenced: dict[str, int] = {}
         self.acknowledged: dict[str, int] = {}
+        self.by_copies = False
         for name, rate in RATES.items():
             self.fleet.start(name, rate)
         for _ in range(3):
@@ -75,6 +76,10 @@
             nodes = [n for n in self.fleet.nodes if n.name != paused]
             self.fleet.run_nodes(nodes, log=log, peers=peers)
 
+    @stateful.rule(by_copies=strategies.booleans())
+    def ends_are_acknowledged(self, by_copies: bool) -> None:
+        self.by_copies = by_copies
+
     @stateful.rule(choice=PICK)
     def one_node_steps(self, choice: int) -> None:
         self.fleet.step(pick(self.fleet.nodes, choice))
@@ -360,8 +365,15 @@
             self.acknowledge(op)
 
     def acknowledge(self, op: owner_fleet.AdmittedCall) -> None:
-        """Acknowledges the end of a call to its caller once it is durable."""
+        """Acknowledges the end of a call to its caller.
+
+        It is durable then or, with by_copies, copied to all successors.
+        """
         node, program = op.node, op.grant.program
+        if self.by_copies:
+            if self.fleet.copy(node, ledger_lib.shard_of(program)):
+                self.acknowledged[program] = op.grant.call
+            return
         self.fleet.flush(node)
         for one in [a for a in self.fleet.appends if a.node is node]:
             self.fleet.land_append(one, answered=True)
@@ -476,6 +488,56 @@
         machine.no_history_is_lost()
 
 
+@pytest.mark.parametrize('failing_rounds', [0, 6, 12])
+@pytest.mark.parametrize('renews', [False, True])
+def test_takeover_finds_what_was_acknowledged_by_copies(
+    renews: bool, failing_rounds: int
+) -> None:
+    """The batches of all others fail for some rounds after the kill."""
+    machine = PromisesMachine()
+    fleet = machine.fleet
+    owner = fleet.nodes[0]
+    program = machine.programs[0]
+    message = machine.new_call(program, tool=False)
+    fleet.begin(owner, message, 'plain')
+    (op,) = fleet.admitted
+    op.state = owner_fleet.SENT
+    machine.ends_are_acknowledged(by_copies=True)
+    machine.advance(op, gives_up=False)
+    assert machine.acknowledged == {program: op.grant.call}
+    if renews:
+        # The log takes what an owner sends, but not its batches.
+        fleet.now += owner_fleet.LEASE_S / 2
+        run_without_batches(fleet, owner)
+    fleet.kill(owner)
+    for number in range(20):
+        fleet.now += 2.0
+        for node in fleet.nodes:
+            if number < failing_rounds:
+                run_without_batches(fleet, node)
+            else:
+                fleet.run_nodes([node], log=True)
+            machine.no_history_is_lost()
+    assert any(
+        ledger_lib.find(node.manager.ledger, program) is not None
+        for node in fleet.nodes
+    )
+
+
+def run_without_batches(
+    fleet: owner_fleet.Fleet, node: owner_fleet.Node
+) -> None:
+    """Runs a round of a node whose batches fail."""
+    fleet.read(node)
+    fleet.step(node)
+    for append in [one for one in fleet.appends if one.node is node]:
+        if isinstance(append.record, messages.Batch):
+            fleet.fail_append(append)
+        else:
+            fleet.land_append(append, answered=True)
+    fleet.read(node)
+
+
 PromisesTest = PromisesMachine.TestCase
 PromisesTest.settings = hypothesis.settings(
     max_examples=EXAMPLES,
