--- a/oleanderdrift/owner.py
+++ b/oleanderdrift/owner.py
@@ -1,7 +1,8 @@
 """The owner controller: answers messages on the programs of its shards.
 
 Takes each decision from `programs`, `call_ends` or `program_ends`, commits
-its records as the decision requires, and then replies.  It is notified of
+its records as the decision requires, and then replies.  A reply that tells
+of a program's history also waits for `record_copies`.  It is notified of
 instances that are gone, so that their attempts do not stay open.
 """
 
