Kill or freeze an instance from one injector at a time

Each fault now chooses among the instances that the other injector does not kill or freeze at the time, so that every kill and freeze takes place. Also excluded: two kills or two freezes of one instance at once, which are one kill, or a freeze that the first of them ends. Checks are unchanged.

--- a/tests/test_fleet_random.py
+++ b/tests/test_fleet_random.py
@@ -6,8 +6,10 @@
 
 import collections
 import concurrent.futures
+import contextlib
 import os
 import random
+import threading
 import time
 import typing
 
@@ -118,20 +120,43 @@
         return False
 
 
+CLAIMED_NODES: typing.Final[set[str]] = set()
+CLAIM_LOCK: typing.Final = threading.Lock()
+
+
+@contextlib.contextmanager
+def claimed_node(
+    running: fleet_state.Fleet, rng: random.Random
+) -> typing.Iterator[fleet_state.Node]:
+    """Chooses a node that no other injector kills or freezes meanwhile.
+
+    A process that has been killed can be neither frozen nor thawed.
+    """
+    with CLAIM_LOCK:
+        name = rng.choice(
+            [one for one in running.nodes if one not in CLAIMED_NODES]
+        )
+        CLAIMED_NODES.add(name)
+    try:
+        yield running.nodes[name]
+    finally:
+        CLAIMED_NODES.discard(name)
+
+
 def kill(running: fleet_state.Fleet, rng: random.Random) -> None:
     """Kills an instance and restarts it after a random time."""
-    node = rng.choice(list(running.nodes.values()))
-    node.running.kill()
-    time.sleep(rng.uniform(*FAULT_DURATION_S))
-    fleet.start_node(running, node)
+    with claimed_node(running, rng) as node:
+        node.running.kill()
+        time.sleep(rng.uniform(*FAULT_DURATION_S))
+        fleet.start_node(running, node)
 
 
 def freeze(running: fleet_state.Fleet, rng: random.Random) -> None:
     """Suspends an instance (SIGSTOP) for a random time."""
-    process = rng.choice(list(running.nodes.values())).running
-    process.freeze()
-    time.sleep(rng.uniform(*FAULT_DURATION_S))
-    process.thaw()
+    with claimed_node(running, rng) as node:
+        node.running.freeze()
+        time.sleep(rng.uniform(*FAULT_DURATION_S))
+        node.running.thaw()
 
 
 def isolate_data_centre(
