--- a/oleanderdrift/conversation.py
+++ b/oleanderdrift/conversation.py
@@ -24,7 +24,8 @@
 _DATA: typing.Final = b'data: '
 _DONE: typing.Final = b'[DONE'
 _EVENT_END: typing.Final = b'\n\n'
-_FINISHED: typing.Final = re.compile(rb'"finish_reason"\s*:\s*"')
+_FINISH_REASON: typing.Final = b'"finish_reason"'
+_FINISHED: typing.Final = re.compile(_FINISH_REASON + rb'\s*:\s*"')
 # Longer than any match of _FINISHED that an engine sends.
 _FINISHED_BYTES: typing.Final = 32
 _CANONICAL_KEYS: typing.Final = (
@@ -267,17 +268,18 @@
     take either for the end of the answer.  It is 0 if that began in an
     earlier part, and -1 if neither has been received.
     """
-    found = [
-        offset
-        for offset in (_find_finished(parts), _find_done_event(parts))
-        if offset >= 0
-    ]
-    return min(found, default=-1)
+    finished = _find_finished(parts)
+    done = _find_done_event(parts)
+    if finished < 0 or done < 0:
+        return max(finished, done)
+    return min(finished, done)
 
 
 def _find_finished(parts: list[bytes]) -> int:
     overlap = _tail(parts, _FINISHED_BYTES)
-    match = _FINISHED.search(overlap + parts[-1])
+    data = overlap + parts[-1]
+    start = data.find(_FINISH_REASON)
+    match = _FINISHED.search(data, start) if start >= 0 else None
     return max(0, match.start() - len(overlap)) if match else -1
 
 
@@ -297,5 +299,10 @@
 
 
 def _tail(parts: list[bytes], size: int) -> bytes:
-    """Returns up to size bytes before the last part, which are not empty."""
+    """Returns up to size bytes before the last part, if its event is split.
+
+    No part is empty.
+    """
+    if len(parts) < 2 or parts[-2].endswith(_EVENT_END):
+        return b''
     return b''.join(parts[-size - 1 : -1])[-size:]
