Read conversations in a module of their own; no limit on the index's writers

A limit on the tasks that write entries could have raised where a turn is stored; the limit on entries that wait stays.

--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -249,7 +249,7 @@
         wait_s = 0.0
         if not has_chain:
             name = request.previous_turn or ''
-            lacked = self.turns.describe(name)
+            lacked = self.turns.loads.describe(name)
             wait_s = self.turns.search.remaining_s(name)
         error = self.store_unavailable_error(
             request, f'the store did not answer in time: {lacked}'
--- a/oleanderdrift/gateway/turn_index_log.py
+++ b/oleanderdrift/gateway/turn_index_log.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 import typing
 
 from oleanderdrift import errors
@@ -51,7 +52,7 @@
         ] = {}
         self.pending: dict[Slot, list[records.IndexedTurn]] = {}
         self.writers: shared_work.SharedTasks[None] = shared_work.SharedTasks(
-            MAX_PENDING
+            math.inf
         )
 
     def slot_of(self, name: str) -> Slot:
