--- a/tests/test_gateway_kept_turns.py
+++ b/tests/test_gateway_kept_turns.py
@@ -3,21 +3,27 @@
 import asyncio
 import typing
 
+import attrs
 import pytest
 
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import budget_log
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import drain
+from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import link_share
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
+from oleanderdrift.gateway import tunnel_server
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import turn_log
 from oleanderdrift.gateway import turns
 from standins import replica
 from tests import gateway_desk
+from tests import gateway_support
 
 STREAM: typing.Final = {'kind': model.RouteKind.STREAMING}
 RETAINED: typing.Final = {'kind': model.RouteKind.STREAMING, 'retains': True}
@@ -346,3 +352,39 @@
             assert float(reply.headers['retry-after']) >= 1.5
 
     asyncio.run(scenario())
+
+
+def test_stopping_instance_writes_the_entries_of_its_turns() -> None:
+    async def scenario() -> None:
+        async with gateway_desk.run_harness(
+            [replica.Stream()], route=RETAINED
+        ) as harness:
+            flow = harness.forwarder.turns
+            topic, _ = flow.turns.index.slot_of('t1')
+            harness.log.blocked_topic = topic
+            await harness.send_request(request_id='t1', body=b'x')
+            stopping = drain.Drain(
+                board=harness.forwarder.board,
+                ingress=typing.cast(ingress.Ingress, None),
+                turns=flow,
+                tunnels=typing.cast(tunnel_server.TunnelServer, None),
+            )
+            flushing = asyncio.create_task(stopping.flush())
+            await asyncio.sleep(0.05)
+            assert not flushing.done()
+            harness.log.gate.set()
+            await flushing
+            other = turn_log.TurnLog(
+                retrying_log.RetryingLog(harness.log), 'south-1'
+            )
+            assert await other.index.find('t1') is not None
+
+    asyncio.run(scenario())
+
+
+def test_reads_of_turns_keep_to_the_link_of_the_settings() -> None:
+    board = gateway_support.board()
+    board.settings = attrs.evolve(board.settings, link_mbps=22.0)
+    flow = turn_flow.TurnFlow(board, gateway_support.MemoryLog())
+    assert flow.turns.share.limit == link_share.LinkShare(22.0).limit
+    assert flow.turns.share.limit < link_share.LinkShare(1_000.0).limit
--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -244,4 +244,5 @@
 def test_settings_without_newer_fields_are_read() -> None:
     found = settings.decode(SETTINGS)
     assert found.memory_bytes > 0
+    assert found.link_mbps > 0
     assert settings.decode(SETTINGS + b'[New]\nx = 1\n') == found
--- a/tests/test_gateway_turn_index.py
+++ b/tests/test_gateway_turn_index.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import shared_work
 from oleanderdrift.gateway import turn_index_log
 from oleanderdrift.gateway import turns
+from tests import slow_link
 from tests import turn_support
 from tests import virtual_time
 
@@ -284,3 +285,27 @@
         assert not any(one.index.entries for one in started.search.partitions)
 
     virtual_time.run(scenario())
+
+
+def test_entries_that_wait_are_limited(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an outage of the index that fills the memory."""
+    monkeypatch.setattr(turn_index_log, 'MAX_PENDING', 5)
+
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        turn_support.fail_index(log)
+        writer = turn_support.make_turn_log(log, 'north-1')
+        for number in range(20):
+            await turn_support.store_turn(writer, f'q{number}')
+            await asyncio.sleep(0.1)
+        assert sum(map(len, writer.index.pending.values())) == 5
+        found = await make_and_count(log, [f'q{n}' for n in range(20)])
+        assert found == 20
+
+    async def make_and_count(log: slow_link.SlowLog, names: list[str]) -> int:
+        started = turn_support.make_turn_log(log, 'south-1')
+        return sum([len(await started.chain(name, 'ward')) for name in names])
+
+    virtual_time.run(scenario())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -64,6 +64,7 @@
 ReadyAddr = "10.1.0.11:8369"
 [Limits]
 MemoryMb = 180
+LinkMbps = 22.5
 [Bounds]
 RevokeMs = 5000
 [Platform]
@@ -263,6 +264,7 @@
     assert result.tunnel_listen == '10.1.0.11:7781'
     assert result.store_partitions == 12
     assert result.key_grace_s == 4.5
+    assert result.link_mbps == 22.5
 
 
 @pytest.mark.parametrize(
