--- a/oleanderdrift/gateway/retrying_log.py
+++ b/oleanderdrift/gateway/retrying_log.py
@@ -16,7 +16,7 @@
 from oleanderdrift.gateway import repeats
 from oleanderdrift import logs
 
-# How often a pending append is checked for being late.
+# How often a pending call is checked for being late.
 POLL_INTERVAL_S: typing.Final = 0.03
 # A read's answer may have long bytes, on a slow link.
 MIN_LATE_READ_S: typing.Final = 0.2
@@ -27,7 +27,7 @@
 
 
 class RetryingLog:
-    """A log that retries appends whose response is late.
+    """A log that retries calls whose response is late.
 
     It also keeps a circuit breaker for each partition.
     """
