Have the end of an answer wait for its turn's entry in the index

Cause: nobody waited for the entry. After a loss of power, programs go on from their latest turns, so what is written last is needed first. The end of an answer now waits for it, 0.05 s at the most; the search still finds what an index that hangs does not have. Evidence: test_turn_is_in_the_index_when_its_answer_ends fails without the wait. The limit of waiting entries counts those being written as well.

--- a/oleanderdrift/gateway/turn_index_log.py
+++ b/oleanderdrift/gateway/turn_index_log.py
@@ -3,8 +3,9 @@
 An entry is a few bytes for each turn of a conversation, in one of many small
 partitions, so that finding a turn costs the same however many turns others
 have stored and however long their outputs are.  It is written once the turn
-itself is stored, and nobody waits for it: until it is there, and for turns
-of builds that write none, `turn_search` finds the turn.
+itself is stored.  The end of an answer waits for it for a short time: those
+who lose power together continue their latest turns.  Until it is there, and
+for turns of builds that write none, `turn_search` finds the turn.
 """
 
 import asyncio
@@ -25,6 +26,8 @@
 # with each failure, as all instances do so in an outage of the store.
 RETRY_DELAY_S: typing.Final = 0.3
 MAX_RETRY_DELAY_S: typing.Final = 4.8
+# Some times what an append takes.
+MAX_WAIT_S: typing.Final = 0.05
 # The turns of some minutes at a busy instance; later ones are left out.
 MAX_PENDING: typing.Final = 4_096
 
@@ -39,6 +42,7 @@
 
     indexes and reads are those of the partitions that it has looked at.
     pending holds the entries to write, and writers the tasks that do it.
+    unwritten counts those and the ones that are being written.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         self.reads: dict[
             Partition, shared_work.SharedRead[turns.TurnIndex]
         ] = {}
+        self.unwritten = 0
         self.pending: dict[Slot, list[records.IndexedTurn]] = {}
         self.writers: shared_work.SharedTasks[None] = shared_work.SharedTasks(
             math.inf
@@ -62,14 +67,24 @@
         topic = topics[number % len(topics)]
         return topic, routing.two_partitions(name, self.log.partitions)
 
-    def note(self, entry: records.IndexedTurn) -> None:
-        """Has an entry written."""
-        if sum(map(len, self.pending.values())) >= MAX_PENDING:
+    async def put(self, entry: records.IndexedTurn) -> None:
+        """Has an entry written; returns then, or after MAX_WAIT_S."""
+        writer = self.note(entry)
+        if writer is not None:
+            await asyncio.wait([writer], timeout=MAX_WAIT_S)
+
+    def note(self, entry: records.IndexedTurn) -> asyncio.Task[None] | None:
+        """Has an entry written by the task that it returns.
+
+        Returns None if too many are waiting; the entry is left out then.
+        """
+        if self.unwritten >= MAX_PENDING:
             self.events.info('turn-not-indexed', turn=entry.turns[-1].turn)
-            return
+            return None
+        self.unwritten += 1
         slot = self.slot_of(entry.turns[-1].turn)
         self.pending.setdefault(slot, []).append(entry)
-        self.writers.ensure(slot, lambda: self.write(slot))
+        return self.writers.ensure(slot, lambda: self.write(slot))
 
     async def write(self, slot: Slot) -> None:
         """Writes the pending entries of a slot until there are none."""
@@ -91,6 +106,7 @@
                 await asyncio.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
             else:
+                self.unwritten -= len(entries)
                 delay_s = RETRY_DELAY_S
 
     async def flush(self) -> None:
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -173,7 +173,7 @@
             input=location,
         )
         self.cache.put(attrs.evolve(turn, stored=stored))
-        self.index.note(turns.entry_of(turn, stored, earlier))
+        await self.index.put(turns.entry_of(turn, stored, earlier))
 
     def partitions_of(self, turn: str) -> tuple[int, int]:
         """Returns the partitions that may hold a turn's record.
--- a/tests/test_gateway_turn_index.py
+++ b/tests/test_gateway_turn_index.py
@@ -243,13 +243,15 @@
             0,
         )
         assert entry is not None
-        [task] = writer.index.writers.running.values()
+        task = writer.index.note(entry)
+        assert task is not None
         task.add_done_callback(lambda _: writer.index.note(entry))
         while not task.done():
             await asyncio.sleep(0)
         writer.index.note(entry)
         await writer.index.flush()
         assert not writer.index.pending
+        assert not writer.index.unwritten
 
     virtual_time.run(scenario())
 
@@ -300,7 +302,7 @@
         for number in range(20):
             await turn_support.store_turn(writer, f'q{number}')
             await asyncio.sleep(0.1)
-        assert sum(map(len, writer.index.pending.values())) == 5
+        assert writer.index.unwritten == 5
         found = await make_and_count(log, [f'q{n}' for n in range(20)])
         assert found == 20
 
@@ -309,3 +311,34 @@
         return sum([len(await started.chain(name, 'ward')) for name in names])
 
     virtual_time.run(scenario())
+
+
+def test_turn_is_in_the_index_when_its_answer_ends() -> None:
+    """Guards against searches for the last turns before a loss of power."""
+
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        await turn_support.store_turn(writer, 't0')
+        started = turn_support.make_turn_log(log, 'south-1')
+        assert await started.index.find('t0') is not None
+
+    virtual_time.run(scenario())
+
+
+def test_index_that_hangs_does_not_hold_back_answers() -> None:
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        log.blocked_topic, _ = writer.index.slot_of('t0')
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await turn_support.store_turn(writer, 't0')
+        waited_s = loop.time() - began
+        assert waited_s <= 2 * turn_index_log.MAX_WAIT_S
+        log.gate.set()
+        await writer.index.flush()
+        started = turn_support.make_turn_log(log, 'south-1')
+        assert await started.index.find('t0') is not None
+
+    virtual_time.run(scenario())
