Share the failures of upstreams between instances

Change: instances publish counts of answers and failures while an upstream fails; placement adds the expected loss to its delay.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -287,6 +287,9 @@
         if not via and upstream.path.loss is not None:
             self.note_lost_on_path(progress, upstream, reason)
             return False
+        self.board.failures.note_failure(
+            upstream.entry.incarnation(), clock.monotonic()
+        )
         check = self.crashes.note_broken(progress, upstream)
         if not progress.admitted.may_repeat():
             if not via:
@@ -354,9 +357,11 @@
         finally:
             upstream.abortable.pop(connection, None)
             self.connections.forget(connection)
+        now = clock.monotonic()
         upstream.note_success()
         self.board.crashes.note_success(progress.fingerprints)
-        self.connections.release(upstream, connection, clock.monotonic())
+        self.board.failures.note_answer(upstream.entry.incarnation(), now)
+        self.connections.release(upstream, connection, now)
         return True
 
 
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -14,6 +14,7 @@
 from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
+from oleanderdrift.gateway import shared_failures
 from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import tunnel_peers as tunnel_peers_lib
 from oleanderdrift.gateway import upstream_limits as upstream_limits_lib
@@ -65,6 +66,9 @@
     crashes: crash_ledger.CrashLedger = attrs.field(
         factory=crash_ledger.CrashLedger
     )
+    failures: shared_failures.SharedFailures = attrs.field(
+        factory=shared_failures.SharedFailures
+    )
     accusations: accusations_lib.Accusations = attrs.field(
         factory=accusations_lib.Accusations
     )
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -177,6 +177,7 @@
             or not self.uses_relays
             or self.board.rate_limiter.has_unannounced()
             or self.board.upstream_limits.has_unreported()
+            or self.board.failures.has_unreported()
             or self.board.crashes.has_unreported(self.published_at)
             or self.board.lost_paths.keys() != self.published_unreachable
             or self.current_work() != self.published_work
@@ -225,6 +226,7 @@
             },
             unreachable=unreachable,
             reaches_few=reaches_few,
+            failures=self.board.failures.reports(now),
         )
         envelope = peer_messages.Envelope(
             instance=self.board.settings.instance,
@@ -355,6 +357,12 @@
                 limit=limit,
                 rate_per_s=state.limits[limit].rate_per_s,
             )
+        for incarnation in self.board.failures.note_reports(
+            name, state.failures, now
+        ):
+            self.events.info(
+                'upstream-watched', peer=name, incarnation=incarnation
+            )
         self.peer_crashes.apply(name, state, now)
         self.board.rate_limiter.apply_update(
             name, envelope.incarnation, state.usage, state.whole, now
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -14,6 +14,7 @@
 from oleanderdrift.gateway import bounds
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import rate_buckets
+from oleanderdrift.gateway import shared_failures
 from oleanderdrift.gateway import upstream_limits
 
 # Retired incarnations of an instance whose late messages are recognised.
@@ -57,7 +58,8 @@
     the crashes for which they are.  living holds for how many seconds
     upstreams are known to be alive that were said to have crashed.
     unreachable holds the upstreams that the instance cannot reach directly;
-    reaches_few says that there are more.
+    reaches_few says that there are more.  failures counts what upstreams that
+    lately broke off answers did with this instance's requests.
     """
 
     data_centre: bounds.Text
@@ -73,6 +75,7 @@
     grounds: dict[bounds.Text, frozenset[bounds.Text]] = {}
     unreachable: frozenset[bounds.Text] = frozenset()
     reaches_few: bool = False
+    failures: dict[bounds.Text, shared_failures.Report] = {}
 
 
 class Envelope(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -45,6 +45,11 @@
 # Upper bound of a hash-based cost that keeps requests with equal prompts
 # together when costs are equal.
 TIE_BREAK_S: typing.Final = 0.002
+# Upstreams with a higher expected loss are compared only if there are no
+# others: of a few that are drawn at random, all may be such.
+MAX_LOSS_S: typing.Final = 0.2
+
+_NO_LOSSES: typing.Final[dict[str, float]] = {}
 
 
 @attrs.frozen(kw_only=True)
@@ -101,9 +106,13 @@
     chance: random.Random,
     excluded: collections.abc.Container[str] = (),
     busy: collections.abc.Container[str] = (),
+    losses_s: collections.abc.Mapping[str, float] = _NO_LOSSES,
 ) -> upstreams.Upstream | None:
     """Returns the best upstream, or None if all are excluded or busy.
 
+    losses_s has what upstreams that fail requests are expected to cost this
+    one, by incarnation.
+
     Upstreams that are ejected or in a silent data centre are chosen only
     if there are no others: a busy one is worth waiting for.
     """
@@ -119,6 +128,11 @@
     first_part = request.prompt[0].part_id if request.prompt else ''
     name = request.affinity_key or first_part or request.request_id
 
+    def loss_s(one: upstreams.Upstream) -> float:
+        if not losses_s:
+            return 0.0
+        return losses_s.get(one.entry.incarnation(), 0.0)
+
     def score(one: upstreams.Upstream) -> float:
         tie = (
             routing.hash_fraction(f'{name} {one.entry.upstream_id}')
@@ -127,13 +141,16 @@
         is_connected = one.entry.upstream_id in place.connected
         connect_s = 0.0 if is_connected else NEW_CONNECTION_S
         delay = delay_s(one, request, place.data_centre, now)
-        return delay + connect_s + tie
+        return delay + connect_s + tie + loss_s(one)
 
     free = [
         one
         for one in healthy or remaining
         if one.entry.upstream_id not in busy
     ]
+    if losses_s:
+        sound = [one for one in free if loss_s(one) < MAX_LOSS_S]
+        free = sound or free
     compared = draw(free, request, place, chance)
     return min(compared, key=score, default=None)
 
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -101,6 +101,7 @@
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
             'open_tunnels': len(self.tunnels.open),
             'lost_paths': len(board.lost_paths),
+            'upstreams_watched': len(board.failures.watched),
             'tunnels_opened': (
                 self.forwarder.attempts.connections.tunnels_opened
             ),
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import continuations
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import shared_failures
 from oleanderdrift.gateway import upstreams
 
 # A caller that is refused sooner uses up one of its few tries.
@@ -134,14 +135,19 @@
         now: float,
     ) -> upstreams.Upstream | None:
         """Returns the best of the candidates that are not busy."""
+        admitted = progress.admitted
+        cost_s = shared_failures.failure_cost_s(
+            may_repeat=admitted.may_repeat(), is_turn=admitted.is_turn()
+        )
         return placement.choose(
             candidates,
-            progress.admitted.request,
+            admitted.request,
             self.place(candidates, now),
             now,
             self.chance,
             progress.excluded,
             busy,
+            self.board.failures.expected_loss_s(cost_s, now),
         )
 
     def home(
