Tests of older builds: keep the last landing's state, add one with failures

States have a new last field. The sample of the last landing stays as one that is read; the one that is written has the new field, and one field more is tried of later builds than before.

--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import peer_messages
 from oleanderdrift.gateway import rate_buckets
 from oleanderdrift.gateway import records
+from oleanderdrift.gateway import shared_failures
 from oleanderdrift.gateway import tunnel_wire
 from oleanderdrift.gateway import upstream_limits
 from oleanderdrift.platform import settings
@@ -79,7 +80,9 @@
     b'{"cores":1.5,"data_centre":"north","peer_address":"10.0.0.1:7780",'
     b'"tunnel_address":"10.0.0.1:7781"}'
 )
-STATE: typing.Final = (
+# Written before states had the failures of upstreams; the build that wrote it
+# ignores fields after its last.
+READ_ONLY_STATE: typing.Final = (
     b'\x9d\xa5north\xcb?\xd0\x00\x00\x00\x00\x00\x00\x81\xa4ward\x92\x07\xcb'
     b'@\x04\x00\x00\x00\x00\x00\x00\xc3\x81\xa2u1\x93\x02\x1e\x91\xa2a1\xc3'
     b'\x81\xa4u1\x1f5\x92\xc0\xcb?\xf0\x00\x00\x00\x00\x00\x00\x81\xa4u2\x1f'
@@ -87,6 +90,11 @@
     b'\xcb@N\x00\x00\x00\x00\x00\x00\x81\xa4u3\x1f7\xcb@\x00\x00\x00\x00\x00'
     b'\x00\x00\x81\xa2f1\x91\xa4u2\x1f6\x91\xa2u4\xc3'
 )
+STATE: typing.Final = (
+    b'\x9e'
+    + READ_ONLY_STATE[1:]
+    + b'\x81\xa4u4\x1f8\x93\x0c\x03\xcb?\xc0\x00\x00\x00\x00\x00\x00'
+)
 BUNDLE: typing.Final = b'o\x92\xa7north-1\x91\x94\xa7north-1\xfb\t' + STATE
 UPDATE: typing.Final = peer_messages.StateUpdate(
     data_centre='north',
@@ -112,6 +120,9 @@
     grounds={'f1': frozenset(['u2\x1f6'])},
     unreachable=frozenset(['u4']),
     reaches_few=True,
+    failures={
+        'u4\x1f8': shared_failures.Report(answered=12, failed=3, age_s=0.125)
+    },
 )
 TUNNEL: list[tuple[bytes, tunnel_wire.Message]] = [
     (b'\x00\x00\x00\x08\x91\xa6opened', tunnel_wire.Opened()),
@@ -212,7 +223,19 @@
     assert peer_messages.encode_bundle(topic, bundle) == BUNDLE
 
 
-@pytest.mark.parametrize('fields', range(5, 15))
+def test_state_of_the_last_landing_is_read() -> None:
+    """Guards against a build that goes blind to its older peers."""
+    envelope = peer_messages.Envelope(
+        instance='north-1',
+        incarnation=1,
+        sequence=1,
+        state=msgspec.Raw(READ_ONLY_STATE),
+    )
+    expected = msgspec.structs.replace(UPDATE, failures={})
+    assert peer_messages.decode_state(envelope) == expected
+
+
+@pytest.mark.parametrize('fields', range(5, 16))
 def test_state_with_fewer_or_more_fields_is_read(fields: int) -> None:
     """Guards against a build that goes blind to its older peers."""
     known = msgspec.msgpack.decode(STATE)
