Cold upstreams: each instance keeps to a fixed share of their rate

Cause: an upstream that has just started crashes above ColdPerS requests a second.

Change: cold_shares gives each registered instance a fixed share by a hash; fleet_members keeps the sum true while directories differ. A new connection of such a service shows which start it leads to. Board.mark_cold marks a data centre whose evacuation has ended.

--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -239,6 +239,10 @@
         priority = account.priority
     service = routing.choose_service(route, request)
     engines = board.upstreams.of_service(service, include_lapsed=False)
+    # Those that are cold carry next to nothing.
+    engines = board.cold_shares.warm(
+        board.services().get(service), engines, now
+    )
     if engines and not board.upstream_limits.can_begin(service, engines, now):
         raise limited_error(request.request_id, begins_program=True)
     refusal = program_admission.refuse_program(
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import buffering
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import cold_shares
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import crash_detector
 from oleanderdrift.gateway import event_log
@@ -103,6 +104,7 @@
                 done = await self.try_one(progress, upstream, reply)
             finally:
                 self.crashes.end(progress, upstream)
+                progress.release_cold_place()
                 upstream.own_requests -= 1
                 upstream.clear_pending_tokens(request.request_id)
             if done:
@@ -146,7 +148,8 @@
                 is_first=not was_sent,
                 keeps_version=progress.admitted.route.is_resumable_stream(),
                 continues=progress.origin is not None,
-                begin=functools.partial(_begin, progress),
+                begin=functools.partial(self.begin, progress, upstream),
+                checks_start=cold_shares.applies(progress.admitted.service),
             ),
         )
         match outcome:
@@ -205,6 +208,23 @@
                     progress, upstream, outcome, reply, started
                 )
 
+    def begin(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Notes that a request is sent; raises as _check_caller does.
+
+        Raises NoPlaceError if the upstream has become cold since it was
+        chosen, and this instance may not send it the request.
+        """
+        _check_caller(progress)
+        now = clock.monotonic()
+        place = progress.cold_place or self.board.cold_shares.take(
+            upstream.entry, progress.admitted.service, now, clock.boot()
+        )
+        if place is not None:
+            place.note_sent(now)
+        progress.begun = True
+
     def log_continued(
         self, progress: progress_lib.Progress, upstream: upstreams.Upstream
     ) -> None:
@@ -364,9 +384,3 @@
     """Raises ClientDisconnectedError if the caller has left."""
     if progress.caller_left:
         raise reply_lib.ClientDisconnectedError
-
-
-def _begin(progress: progress_lib.Progress) -> None:
-    """Notes that a request is sent; raises as _check_caller does."""
-    _check_caller(progress)
-    progress.begun = True
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -7,7 +7,9 @@
 
 from oleanderdrift.gateway import accusations as accusations_lib
 from oleanderdrift.gateway import allotments as allotments_lib
+from oleanderdrift.gateway import cold_shares as cold_shares_lib
 from oleanderdrift.gateway import crash_ledger
+from oleanderdrift.gateway import fleet_members
 from oleanderdrift.gateway import freshness as freshness_lib
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
@@ -59,6 +61,14 @@
             takes_self=True,
         )
     )
+    cold_shares: cold_shares_lib.ColdShares = attrs.field(
+        default=attrs.Factory(
+            lambda self: cold_shares_lib.ColdShares(
+                members=fleet_members.FleetMembers(own=self.settings.instance)
+            ),
+            takes_self=True,
+        )
+    )
     freshness: freshness_lib.Freshness = attrs.field(
         factory=freshness_lib.Freshness
     )
@@ -106,6 +116,23 @@
         if len(self.started_programs) > MAX_STARTED_PROGRAMS:
             self.started_programs.popitem(last=False)
 
+    def services(self) -> dict[str, model.Service]:
+        """Returns the configured services by name."""
+        return self.config.services if self.config is not None else {}
+
+    def mark_cold(self, data_centre: str, since: float, now: float) -> None:
+        """Counts a data centre's upstreams as cold from a time on.
+
+        To be called when its evacuation ends.
+        """
+        self.cold_shares.mark_data_centre(
+            data_centre,
+            self.upstreams.by_id.values(),
+            self.services(),
+            since,
+            now,
+        )
+
     def note_crash(
         self, incarnation: str, report: crash_ledger.CrashReport, now: float
     ) -> list[crash_ledger.Blame]:
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -85,6 +85,8 @@
         self.is_verified = False
         # Set by an answer of an upstream that says that it leaves.
         self.upstream_leaves = False
+        # How much longer the upstream is cold, by its report.
+        self.cold_s: float | None = None
         # The stated length of the answer's body, if any.
         self.body_length: int | None = None
 
--- a/oleanderdrift/gateway/directory.py
+++ b/oleanderdrift/gateway/directory.py
@@ -9,7 +9,10 @@
 
 from oleanderdrift import errors
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import cold_shares
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import fleet_members
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import relays
@@ -34,6 +37,7 @@
         events: event_log.EventLog,
     ) -> None:
         settings = board.settings
+        self.board = board
         self.log = log
         self.events = events
         self.own = relays.Instance(
@@ -111,19 +115,38 @@
         Returns the position to go on from; None if the store has dropped
         the records there.
         """
+        as_of = clock.boot()
         if position is None:
             found = await self.log.newest(records.INSTANCE_TOPIC)
         else:
+            wait_s = self.wait_s()
             changed = await self.log.read_keyed(
-                records.INSTANCE_TOPIC, position, wait_s=WAIT_S
+                records.INSTANCE_TOPIC, position, wait_s=wait_s
             )
             if changed is None:
                 return None
             found = changed
+            if not found.records:
+                # There was no change until the poll timed out.
+                as_of = min(as_of + wait_s, clock.boot())
         for record in found.records:
             self.apply(record)
+        if found.is_last:
+            self.board.cold_shares.members.note_read(
+                self.instances, clock.monotonic(), as_of
+            )
         return found.end
 
+    def wait_s(self) -> float:
+        """Returns how long one read waits for a change.
+
+        Shares of cold upstreams need a directory that is seconds old.
+        """
+        services = self.board.services().values()
+        if any(cold_shares.applies(one) for one in services):
+            return fleet_members.POLL_S
+        return WAIT_S
+
     def apply(self, record: ports.KeyedRecord) -> None:
         """Applies one record."""
         if record.key == self.own.name and not self.is_own(record.value):
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import buffering
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import cold_shares
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import time_limits
@@ -112,8 +113,10 @@
     keeps_version says that it is for a stream that only upstreams of one
     software version may run, from its beginning on; they do not check it.
     continues says that an upstream of that version has begun it.
+    checks_start says that the upstream may be cold after a restart, which a
+    new connection leads to before its entry is read.
     begin is called before the first byte is sent; what it raises is passed
-    on, with nothing sent.
+    on, with nothing sent, except NoPlaceError.
     """
 
     admitted: admission.Admitted
@@ -124,6 +127,7 @@
     keeps_version: bool
     continues: bool
     begin: collections.abc.Callable[[], None]
+    checks_start: bool = False
 
 
 async def send_request(
@@ -147,6 +151,7 @@
         return connection
     handed_over = False
     known = board.upstreams
+    note_cold(board, upstream, connection)
     try:
         # It may have said so since it was chosen.
         if connection.upstream_leaves or known.is_leaving(upstream.entry):
@@ -166,7 +171,12 @@
         headers = codec.upstream_headers(
             request, entry, admitted.account, left_s, outgoing.last_event_id
         )
-        outgoing.begin()
+        try:
+            outgoing.begin()
+        except cold_shares.NoPlaceError:
+            connections.release(upstream, connection, clock.monotonic())
+            handed_over = True
+            return NotVerified(reason='it has become cold')
         await connection.send(
             request.method, request.target, headers, outgoing.body
         )
@@ -194,12 +204,30 @@
     finally:
         if connection.upstream_leaves:
             connections.note_leaving(upstream)
+        note_cold(board, upstream, connection)
         if not handed_over:
             upstream.abortable.pop(connection, None)
             connections.forget(connection)
             connection.close()
 
 
+def note_cold(
+    board: board_lib.Board,
+    upstream: upstreams.Upstream,
+    connection: channel.Channel,
+) -> None:
+    """Applies what an upstream has last said of its cold time, if it did."""
+    if connection.cold_s is None:
+        return
+    board.cold_shares.note_report(
+        upstream.entry,
+        board.services().get(upstream.entry.service),
+        connection.cold_s,
+        clock.monotonic(),
+    )
+    connection.cold_s = None
+
+
 async def _connect(
     connections: upstream_connections.UpstreamConnections,
     codec: ports.Codec,
@@ -215,7 +243,7 @@
         connection = await connections.acquire(upstream, clock.monotonic())
     except (OSError, TimeoutError) as error:
         return NotConnected(reason=repr(error))
-    if not outgoing.keeps_version:
+    if not outgoing.keeps_version and not outgoing.checks_start:
         return connection
     if upstream.writes_no_report and not outgoing.continues:
         return connection
@@ -302,9 +330,12 @@
     headers = (*raw.interim_headers, *raw.headers)
     if raw.status != MISDIRECTED and codec.says_leaving(headers):
         connection.upstream_leaves = True
-    return codec.decode_upstream_head(
+    head = codec.decode_upstream_head(
         raw.status, raw.headers, is_framed=raw.is_framed
     )
+    if raw.status != MISDIRECTED:
+        connection.cold_s = head.cold_s
+    return head
 
 
 async def _read_own_head(
--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -197,6 +197,7 @@
             )
             return
         change = self.board.upstreams.put(entry)
+        self.note_cold_time(entry, change in ('added', 'restarted'))
         if change is not None:
             self.events.info(
                 'upstream-' + change,
@@ -206,6 +207,21 @@
                 software=entry.version,
             )
 
+    def note_cold_time(self, entry: model.UpstreamEntry, is_new: bool) -> None:
+        """Applies how long an upstream is cold, if its entry is in force."""
+        known = self.board.upstreams.by_id.get(entry.upstream_id)
+        if known is None or known.entry is not entry:
+            return
+        service = self.board.services().get(entry.service)
+        if not self.board.cold_shares.note_entry(
+            entry, service, clock.monotonic(), is_new
+        ):
+            self.events.info(
+                'cold-time-ignored',
+                upstream=entry.upstream_id,
+                cold_s=entry.cold_s,
+            )
+
 
 def _format_rates(config: model.Configuration) -> str:
     accounts = config.accounts_by_key or {}
--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -61,12 +61,16 @@
 class Service:
     """A group of interchangeable upstreams.
 
-    Each event of a stream stands for tokens_per_event tokens.
+    Each event of a stream stands for tokens_per_event tokens.  An upstream
+    that has just started is cold for cold_start_s, and takes cold_per_s
+    requests a second until then; 0 if the operators name none.
     """
 
     name: str
     tokens_per_event: int
     is_engine: bool
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -118,7 +118,8 @@
     is_event_stream is false only if it names another content type, and
     is_framed if its body ends with the connection.
     rate_limit_per_s is the rate of requests that the upstream accepts from
-    all instances together, None if it names no limit.
+    all instances together, None if it names no limit.  cold_s is how much
+    longer the upstream is cold, None if it does not say.
     """
 
     status: int
@@ -129,6 +130,7 @@
     is_event_stream: bool
     is_framed: bool
     rate_limit_per_s: float | None = None
+    cold_s: float | None = None
 
 
 class Codec(typing.Protocol):
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -5,6 +5,7 @@
 import attrs
 
 from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import cold_shares
 from oleanderdrift.gateway import fingerprints as fingerprints_lib
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
@@ -28,6 +29,7 @@
     running_requests were the inputs of the last placement.  first_ms is the
     time until the first event, or -1.  origin is that of the stream that the
     caller has begun to receive.  holder counts the earlier turns in body.
+    cold_place is its place in the share of a cold upstream that was chosen.
     is_renewed says that body is stored as the turn's input, and earlier where
     the turns before it are stored.
     """
@@ -57,12 +59,19 @@
     origin: stream_origins.Origin | None = None
     last_reason: str = ''
     holder: held_bytes.Holder | None = None
+    cold_place: cold_shares.ColdPlace | None = None
 
     def must_complete(self) -> bool:
         """Returns whether its work goes on if the caller leaves."""
         kind = self.admitted.route.kind
         return self.begun and kind is model.RouteKind.NON_IDEMPOTENT
 
+    def release_cold_place(self) -> None:
+        """Gives the place at a cold upstream back if it was not used."""
+        if self.cold_place is not None:
+            self.cold_place.release()
+            self.cold_place = None
+
     def release(self) -> None:
         """Ends the count of the conversation's bytes."""
         if self.holder is not None:
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -101,6 +101,13 @@
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
             'open_tunnels': len(self.tunnels.open),
             'lost_paths': len(board.lost_paths),
+            'cold_upstreams': len(
+                board.cold_shares.cold_now(
+                    board.upstreams.by_id.values(),
+                    board.services(),
+                    clock.monotonic(),
+                )
+            ),
             'tunnels_opened': (
                 self.forwarder.attempts.connections.tunnels_opened
             ),
@@ -164,9 +171,9 @@
                 now, REMOVED_UPSTREAM_RETENTION_S
             ):
                 self.forwarder.attempts.pool.close_idle(upstream.key())
-            self.board.upstream_limits.keep_only(
-                self.board.upstreams.by_id.values()
-            )
+            known = self.board.upstreams.by_id.values()
+            self.board.upstream_limits.keep_only(known)
+            self.board.cold_shares.keep_only(known)
             retention_ms = int(self.board.settings.turn_retention_s * 1_000)
             self.forwarder.turns.turns.forget(clock.unix_ms() - retention_ms)
 
@@ -205,6 +212,21 @@
                 away = upstream.entry.data_centre in silent
                 for connection in upstream.eject_if_silent(now, away, held_s):
                     connection.close()
+            self.log_cold_upstreams()
+
+    def log_cold_upstreams(self) -> None:
+        """Logs the cold times that have begun since the last call."""
+        for one in self.board.cold_shares.begun:
+            self.events.info(
+                'upstream-cold',
+                upstream=one.upstream,
+                service=one.service,
+                cold_s=round(one.cold_s, 2),
+                reason=one.reason,
+                share_per_s=one.share,
+                instances=one.members,
+            )
+        self.board.cold_shares.begun.clear()
 
     async def run(self) -> None:
         """Serves until SIGTERM, then drains."""
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -1,9 +1,11 @@
 """Chooses the upstream that a request is sent to next.
 
-Joins what `placement` says is best with what `upstream_limits` allows.
+Joins what `placement` says is best with what `upstream_limits` and
+`cold_shares` allow.
 """
 
 import asyncio
+import collections.abc
 import random
 import typing
 
@@ -12,6 +14,7 @@
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import cold_shares
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import continuations
 from oleanderdrift.gateway import placement
@@ -27,7 +30,12 @@
 
 @attrs.frozen(kw_only=True)
 class NoToken:
-    """All upstreams that may get a request have got the rate they take."""
+    """All upstreams that may get a request have got the rate they take.
+
+    is_cold says that this is so because upstreams have just started.
+    """
+
+    is_cold: bool = False
 
 
 class UpstreamChooser:
@@ -58,14 +66,19 @@
         try:
             until = clock.monotonic() + MAX_TOKEN_WAIT_S
             while isinstance(choice, NoToken):
-                may_wait = clock.monotonic() < until
+                now = clock.monotonic()
+                may_wait = now < until
                 if not progress.sent and (
-                    admitted.begins_program or not may_wait
+                    (admitted.begins_program and not choice.is_cold)
+                    or not may_wait
                 ):
                     raise admission.limited_error(
                         admitted.request.request_id,
                         begins_program=admitted.begins_program,
                     )
+                if choice.is_cold and now >= progress.deadline:
+                    # A share may stay empty for as long as upstreams are cold.
+                    return None
                 await asyncio.sleep(TOKEN_POLL_S)
                 choice = self.choose(progress, has_waited=True)
         finally:
@@ -96,19 +109,50 @@
     ) -> upstreams.Upstream | NoToken | None:
         """Returns the upstream to try next, with a token for the request.
 
+        One that is cold is taken only where no other may get the request.
+        """
+        candidates = self.candidates(progress)
+        now, boot_now = clock.monotonic(), clock.boot()
+        service = progress.admitted.service
+        shares = self.board.cold_shares
+        held = shares.restrictions(service, candidates, now, boot_now)
+        choice = self.choose_open(
+            progress, candidates, held.cold | held.closed, now, has_waited
+        )
+        if held.cold and not isinstance(choice, upstreams.Upstream):
+            choice = self.choose_open(
+                progress, candidates, held.closed, now, has_waited
+            )
+        if isinstance(choice, upstreams.Upstream):
+            if held is not cold_shares.NONE:
+                progress.cold_place = shares.take(
+                    choice.entry, service, now, boot_now
+                )
+        elif not held.closed.issubset(progress.excluded):
+            return NoToken(is_cold=True)
+        return choice
+
+    def choose_open(
+        self,
+        progress: progress_lib.Progress,
+        candidates: list[upstreams.Upstream],
+        shut: frozenset[str],
+        now: float,
+        has_waited: bool,
+    ) -> upstreams.Upstream | NoToken | None:
+        """Returns the upstream to try next of those that are not shut.
+
         Tokens are kept for requests that have waited, and at the upstreams
         that have most of the request's conversation.
         """
-        candidates = self.candidates(progress)
-        now = clock.monotonic()
         limits = self.board.upstream_limits
-        best = self.best(progress, candidates, set(), now)
+        best = self.best(progress, candidates, shut, now)
         if best is None or not limits.newest:
             return best
         # Also while there is no token, so that the demand stays known.
         limits.note_demand(best, now)
         home = self.home(progress, candidates, has_waited)
-        busy = {
+        busy = set(shut) | {
             one.entry.upstream_id
             for one in candidates
             if not limits.may_send(one, now, one.entry.upstream_id in home)
@@ -130,7 +174,7 @@
         self,
         progress: progress_lib.Progress,
         candidates: list[upstreams.Upstream],
-        busy: set[str],
+        busy: collections.abc.Set[str],
         now: float,
     ) -> upstreams.Upstream | None:
         """Returns the best of the candidates that are not busy."""
--- a/oleanderdrift/gateway/upstream_probes.py
+++ b/oleanderdrift/gateway/upstream_probes.py
@@ -146,6 +146,7 @@
                     reason=repr(error),
                 )
                 return Finding.UNCLEAR
+            exchange.note_cold(self.board, upstream, connection)
             self.connections.release(upstream, connection, clock.monotonic())
             return Finding.LIVES
 
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -40,6 +40,8 @@
 # In all answers of an upstream that leaves.
 LEAVING_HEADER: typing.Final = 'server-leaving'
 LEAVING_VALUE: typing.Final = '1'
+# How much longer the upstream will be slow after its start.
+COLD_HEADER: typing.Final = 'cold-ms'
 _HOP_BY_HOP: typing.Final = frozenset(
     (
         'connection',
@@ -178,7 +180,10 @@
             .lower()
             .startswith(STREAM_TYPE),
             is_framed=is_framed,
-            rate_limit_per_s=_parse_rate(by_name.get(RATE_LIMIT_HEADER)),
+            rate_limit_per_s=_parse_number(
+                by_name.get(RATE_LIMIT_HEADER), bounds.MAX_PER_S
+            ),
+            cold_s=_parse_seconds(by_name.get(COLD_HEADER)),
         )
 
     def says_leaving(self, headers: Headers) -> bool:
@@ -270,14 +275,20 @@
     return frozenset(one.strip() for one in options) - _NEVER_DROPPED
 
 
-def _parse_rate(text: str | None) -> float | None:
-    """Returns a rate; None if it is missing or is not a usable number."""
+def _parse_number(text: str | None, most: float) -> float | None:
+    """Returns a number; None if it is missing or is not a usable one."""
     try:
-        rate = float(text or '')
+        number = float(text or '')
     except ValueError:
         return None
     # Also false for NaN.
-    return rate if 0 <= rate <= bounds.MAX_PER_S else None
+    return number if 0 <= number <= most else None
+
+
+def _parse_seconds(text: str | None) -> float | None:
+    """Returns the seconds of a number of milliseconds, if it is usable."""
+    number = _parse_number(text, bounds.MAX_MS)
+    return number / MS_PER_S if number is not None else None
 
 
 def _affinity_key(headers: Headers) -> str | None:
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -55,6 +55,10 @@
 class _Service(msgspec.Struct):
     Name: str
     Engine: _Engine | None = None
+    # How long an upstream is slow after its start, and how many requests a
+    # second it takes until then.
+    ColdStartS: bounds.Seconds = 0
+    ColdPerS: bounds.PerSecond = 0
 
 
 class _Limits(msgspec.Struct):
@@ -161,6 +165,8 @@
         name=service.Name,
         tokens_per_event=engine.Stride if engine else 1,
         is_engine=engine is not None,
+        cold_start_s=service.ColdStartS,
+        cold_per_s=service.ColdPerS,
     )
 
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -115,6 +115,7 @@
     version is named in each event.  born_ms is its start, as its report has
     it.  before_report comes BEFORE_REPORT_S earlier than the report; a
     silent_report never comes.  One without_report answers with 400.
+    cold_ms is how long the report says that it is cold, if it says so.
     """
 
     behaviours: list[Behaviour]
@@ -131,6 +132,7 @@
     before_report: bytes = b''
     silent_report: bool = False
     without_report: bool = False
+    cold_ms: int | None = None
     writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
 
     async def start(self) -> None:
@@ -192,8 +194,10 @@
         if self.without_report:
             return b'HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n'
         body = json.dumps({'born': self.born_ms}).encode()
-        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
-        return head.encode() + body
+        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n'
+        if self.cold_ms is not None:
+            head += f'Cold-Ms: {self.cold_ms}\r\n'
+        return head.encode() + b'\r\n' + body
 
     def crash(self) -> None:
         """Ends the replica as a crash of its process does."""
--- a/tests/test_gateway_odd_configurations.py
+++ b/tests/test_gateway_odd_configurations.py
@@ -52,6 +52,9 @@
     'stride-negative': encoded(
         Services=[{'Name': 'g', 'Engine': {'Stride': -1}}]
     ),
+    'cold-time-huge': encoded(Services=[{'Name': 'g', 'ColdStartS': 1e300}]),
+    'cold-rate-negative': encoded(Services=[{'Name': 'g', 'ColdPerS': -1}]),
+    'cold-rate-text': encoded(Services=[{'Name': 'g', 'ColdPerS': '6'}]),
     'header-bytes-negative': encoded(Limits={'HeaderBytes': -1}),
     'idle-time-negative': encoded(Limits={'IdleTimeoutMs': -1}),
     'rate-negative': with_account(RatePerS=-1),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -53,6 +53,7 @@
         {'Name': 'ward', 'ApiKeys': ['k1', 'k2'], 'RatePerS': 5, 'Burst': 6}
     ],
 }
+SERVICES: list[dict[str, typing.Any]] = CONFIG['Services']
 SETTINGS = """
 Node = "n1"
 Ip = "10.1.0.11"
@@ -257,6 +258,29 @@
     assert head.rate_limit_per_s == rate
 
 
+@pytest.mark.parametrize(
+    ('text', 'cold_s'),
+    [('1500', 1.5), ('0', 0.0), ('', None), ('-1', None), ('1e300', None)],
+)
+def test_cold_time_of_an_upstream_is_decoded(
+    text: str, cold_s: float | None
+) -> None:
+    head = codec.PlatformCodec().decode_upstream_head(
+        200, [('Cold-Ms', text)], is_framed=True
+    )
+    assert head.cold_s == cold_s
+
+
+def test_cold_starts_of_a_service_are_decoded() -> None:
+    services = [{'Name': 'desk', 'ColdStartS': 8, 'ColdPerS': 6.5}, *SERVICES]
+    config = operator.decode_configuration(
+        json.dumps({**CONFIG, 'Services': services[:2]}).encode()
+    )
+    desk, guide = config.services['desk'], config.services['guide']
+    assert (desk.cold_start_s, desk.cold_per_s) == (8.0, 6.5)
+    assert (guide.cold_start_s, guide.cold_per_s) == (0.0, 0.0)
+
+
 def test_settings_are_decoded() -> None:
     result = settings.decode(SETTINGS.encode())
     assert result.instance == 'n1'
