--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -62,7 +62,9 @@
             return choice
         admitted = progress.admitted
         waiting = self.board.upstream_limits.waiting
-        waiting[admitted.service.name] += 1
+        # New programs need not stand back for a share of a cold upstream.
+        weight = 0 if choice.is_cold else 1
+        waiting[admitted.service.name] += weight
         try:
             until = clock.monotonic() + MAX_TOKEN_WAIT_S
             while isinstance(choice, NoToken):
@@ -82,7 +84,7 @@
                 await asyncio.sleep(TOKEN_POLL_S)
                 choice = self.choose(progress, has_waited=True)
         finally:
-            waiting[admitted.service.name] -= 1
+            waiting[admitted.service.name] -= weight
         return choice
 
     async def wait_for_origins(self, progress: progress_lib.Progress) -> None:
