Send nothing to evacuated data centres

Cause: operators had no way to take load out of a data centre; upstreams write their entries themselves, so a mark there is overwritten.

Change: keys evacuate/ZONE of the configuration's topic are kept by gateway/evacuations.py, replaced by a full read and changed by later ones, before the configuration of the same read is applied. Such upstreams are no candidates, and exchange.send_request checks again right before the first byte. A process that was paused for over 1 s refuses (2003) until a read that it sent afterwards was answered; that read does not wait for changes. The soak evacuates and takes back one of two data centres, and evacuates it once more at its end.

--- a/oleanderdrift/codes.py
+++ b/oleanderdrift/codes.py
@@ -112,7 +112,8 @@
     'keys-unverifiable',
     503,
     _NOT_RUN,
-    'Configuration is older than the key grace period allows.',
+    'Configuration is older than the key grace period allows, or was not '
+    'read since the instance was paused.',
 )
 OPERATOR_ONLY: typing.Final = _entry(
     2004, 'operator-only', 403, _NOT_RUN, 'An operator token is needed here.'
--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -79,9 +79,7 @@
             codes.NOT_READY, retry_after_s=RETRY_ELSEWHERE_S
         )
     peers_have_store = board.reachability.others_have_store(now)
-    if not board.freshness.may_serve(
-        boot_now, board.settings.key_grace_s, peers_have_store
-    ):
+    if not may_serve(board, peers_have_store, boot_now):
         age_s = board.freshness.age_s(boot_now)
         raise errors.ResultError(
             codes.KEYS_UNVERIFIABLE,
@@ -90,6 +88,7 @@
                 peers_have_store, age_s, request.request_id
             ),
         )
+    check_pause(board, now, boot_now)
     route = routing.find_route(config, request.host, request.target)
     check_stop(board, request, route)
     account = routing.find_account(config, route, request.key)
@@ -106,7 +105,6 @@
     if begins_program:
         _check_engines(board, request, route, account, now)
     if account is not None:
-        board.check_pause(now, boot_now)
         refusal = board.rate_limiter.admit(account, now, program_started)
         if refusal is not None:
             raise errors.ResultError(
@@ -127,6 +125,27 @@
     )
 
 
+def may_serve(
+    board: board_lib.Board, peers_have_store: bool, boot_now: float
+) -> bool:
+    """Returns whether what is known of keys and evacuations may be used."""
+    limit_s = board.settings.key_grace_s
+    if peers_have_store:
+        limit_s = min(limit_s, board.settings.evacuate_s)
+    return board.freshness.may_serve(boot_now, limit_s, peers_have_store)
+
+
+def check_pause(board: board_lib.Board, now: float, boot_now: float) -> None:
+    """Raises ResultError if the store was not read since a pause."""
+    board.check_pause(now, boot_now)
+    if not board.has_read_since_pause():
+        raise errors.ResultError(
+            codes.KEYS_UNVERIFIABLE,
+            'the store has not been read since the process was paused',
+            retry_after_s=RETRY_ELSEWHERE_S,
+        )
+
+
 def latest_end(request: model.Request, route: model.Route) -> float:
     """Returns when the work on a request ends at the latest."""
     return min(request.deadline, request.received + route.timeout_s)
@@ -164,9 +183,8 @@
     the request may not be sent any more.
     """
     peers_have_store = board.reachability.others_have_store(now)
-    if not board.freshness.may_serve(
-        boot_now, board.settings.key_grace_s, peers_have_store
-    ):
+    check_pause(board, now, boot_now)
+    if not may_serve(board, peers_have_store, boot_now):
         raise errors.ResultError(
             codes.KEYS_UNVERIFIABLE,
             'the store was lost while the request was prepared',
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -19,6 +19,7 @@
 from oleanderdrift.gateway import path_monitor
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import refusals
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import upstream_choice
@@ -26,7 +27,6 @@
 from oleanderdrift.gateway import upstream_probes
 from oleanderdrift.gateway import upstreams
 
-RETRY_AFTER_S: typing.Final = 0.1
 MAX_TRIES: typing.Final = 4
 # The next upstream would crash as well, or the caller's next try is as good.
 MAX_CRASHES: typing.Final = 2
@@ -111,10 +111,10 @@
             raise errors.ResultError(
                 codes.UPSTREAM_FAILED, progress.last_reason
             )
-        raise errors.ResultError(
-            codes.NO_UPSTREAM,
+        raise refusals.no_upstream(
+            self.board.upstreams,
+            progress.admitted.service.name,
             progress.last_reason,
-            retry_after_s=RETRY_AFTER_S,
         )
 
     async def try_one(
@@ -180,6 +180,13 @@
                     progress.possibly_ran.discard(upstream_id)
                 self.note_failed_try(progress, upstream, 'it is leaving')
                 return False
+            case exchange.NotAllowed():
+                progress.sent = was_sent
+                progress.excluded.add(upstream_id)
+                if not is_repeat:
+                    progress.possibly_ran.discard(upstream_id)
+                self.note_failed_try(progress, upstream, outcome.reason)
+                return False
             case exchange.NotRun():
                 self.note_rate_limit(progress, upstream, outcome.head)
                 progress.sent = was_sent
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -39,8 +39,9 @@
     lost_paths holds the upstreams that this instance cannot reach directly.
     held counts the bytes of others that are in memory, and link those that
     lately came over the link of this instance.
-    exchanged_at is when states were last exchanged with peers, on the clock
-    that also advances while the machine is suspended.
+    exchanged_at is when states were last exchanged with peers, and resumed_at
+    when this process last went on after a pause, on the clock that also
+    advances while the machine is suspended.
     """
 
     settings: settings_lib.GatewaySettings
@@ -98,6 +99,12 @@
     open_requests: int = 0
     instances: int = 1
     exchanged_at: float = float('inf')
+    resumed_at: float = float('-inf')
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The data centres whose upstreams get no requests."""
+        return frozenset(self.upstreams.evacuations.names)
 
     def note_started_program(self, program: str) -> None:
         """Records that a program has had a request admitted here."""
@@ -141,12 +148,23 @@
         return []
 
     def check_pause(self, now: float, boot_now: float) -> None:
-        """Empties the token buckets if this process has been paused."""
+        """Notes whether this process has been paused.
+
+        If so, its token buckets are emptied.
+        """
         if boot_now - self.exchanged_at > MAX_PAUSE_S:
+            self.resumed_at = boot_now
             self.rate_limiter.restart(now)
             self.upstream_limits.restart()
             self.exchanged_at = boot_now
 
+    def has_read_since_pause(self) -> bool:
+        """Returns whether the store was read since the latest pause.
+
+        Until then, an evacuation that began meanwhile is not known.
+        """
+        return self.freshness.confirmed_at >= self.resumed_at
+
     def judged_at(self, now: float) -> float:
         """Returns until when the silence of peers counts.
 
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -60,6 +60,13 @@
     """The upstream has said that it leaves; nothing was sent to it."""
 
 
+@attrs.frozen(kw_only=True)
+class NotAllowed:
+    """The upstream may not get the request; nothing was sent to it."""
+
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class NotSent:
     """The request may not be sent any more, for the reason of the error."""
@@ -97,6 +104,7 @@
     NotConnected
     | NotVerified
     | IsLeaving
+    | NotAllowed
     | NotSent
     | NotRun
     | MayHaveRun
@@ -166,6 +174,9 @@
         headers = codec.upstream_headers(
             request, entry, admitted.account, left_s, outgoing.last_event_id
         )
+        # The evacuation may have begun since it was chosen.
+        if known.is_evacuated(upstream.entry):
+            return NotAllowed(reason='its data centre is evacuated')
         outgoing.begin()
         await connection.send(
             request.method, request.target, headers, outgoing.body
--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -46,9 +46,13 @@
         position: int | None = None
         while True:
             as_of = clock.boot()
+            self.board.check_pause(clock.monotonic(), as_of)
             # While the store is lost, an immediate empty response is enough
-            # to show that it is back.
-            poll_timeout_s = 0.0 if self.store_lost else CONFIG_POLL_TIMEOUT_S
+            # to show that it is back; requests wait for one after a pause.
+            is_urgent = (
+                self.store_lost or not self.board.has_read_since_pause()
+            )
+            poll_timeout_s = 0.0 if is_urgent else CONFIG_POLL_TIMEOUT_S
             try:
                 if position is None:
                     found = await self.log.newest(self.codec.config_topic)
@@ -72,6 +76,7 @@
                 as_of = min(as_of + poll_timeout_s, clock.boot())
             was_first_read = position is None
             position = found.end
+            self.apply_evacuations(found, was_first_read)
             for record in found.records:
                 if record.key == self.codec.config_key and record.value:
                     self.apply_config(record.value)
@@ -83,6 +88,26 @@
             if was_first_read and self.board.config is None:
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    def apply_evacuations(
+        self, found: ports.KeyedRecords, is_full: bool
+    ) -> None:
+        """Applies the evacuations that begin or end with a read."""
+        known = self.board.upstreams
+        evacuations = known.evacuations
+        prefix = self.codec.evacuation_prefix
+        apply = evacuations.replace if is_full else evacuations.apply
+        for change in apply(found.records, prefix):
+            name = change.data_centre
+            self.events.info(
+                'evacuation-' + change.kind.value,
+                data_centre=name,
+                upstreams=sum(
+                    one.entry.data_centre == name
+                    for one in known.by_id.values()
+                ),
+                in_force=len(evacuations.names),
+            )
+
     def apply_config(self, value: bytes) -> None:
         """Applies a configuration if it is newer than the current one."""
         try:
--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -136,6 +136,8 @@
 
     config_topic: str
     config_key: str
+    # In the configuration's topic; a data centre's name follows it.
+    evacuation_prefix: str
     upstreams_topic: str
     report_target: str
 
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -12,6 +12,8 @@
     more requests.  cores is the share of processors that the instance may use.
     link_mbps is the rate of the instance's link in Mbit/s.
     memory_bytes is what the process may use before it is killed.
+    evacuate_s is how long an instance that alone has lost the store may send
+    requests on what it knows of evacuations.
     key_grace_s is how long after the last response from the store API
     keys are still accepted.  stop_s is the time between SIGTERM and
     SIGKILL.
@@ -35,6 +37,7 @@
     memory_bytes: int
     link_mbps: float
     turn_retention_s: float
+    evacuate_s: float = 4.5
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -14,6 +14,7 @@
 import attrs
 
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import evacuations as evacuations_lib
 from oleanderdrift.gateway import leaving as leaving_lib
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import upstream_paths
@@ -284,6 +285,9 @@
     by_id: dict[str, Upstream] = attrs.field(factory=dict)
     added: int = 0
     leaving: leaving_lib.Leaving = attrs.field(factory=leaving_lib.Leaving)
+    evacuations: evacuations_lib.Evacuations = attrs.field(
+        factory=evacuations_lib.Evacuations
+    )
 
     def put(self, entry: model.UpstreamEntry) -> str | None:
         """Adds or updates an entry; returns what changed, if anything."""
@@ -319,6 +323,10 @@
         """Returns whether this start of an upstream said that it leaves."""
         return entry.incarnation() in self.leaving.since
 
+    def is_evacuated(self, entry: model.UpstreamEntry) -> bool:
+        """Returns whether an upstream's data centre is evacuated."""
+        return entry.data_centre in self.evacuations.names
+
     def of_incarnation(self, incarnation: str) -> Upstream | None:
         """Returns the upstream if this start of it is the one known."""
         upstream_id = incarnation.partition(model.INCARNATION_SEPARATOR)[0]
@@ -362,6 +370,7 @@
         outage are being written again.
         """
         leaving = self.leaving.since
+        evacuated = self.evacuations.names
         return [
             one
             for one in self.by_id.values()
@@ -370,6 +379,7 @@
             and one.set_aside_at is None
             and (one.removed_at is None or include_lapsed)
             and (not leaving or one.entry.incarnation() not in leaving)
+            and (not evacuated or one.entry.data_centre not in evacuated)
         ]
 
 
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -84,6 +84,7 @@
 
     config_topic = 'op'
     config_key = 'config'
+    evacuation_prefix = 'evacuate/'
     upstreams_topic = 'servers'
     report_target = '/-/report'
 
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -21,8 +21,9 @@
 # A port that exporters commonly use; also set in deploy/system.toml.
 METRICS_PORT: typing.Final = 9464
 # A request must not run if it was sent more than RevokeMs after its key was
-# revoked.  The margin covers the time a request takes to the upstream.
-_KEY_MARGIN_S: typing.Final = 0.5
+# revoked, nor to a data centre more than EvacuateMs after the begin of its
+# evacuation.  The margin covers the time a request takes to the upstream.
+_MARGIN_S: typing.Final = 0.5
 
 
 class _Listen(msgspec.Struct):
@@ -32,6 +33,7 @@
 
 class _Bounds(msgspec.Struct):
     RevokeMs: float = 5_000
+    EvacuateMs: float = 5_000
     GraceS: float = 8
     DrainMs: float = 2_000
 
@@ -106,7 +108,8 @@
         store_partitions=file_settings.Platform.parts,
         store_record_bytes=file_settings.Platform.RecordBytes,
         store_writes_per_s=max(file_settings.Platform.WritesPerS, 1.0),
-        key_grace_s=bounds.RevokeMs / MS_PER_S - _KEY_MARGIN_S,
+        key_grace_s=bounds.RevokeMs / MS_PER_S - _MARGIN_S,
+        evacuate_s=bounds.EvacuateMs / MS_PER_S - _MARGIN_S,
         stop_s=bounds.GraceS,
         upstream_drain_s=bounds.DrainMs / MS_PER_S,
         cores=limits.CpuShare * limits.Cores,
--- a/tests/soak_callers.py
+++ b/tests/soak_callers.py
@@ -289,13 +289,15 @@
     return violations
 
 
-def entry(port: int, service: str, version: str) -> bytes:
+def entry(
+    port: int, service: str, version: str, data_centre: str = 'north'
+) -> bytes:
     """Returns a replica's entry for the store."""
     return json.dumps(
         {
             'Service': service,
             'Address': f'127.0.0.1:{port}',
-            'Zone': 'north',
+            'Zone': data_centre,
             'Version': version,
             'Slots': 64,
             'State': 'ready',
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -2,6 +2,8 @@
 
 Instances are killed, frozen, stopped and disconnected from the store while
 faults are injected into the store and the replicas; faults may overlap.
+Meanwhile one of two data centres is evacuated and taken back; at the end, it
+is evacuated once more and must get nothing.
 SOAK_SEED (a list of seeds) and SOAK_SECONDS choose the run.
 """
 
@@ -34,6 +36,11 @@
 REPLACE_PAUSE_S: typing.Final = 0.5
 READY_TIMEOUT_S: typing.Final = 20.0
 RECOVERY_TIMEOUT_S: typing.Final = 15.0
+DATA_CENTRES: typing.Final = ('north', 'south')
+# The instances' own data centre, which they would prefer.
+EVACUATION_KEY: typing.Final = 'evacuate/north'
+# A pending read of the store is answered at once; the promise is 5 s.
+EVACUATION_NOTICED_S: typing.Final = 2.0
 STREAM: typing.Final = replica_lib.Stream(
     events=soak_callers.EVENTS, pause_s=0.01
 )
@@ -90,6 +97,18 @@
                 failing.behaviours.insert(0, replica_lib.Reset())
                 failing.behaviours.insert(0, replica_lib.Stream(cut_after=2))
 
+    def evacuate(self, value: bytes) -> None:
+        """Begins an evacuation, or ends it with an empty value."""
+        self.events.append(f'evacuate {value!r}')
+        self.store.put('keyed.op', EVACUATION_KEY, value)
+
+    async def evacuate_repeatedly(self, rng: random.Random) -> None:
+        """Begins and ends evacuations until cancelled."""
+        while True:
+            for value in (b'{}', b''):
+                await asyncio.sleep(rng.uniform(0.2, 1.5))
+                self.evacuate(value)
+
     def schedule(
         self, after_s: float, action: typing.Callable[[], None]
     ) -> None:
@@ -151,6 +170,22 @@
     return True
 
 
+async def find_evacuated_runs(
+    environment: Environment, callers: list[soak_callers.Caller]
+) -> list[str]:
+    """Evacuates a data centre; returns whether its replicas get requests."""
+    environment.evacuate(b'{}')
+    await asyncio.sleep(EVACUATION_NOTICED_S)
+    evacuated = environment.replicas[::2]
+    before = [len(one.received) for one in evacuated]
+    if not await until_all_serve(callers[0], RECOVERY_TIMEOUT_S):
+        return ['not every instance serves during an evacuation']
+    await asyncio.gather(*(caller.send_call() for caller in callers))
+    if before != [len(one.received) for one in evacuated]:
+        return ['an evacuated data centre got requests']
+    return []
+
+
 async def run_soak(
     seed: int,
     folder: pathlib.Path,
@@ -174,7 +209,12 @@
         store_server.store.put(
             'keyed.servers',
             f'u{number}',
-            soak_callers.entry(replica.port, service, replica.version or 'v1'),
+            soak_callers.entry(
+                replica.port,
+                service,
+                replica.version or 'v1',
+                DATA_CENTRES[number % 2],
+            ),
         )
     value = json.dumps(soak_callers.CONFIG).encode()
     store_server.store.put('keyed.op', 'config', value)
@@ -214,15 +254,26 @@
         if not await until_all_serve(callers[0], READY_TIMEOUT_S):
             return ['the instances did not start serving'], instances[0].log()
         until = asyncio.get_running_loop().time() + FAULT_SECONDS
+        evacuating = asyncio.create_task(
+            environment.evacuate_repeatedly(
+                random.Random(f'{seed} evacuations')
+            )
+        )
+        tasks.append(evacuating)
         await asyncio.gather(
             environment.inject_faults(until),
             *(caller.run(until) for caller in callers[:CALLERS]),
             *(one.run(until) for one in streams),
         )
+        evacuating.cancel()
+        environment.evacuate(b'')
         environment.clear_faults()
         violations = soak_callers.find_violations(observations, replicas)
         if not await until_all_serve(callers[0], RECOVERY_TIMEOUT_S):
             violations.append('not every instance serves after the faults')
+        if builds is None:
+            # Builds before evacuations do not know them.
+            violations += await find_evacuated_runs(environment, callers)
         violations += soak_callers.find_violations(observations, replicas)
         whole = sum(one.whole for one in streams)
         continued = sum(one.continued for one in streams)
