--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -61,6 +61,13 @@
     """The upstream has said that it leaves; nothing was sent to it."""
 
 
+@attrs.frozen(kw_only=True)
+class NotAllowed:
+    """The upstream may not get the request; nothing was sent to it."""
+
+    reason: str
+
+
 @attrs.frozen(kw_only=True)
 class NotSent:
     """The request may not be sent any more, for the reason of the error."""
@@ -98,6 +105,7 @@
     NotConnected
     | NotVerified
     | IsLeaving
+    | NotAllowed
     | NotSent
     | NotRun
     | MayHaveRun
@@ -171,6 +179,9 @@
         headers = codec.upstream_headers(
             request, entry, admitted.account, left_s, outgoing.last_event_id
         )
+        # The evacuation may have begun since it was chosen.
+        if known.is_evacuated(upstream.entry):
+            return NotAllowed(reason='its data centre is evacuated')
         try:
             outgoing.begin()
         except cold_shares.NoPlaceError:
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -37,6 +37,7 @@
     memory_bytes=188_743_680,
     link_mbps=1_000.0,
     turn_retention_s=300.0,
+    evacuate_s=4.5,
 )
 
 
