Keep what is known of budgets in the last flush of a stop

Cause: flush(inf) of a stopping instance also passed infinity to BudgetLedger.forget, which dropped every program. A turn that was prepared beside the last writes then had its reservation judged on an empty ledger, and was valid over a spent budget.

Change: flush forgets programs only at a finite time.

Result: test_last_flush_keeps_what_is_known_of_budgets fails before (VALID over a spent budget) and passes after.

--- a/oleanderdrift/gateway/budget_log.py
+++ b/oleanderdrift/gateway/budget_log.py
@@ -209,7 +209,9 @@
             self.settle_grant(grant, now)
         due = []
         for partition in self.partitions:
-            partition.ledger.forget(now)
+            if now < math.inf:
+                # Turns may still be served beside the last writes.
+                partition.ledger.forget(now)
             if now - partition.pending_since >= SETTLE_DELAY_S:
                 due.append(partition)
         # Together, as a slow store would answer too late one by one.
--- a/tests/test_gateway_budgets.py
+++ b/tests/test_gateway_budgets.py
@@ -232,3 +232,15 @@
         return handed
 
     assert asyncio.run(scenario()) > 0
+
+
+def test_last_flush_keeps_what_is_known_of_budgets() -> None:
+    """Guards against turns over the budget while the last writes go on."""
+
+    async def scenario() -> budgets.Verdict:
+        budget = budget_log.BudgetLog(gateway_support.MemoryLog())
+        await budget.reserve('p', 'a', TURN, TURN, 0.0)
+        await budget.flush(float('inf'))
+        return await budget.reserve('p', 'b', TURN, TURN, 0.1)
+
+    assert asyncio.run(scenario()) is budgets.Verdict.SPENT
