Grant tokens of a program from one instance to turns at all

Cause: a turn that reached an instance for the first time took an append and a read of the store before its upstream was called, and was refused while the store was away. In fleets over 12 instances nearly every turn is one.

Change: the grantor of a program, chosen by a hash over the instances that are heard, holds one reservation with spare tokens and grants from it to turns at all instances, over one connection between each two. Reservations of grantors have the field shared: none of their tokens counts as certain before it is settled, so that 402 stays final. After a pause nothing that was held before is granted.

The bytes of a reservation and of an instance's record have one field more; their older samples are read, as tests/test_gateway_older_builds.py shows.

--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -9,6 +9,7 @@
 from oleanderdrift.gateway import allotments as allotments_lib
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import freshness as freshness_lib
+from oleanderdrift.gateway import grantors as grantors_lib
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import own_link
@@ -39,6 +40,8 @@
     lost_paths holds the upstreams that this instance cannot reach directly.
     held counts the bytes of others that are in memory, and link those that
     lately came over the link of this instance.
+    grantors are the instances that grant tokens of programs.
+    pauses counts the pauses of this process that were noticed.
     exchanged_at is when states were last exchanged with peers, on the clock
     that also advances while the machine is suspended.
     """
@@ -77,6 +80,9 @@
     tunnel_peers: tunnel_peers_lib.TunnelPeers = attrs.field(
         factory=tunnel_peers_lib.TunnelPeers
     )
+    grantors: grantors_lib.Grantors = attrs.field(
+        factory=grantors_lib.Grantors
+    )
     held: held_bytes.HeldBytes = attrs.field(
         default=attrs.Factory(
             lambda self: held_bytes.HeldBytes(
@@ -97,6 +103,7 @@
     silent_data_centres: frozenset[str] = frozenset()
     open_requests: int = 0
     instances: int = 1
+    pauses: int = 0
     exchanged_at: float = float('inf')
 
     def note_started_program(self, program: str) -> None:
@@ -141,10 +148,14 @@
         return []
 
     def check_pause(self, now: float, boot_now: float) -> None:
-        """Empties the token buckets if this process has been paused."""
+        """Empties the token buckets if this process has been paused.
+
+        The pause is counted, so that grants of tokens are dropped.
+        """
         if boot_now - self.exchanged_at > MAX_PAUSE_S:
             self.rate_limiter.restart(now)
             self.upstream_limits.restart()
+            self.pauses += 1
             self.exchanged_at = boot_now
 
     def judged_at(self, now: float) -> float:
--- a/oleanderdrift/gateway/budget_log.py
+++ b/oleanderdrift/gateway/budget_log.py
@@ -120,14 +120,31 @@
         if self.grants.try_spend(program, turn, tokens, now):
             return budgets.Verdict.VALID
         returns = self.note_seen(program) or instances <= MAX_SPARE_INSTANCES
-        partition = self.partition_of(program)
-        record = records.Reserve(
-            program=program,
-            turn=turn,
-            tokens=tokens,
-            budget=budget,
-            spare=budget // SPARE_DIVISOR if returns else 0,
+        verdict = await self.write_reservation(
+            records.Reserve(
+                program=program,
+                turn=turn,
+                tokens=tokens,
+                budget=budget,
+                spare=budget // SPARE_DIVISOR if returns else 0,
+            ),
+            now,
         )
+        if verdict is budgets.Verdict.VALID:
+            held = self.held_by(program, turn)
+            previous = self.grants.add(program, turn, tokens, held, now)
+            self.settle_grant(previous, now)
+        return verdict
+
+    async def write_reservation(
+        self, record: records.Reserve, now: float
+    ) -> budgets.Verdict:
+        """Appends a reservation; returns the verdict of the records on it.
+
+        Raises ResultError if the store does not answer.
+        """
+        program, turn = record.program, record.turn
+        partition = self.partition_of(program)
         self.renew(program, now)
         try:
             end = await self.append(partition, [record], now)
@@ -139,13 +156,19 @@
             # The record may still take effect; release its tokens.
             self.queue_settlement(program, turn, 0, now)
             raise
-        state = partition.ledger.program(program, now)
-        verdict = state.verdict(turn)
-        if verdict is budgets.Verdict.VALID:
-            held = state.reservations[turn].held
-            previous = self.grants.add(program, turn, tokens, held, now)
-            self.settle_grant(previous, now)
-        return verdict
+        return partition.ledger.program(program, now).verdict(turn)
+
+    def held_by(self, program: str, reservation: str) -> int:
+        """Returns the tokens of a valid reservation."""
+        state = self.partition_of(program).ledger.programs[program]
+        return state.reservations[reservation].held
+
+    def drop_grants(self, now: float) -> int:
+        """Starts no further turn on the grants; returns their number."""
+        count = len(self.grants.by_program)
+        for grant in self.grants.drop_all():
+            self.settle_grant(grant, now)
+        return count
 
     def settle(self, turn: str, tokens: int, now: float) -> None:
         """Records the tokens that a turn used, if it had reserved any."""
--- a/oleanderdrift/gateway/budgets.py
+++ b/oleanderdrift/gateway/budgets.py
@@ -32,14 +32,16 @@
 class Reservation:
     """The tokens that a reservation holds; spare ones are beyond its turn.
 
-    budget is its program's.  since is a time after which its latest record was
-    written.
+    All tokens of a shared one are spare: the turn that it was made for may
+    have another reservation.  budget is its program's.  since is a time after
+    which its latest record was written.
     """
 
     held: int
     spare: int
     budget: int
     since: float
+    shared: bool = False
     settled: bool = False
 
 
@@ -92,6 +94,7 @@
                         turn=turn,
                         tokens=one.held,
                         budget=one.budget,
+                        shared=one.shared,
                     )
                 )
         return renewed
@@ -152,7 +155,13 @@
         if record.turn in program.refused:
             return
         if program.total >= record.budget:
-            certain = program.total - program.unsettled_spare()
+            # A grantor answers for all turns of the program, and those that
+            # are open may use less than they hold.
+            certain = (
+                program.used()
+                if record.shared
+                else program.total - program.unsettled_spare()
+            )
             program.refused[record.turn] = (
                 Verdict.SPENT
                 if certain >= record.budget
@@ -163,7 +172,11 @@
         spare = min(record.spare, max(left // 2, 0))
         held = record.tokens + spare
         program.reservations[record.turn] = Reservation(
-            held=held, spare=spare, budget=record.budget, since=since
+            held=held,
+            spare=held if record.shared else spare,
+            budget=record.budget,
+            since=since,
+            shared=record.shared,
         )
         program.total += held
 
--- a/oleanderdrift/gateway/directory.py
+++ b/oleanderdrift/gateway/directory.py
@@ -42,6 +42,7 @@
             address=settings.peer_listen,
             cores=settings.cores,
             tunnel_address=settings.tunnel_listen,
+            grant_address=settings.grant_listen,
         )
         self.instances: dict[str, relays.Instance] = {}
         self.changes = 0
@@ -62,6 +63,7 @@
                 data_centre=self.own.data_centre,
                 cores=self.own.cores,
                 tunnel_address=self.own.tunnel_address,
+                grant_address=self.own.grant_address,
             )
         )
 
@@ -142,6 +144,7 @@
             address=decoded.peer_address,
             cores=decoded.cores,
             tunnel_address=decoded.tunnel_address,
+            grant_address=decoded.grant_address,
         )
         if self.instances.get(record.key) != instance:
             self.instances[record.key] = instance
--- a/oleanderdrift/gateway/drain.py
+++ b/oleanderdrift/gateway/drain.py
@@ -4,7 +4,8 @@
 sends no new connections.  Callers on open connections are told to reconnect
 with each response.  Connections that were already on their way when the
 listener closes are accepted and served.  New tunnels are refused, and peers
-are told to end theirs.
+are told to end theirs.  Programs get another grantor, and what this one holds
+of their budgets is returned.
 """
 
 import asyncio
@@ -58,6 +59,7 @@
         )
         self.ingress.forwarder.end_by(deadline)
         self.tunnels.leave()
+        self.turns.grants.hand_over()
         await asyncio.sleep(LOAD_BALANCER_GRACE_S)
         await close_listener(self.ingress)
         while clock.monotonic() < deadline + LAST_ANSWERS_S:
--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -38,7 +38,7 @@
     ) -> None:
         self.board = board
         self.codec = codec
-        self.turns = turn_flow.TurnFlow(board, log)
+        self.turns = turn_flow.TurnFlow(board, log, event_log)
         self.origins = origin_log.OriginLog(
             board, log, self.turns.retrying_log, self.turns.share, event_log
         )
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -335,6 +335,7 @@
             self.leaving |= {name}
             self.board.reachability.forget(name)
             self.board.tunnel_peers.forget(name)
+            self.board.grantors.forget(name)
         else:
             self.leaving -= {name}
             self.board.reachability.note_report(
@@ -345,7 +346,7 @@
                     store_age_s=state.store_age_s,
                 ),
             )
-            self.note_tunnel_peer(name, state, now)
+            self.note_peer(name, state, now)
         for limit in self.board.upstream_limits.note_reports(
             state.limits, now
         ):
@@ -361,19 +362,21 @@
         )
         self.peer_load.update(name, state.work)
 
-    def note_tunnel_peer(
+    def note_peer(
         self, name: str, state: peer_messages.StateUpdate, now: float
     ) -> None:
-        """Records which upstreams a peer reaches."""
+        """Records which upstreams a peer reaches, and whether it grants."""
         known = self.directory.instances.get(name)
         if known is not None:
             self.board.tunnel_peers.note_state(
                 known, state.unreachable, state.reaches_few, now
             )
+            self.board.grantors.note_state(known)
 
     def expire_silent(self, now: float) -> None:
         """Drops the load of peers whose states have stopped."""
         for name in self.peer_load.expire(now):
             self.events.info('peer-silent', peer=name)
             self.board.tunnel_peers.forget(name)
+            self.board.grantors.forget(name)
         self.board.instances = len(self.peer_load.last_heard) + 1
--- a/oleanderdrift/gateway/grants.py
+++ b/oleanderdrift/gateway/grants.py
@@ -1,8 +1,9 @@
 """Reserved tokens that this instance holds for programs' next turns.
 
 The reservation for a program's first turn includes spare tokens.  Its
-later turns at this instance spend these without a call to the store.  This
-saves 20 ms a turn and keeps programs going through outages of the store.
+later turns at this instance, and those at others that this one grants
+tokens to, spend these without a call to the store.  This saves 20 ms a turn
+and keeps programs going through outages of the store.
 """
 
 import typing
@@ -63,18 +64,44 @@
 
         Returns the program's previous grant, if that has no open turns.
         """
-        grant = Grant(
+        previous = self.put(program, turn, held, now)
+        grant = self.by_program[program]
+        grant.idle_timeout_s = IDLE_TIMEOUT_S if held > tokens else 0.0
+        self.open(grant, turn, tokens, now)
+        return previous
+
+    def put(
+        self, program: str, reservation: str, held: int, now: float
+    ) -> Grant | None:
+        """Adds a grant for a new reservation, without open turns.
+
+        Returns the program's previous grant, if that has no open turns.
+        """
+        previous = self.by_program.get(program)
+        self.by_program[program] = Grant(
             program=program,
-            reservation=turn,
+            reservation=reservation,
             remaining=held,
             last_used=now,
-            idle_timeout_s=IDLE_TIMEOUT_S if held > tokens else 0.0,
         )
-        self.open(grant, turn, tokens, now)
-        previous = self.by_program.get(program)
-        self.by_program[program] = grant
         return previous if previous is not None and not previous.open else None
 
+    def take_idle(self, program: str) -> Grant | None:
+        """Removes and returns a program's grant, if it has no open turns."""
+        grant = self.by_program.get(program)
+        if grant is None or grant.open:
+            return None
+        return self.by_program.pop(program)
+
+    def drop_all(self) -> list[Grant]:
+        """Starts no further turn on any grant.
+
+        Returns those without open turns; others are returned by end().
+        """
+        dropped = list(self.by_program.values())
+        self.by_program.clear()
+        return [grant for grant in dropped if not grant.open]
+
     def end(self, turn: str, tokens: int, now: float) -> Grant | None:
         """Ends a turn and returns its unused tokens to the grant.
 
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -6,6 +6,7 @@
 
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import fingerprints as fingerprints_lib
+from oleanderdrift.gateway import grant_client
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import records
@@ -19,7 +20,8 @@
     body is sent to upstreams.  fingerprints are those of what the caller
     sent; a request that comes again has the same.  crashes counts the
     upstreams that crashed while they ran it.  reserved says that its tokens
-    may be reserved, and sent that an upstream may have run it.  begun says
+    may be reserved, and grant what another instance granted of them.  sent
+    says that an upstream may have run it.  begun says
     that a first byte of it may be on its way to one, and caller_left that
     the caller has closed its connection.  possibly_ran
     holds the upstreams that may have run it and may still do so, excluded
@@ -38,6 +40,7 @@
     fingerprints: fingerprints_lib.Fingerprints
     crashes: int = 0
     reserved: bool = False
+    grant: grant_client.PeerGrant | None = None
     sent: bool = False
     begun: bool = False
     caller_left: bool = False
--- a/oleanderdrift/gateway/records.py
+++ b/oleanderdrift/gateway/records.py
@@ -26,7 +26,9 @@
     """Reserves a turn's maximum tokens; valid while budget is left.
 
     spare is the number of further tokens that the writer requests for later
-    turns of the program; it gets at most half of what is left.
+    turns of the program; it gets at most half of what is left.  shared says
+    that the writer lends the tokens to turns at all instances, so that all
+    of them may be returned.
     """
 
     program: str
@@ -34,6 +36,7 @@
     tokens: bounds.Count
     budget: bounds.Count
     spare: bounds.Count = 0
+    shared: bool = False
 
 
 class Settle(msgspec.Struct, tag='s', array_like=True, frozen=True):
@@ -123,13 +126,15 @@
 class InstanceRecord:
     """An instance's addresses for peers, and its share of processor cores.
 
-    tunnel_address is empty in the records of builds without tunnels.
+    tunnel_address is empty in the records of builds without tunnels, and
+    grant_address in those of instances that grant no tokens.
     """
 
     peer_address: bounds.Text
     data_centre: str
     cores: bounds.Cores
     tunnel_address: str = ''
+    grant_address: str = ''
 
 
 _INSTANCE_DECODER: typing.Final = msgspec.json.Decoder(InstanceRecord)
@@ -201,6 +206,5 @@
     except decoding.DECODE_ERRORS:
         return None
     addresses = [record.peer_address]
-    if record.tunnel_address:
-        addresses.append(record.tunnel_address)
+    addresses += filter(None, [record.tunnel_address, record.grant_address])
     return record if all(map(bounds.parse_address, addresses)) else None
--- a/oleanderdrift/gateway/relays.py
+++ b/oleanderdrift/gateway/relays.py
@@ -39,7 +39,8 @@
 class Instance:
     """An instance of the fleet; cores is its share of processors.
 
-    tunnel_address is empty if it carries no bytes for its peers.
+    tunnel_address is empty if it carries no bytes for its peers, and
+    grant_address if it grants them no tokens.
     """
 
     name: str
@@ -47,6 +48,7 @@
     address: str
     cores: float
     tunnel_address: str = ''
+    grant_address: str = ''
 
 
 @attrs.frozen(kw_only=True)
--- a/oleanderdrift/gateway/retrying_log.py
+++ b/oleanderdrift/gateway/retrying_log.py
@@ -187,6 +187,17 @@
             ),
         )
 
+    def is_failing(self, topic: str, partition: int, now: float) -> bool:
+        """Returns whether a call to a partition is likely to fail.
+
+        That is so in an outage of the store, or of this partition.
+        """
+        is_outage = (
+            self.log.consecutive_failures > 1
+            and not self.breakers.is_partial_outage(now)
+        )
+        return is_outage or self.breakers.is_open((topic, partition), now)
+
     def is_open(self, topic: str, partition: int) -> bool:
         """Returns whether calls to a partition are likely to fail."""
         return self.breakers.is_open((topic, partition), clock.monotonic())
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -85,6 +85,10 @@
         self.tunnels.listen(
             *settings_lib.split_address(settings.tunnel_listen)
         )
+        if settings.grant_listen:
+            self.forwarder.turns.grants.links.listen(
+                *settings_lib.split_address(settings.grant_listen)
+            )
 
     def gauges(self, boot_now: float) -> dict[str, float]:
         """Returns the current values of the gauge metrics."""
@@ -109,6 +113,7 @@
             'store_calls_repeated': (
                 self.forwarder.turns.retrying_log.repeated_calls
             ),
+            **self.forwarder.turns.grants.gauges(),
         }
 
     def start(self) -> None:
@@ -120,6 +125,7 @@
             self.directory.follow,
             self.gossip.exchange_periodically,
             self.tunnels.serve,
+            self.forwarder.turns.grants.links.serve,
             self.forwarder.origins.follow,
             self.forwarder.attempts.probes.probe_periodically,
             self.run_housekeeping,
@@ -159,6 +165,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             now = clock.monotonic()
+            self.forwarder.turns.grants.desk.expire(now)
             await self.forwarder.turns.budgets.flush(now)
             for upstream in self.board.upstreams.forget(
                 now, REMOVED_UPSTREAM_RETENTION_S
@@ -254,6 +261,7 @@
             task.cancel()
         self.forwarder.attempts.pool.close()
         self.tunnels.close()
+        self.forwarder.turns.grants.links.close()
         self.gossip.close()
 
 
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -7,6 +7,7 @@
 class GatewaySettings:
     """Addresses are HOST:PORT strings; times are in seconds.
 
+    grant_listen is empty if the instance grants no tokens to others.
     store_writes_per_s is what the store takes from all instances together.
     upstream_drain_s is the time after which a leaving upstream may get no
     more requests.  cores is the share of processors that the instance may use.
@@ -35,6 +36,7 @@
     memory_bytes: int
     link_mbps: float
     turn_retention_s: float
+    grant_listen: str = ''
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -11,13 +11,16 @@
 from oleanderdrift.gateway import budget_log
 from oleanderdrift.gateway import budgets
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import records
+from oleanderdrift.gateway import relays
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import shared_work
 from oleanderdrift.gateway import time_limits
+from oleanderdrift.gateway import turn_grants
 from oleanderdrift.gateway import turn_log
 from oleanderdrift.gateway import turns
 from oleanderdrift import logs
@@ -39,7 +42,12 @@
 class TurnFlow:
     """Handles the budgets and conversations of one instance's turns."""
 
-    def __init__(self, board: board_lib.Board, log: ports.Log) -> None:
+    def __init__(
+        self,
+        board: board_lib.Board,
+        log: ports.Log,
+        events: event_log.EventLog | None = None,
+    ) -> None:
         self.board = board
         self.log = log
         self.retrying_log = retrying_log.RetryingLog(log)
@@ -55,6 +63,12 @@
             board.settings.turn_retention_s,
             self.share,
         )
+        self.grants = turn_grants.TurnGrants(
+            board,
+            self.budgets,
+            self.retrying_log,
+            events or event_log.EventLog(),
+        )
 
     def max_output_bytes(self) -> int:
         """Returns the size of the longest output that can be stored."""
@@ -68,6 +82,7 @@
         request = progress.admitted.request
         budget = request.token_budget
         if budget is not None:
+            self.grants.desk.check_pause(clock.monotonic())
             self.budgets.renew(request.program_id, clock.monotonic())
         if budget is not None and self.budgets.is_spent(
             request.program_id, budget
@@ -86,7 +101,13 @@
         retains = progress.admitted.route.retains
         if reserved and not retains:
             return
-        self.check_store(progress, reserved)
+        grantor = None
+        if not reserved:
+            grantor = self.grants.client.grantor_of(
+                request.program_id, clock.monotonic()
+            )
+        if retains or grantor is None:
+            self.check_store(progress, reserved or grantor is not None)
         if retains:
             progress.input_location = asyncio.create_task(
                 self.turns.append_input(request.body)
@@ -94,7 +115,7 @@
             progress.input_location.add_done_callback(
                 shared_work.mark_exception_retrieved
             )
-        chain, verdict = await self.query_store(progress)
+        chain, verdict = await self.query_store(progress, grantor)
         progress.earlier = turns.latest_stored(chain)
         pieces = [piece for one in chain for piece in (one.input, one.output)]
         progress.body = b''.join([*pieces, request.body])
@@ -144,15 +165,18 @@
         )
 
     async def query_store(
-        self, progress: progress_lib.Progress
+        self,
+        progress: progress_lib.Progress,
+        grantor: relays.Instance | None,
     ) -> tuple[list[turns.Turn], budgets.Verdict]:
         """Returns a turn's conversation and the verdict on its budget.
 
-        Raises ResultError if the previous turn is unknown or the store does
-        not answer.
+        grantor is asked for its tokens first, if there is one.  Raises
+        ResultError if the previous turn is unknown or the store does not
+        answer.
         """
         request = progress.admitted.request
-        reserving = asyncio.create_task(self.reserve(progress))
+        reserving = asyncio.create_task(self.reserve(progress, grantor))
         reserving.add_done_callback(shared_work.mark_exception_retrieved)
         has_chain = False
         try:
@@ -178,7 +202,7 @@
     ) -> None:
         """Raises ResultError if a turn needs partitions that are failing.
 
-        reserved says that its tokens are already reserved.
+        reserved says that its tokens need no reservation in the store.
         """
         now = clock.monotonic()
         request = progress.admitted.request
@@ -276,22 +300,25 @@
         )
 
     async def reserve(
-        self, progress: progress_lib.Progress
+        self,
+        progress: progress_lib.Progress,
+        grantor: relays.Instance | None = None,
     ) -> budgets.Verdict:
         """Reserves a turn's tokens; returns the verdict on its budget."""
-        request = progress.admitted.request
         if progress.reserved:
             return budgets.Verdict.VALID
         # From here on, the record may reach the store.
         progress.reserved = True
-        return await self.budgets.reserve(
-            request.program_id,
-            request.request_id,
-            request.max_tokens,
-            request.token_budget or 0,
-            clock.monotonic(),
-            self.board.instances,
-        )
+        if grantor is not None:
+            verdict = await self.grants.ask(progress, grantor)
+            if verdict is not None:
+                return verdict
+            self.check_store(progress, reserved=False)
+        verdict = await self.grants.reserve(progress)
+        if grantor is not None and verdict is budgets.Verdict.SPENT:
+            # What the grantor holds, and open turns, may come back.
+            return budgets.Verdict.UNSETTLED
+        return verdict
 
     async def store_turn(self, progress: progress_lib.Progress) -> None:
         """Stores a turn; called before the end of its response is sent."""
@@ -320,6 +347,7 @@
 
     async def flush(self) -> None:
         """Returns unused tokens and writes the entries of the turns' index."""
+        self.grants.desk.end_all(clock.monotonic())
         await asyncio.gather(
             self.budgets.flush(float('inf')), self.turns.index.flush()
         )
@@ -330,7 +358,4 @@
             progress.input_location.cancel()
         if not progress.reserved:
             return
-        request = progress.admitted.request
-        self.budgets.settle(
-            request.request_id, progress.tokens, clock.monotonic()
-        )
+        self.grants.settle(progress)
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -20,6 +20,8 @@
 BYTES_PER_MB: typing.Final = 1_048_576
 # A port that exporters commonly use; also set in deploy/system.toml.
 METRICS_PORT: typing.Final = 9464
+# The port for grants of tokens, after the first of PortRange.
+_GRANT_PORT: typing.Final = 2
 # A request must not run if it was sent more than RevokeMs after its key was
 # revoked.  The margin covers the time a request takes to the upstream.
 _KEY_MARGIN_S: typing.Final = 0.5
@@ -93,6 +95,8 @@
     except (ValueError, msgspec.ValidationError) as error:
         raise errors.ResultError(codes.SETTINGS_INVALID, str(error)) from error
     bounds = file_settings.Bounds
+    first_port, last_port = file_settings.PortRange
+    grant_port = first_port + _GRANT_PORT
     limits = file_settings.Limits
     return settings.GatewaySettings(
         instance=file_settings.Node,
@@ -113,4 +117,7 @@
         memory_bytes=int(limits.MemoryMb * BYTES_PER_MB),
         link_mbps=limits.LinkMbps,
         turn_retention_s=file_settings.Platform.RetainS,
+        grant_listen=f'{file_settings.Ip}:{grant_port}'
+        if grant_port <= last_port
+        else '',
     )
--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -9,6 +9,7 @@
 
 import typing
 
+import attrs
 import msgspec
 import pytest
 
@@ -21,12 +22,18 @@
 from oleanderdrift.platform import settings
 
 LAST_LANDING: typing.Final = '3e2021d8e3b13fa11423da2703a9cff6ff1b279d'
+RESERVE: typing.Final = records.Reserve(
+    program='p1', turn='q1', tokens=576, budget=4608, spare=1152
+)
+# LAST_LANDING leaves the last field of a reservation out: it holds the same
+# tokens there, and may only take fewer of them for spare.
+READ_ONLY: list[tuple[bytes, typing.Any]] = [
+    (b'\x96\xa1r\xa2p1\xa2q1\xcd\x02@\xcd\x12\x00\xcd\x04\x80', RESERVE),
+]
 RECORDS: list[tuple[bytes, typing.Any]] = [
     (
-        b'\x96\xa1r\xa2p1\xa2q1\xcd\x02@\xcd\x12\x00\xcd\x04\x80',
-        records.Reserve(
-            program='p1', turn='q1', tokens=576, budget=4608, spare=1152
-        ),
+        b'\x97\xa1r\xa2p1\xa2q1\xcd\x02@\xcd\x12\x00\xcd\x04\x80\xc2',
+        RESERVE,
     ),
     (
         b'\x94\xa1s\xa2p1\xa2q1\xcc\xfc',
@@ -75,7 +82,12 @@
         records.ListedOrigin(service='guide', version='v1'),
     ),
 ]
+# LAST_LANDING leaves grant_address out, and asks nobody for tokens.
 INSTANCE: typing.Final = (
+    b'{"cores":1.5,"data_centre":"north","grant_address":"10.0.0.1:7782",'
+    b'"peer_address":"10.0.0.1:7780","tunnel_address":"10.0.0.1:7781"}'
+)
+READ_ONLY_INSTANCE: typing.Final = (
     b'{"cores":1.5,"data_centre":"north","peer_address":"10.0.0.1:7780",'
     b'"tunnel_address":"10.0.0.1:7781"}'
 )
@@ -166,6 +178,13 @@
     assert msgspec.msgpack.encode(record) == sample
 
 
+@pytest.mark.parametrize(('sample', 'record'), READ_ONLY)
+def test_records_of_the_last_landing_are_read(
+    sample: bytes, record: typing.Any
+) -> None:
+    assert decode_record(sample, type(record)) == record
+
+
 @pytest.mark.parametrize(('sample', 'record'), RECORDS)
 def test_record_with_a_field_of_a_later_build_is_read(
     sample: bytes, record: typing.Any
@@ -189,12 +208,15 @@
         data_centre='north',
         cores=1.5,
         tunnel_address='10.0.0.1:7781',
+        grant_address='10.0.0.1:7782',
     )
     assert records.decode_instance(INSTANCE) == record
     assert records.encode_instance(record) == INSTANCE
     fields = msgspec.json.decode(INSTANCE)
     later = msgspec.json.encode({**fields, 'new': [1]})
     assert records.decode_instance(later) == record
+    last_landing = records.decode_instance(READ_ONLY_INSTANCE)
+    assert last_landing == attrs.evolve(record, grant_address='')
     del fields['tunnel_address']
     earlier = records.decode_instance(msgspec.json.encode(fields))
     assert earlier is not None
