--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import fleet_members
 from oleanderdrift.gateway import freshness as freshness_lib
+from oleanderdrift.gateway import grantors as grantors_lib
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import own_link
@@ -42,6 +43,8 @@
     lost_paths holds the upstreams that this instance cannot reach directly.
     held counts the bytes of others that are in memory, and link those that
     lately came over the link of this instance.
+    grantors are the instances that grant tokens of programs.
+    pauses counts the pauses of this process that were noticed.
     exchanged_at is when states were last exchanged with peers, and resumed_at
     when this process last went on after a pause, on the clock that also
     advances while the machine is suspended.
@@ -92,6 +95,14 @@
     tunnel_peers: tunnel_peers_lib.TunnelPeers = attrs.field(
         factory=tunnel_peers_lib.TunnelPeers
     )
+    grantors: grantors_lib.Grantors = attrs.field(
+        default=attrs.Factory(
+            lambda self: grantors_lib.Grantors(
+                data_centre=self.settings.data_centre
+            ),
+            takes_self=True,
+        )
+    )
     held: held_bytes.HeldBytes = attrs.field(
         default=attrs.Factory(
             lambda self: held_bytes.HeldBytes(
@@ -112,6 +123,7 @@
     silent_data_centres: frozenset[str] = frozenset()
     open_requests: int = 0
     instances: int = 1
+    pauses: int = 0
     exchanged_at: float = float('inf')
     resumed_at: float = float('-inf')
 
@@ -181,12 +193,14 @@
     def check_pause(self, now: float, boot_now: float) -> None:
         """Notes whether this process has been paused.
 
-        If so, its token buckets are emptied.
+        If so, its token buckets are emptied, and its grants of tokens are
+        dropped later by the count of pauses.
         """
         if boot_now - self.exchanged_at > MAX_PAUSE_S:
             self.resumed_at = boot_now
             self.rate_limiter.restart(now)
             self.upstream_limits.restart()
+            self.pauses += 1
             self.exchanged_at = boot_now
 
     def has_read_since_pause(self) -> bool:
--- a/oleanderdrift/gateway/directory.py
+++ b/oleanderdrift/gateway/directory.py
@@ -46,6 +46,7 @@
             address=settings.peer_listen,
             cores=settings.cores,
             tunnel_address=settings.tunnel_listen,
+            grant_address=settings.grant_listen,
         )
         self.instances: dict[str, relays.Instance] = {}
         self.changes = 0
@@ -66,6 +67,7 @@
                 data_centre=self.own.data_centre,
                 cores=self.own.cores,
                 tunnel_address=self.own.tunnel_address,
+                grant_address=self.own.grant_address,
             )
         )
 
@@ -165,6 +167,7 @@
             address=decoded.peer_address,
             cores=decoded.cores,
             tunnel_address=decoded.tunnel_address,
+            grant_address=decoded.grant_address,
         )
         if self.instances.get(record.key) != instance:
             self.instances[record.key] = instance
