Long prompts: an engine reads one at a time, and others wait in order

Cause: placement counts what a long prompt costs, but instances put two on one engine when its cost is lowest, and the second misses its target behind the first.

Change: prefill_admission calls a prompt long by the engines' reading speed and the routes' targets, prefers engines that read no long one, and has a long prompt wait for a quarter of its own target where all read one. It acts only while both kinds come.

Where all prompts are of one kind, all choices are the same.

--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -90,6 +90,7 @@
                 break
             progress.upstream = upstream.entry.upstream_id
             self.log_continued(progress, upstream)
+            self.log_prompt_wait(progress)
             upstream.own_requests += 1
             request = progress.admitted.request
             if progress.admitted.service.is_engine:
@@ -241,6 +242,17 @@
             software=upstream.entry.version,
         )
 
+    def log_prompt_wait(self, progress: progress_lib.Progress) -> None:
+        """Logs once for how long a long prompt waited for an engine."""
+        if progress.prompt_wait_s:
+            self.events.info(
+                'prompt-waited',
+                request=progress.admitted.request.request_id,
+                upstream=progress.upstream,
+                ms=round(progress.prompt_wait_s * 1_000),
+            )
+            progress.prompt_wait_s = 0.0
+
     def note_rate_limit(
         self,
         progress: progress_lib.Progress,
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -14,6 +14,7 @@
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import own_link
+from oleanderdrift.gateway import prefill_admission
 from oleanderdrift.gateway import reachability as reachability_lib
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import stream_origins
@@ -69,6 +70,9 @@
             takes_self=True,
         )
     )
+    prefill: prefill_admission.PrefillAdmission = attrs.field(
+        factory=prefill_admission.PrefillAdmission
+    )
     freshness: freshness_lib.Freshness = attrs.field(
         factory=freshness_lib.Freshness
     )
--- a/oleanderdrift/gateway/peer_load.py
+++ b/oleanderdrift/gateway/peer_load.py
@@ -80,6 +80,12 @@
             if upstream is not None:
                 upstream.peer_requests = total.running
                 upstream.peer_pending_tokens = total.pending
+                upstream.pending_by_peer.pop(peer, None)
+                if new.pending:
+                    upstream.pending_by_peer[peer] = (
+                        new.pending,
+                        self.last_heard.get(peer, float('-inf')),
+                    )
 
     def expire(self, now: float) -> list[str]:
         """Drops the load of silent peers and returns their names."""
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -29,6 +29,7 @@
     running_requests were the inputs of the last placement.  first_ms is the
     time until the first event, or -1.  origin is that of the stream that the
     caller has begun to receive.  holder counts the earlier turns in body.
+    prompt_wait_s is for how long its long prompt waited for an engine.
     cold_place is its place in the share of a cold upstream that was chosen.
     is_renewed says that body is stored as the turn's input, and earlier where
     the turns before it are stored.
@@ -60,6 +61,7 @@
     last_reason: str = ''
     holder: held_bytes.Holder | None = None
     cold_place: cold_shares.ColdPlace | None = None
+    prompt_wait_s: float = 0.0
 
     def must_complete(self) -> bool:
         """Returns whether its work goes on if the caller leaves."""
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -111,6 +111,7 @@
             'tunnels_opened': (
                 self.forwarder.attempts.connections.tunnels_opened
             ),
+            'waiting_long_prompts': board.prefill.waiting(),
             'store_calls': self.log.calls,
             'store_failures': self.log.failures,
             'store_calls_repeated': (
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -1,7 +1,7 @@
 """Chooses the upstream that a request is sent to next.
 
-Joins what `placement` says is best with what `upstream_limits` and
-`cold_shares` allow.
+Joins what `placement` says is best with what `upstream_limits`,
+`cold_shares` and `prompt_waits` allow.
 """
 
 import asyncio
@@ -19,6 +19,7 @@
 from oleanderdrift.gateway import continuations
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import prompt_waits
 from oleanderdrift.gateway import upstreams
 
 # A caller that is refused sooner uses up one of its few tries.
@@ -47,6 +48,7 @@
         self.board = board
         self.pool = pool
         self.chance = random.Random()
+        self.prompts = prompt_waits.PromptWaits(board)
 
     async def acquire(
         self, progress: progress_lib.Progress
@@ -57,6 +59,7 @@
         Raises ResultError if none comes in time.
         """
         await self.wait_for_origins(progress)
+        await self.prompts.wait(progress, self.candidates)
         choice = self.choose(progress)
         if not isinstance(choice, NoToken):
             return choice
@@ -118,9 +121,16 @@
         service = progress.admitted.service
         shares = self.board.cold_shares
         held = shares.restrictions(service, candidates, now, boot_now)
-        choice = self.choose_open(
-            progress, candidates, held.cold | held.closed, now, has_waited
-        )
+        shut = held.cold | held.closed
+        choice: upstreams.Upstream | NoToken | None = None
+        if reading := self.prompts.reading(progress, candidates, shut, now):
+            choice = self.choose_open(
+                progress, candidates, shut | reading, now, has_waited
+            )
+        if not isinstance(choice, upstreams.Upstream):
+            choice = self.choose_open(
+                progress, candidates, shut, now, has_waited
+            )
         if held.cold and not isinstance(choice, upstreams.Upstream):
             choice = self.choose_open(
                 progress, candidates, held.closed, now, has_waited
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -56,7 +56,8 @@
     of its peers by their latest messages.  slowness is the ratio of measured
     to expected time of its work, as of measured_at.  pending_tokens counts
     the prompt tokens of this instance's requests that are not prefilled yet,
-    by request in pending_by_request; peer_pending_tokens those of its peers.
+    by request in pending_by_request; peer_pending_tokens those of its peers,
+    by peer in pending_by_peer, each with the time when they were heard of.
     new_parts holds the parts of prompts that this instance's requests
     brought into its cache and that peers are still to hear of: the next turn
     of a conversation may come to any of them.
@@ -90,6 +91,7 @@
     last_received: float = float('-inf')
     new_parts: dict[str, None] = attrs.field(factory=dict)
     pending_by_request: dict[str, int] = attrs.field(factory=dict)
+    pending_by_peer: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     abortable: dict[channel.Channel, float] = attrs.field(factory=dict)
     silence_timeout_s: float = float('inf')
     removed_at: float | None = None
