Bind requests to the regions of their route and account

Cause: some requests have to be processed in certain regions only, and any instance placed them on any upstream, or handed their bodies to any peer that carries tunnels.

Change: routes and accounts have AllowedRegions; the settings file has Region and [Zones]. gateway/regions.py turns them into the data centres that a request may reach, None for one that is not bound. The chooser, the admission of programs, idle tunnels and the choice of a carrying peer keep to these, and upstream and carrier are checked again right before the first byte. Event regions-unreachable and gauge region_refusals; regions-unknown names regions that nothing is in; settings-ignored names odd settings.

--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -256,7 +256,9 @@
     if account is not None and account.priority is not None:
         priority = account.priority
     service = routing.choose_service(route, request)
-    engines = board.upstreams.of_service(service, include_lapsed=False)
+    engines = board.upstreams.of_service(
+        service, include_lapsed=False, inside=board.inside(route, account)
+    )
     if engines and not board.upstream_limits.can_begin(service, engines, now):
         raise limited_error(request.request_id, begins_program=True)
     refusal = program_admission.refuse_program(
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -20,6 +20,7 @@
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import refusals
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import turn_flow
 from oleanderdrift.gateway import upstream_choice
@@ -71,6 +72,7 @@
         )
         self.relay = answer_relay.AnswerRelay(turns, self.crashes, origins)
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
+        self.region_refusals = 0
 
     async def run(
         self, progress: progress_lib.Progress, reply: reply_lib.Reply
@@ -111,10 +113,26 @@
             raise errors.ResultError(
                 codes.UPSTREAM_FAILED, progress.last_reason
             )
+        inside = self.chooser.inside(progress)
+        if inside is not None:
+            self.note_region_refusal(progress)
         raise refusals.no_upstream(
             self.board.upstreams,
             progress.admitted.service.name,
             progress.last_reason,
+            inside,
+        )
+
+    def note_region_refusal(self, progress: progress_lib.Progress) -> None:
+        """Counts and logs a refused request that is bound to regions."""
+        self.region_refusals += 1
+        admitted = progress.admitted
+        allowed = regions.allowed(admitted.route, admitted.account)
+        self.events.info(
+            'regions-unreachable',
+            request=admitted.request.request_id,
+            allowed=','.join(sorted(allowed or ())),
+            own=self.board.settings.region,
         )
 
     async def try_one(
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import reachability as reachability_lib
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import stream_origins
 from oleanderdrift.gateway import tunnel_peers as tunnel_peers_lib
@@ -165,6 +166,14 @@
         """
         return self.freshness.confirmed_at >= self.resumed_at
 
+    def inside(
+        self, route: model.Route, account: model.ClientAccount | None
+    ) -> regions.Inside:
+        """Returns the data centres that a request may reach."""
+        return regions.inside(
+            route, account, self.settings.regions_by_data_centre
+        )
+
     def judged_at(self, now: float) -> float:
         """Returns until when the silence of peers counts.
 
--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -43,12 +43,21 @@
         return await self.open(host, port, timeout_s)
 
     def take(
-        self, key: collections.abc.Hashable, now: float
+        self,
+        key: collections.abc.Hashable,
+        now: float,
+        is_usable: collections.abc.Callable[[channel.Channel], bool]
+        | None = None,
     ) -> channel.Channel | None:
-        """Returns an idle connection, if there is one."""
+        """Returns an idle connection, if there is one.
+
+        Those that are not usable stay for others.
+        """
         idle = self.idle.get(key, [])
-        while idle:
-            connection = idle.pop()
+        for place in reversed(range(len(idle))):
+            if is_usable is not None and not is_usable(idle[place]):
+                continue
+            connection = idle.pop(place)
             if connection.is_reusable(now):
                 return connection
             connection.close()
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import upstream_connections
 from oleanderdrift.gateway import upstreams
@@ -150,7 +151,8 @@
     entry = upstream.entry
     admitted = outgoing.admitted
     request = admitted.request
-    connection = await _connect(connections, codec, upstream, outgoing)
+    inside = board.inside(admitted.route, admitted.account)
+    connection = await _connect(connections, codec, upstream, outgoing, inside)
     if not isinstance(connection, channel.Channel):
         return connection
     handed_over = False
@@ -174,9 +176,9 @@
         headers = codec.upstream_headers(
             request, entry, admitted.account, left_s, outgoing.last_event_id
         )
-        # The evacuation may have begun since it was chosen.
-        if known.is_evacuated(upstream.entry):
-            return NotAllowed(reason='its data centre is evacuated')
+        reason = _reason_to_refuse(board, upstream, connection, admitted)
+        if reason:
+            return NotAllowed(reason=reason)
         outgoing.begin()
         await connection.send(
             request.method, request.target, headers, outgoing.body
@@ -211,19 +213,47 @@
             connection.close()
 
 
+def _reason_to_refuse(
+    board: board_lib.Board,
+    upstream: upstreams.Upstream,
+    connection: channel.Channel,
+    admitted: admission.Admitted,
+) -> str:
+    """Returns why a request may not be sent, empty if it may.
+
+    Evacuations, settings and peers may have changed since the upstream was
+    chosen.
+    """
+    if board.upstreams.is_evacuated(upstream.entry):
+        return 'its data centre is evacuated'
+    inside = board.inside(admitted.route, admitted.account)
+    if inside is None:
+        return ''
+    if upstream.entry.data_centre not in inside:
+        return 'its data centre is outside the allowed regions'
+    via = connection.via
+    if via and not board.tunnel_peers.is_inside(via, inside):
+        return f'the peer {via} is outside the allowed regions'
+    return ''
+
+
 async def _connect(
     connections: upstream_connections.UpstreamConnections,
     codec: ports.Codec,
     upstream: upstreams.Upstream,
     outgoing: Outgoing,
+    inside: regions.Inside,
 ) -> channel.Channel | NotConnected | NotVerified:
     """Returns a connection to the start that an upstream's entry names.
 
+    inside holds the data centres that a peer may be in to carry it.
     A stream may begin at one that writes no report, as its entry says, but
     goes on only where the start is known.
     """
     try:
-        connection = await connections.acquire(upstream, clock.monotonic())
+        connection = await connections.acquire(
+            upstream, clock.monotonic(), inside
+        )
     except (OSError, TimeoutError) as error:
         return NotConnected(reason=repr(error))
     if not outgoing.keeps_version:
@@ -241,7 +271,7 @@
         return NotVerified(reason=f'no report came: {error!r}')
     else:
         return NotConnected(reason='the upstream has started again')
-    return await _connect(connections, codec, upstream, outgoing)
+    return await _connect(connections, codec, upstream, outgoing, inside)
 
 
 async def is_incarnation(
--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -10,6 +10,7 @@
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import regions
 
 # Long-poll timeouts; a longer poll would delay the detection of a
 # connection that has gone silent.
@@ -128,6 +129,15 @@
             routes=len(config.routes),
             accounts=_format_rates(config),
         )
+        unknown = regions.unknown(
+            config, self.board.settings.regions_by_data_centre
+        )
+        if unknown:
+            self.events.info(
+                'regions-unknown',
+                version=config.version,
+                names=','.join(unknown),
+            )
 
     def note_failure(self, error: errors.ResultError) -> None:
         """Records a failed read; logs the first one of an outage."""
--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -34,7 +34,8 @@
     attempts is the most upstreams that may run one request.  retains says
     that the gateway stores the conversation's turns, for retention_s.
     Resumable streams may be continued by another upstream.  sticky says that
-    an upstream is faster with an object that it handled lately.
+    an upstream is faster with an object that it handled lately.  regions holds
+    those that its requests may reach, none for all.
     """
 
     name: str
@@ -51,6 +52,7 @@
     retains: bool
     retention_s: float
     sticky: bool = False
+    regions: frozenset[str] = frozenset()
 
     def is_resumable_stream(self) -> bool:
         """Returns whether a stream that broke off may be continued."""
@@ -71,12 +73,16 @@
 
 @attrs.frozen(kw_only=True)
 class ClientAccount:
-    """A customer with a rate limit; a rate of 0 means no limit."""
+    """A customer with a rate limit; a rate of 0 means no limit.
+
+    regions holds those that its requests may reach, none for all.
+    """
 
     name: str
     priority: int | None
     rate_per_s: float
     burst: float
+    regions: frozenset[str] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
--- a/oleanderdrift/gateway/path_monitor.py
+++ b/oleanderdrift/gateway/path_monitor.py
@@ -8,6 +8,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import relays
+from oleanderdrift.gateway import sent_requests
 from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_peers
 from oleanderdrift.gateway import upstream_connections
@@ -80,7 +81,7 @@
     def check_request(
         self,
         connection: channel.Channel,
-        sent: upstream_connections.SentRequest,
+        sent: sent_requests.SentRequest,
         now: float,
     ) -> None:
         """Has the path of a silent request probed, or ends the request."""
--- a/oleanderdrift/gateway/refusals.py
+++ b/oleanderdrift/gateway/refusals.py
@@ -9,6 +9,7 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import upstreams
 
 RETRY_AFTER_S: typing.Final = 0.1
@@ -17,13 +18,28 @@
 
 
 def no_upstream(
-    known: upstreams.UpstreamSet, service: str, last_reason: str
+    known: upstreams.UpstreamSet,
+    service: str,
+    last_reason: str,
+    inside: regions.Inside = None,
 ) -> errors.ResultError:
     """Returns the error of a request that has not run and found none.
 
-    last_reason is why the last upstream that was tried did not answer.
+    last_reason is why the last upstream that was tried did not answer, and
+    inside holds the data centres that the request may reach.
     """
-    listed = listed_of(known, service)
+    everywhere = listed_of(known, service)
+    listed = [
+        one
+        for one in everywhere
+        if regions.is_inside(one.entry.data_centre, inside)
+    ]
+    if everywhere and not listed:
+        return errors.ResultError(
+            codes.NO_UPSTREAM,
+            f'no upstream of {service} is in the allowed regions',
+            retry_after_s=LASTING_RETRY_S,
+        )
     if listed and all(known.is_evacuated(one.entry) for one in listed):
         return errors.ResultError(
             codes.NO_UPSTREAM,
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -99,6 +99,7 @@
             'peers': len(self.gossip.peer_load.last_heard),
             'silent_data_centres': len(board.silent_data_centres),
             'evacuated_data_centres': len(board.evacuated),
+            'region_refusals': self.forwarder.attempts.region_refusals,
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
             'open_tunnels': len(self.tunnels.open),
             'lost_paths': len(board.lost_paths),
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -12,6 +12,8 @@
     more requests.  cores is the share of processors that the instance may use.
     link_mbps is the rate of the instance's link in Mbit/s.
     memory_bytes is what the process may use before it is killed.
+    region is that of the instance, empty if it is not known, and
+    regions_by_data_centre has those of all data centres that are known.
     evacuate_s is how long an instance that alone has lost the store may send
     requests on what it knows of evacuations.
     key_grace_s is how long after the last response from the store API
@@ -38,6 +40,8 @@
     link_mbps: float
     turn_retention_s: float
     evacuate_s: float = 4.5
+    region: str = ''
+    regions_by_data_centre: dict[str, str] = attrs.field(factory=dict)
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/oleanderdrift/gateway/tunnel_peers.py
+++ b/oleanderdrift/gateway/tunnel_peers.py
@@ -11,7 +11,9 @@
 
 import attrs
 
+from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import relays
 
 # States come at least every 0.25 s, in large fleets over two relays.
@@ -142,6 +144,21 @@
         found = self.by_name.get(name)
         return found is not None and found.carries(upstream_id, now)
 
+    def is_inside(self, name: str, inside: regions.Inside) -> bool:
+        """Returns whether a request's body may go to a peer."""
+        if inside is None:
+            return True
+        found = self.by_name.get(name)
+        return found is not None and found.instance.data_centre in inside
+
+    def usable(
+        self, inside: regions.Inside
+    ) -> collections.abc.Callable[[channel.Channel], bool] | None:
+        """Returns which idle connections may carry a request, None for all."""
+        if inside is None:
+            return None
+        return lambda idle: not idle.via or self.is_inside(idle.via, inside)
+
     def note_failed(
         self,
         name: str,
@@ -194,12 +211,13 @@
         asked: collections.abc.Collection[relays.Instance],
         now: float,
         chance: random.Random,
+        inside: regions.Inside = None,
     ) -> relays.Instance | None:
         """Returns the peer to ask for a tunnel to an upstream, if any.
 
         Those in the upstream's data centre come first, then those in the
         own one; asked holds peers that have failed, whose data centres
-        come last.
+        come last.  inside holds the data centres that it may be in.
         """
         preference = [entry.data_centre, own_data_centre]
         asked_names = {one.name for one in asked}
@@ -217,7 +235,9 @@
         ranked = [
             (rank(peer), peer.instance)
             for name, peer in self.by_name.items()
-            if name not in asked_names and peer.carries(entry.upstream_id, now)
+            if name not in asked_names
+            and peer.carries(entry.upstream_id, now)
+            and regions.is_inside(peer.instance.data_centre, inside)
         ]
         if not ranked:
             return None
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import continuations
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import upstreams
 
 # A caller that is refused sooner uses up one of its few tries.
@@ -86,7 +87,9 @@
             return
         until = clock.monotonic() + MAX_LISTING_WAIT_S
         while clock.monotonic() < until:
-            known = self.board.upstreams.of_service(service, True)
+            known = self.board.upstreams.of_service(
+                service, True, self.inside(progress)
+            )
             if not known or self.board.origins.of_listed(known, clock.boot()):
                 return
             await asyncio.sleep(TOKEN_POLL_S)
@@ -172,6 +175,7 @@
         candidates = self.board.upstreams.of_service(
             admitted.service.name,
             self.board.freshness.in_lapse_grace(clock.boot()),
+            self.inside(progress),
         )
         if progress.origin is not None:
             candidates = continuations.at_origin(candidates, progress.origin)
@@ -186,6 +190,11 @@
             if one.entry.upstream_id in progress.possibly_ran
         ]
 
+    def inside(self, progress: progress_lib.Progress) -> regions.Inside:
+        """Returns the data centres that a request may reach."""
+        admitted = progress.admitted
+        return self.board.inside(admitted.route, admitted.account)
+
     def place(
         self, candidates: list[upstreams.Upstream], now: float
     ) -> placement.Place:
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -9,8 +9,6 @@
 import random
 import typing
 
-import attrs
-
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import channel
@@ -20,7 +18,9 @@
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import own_link
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import relays
+from oleanderdrift.gateway import sent_requests
 from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_client
 from oleanderdrift.gateway import tunnel_peers
@@ -55,20 +55,6 @@
     return await tunnel_client.open_tunnel(address, entry, timeout_s, via=via)
 
 
-@attrs.frozen(kw_only=True)
-class SentRequest:
-    """A request that was sent on a connection.
-
-    may_abort says that it may be given up, and may_repeat that it may then
-    be sent again by this instance.
-    """
-
-    upstream: upstreams.Upstream
-    sent_at: float
-    may_repeat: bool
-    may_abort: bool
-
-
 class UpstreamConnections:
     """The connections of one instance to the upstreams.
 
@@ -90,44 +76,53 @@
         self.chance = chance
         self.peers = board.tunnel_peers
         self.open_tunnel: OpenTunnel = open_tunnel
-        self.open: dict[channel.Channel, SentRequest] = {}
+        self.open: dict[channel.Channel, sent_requests.SentRequest] = {}
         self.heard_at = float('-inf')
         self.broke_at = float('-inf')
         self.lost_at = float('-inf')
         self.tunnels_opened = 0
 
     async def acquire(
-        self, upstream: upstreams.Upstream, now: float
+        self,
+        upstream: upstreams.Upstream,
+        now: float,
+        inside: regions.Inside = None,
     ) -> channel.Channel:
         """Returns a connection to an upstream, idle or new.
 
+        inside holds the data centres that a peer may be in to carry it.
         Raises ConnectionError if it refuses this instance, else OSError or
         TimeoutError, if no peer reaches it either.
         """
-        idle = self.take_idle(upstream, now)
+        idle = self.take_idle(upstream, now, inside)
         if idle is not None:
             return idle
         if upstream.path.loss is not None:
-            found = await self.open_through_peer(upstream, MAX_PEERS_ASKED)
+            found = await self.open_through_peer(
+                upstream, MAX_PEERS_ASKED, inside
+            )
             if found is None:
                 raise OSError('the path is lost, and no peer reaches it')
             return found
         try:
             return await self.open_direct(upstream)
         except OSError as error:
-            found = await self.open_through_peer(upstream, MAX_PEERS_ASKED)
+            found = await self.open_through_peer(
+                upstream, MAX_PEERS_ASKED, inside
+            )
             if found is None:
                 raise
             self.note_reached_by_peer(upstream, error, now, found.via)
             return found
 
     def take_idle(
-        self, upstream: upstreams.Upstream, now: float
+        self, upstream: upstreams.Upstream, now: float, inside: regions.Inside
     ) -> channel.Channel | None:
         """Returns an idle connection that is likely to work, if any."""
         upstream_id = upstream.entry.upstream_id
+        is_usable = self.peers.usable(inside)
         while True:
-            idle = self.pool.take(upstream.key(), now)
+            idle = self.pool.take(upstream.key(), now, is_usable)
             if idle is None or not idle.via:
                 return idle
             if self.peers.carries(idle.via, upstream_id, now):
@@ -155,7 +150,10 @@
         return connection
 
     async def open_through_peer(
-        self, upstream: upstreams.Upstream, max_asked: int
+        self,
+        upstream: upstreams.Upstream,
+        max_asked: int,
+        inside: regions.Inside = None,
     ) -> channel.Channel | None:
         """Opens a connection through a peer; None if no peer reaches it."""
         path = upstream.path
@@ -163,7 +161,7 @@
         if not path.may_ask_peers(clock.monotonic()):
             return None
         while len(asked) < max_asked:
-            peer = self.choose_peer(upstream, asked)
+            peer = self.choose_peer(upstream, asked, inside)
             if peer is None:
                 break
             asked.append(peer)
@@ -207,6 +205,7 @@
         self,
         upstream: upstreams.Upstream,
         asked: collections.abc.Collection[relays.Instance],
+        inside: regions.Inside,
     ) -> relays.Instance | None:
         """Returns the peer to ask for a tunnel next, if any."""
         return self.peers.choose(
@@ -215,6 +214,7 @@
             asked,
             clock.monotonic(),
             self.chance,
+            inside,
         )
 
     async def ask(
@@ -282,7 +282,7 @@
             upstream.entry.incarnation(),
             lambda: self.cut_for_bytes(upstream, connection),
         )
-        self.open[connection] = SentRequest(
+        self.open[connection] = sent_requests.SentRequest(
             upstream=upstream,
             sent_at=now,
             may_repeat=admitted.may_repeat(),
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -17,6 +17,7 @@
 from oleanderdrift.gateway import evacuations as evacuations_lib
 from oleanderdrift.gateway import leaving as leaving_lib
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import regions
 from oleanderdrift.gateway import upstream_paths
 
 # Silence time-out of engines: longer than a slow one needs for a long prompt.
@@ -362,12 +363,17 @@
             if one.last_received >= since
         )
 
-    def of_service(self, service: str, include_lapsed: bool) -> list[Upstream]:
+    def of_service(
+        self,
+        service: str,
+        include_lapsed: bool,
+        inside: regions.Inside = None,
+    ) -> list[Upstream]:
         """Returns the upstreams of a service that may get new requests.
 
-        include_lapsed adds those whose entries were removed.  It is set
-        just after an outage of the store, when entries that expired in the
-        outage are being written again.
+        include_lapsed adds those whose entries were removed, while they are
+        written again after an outage of the store.  inside holds the data
+        centres that the requests may reach.
         """
         leaving = self.leaving.since
         evacuated = self.evacuations.names
@@ -380,6 +386,7 @@
             and (one.removed_at is None or include_lapsed)
             and (not leaving or one.entry.incarnation() not in leaving)
             and (not evacuated or one.entry.data_centre not in evacuated)
+            and (inside is None or one.entry.data_centre in inside)
         ]
 
 
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -45,6 +45,7 @@
     Public: bool = False
     Resumable: bool = False
     Sticky: bool = False
+    AllowedRegions: list[bounds.Text] | None = None
 
 
 class _Engine(msgspec.Struct):
@@ -71,6 +72,7 @@
     Priority: bounds.Rank | None = None
     RatePerS: bounds.PerSecond = 0
     Burst: bounds.PerSecond = 0
+    AllowedRegions: list[bounds.Text] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -152,6 +154,7 @@
         retains=route.Retain,
         retention_s=route.RetainS,
         sticky=route.Sticky,
+        regions=frozenset(route.AllowedRegions or ()),
     )
 
 
@@ -176,6 +179,7 @@
             priority=tenant.Priority,
             rate_per_s=tenant.RatePerS,
             burst=tenant.Burst,
+            regions=frozenset(tenant.AllowedRegions or ()),
         )
         for key in tenant.ApiKeys:
             accounts[key] = account
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -13,7 +13,9 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import bounds as bounds_lib
 from oleanderdrift.gateway import settings
+from oleanderdrift import logs
 
 PATH_VARIABLE: typing.Final = 'OLEANDERDRIFT_CONFIG'
 MS_PER_S: typing.Final = 1_000.0
@@ -65,6 +67,10 @@
     Platform: _Platform
     Bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     Limits: _Limits = msgspec.field(default_factory=_Limits)
+    # Checked apart: what is wrong here leaves a data centre without a region,
+    # but must not keep the instance from starting.
+    Region: typing.Any = ''
+    Zones: typing.Any = msgspec.field(default_factory=dict)
 
 
 def path() -> pathlib.Path:
@@ -116,4 +122,28 @@
         memory_bytes=int(limits.MemoryMb * BYTES_PER_MB),
         link_mbps=limits.LinkMbps,
         turn_retention_s=file_settings.Platform.RetainS,
+        region=file_settings.Region if _is_text(file_settings.Region) else '',
+        regions_by_data_centre=_regions(
+            file_settings.Zones, file_settings.Region
+        ),
     )
+
+
+def _is_text(value: object) -> bool:
+    return (
+        isinstance(value, str) and 0 < len(value) <= bounds_lib.MAX_TEXT_LENGTH
+    )
+
+
+def _regions(zones: object, region: object) -> dict[str, str]:
+    """Returns the regions of data centres; logs what is left out."""
+    table = zones if isinstance(zones, dict) else {}
+    regions = {name: each for name, each in table.items() if _is_text(each)}
+    ignored = sorted(table.keys() - regions.keys())
+    if not isinstance(zones, dict):
+        ignored.append('Zones')
+    if region != '' and not _is_text(region):
+        ignored.append('Region')
+    if ignored:
+        logs.info('settings-ignored', names=','.join(ignored))
+    return regions
