Check the platform's configuration before it is written

Cause: an instance says of a configuration only that it does not decode, and the first fault of it; routes that nothing reaches, or an account whose burst admits no request, show as refused requests.

Exit code 5 means warnings only. Keys are counted, never printed. The product chooses the longest prefix, so a route behind one with a wider prefix is not reported. An engine's memory is not checked: the schema does not have it yet.

--- a/oleanderdrift/cli_common.py
+++ b/oleanderdrift/cli_common.py
@@ -18,6 +18,7 @@
 EXIT_REFUSED: typing.Final = 1
 EXIT_UNAVAILABLE: typing.Final = 3
 EXIT_UNCONFIRMED: typing.Final = 4
+EXIT_WARNINGS: typing.Final = 5
 UNAVAILABLE: typing.Final = (
     codes.LOG_UNAVAILABLE,
     codes.CONFIG_LOST,
@@ -28,7 +29,7 @@
 Exit codes: 0 done or accepted; 1 refused, or the file has faults;
 2 incorrect usage; 3 no answer from the log (nothing was changed) or from
 the instance; 4 unconfirmed: the change may be in the log, see `config
-history`.
+history`; 5 `config check` has found warnings, but no errors.
 """
 
 LogOption = typing.Annotated[
@@ -79,7 +80,11 @@
 ]
 FileArgument = typing.Annotated[
     pathlib.Path,
-    typer.Argument(exists=True, dir_okay=False, help='A TOML file.'),
+    typer.Argument(
+        exists=True,
+        dir_okay=False,
+        help='A TOML file; `config check` reads JSON as well.',
+    ),
 ]
 NameArgument = typing.Annotated[str, typer.Argument(help='Its name.')]
 
--- a/oleanderdrift/cli_config.py
+++ b/oleanderdrift/cli_config.py
@@ -9,6 +9,7 @@
 import typer
 
 from oleanderdrift import cli_common
+from oleanderdrift import cli_config_check
 from oleanderdrift import codes
 from oleanderdrift import config_admin
 from oleanderdrift import config_state
@@ -48,12 +49,21 @@
 def config_check(
     file: cli_common.FileArgument,
     log: cli_common.OptionalLogOption = '',
+    in_force: cli_config_check.InForceOption = None,
+    settings: cli_config_check.SettingsOption = None,
     as_json: cli_common.JsonOption = False,
 ) -> None:
     """Says whether a file could be published; changes nothing.
 
-    With a log, the file is checked against what is in force there.
+    With a log, the file is checked against what is in force there.  A file
+    of the users' platform (JSON) is also checked for entries that can never
+    match and limits that contradict each other.
     """
+    if cli_config_check.is_platform_file(file):
+        cli_config_check.run(file, in_force, settings, as_json)
+        return
+    if in_force is not None or settings is not None:
+        raise typer.BadParameter('--in-force and --settings need JSON')
     wanted = read_file(file)
 
     async def work(session: config_admin.Session) -> model.Config:
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -3,14 +3,17 @@
 Operators write the configuration; upstreams write their own entries.
 """
 
+import re
 import typing
 
+import attrs
 import msgspec
 
 from oleanderdrift import codes
 from oleanderdrift import decoding
 from oleanderdrift import errors
 from oleanderdrift.gateway import bounds
+from oleanderdrift.gateway import config_check
 from oleanderdrift.gateway import model
 
 MS_PER_S: typing.Final = 1_000.0
@@ -99,6 +102,14 @@
     born: int
 
 
+# The parts with several items, and the types of these.
+_ITEMS: typing.Final = {
+    'Routes': _Route,
+    'Services': _Service,
+    'Tenants': _Tenant,
+}
+_PATH: typing.Final = re.compile(r' - at `\$(.*)`\Z')
+_BYTE: typing.Final = re.compile(r'\(byte (\d+)\)')
 _CONFIG_DECODER: typing.Final = msgspec.json.Decoder(_Config)
 _ENTRY_DECODER: typing.Final = msgspec.json.Decoder(_Entry)
 _REPORT_DECODER: typing.Final = msgspec.json.Decoder(_Report)
@@ -110,10 +121,17 @@
     One that is invalid in a single part is refused as a whole: requests of
     a route that is left out would be refused for good.
     """
+    return _to_configuration(_decode(value))
+
+
+def _decode(value: bytes) -> _Config:
     try:
-        config = _CONFIG_DECODER.decode(value)
+        return _CONFIG_DECODER.decode(value)
     except decoding.DECODE_ERRORS as error:
         raise errors.ResultError(codes.CONFIG_INVALID, str(error)) from error
+
+
+def _to_configuration(config: _Config) -> model.Configuration:
     limits = config.Limits
     return model.Configuration(
         version=config.Version,
@@ -174,18 +192,93 @@
         return None
     accounts = {}
     for tenant in tenants:
-        account = model.ClientAccount(
-            name=tenant.Name,
-            priority=tenant.Priority,
-            rate_per_s=tenant.RatePerS,
-            burst=tenant.Burst,
-            regions=frozenset(tenant.AllowedRegions or ()),
-        )
+        account = _to_account(tenant)
         for key in tenant.ApiKeys:
             accounts[key] = account
     return accounts
 
 
+def _to_account(tenant: _Tenant) -> model.ClientAccount:
+    return model.ClientAccount(
+        name=tenant.Name,
+        priority=tenant.Priority,
+        rate_per_s=tenant.RatePerS,
+        burst=tenant.Burst,
+        regions=frozenset(tenant.AllowedRegions or ()),
+    )
+
+
+def decode_listed(value: bytes) -> config_check.Listed:
+    """Decodes a configuration to be checked; raises ResultError."""
+    config = _decode(value)
+    return config_check.Listed(
+        config=_to_configuration(config),
+        services=tuple(one.Name for one in config.Services),
+        accounts=tuple(
+            (_to_account(one), tuple(one.ApiKeys))
+            for one in config.Tenants or ()
+        ),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """Why a configuration is invalid, and where: a path or an offset."""
+
+    text: str
+    path: str = ''
+    offset: int | None = None
+
+
+def find_faults(value: bytes) -> list[Fault]:
+    """Returns why a configuration is invalid, empty if it is not.
+
+    The decoder names the first fault only, so the items are decoded one by
+    one if it finds any.
+    """
+    try:
+        _CONFIG_DECODER.decode(value)
+        return []
+    except decoding.DECODE_ERRORS as error:
+        whole = _to_fault(error, '', len(value))
+    try:
+        tree = msgspec.json.decode(value)
+    except decoding.DECODE_ERRORS:
+        return [whole]
+    if not isinstance(tree, dict):
+        return [whole]
+    found = []
+    for name, kind in _ITEMS.items():
+        items = tree.get(name)
+        if not isinstance(items, list):
+            continue
+        for place, item in enumerate(items):
+            try:
+                msgspec.convert(item, kind)
+            except decoding.DECODE_ERRORS as error:
+                found.append(_to_fault(error, f'.{name}[{place}]', 0))
+        tree[name] = []
+    try:
+        msgspec.convert(tree, _Config)
+    except decoding.DECODE_ERRORS as error:
+        found.append(_to_fault(error, '', 0))
+    return found or [whole]
+
+
+def _to_fault(error: Exception, prefix: str, end: int) -> Fault:
+    """Returns a decoder's error as a fault of what is at a path.
+
+    One without a path or byte is that of a text that ends too early.
+    """
+    text = str(error)
+    path = _PATH.search(text)
+    if path is not None or isinstance(error, msgspec.ValidationError):
+        inner = path[1] if path is not None else ''
+        return Fault(text=_PATH.sub('', text), path=prefix + inner)
+    byte = _BYTE.search(text)
+    return Fault(text=text, offset=int(byte[1]) if byte else end)
+
+
 def decode_upstream_entry(
     upstream_id: str, value: bytes
 ) -> model.UpstreamEntry | None:
