--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -257,7 +257,9 @@
     if account is not None and account.priority is not None:
         priority = account.priority
     service = routing.choose_service(route, request)
-    engines = board.upstreams.of_service(service, include_lapsed=False)
+    engines = board.upstreams.of_service(
+        service, include_lapsed=False, inside=board.inside(route, account)
+    )
     # Those that are cold carry next to nothing.
     engines = board.cold_shares.warm(
         board.services().get(service), engines, now
--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import regions
 
 # Long-poll timeouts; a longer poll would delay the detection of a
 # connection that has gone silent.
@@ -138,6 +139,15 @@
             routes=len(config.routes),
             accounts=_format_rates(config),
         )
+        unknown = regions.unknown(
+            config, self.board.settings.regions_by_data_centre
+        )
+        if unknown:
+            self.events.info(
+                'regions-unknown',
+                version=config.version,
+                names=','.join(unknown),
+            )
 
     def note_failure(self, error: errors.ResultError) -> None:
         """Records a failed read; logs the first one of an outage."""
