Share measured call times, and keep calls from slow upstreams

Cause: each instance learned how slow an upstream is from its own few calls and forgot it in 4 s, so in a large fleet slow upstreams kept their work.

Change: a call's time is the usual time of its route times the ratio of its upstream. Instances publish their newest measured ratios, some bytes an upstream, and all apply the same measurements: a bounded average that jumps when the median of the newest five, two at most from one instance, is off by 2.2. Calls open for 2.5 times what was expected count before they end. What was measured across a pause is dropped, time of the own link is subtracted, error answers do not count. Slow upstreams are compared only while others have a queue, and are tried again by up to one call in 20.

--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -47,6 +47,11 @@
         has_budget = self.request.token_budget is not None
         return has_budget or self.route.retains
 
+    def is_call(self) -> bool:
+        """Returns whether it is a call of a plain upstream."""
+        is_stream = self.route.kind is model.RouteKind.STREAMING
+        return not (self.service.is_engine or is_stream or self.request.prompt)
+
     def may_repeat(self) -> bool:
         """Returns whether the request may run more than once."""
         return (
--- a/oleanderdrift/gateway/answer_relay.py
+++ b/oleanderdrift/gateway/answer_relay.py
@@ -5,6 +5,7 @@
 import typing
 
 from oleanderdrift.gateway import answer_joins
+from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import buffering
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
@@ -25,6 +26,8 @@
 # A longer body is passed on as it comes.  A shorter one is read as a whole
 # first, so that another upstream may be tried if it breaks off.
 MAX_HELD_BODY_BYTES: typing.Final = 262_144
+# One that fails fast is no fast upstream.
+FIRST_ERROR_STATUS: typing.Final = 400
 # Other tasks run after this many events of one read.
 EVENTS_PER_TURN: typing.Final = 8
 
@@ -34,10 +37,12 @@
 
     def __init__(
         self,
+        board: board_lib.Board,
         turns: turn_flow.TurnFlow,
         crashes: crash_detector.CrashDetector,
         origins: origin_log.OriginLog,
     ) -> None:
+        self.board = board
         self.turns = turns
         self.crashes = crashes
         self.origins = origins
@@ -73,12 +78,24 @@
                 await reply.write(body)
             await reply.finish()
             return
-        now = clock.monotonic()
-        upstream.note_work(now - started, placement.CALL_S, now)
+        if outcome.head.status < FIRST_ERROR_STATUS:
+            self.note_call(progress, upstream)
         await reply.send_complete(
             outcome.head.status, outcome.head.headers, body
         )
 
+    def note_call(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Measures a call that has its answer."""
+        request_id = progress.admitted.request.request_id
+        call = upstream.open_calls.get(request_id)
+        if call is None:
+            return
+        now = clock.monotonic()
+        held_s = self.board.link.held_s(call.sent_at, now)
+        self.board.call_speeds.end(upstream, request_id, now, held_s)
+
     async def relay_body(
         self, outcome: exchange.ResponseStarted, reply: reply_lib.Reply
     ) -> bytes:
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -69,7 +69,9 @@
             event_log,
             random.Random(),
         )
-        self.relay = answer_relay.AnswerRelay(turns, self.crashes, origins)
+        self.relay = answer_relay.AnswerRelay(
+            board, turns, self.crashes, origins
+        )
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
 
     async def run(
@@ -104,6 +106,7 @@
             finally:
                 self.crashes.end(progress, upstream)
                 upstream.own_requests -= 1
+                upstream.open_calls.pop(request.request_id, None)
                 upstream.clear_pending_tokens(request.request_id)
             if done:
                 return
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -7,6 +7,7 @@
 
 from oleanderdrift.gateway import accusations as accusations_lib
 from oleanderdrift.gateway import allotments as allotments_lib
+from oleanderdrift.gateway import call_speeds as call_speeds_lib
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import freshness as freshness_lib
 from oleanderdrift.gateway import held_bytes
@@ -38,7 +39,8 @@
     tunnel_peers are those that may carry connections to upstreams, and
     lost_paths holds the upstreams that this instance cannot reach directly.
     held counts the bytes of others that are in memory, and link those that
-    lately came over the link of this instance.
+    lately came over the link of this instance.  call_speeds has the usual
+    times of calls.
     exchanged_at is when states were last exchanged with peers, on the clock
     that also advances while the machine is suspended.
     """
@@ -91,6 +93,14 @@
             takes_self=True,
         )
     )
+    call_speeds: call_speeds_lib.CallSpeeds = attrs.field(
+        default=attrs.Factory(
+            lambda self: call_speeds_lib.CallSpeeds(
+                data_centre=self.settings.data_centre
+            ),
+            takes_self=True,
+        )
+    )
     lost_paths: dict[str, upstreams_lib.Upstream] = attrs.field(factory=dict)
     stopping: bool = False
     stop_deadline: float = float('inf')
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -172,6 +172,8 @@
         )
         sent_at = clock.monotonic()
         connections.note_sent(upstream, connection, admitted, sent_at)
+        if admitted.is_call():
+            board.call_speeds.begin(upstream, request, admitted.route, sent_at)
         if admitted.may_abort():
             upstream.abortable[connection] = sent_at
         head = await _read_own_head(connection, codec, request.request_id)
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -106,6 +106,7 @@
         while True:
             now, boot_now = clock.monotonic(), clock.boot()
             self.board.check_pause(now, boot_now)
+            self.board.call_speeds.pauses.check(now)
             self.exchange(now)
             self.board.exchanged_at = boot_now
             await asyncio.sleep(EXCHANGE_INTERVAL_S)
@@ -116,6 +117,7 @@
         self.receive_pending(now)
         self.expire_silent(now)
         self.peer_crashes.review(now)
+        self.review_speeds(now)
         self.update_sources(now)
         if self.is_publish_due(now):
             self.publish(now)
@@ -179,19 +181,36 @@
             or self.board.upstream_limits.has_unreported()
             or self.board.crashes.has_unreported(self.published_at)
             or self.board.lost_paths.keys() != self.published_unreachable
-            or self.current_work() != self.published_work
+            or self.current_work(now) != self.published_work
         )
 
-    def current_work(self) -> dict[str, peer_messages.UpstreamLoad]:
+    def review_speeds(self, now: float) -> None:
+        """Counts overdue calls, and logs which upstreams became slow."""
+        known = self.board.upstreams.by_id.values()
+        self.board.call_speeds.note_overdue(known, now)
+        for change in self.board.call_speeds.review(known, now):
+            self.events.info(
+                'upstream-slow' if change.is_slow else 'upstream-fast-again',
+                upstream=change.upstream.entry.upstream_id,
+                ratio=f'{change.ratio:.2f}',
+            )
+
+    def current_work(
+        self, now: float
+    ) -> dict[str, peer_messages.UpstreamLoad]:
         """Returns this instance's load by upstream."""
         return {
             name: peer_messages.UpstreamLoad(
                 running=one.own_requests,
                 pending=min(one.pending_tokens, bounds.MAX_COUNT),
                 cached=tuple(one.new_parts),
+                speed=speed,
+            )
+            for name, one, speed in (
+                (name, one, one.calls.report(one.entry.born_ms, now))
+                for name, one in self.board.upstreams.by_id.items()
             )
-            for name, one in self.board.upstreams.by_id.items()
-            if one.own_requests or one.new_parts
+            if one.own_requests or one.new_parts or speed is not None
         }
 
     def publish(self, now: float) -> None:
@@ -199,7 +218,7 @@
         whole = self.board.rate_limiter.next_is_full()
         blocked = self.board.crashes.blocked_left_s(now) if whole else {}
         self.published_at = now
-        self.published_work = self.current_work()
+        self.published_work = self.current_work(now)
         self.published_unreachable = frozenset(self.board.lost_paths)
         unreachable, reaches_few = tunnel_peers.published(
             self.published_unreachable
@@ -359,7 +378,7 @@
         self.board.rate_limiter.apply_update(
             name, envelope.incarnation, state.usage, state.whole, now
         )
-        self.peer_load.update(name, state.work)
+        self.peer_load.update(name, state.work, now)
 
     def note_tunnel_peer(
         self, name: str, state: peer_messages.StateUpdate, now: float
--- a/oleanderdrift/gateway/peer_load.py
+++ b/oleanderdrift/gateway/peer_load.py
@@ -43,9 +43,15 @@
         return is_new
 
     def update(
-        self, peer: str, work: dict[str, peer_messages.UpstreamLoad]
+        self,
+        peer: str,
+        work: dict[str, peer_messages.UpstreamLoad],
+        now: float,
     ) -> None:
-        """Replaces a peer's load and applies it to the upstreams."""
+        """Replaces a peer's load and applies it to the upstreams.
+
+        Its measurements count only for the start that they name.
+        """
         self.replace(
             peer,
             {
@@ -57,6 +63,8 @@
             upstream = self.upstreams.by_id.get(name)
             if upstream is not None:
                 upstream.add_cached_parts(one.cached)
+                if one.speed is not None:
+                    upstream.note_speed_report(peer, one.speed, now)
 
     def replace(self, peer: str, load: dict[str, Load]) -> None:
         """Replaces a peer's load and updates the sums.
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -15,6 +15,7 @@
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import rate_buckets
 from oleanderdrift.gateway import upstream_limits
+from oleanderdrift.gateway import upstream_speed
 
 # Retired incarnations of an instance whose late messages are recognised.
 MAX_RETIRED: typing.Final = 4
@@ -39,11 +40,13 @@
     running is the number of its open requests, and pending the number of
     their prompt tokens that the upstream has not processed yet.  cached
     holds the parts of their prompts that the upstream has cached lately.
+    speed has the instance's newest measurements, None if it has none.
     """
 
     running: bounds.Count
     pending: bounds.Count
     cached: tuple[str, ...] = ()
+    speed: upstream_speed.Report | None = None
 
 
 class StateUpdate(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -22,6 +22,7 @@
 
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import upstream_speed
 from oleanderdrift.gateway import upstreams
 
 # Prefill on an engine of usual speed.
@@ -30,7 +31,7 @@
 TOKEN_S: typing.Final = 0.0013
 # What each running request adds to the time of a turn.
 BATCH_SLOWDOWN_S: typing.Final = 0.003
-# A call without a prompt, of usual length.
+# A call without a prompt, on a route of which no call has been measured.
 CALL_S: typing.Final = 0.04
 # A round trip to another data centre, including the price of its traffic.
 REMOTE_S: typing.Final = 0.004
@@ -42,6 +43,9 @@
 INSTANCES_PER_UPSTREAM: typing.Final = 10
 # Two random choices already spread requests far better than one.
 MIN_COMPARED: typing.Final = 2
+# An upstream whose calls take so many times those of the fastest one gets no
+# more of them than it takes to see whether it is still slow.
+SLOW_RATIO: typing.Final = 2.0
 # Upper bound of a hash-based cost that keeps requests with equal prompts
 # together when costs are equal.
 TIE_BREAK_S: typing.Final = 0.002
@@ -53,13 +57,15 @@
 
     instances is the number of instances that place requests on the same
     upstreams.  connected holds the ids of those with an idle connection.
-    silent_data_centres cannot be reached.
+    silent_data_centres cannot be reached.  call_s is the usual time of a
+    call on the request's route.
     """
 
     data_centre: str
     instances: int
     connected: frozenset[str] = frozenset()
     silent_data_centres: frozenset[str] = frozenset()
+    call_s: float = CALL_S
 
 
 def delay_s(
@@ -67,11 +73,13 @@
     request: model.Request,
     data_centre: str,
     now: float,
+    call_s: float = CALL_S,
 ) -> float:
     """Returns the request's expected time plus the delay of other requests."""
     entry = upstream.entry
     running = upstream.own_requests + upstream.peer_requests
     queued = max(running + 1 - entry.slots, 0)
+    remote_s = 0.0 if entry.data_centre == data_centre else REMOTE_S
     if request.prompt:
         pending = upstream.pending_tokens + upstream.peer_pending_tokens
         uncached = upstream.uncached_tokens(request.prompt)
@@ -84,13 +92,12 @@
             + queued * upstreams.TURN_DECODE_S / entry.slots
         )
         work_s = request_s + running * (prefill_s + BATCH_SLOWDOWN_S)
-    else:
-        load = running / entry.slots
-        work_s = CALL_S * (1 + load / 2 + queued / entry.slots * 2)
-        if upstream.is_warm_for(request.affinity_key):
-            work_s -= CALL_S * (1 - WARM_CALL_RATIO)
-    remote_s = 0.0 if entry.data_centre == data_centre else REMOTE_S
-    return work_s * upstream.current_slowness(now) + remote_s
+        return work_s * upstream.current_slowness(now) + remote_s
+    load = running / entry.slots
+    work_s = call_s * (1 + load / 2 + queued / entry.slots * 2)
+    if upstream.is_warm_for(request.affinity_key):
+        work_s -= call_s * (1 - WARM_CALL_RATIO)
+    return work_s * upstream.calls.ratio(now) + remote_s
 
 
 def choose(
@@ -105,7 +112,8 @@
     """Returns the best upstream, or None if all are excluded or busy.
 
     Upstreams that are ejected or in a silent data centre are chosen only
-    if there are no others: a busy one is worth waiting for.
+    if there are no others: a busy one is worth waiting for.  Those that are
+    slow for calls are compared only if the others have a queue.
     """
     remaining = [
         one for one in candidates if one.entry.upstream_id not in excluded
@@ -126,7 +134,7 @@
         )
         is_connected = one.entry.upstream_id in place.connected
         connect_s = 0.0 if is_connected else NEW_CONNECTION_S
-        delay = delay_s(one, request, place.data_centre, now)
+        delay = delay_s(one, request, place.data_centre, now, place.call_s)
         return delay + connect_s + tie
 
     free = [
@@ -134,8 +142,42 @@
         for one in healthy or remaining
         if one.entry.upstream_id not in busy
     ]
-    compared = draw(free, request, place, chance)
-    return min(compared, key=score, default=None)
+    slow = [] if request.prompt else slow_ones(free, now)
+    if not slow:
+        compared = draw(free, request, place, chance)
+        return min(compared, key=score, default=None)
+    if chance.random() < upstream_speed.RETRY_SHARE:
+        retried = chance.choice(slow)
+        if not has_queue(retried) and retried.calls.try_retry(
+            now, place.instances
+        ):
+            return retried
+    names = {one.entry.upstream_id for one in slow}
+    fast = [one for one in free if one.entry.upstream_id not in names]
+    best = min(draw(fast, request, place, chance), key=score)
+    if not has_queue(best):
+        return best
+    return min([best, *draw(slow, request, place, chance)], key=score)
+
+
+def has_queue(one: upstreams.Upstream) -> bool:
+    """Returns whether all slots of an upstream are taken."""
+    return one.own_requests + one.peer_requests >= one.entry.slots
+
+
+def slow_ones(
+    candidates: list[upstreams.Upstream], now: float
+) -> list[upstreams.Upstream]:
+    """Returns those that are slow for calls beside the fastest one."""
+    if not any(one.calls.log_mean for one in candidates):
+        return []
+    ratios = [one.calls.ratio(now) for one in candidates]
+    limit = SLOW_RATIO * min(ratios)
+    return [
+        one
+        for one, ratio in zip(candidates, ratios, strict=True)
+        if ratio > limit
+    ]
 
 
 def draw(
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -99,6 +99,9 @@
             'peers': len(self.gossip.peer_load.last_heard),
             'silent_data_centres': len(board.silent_data_centres),
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
+            'slow_upstreams': len(board.call_speeds.slow),
+            'call_seconds_expected': board.call_speeds.expected_s,
+            'call_seconds_measured': board.call_speeds.measured_s,
             'open_tunnels': len(self.tunnels.open),
             'lost_paths': len(board.lost_paths),
             'tunnels_opened': (
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -14,6 +14,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import continuations
+from oleanderdrift.gateway import model
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import upstreams
@@ -137,7 +138,7 @@
         return placement.choose(
             candidates,
             progress.admitted.request,
-            self.place(candidates, now),
+            self.place(candidates, now, progress.admitted.route),
             now,
             self.chance,
             progress.excluded,
@@ -187,9 +188,13 @@
         ]
 
     def place(
-        self, candidates: list[upstreams.Upstream], now: float
+        self,
+        candidates: list[upstreams.Upstream],
+        now: float,
+        route: model.Route,
     ) -> placement.Place:
         """Returns where requests are placed from."""
+        call_s = self.board.call_speeds.usual_s(route)
         return placement.Place(
             data_centre=self.board.settings.data_centre,
             instances=self.board.instances,
@@ -199,4 +204,5 @@
                 if self.pool.has_idle(one.key(), now)
             ),
             silent_data_centres=self.board.silent_data_centres,
+            call_s=placement.CALL_S if call_s is None else call_s,
         )
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -17,6 +17,7 @@
 from oleanderdrift.gateway import leaving as leaving_lib
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import upstream_paths
+from oleanderdrift.gateway import upstream_speed
 
 # Silence time-out of engines: longer than a slow one needs for a long prompt.
 ENGINE_SILENCE_S: typing.Final = 0.9
@@ -75,7 +76,8 @@
     first answered without saying which start of the upstream answers.  path is
     the direct path to it.  older_entries counts those of an earlier start that
     came since its own last entry.  writes_no_report says that it has answered
-    so.
+    so.  calls is how slow it is for calls, open_calls has this instance's by
+    request, and overdue_at is when one of these was last counted as overdue.
     """
 
     entry: model.UpstreamEntry
@@ -101,6 +103,11 @@
     path: upstream_paths.Path = attrs.field(factory=upstream_paths.Path)
     older_entries: int = 0
     writes_no_report: bool = False
+    calls: upstream_speed.SpeedRatio = attrs.field(
+        factory=upstream_speed.SpeedRatio
+    )
+    open_calls: dict[str, upstream_speed.OpenCall] = attrs.field(factory=dict)
+    overdue_at: float = float('-inf')
     cached_parts: collections.OrderedDict[str, None] = attrs.field(
         factory=collections.OrderedDict
     )
@@ -226,6 +233,13 @@
         weight = math.exp(-max(now - self.measured_at, 0.0) / SLOWNESS_DECAY_S)
         return 1.0 + (self.slowness - 1.0) * weight
 
+    def note_speed_report(
+        self, peer: str, report: upstream_speed.Report, now: float
+    ) -> None:
+        """Applies a peer's measurements of this start of the upstream."""
+        if report.start == upstream_speed.tag(self.entry.born_ms):
+            self.calls.note_report(peer, report, now)
+
     def add_pending_tokens(
         self, request_id: str, prompt: tuple[model.PromptPart, ...]
     ) -> None:
--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -18,6 +18,7 @@
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import tunnel_wire
 from oleanderdrift.gateway import upstream_limits
+from oleanderdrift.gateway import upstream_speed
 from oleanderdrift.platform import settings
 
 LAST_LANDING: typing.Final = '3e2021d8e3b13fa11423da2703a9cff6ff1b279d'
@@ -81,7 +82,8 @@
 )
 STATE: typing.Final = (
     b'\x9d\xa5north\xcb?\xd0\x00\x00\x00\x00\x00\x00\x81\xa4ward\x92\x07\xcb'
-    b'@\x04\x00\x00\x00\x00\x00\x00\xc3\x81\xa2u1\x93\x02\x1e\x91\xa2a1\xc3'
+    b'@\x04\x00\x00\x00\x00\x00\x00\xc3\x81\xa2u1\x94\x02\x1e\x91\xa2a1\x93'
+    b'\x05\x07\x91,\xc3'
     b'\x81\xa4u1\x1f5\x92\xc0\xcb?\xf0\x00\x00\x00\x00\x00\x00\x81\xa4u2\x1f'
     b'6\x93\xcb?\xe0\x00\x00\x00\x00\x00\x00\x91\xa2q1\x91\xa2q2\x81\xa2f1'
     b'\xcb@N\x00\x00\x00\x00\x00\x00\x81\xa4u3\x1f7\xcb@\x00\x00\x00\x00\x00'
@@ -94,7 +96,12 @@
     usage={'ward': rate_buckets.Usage(spent=7, demand=2.5)},
     whole=True,
     work={
-        'u1': peer_messages.UpstreamLoad(running=2, pending=30, cached=('a1',))
+        'u1': peer_messages.UpstreamLoad(
+            running=2,
+            pending=30,
+            cached=('a1',),
+            speed=upstream_speed.Report(start=5, count=7, ratios=(44,)),
+        )
     },
     leaving=True,
     limits={
@@ -226,6 +233,18 @@
     assert state.leaving is (fields > 5)
 
 
+@pytest.mark.parametrize('fields', range(2, 6))
+def test_load_with_fewer_or_more_fields_is_read(fields: int) -> None:
+    """Guards against a build that takes no load from its older peers."""
+    known = msgspec.msgpack.decode(STATE)
+    known[4] = {'u1': [2, 30, ['a1'], None, 'new'][:fields]}
+    state = msgspec.Raw(msgspec.msgpack.encode(known))
+    envelope = peer_messages.Envelope(
+        instance='north-1', incarnation=1, sequence=1, state=state
+    )
+    assert peer_messages.decode_state(envelope).work['u1'].running == 2
+
+
 @pytest.mark.parametrize(('sample', 'message'), TUNNEL)
 def test_tunnels_have_readers_on_both_sides(
     sample: bytes, message: tunnel_wire.Message
