--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -71,7 +71,9 @@
             event_log,
             random.Random(),
         )
-        self.relay = answer_relay.AnswerRelay(turns, self.crashes, origins)
+        self.relay = answer_relay.AnswerRelay(
+            board, turns, self.crashes, origins
+        )
         self.chooser = upstream_choice.UpstreamChooser(board, self.pool)
         self.region_refusals = 0
 
@@ -109,6 +111,7 @@
                 self.crashes.end(progress, upstream)
                 progress.release_cold_place()
                 upstream.own_requests -= 1
+                upstream.open_calls.pop(request.request_id, None)
                 upstream.clear_pending_tokens(request.request_id)
             if done:
                 return
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -7,6 +7,7 @@
 
 from oleanderdrift.gateway import accusations as accusations_lib
 from oleanderdrift.gateway import allotments as allotments_lib
+from oleanderdrift.gateway import call_speeds as call_speeds_lib
 from oleanderdrift.gateway import cold_shares as cold_shares_lib
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import fleet_members
@@ -44,7 +45,8 @@
     tunnel_peers are those that may carry connections to upstreams, and
     lost_paths holds the upstreams that this instance cannot reach directly.
     held counts the bytes of others that are in memory, and link those that
-    lately came over the link of this instance.
+    lately came over the link of this instance.  call_speeds has the usual
+    times of calls.
     grantors are the instances that grant tokens of programs.
     pauses counts the pauses of this process that were noticed.
     exchanged_at is when states were last exchanged with peers, and resumed_at
@@ -122,6 +124,14 @@
             takes_self=True,
         )
     )
+    call_speeds: call_speeds_lib.CallSpeeds = attrs.field(
+        default=attrs.Factory(
+            lambda self: call_speeds_lib.CallSpeeds(
+                data_centre=self.settings.data_centre
+            ),
+            takes_self=True,
+        )
+    )
     lost_paths: dict[str, upstreams_lib.Upstream] = attrs.field(factory=dict)
     stopping: bool = False
     stop_deadline: float = float('inf')
--- a/tests/test_gateway_prefill_admission.py
+++ b/tests/test_gateway_prefill_admission.py
@@ -87,7 +87,7 @@
                 for other, each in enumerate(work):
                     if other != place:
                         load.note_heard(f'n{other}', clock.monotonic())
-                        load.update(f'n{other}', each)
+                        load.update(f'n{other}', each, clock.monotonic())
 
     async def send(self, name: str, tokens: int) -> None:
         """Sends one request, and has its engine read it in turn."""
