--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -142,11 +142,17 @@
 
 @contextlib.asynccontextmanager
 async def run_site(
-    folder: pathlib.Path, flood: replica_lib.Behaviour
+    folder: pathlib.Path,
+    flood: 'replica_lib.Behaviour | replica_lib.Replica',
+    limits: str = f'MemoryMb = {MEMORY_MB}\n',
 ) -> collections.abc.AsyncIterator[Site]:
     """Runs an instance with a flooding upstream and a sound one."""
     store_server = platform_store.start()
-    flooding = replica_lib.Replica(behaviours=[flood])
+    flooding = (
+        flood
+        if isinstance(flood, replica_lib.Replica)
+        else replica_lib.Replica(behaviours=[flood])
+    )
     sound = replica_lib.Replica(behaviours=[replica_lib.CompleteResponse()])
     for upstream_id, service, one in (
         ('u0', 'flood', flooding),
@@ -163,8 +169,9 @@
     (instance,) = await gateways.build(
         folder, 1, store_server.port, random.SystemRandom()
     )
-    limits = f'[Limits]\nMemoryMb = {MEMORY_MB}\n'
-    instance.settings.write_text(instance.settings.read_text() + limits)
+    instance.settings.write_text(
+        f'{instance.settings.read_text()}[Limits]\n{limits}'
+    )
     instance.start()
     site = Site(instance=instance, flooding=flooding, sound=sound)
     try:
--- /dev/null
+++ b/tests/test_gateway_untrusted_callers.py
@@ -0,0 +1,220 @@
+"""Callers at the edge of the limits or beyond neither end nor hang a process.
+
+Each test runs one instance as a process with low limits, a crowd of callers
+that misbehave in one way, and one ordinary request beside the crowd and one
+after it.
+"""
+
+import asyncio
+import collections.abc
+import pathlib
+import typing
+
+import attrs
+import pytest
+
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import tunnel_wire
+from standins import gateways
+from standins import replica as replica_lib
+from tests import test_gateway_floods as floods
+
+MEMORY_MB: typing.Final = 64
+MAX_FDS: typing.Final = 400
+CROWD: typing.Final = 150
+# More connections than the process may have descriptors.
+MANY: typing.Final = 450
+# How long the crowd goes on before an ordinary request is sent.
+PLAY_S: typing.Final = 3.0
+METRICS_PORT: typing.Final = 9464
+BODY_BYTES: typing.Final = 4_194_304
+BLOCK: typing.Final = b'x' * 65_536
+BODY: typing.Final = (BLOCK,) * (BODY_BYTES // len(BLOCK))
+SHORT: typing.Final = (*BODY[1:], BLOCK[1:])
+STATED: typing.Final = f'Content-Length: {BODY_BYTES}\r\n'
+CHUNKED: typing.Final = 'Transfer-Encoding: chunked\r\n'
+GET: typing.Final = b'GET %s HTTP/1.1\r\nHost: x\r\n\r\n'
+POST: typing.Final = (
+    b'POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 90000000\r\n\r\n'
+)
+TUNNEL: typing.Final = tunnel_wire.encode(
+    tunnel_wire.Open(incarnation=f'u0{model.INCARNATION_SEPARATOR}1')
+)
+ANSWER: typing.Final = replica_lib.CompleteResponse(body=b'x' * 200_000)
+
+
+class Unread(replica_lib.Replica):
+    """A replica that accepts connections and reads nothing."""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Keeps the connection open until the test ends."""
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        self.writers.add(writer)
+        await asyncio.Event().wait()
+
+
+@attrs.frozen(kw_only=True)
+class Row:
+    """What each caller of a crowd sends; head is that of its requests.
+
+    data follows the head, piece by piece with a pause after each.
+    """
+
+    head: bytes | None = None
+    fields: str = STATED
+    data: collections.abc.Sequence[bytes] = ()
+    repeats: int = 1
+    pause_s: float = 0.0
+    port: int = gateways.FRONT_PORT
+    callers: int = CROWD
+    reads: bool = False
+    upstream: 'replica_lib.Behaviour | type[Unread]' = replica_lib.Silent()
+
+    async def call(self, site: floods.Site) -> None:
+        """Sends all, then keeps the connection open until cancelled."""
+        try:
+            _, writer = await asyncio.open_connection(
+                site.instance.address, self.port, limit=4_096
+            )
+        except OSError:
+            return
+        try:
+            # No answer is read, whatever comes.
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            for _ in range(self.repeats):
+                head = self.head
+                if head is None:
+                    head = site.head('/calls/', 'k1', self.fields)
+                for piece in (head, *self.data):
+                    writer.write(piece)
+                    await writer.drain()
+                    if self.pause_s:
+                        await asyncio.sleep(self.pause_s)
+            await asyncio.Event().wait()
+        except ConnectionError:
+            return
+        finally:
+            writer.transport.abort()
+
+
+ROWS: typing.Final = {
+    'whole-bodies': Row(data=BODY),
+    'whole-bodies-unread-upstream': Row(data=BODY, upstream=Unread),
+    'whole-smaller-bodies': Row(
+        fields='Content-Length: 524288\r\n', data=BODY[:8], upstream=Unread
+    ),
+    'short-bodies': Row(data=SHORT),
+    'short-chunked-bodies': Row(
+        fields=CHUNKED, data=[floods.chunk(BLOCK)] * (len(BODY) - 1)
+    ),
+    'bodies-in-pieces': Row(data=[b'x' * 512] * 2_000),
+    'bodies-in-small-chunks': Row(
+        fields=CHUNKED, data=[floods.chunk(b'x' * 64) * 16] * 200
+    ),
+    'pipelined-unread': Row(
+        fields='Content-Length: 0\r\n', repeats=3_000, upstream=ANSWER
+    ),
+    'pipelined-bodies-unread': Row(
+        data=BODY, repeats=4, upstream=replica_lib.CompleteResponse()
+    ),
+    'endless-heads': Row(fields='A: ' + 'b' * 1_000_000),
+    'head-a-byte-a-second': Row(
+        head=b'POST /calls/x', data=[b'x'] * 60, pause_s=1, callers=MANY
+    ),
+    'body-a-byte-a-second': Row(data=[*SHORT[1:], *[b'x'] * 60], pause_s=0.01),
+    'silent': Row(head=b'', callers=MANY),
+    'heads-then-silent': Row(callers=MANY),
+    'ready-bodies': Row(
+        head=POST % b'/-/ready', data=SHORT, port=gateways.READY_PORT
+    ),
+    'ready-silent': Row(head=b'', callers=MANY, port=gateways.READY_PORT),
+    'ready-heads': Row(head=BLOCK * 16, port=gateways.READY_PORT),
+    'metrics-bodies': Row(
+        head=POST % b'/metrics', data=SHORT, port=METRICS_PORT
+    ),
+    'metrics-pipelined': Row(
+        head=GET % b'/metrics', repeats=2_000, port=METRICS_PORT
+    ),
+    'metrics-silent': Row(head=b'', callers=MANY, port=METRICS_PORT),
+    'tunnel-bodies': Row(
+        head=TUNNEL,
+        data=[b'', *BODY],
+        pause_s=0.01,
+        port=gateways.TUNNEL_PORT,
+        callers=MANY,
+        upstream=Unread,
+    ),
+    'tunnel-silent': Row(head=b'', callers=MANY, port=gateways.TUNNEL_PORT),
+}
+
+
+async def read_answer(site: floods.Site, port: int, path: bytes) -> bytes:
+    """Returns the start of an answer of an operators' port."""
+    try:
+        reader, writer = await asyncio.open_connection(
+            site.instance.address, port
+        )
+        writer.write(GET % path)
+        async with asyncio.timeout(2):
+            received = await reader.read(12)
+        writer.transport.abort()
+    except (TimeoutError, OSError):
+        return b''
+    return received
+
+
+async def await_ordinary(site: floods.Site) -> None:
+    """Waits until an ordinary request and both ports are answered."""
+    async with asyncio.timeout(floods.WAIT_S):
+        while not await floods.is_serving(site):
+            await asyncio.sleep(0.1)
+        for port, path in (
+            (gateways.READY_PORT, b'/-/ready'),
+            (METRICS_PORT, b'/metrics'),
+        ):
+            while await read_answer(site, port, path) != b'HTTP/1.1 200':
+                await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize('row', ROWS.values(), ids=ROWS)
+def test_crowd_does_not_end_or_hang_the_process(
+    row: Row, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a process that is killed, or that accepts no more."""
+    limits = f'MemoryMb = {MEMORY_MB}\nMaxFds = {MAX_FDS}\n'
+    most_fds = 0
+
+    async def watch(site: floods.Site) -> None:
+        nonlocal most_fds
+        assert site.instance.child is not None
+        folder = pathlib.Path(f'/proc/{site.instance.child.pid}/fd')
+        while True:
+            most_fds = max(most_fds, len(list(folder.iterdir())))
+            await asyncio.sleep(0.02)
+
+    async def play() -> None:
+        upstream: 'replica_lib.Behaviour | replica_lib.Replica' = (
+            Unread(behaviours=[])
+            if isinstance(row.upstream, type)
+            else row.upstream
+        )
+        async with floods.run_site(tmp_path, upstream, limits) as site:
+            watcher = asyncio.create_task(watch(site))
+            crowd = [
+                asyncio.create_task(row.call(site)) for _ in range(row.callers)
+            ]
+            await asyncio.sleep(PLAY_S)
+            await await_ordinary(site)
+            for task in crowd:
+                task.cancel()
+            await asyncio.gather(*crowd, return_exceptions=True)
+            await await_ordinary(site)
+            watcher.cancel()
+            peak_mb = site.peak_mb()
+            print(f'peak_mb={peak_mb:.0f} fds={most_fds}')
+            assert peak_mb < MEMORY_MB
+            assert most_fds < MAX_FDS
+
+    asyncio.run(play())
