--- a/oleanderdrift/gateway/answer_relay.py
+++ b/oleanderdrift/gateway/answer_relay.py
@@ -92,9 +92,12 @@
                 continue
             if not reply.started:
                 await reply.start(outcome.head.status, _head_fields(outcome))
-            await reply.write(bytes(held))
+            # While the caller does not read, its account holds the bytes.
             connection.protocol.let_go(len(held))
+            body = bytes(held)
             held.clear()
+            await reply.write(body)
+        connection.protocol.let_go(len(held))
         return bytes(held)
 
     def note_begun(
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -47,7 +47,9 @@
         self.codec = codec
         self.turns = turns
         self.events = event_log
-        self.pool = connection_pool.Pool(link=board.link)
+        self.pool = connection_pool.Pool(
+            link=board.link, max_idle=board.caller_limits.idle_upstreams
+        )
         self.connections = upstream_connections.UpstreamConnections(
             board, self.pool, event_log, random.Random()
         )
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -7,6 +7,7 @@
 
 from oleanderdrift.gateway import accusations as accusations_lib
 from oleanderdrift.gateway import allotments as allotments_lib
+from oleanderdrift.gateway import caller_limits as caller_limits_lib
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import freshness as freshness_lib
 from oleanderdrift.gateway import held_bytes
@@ -21,6 +22,8 @@
 
 # Enough for the programs that start within some minutes.
 MAX_STARTED_PROGRAMS: typing.Final = 20_000
+# Where neither the settings nor the process state a limit.
+DEFAULT_DESCRIPTORS: typing.Final = 8_192
 # After a longer pause, what is known of the peers' spending is too old.
 MAX_PAUSE_S: typing.Final = 1.0
 
@@ -39,6 +42,8 @@
     lost_paths holds the upstreams that this instance cannot reach directly.
     held counts the bytes of others that are in memory, and link those that
     lately came over the link of this instance.
+    caller_limits says what callers may fill, and refusals counts by kind what
+    was refused or closed for it.
     exchanged_at is when states were last exchanged with peers, on the clock
     that also advances while the machine is suspended.
     """
@@ -77,10 +82,22 @@
     tunnel_peers: tunnel_peers_lib.TunnelPeers = attrs.field(
         factory=tunnel_peers_lib.TunnelPeers
     )
+    caller_limits: caller_limits_lib.CallerLimits = attrs.field(
+        default=attrs.Factory(
+            lambda self: caller_limits_lib.derive(
+                self.settings.memory_bytes,
+                self.settings.max_descriptors or DEFAULT_DESCRIPTORS,
+            ),
+            takes_self=True,
+        )
+    )
+    refusals: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     held: held_bytes.HeldBytes = attrs.field(
         default=attrs.Factory(
             lambda self: held_bytes.HeldBytes(
-                limit=int(self.settings.memory_bytes * held_bytes.BUDGET_SHARE)
+                limit=self.caller_limits.held_bytes
             ),
             takes_self=True,
         )
--- a/oleanderdrift/gateway/buffering.py
+++ b/oleanderdrift/gateway/buffering.py
@@ -17,6 +17,8 @@
 MAX_BUFFERED: typing.Final = 32_768
 READ_BYTES: typing.Final = 65_536
 # All connections read into it, each in its turn, and copy what has come.
+# A longer request is sent in pieces, as the peer takes them.
+SEND_BYTES: typing.Final = 65_536
 _READ_BUFFER: typing.Final = memoryview(bytearray(READ_BYTES))
 
 
@@ -42,6 +44,7 @@
     idle says that no response is outstanding; bytes that arrive then belong
     to no request and close the connection.  is_leaving says that the peer
     takes no more requests on it.  received_at is when bytes last arrived.
+    unsent is what is left of a request that the peer does not take yet.
     in_use counts the bytes that its reader took last.  holder counts the bytes
     of an answer, unread ones and those that its reader keeps.  link counts
     all that comes over the link of this instance.
@@ -57,6 +60,8 @@
         self.closed: Failure | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.transport: asyncio.Transport | None = None
+        self.unsent = memoryview(b'')
+        self.write_paused = False
         self.in_use = 0
         self.holder: held_bytes.Holder | None = None
         self.link: own_link.OwnLink | None = None
@@ -92,6 +97,33 @@
             self.holder.grow(len(data))
         self.wake()
 
+    def send(self, head: bytes, body: bytes) -> None:
+        """Sends a request; what the peer does not take yet is sent later."""
+        assert self.transport is not None
+        self.unsent = memoryview(body)[SEND_BYTES:]
+        self.transport.write(head + body[:SEND_BYTES] if body else head)
+        self.send_more()
+
+    def send_more(self) -> None:
+        """Sends what the peer takes."""
+        transport = self.transport
+        while self.unsent and not self.write_paused:
+            if transport is None or transport.is_closing():
+                self.unsent = memoryview(b'')
+                return
+            piece = bytes(self.unsent[:SEND_BYTES])
+            self.unsent = self.unsent[SEND_BYTES:]
+            transport.write(piece)
+
+    def pause_writing(self) -> None:
+        """Has the rest of the request wait."""
+        self.write_paused = True
+
+    def resume_writing(self) -> None:
+        """Goes on sending."""
+        self.write_paused = False
+        self.send_more()
+
     def eof_received(self) -> bool:
         """Records that the peer closed the connection."""
         self.closed = self.closed or Failure.CLOSED
@@ -102,6 +134,7 @@
         """Records the end of the connection; an error counts as a reset."""
         reason = Failure.CLOSED if exc is None else Failure.RESET
         self.closed = self.closed or reason
+        self.unsent = memoryview(b'')
         self.wake()
 
     def has_unread(self) -> bool:
@@ -157,6 +190,7 @@
         self.closed = Failure.RESET
         self.received.clear()
         self.buffered_bytes = 0
+        self.unsent = memoryview(b'')
         if self.transport is not None:
             self.transport.abort()
         self.wake()
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -110,12 +110,11 @@
             raise errors.ResultError(codes.BAD_REQUEST, str(error)) from error
         data = self.h11_connection.send(request) or b''
         if body:
-            data += self.h11_connection.send(h11.Data(data=body)) or b''
-        data += self.h11_connection.send(h11.EndOfMessage()) or b''
+            # With a stated length, a body is sent as it is.
+            self.h11_connection.send(h11.Data(data=body))
+        self.h11_connection.send(h11.EndOfMessage())
         self.request = request
-        transport = self.protocol.transport
-        assert transport is not None
-        transport.write(data)
+        self.protocol.send(data, body)
 
     async def next_event(self) -> object:
         """Returns the next event of the response.
@@ -282,6 +281,7 @@
             and not self.protocol.is_leaving
             and not self.upstream_leaves
             and not self.protocol.has_unread()
+            and not self.protocol.unsent
             and now < self.idle_deadline
             and (
                 not self.request_count
--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -2,8 +2,10 @@
 
 import collections.abc
 import contextlib
+import fcntl
 import socket
 import struct
+import termios
 import typing
 
 from tornado import httpserver
@@ -11,7 +13,11 @@
 from tornado import iostream
 
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import held_bytes
 
+# Connections are many, and each holds up to twice as much that it has read.
+READ_BYTES: typing.Final = 16_384
+_COUNT: typing.Final = struct.Struct('i')
 _PEEK_FLAGS: typing.Final = socket.MSG_PEEK | socket.MSG_DONTWAIT
 # Whether to linger, and for how many seconds: without any, a close is a reset.
 _LINGER: typing.Final = struct.Struct('ii')
@@ -24,7 +30,9 @@
     called, None if none were.  peer_closed says that the
     client closed the connection, closed_at when the socket was closed here,
     and was_unread whether bytes waited in it then.  on_read is told of the
-    number of bytes of each read.
+    number of bytes of each read.  last_read_at is when bytes were last read.
+    open_streams holds the open ones of the server.  holder counts what waits
+    in the kernel.
     """
 
     def __init__(
@@ -43,6 +51,9 @@
         self.closed_at = float('inf')
         self.was_unread = False
         self.on_read: collections.abc.Callable[[int], None] | None = None
+        self.last_read_at = clock.monotonic()
+        self.open_streams: set[ClientStream] = set()
+        self.holder: held_bytes.Holder | None = None
 
     def expect_request(self) -> None:
         """Notes that the bytes to come are those of another request."""
@@ -57,8 +68,10 @@
             raise
         if count == 0:
             self.peer_closed = True
-        elif count is not None and self.first_read_at is None:
-            self.first_read_at = clock.monotonic()
+        elif count is not None:
+            self.last_read_at = clock.monotonic()
+            if self.first_read_at is None:
+                self.first_read_at = self.last_read_at
         if count and self.on_read is not None:
             self.on_read(count)
         return count
@@ -72,6 +85,24 @@
         except OSError:
             return False
 
+    def kernel_bytes(self) -> int:
+        """Returns how many bytes wait in the socket, in both directions."""
+        if self.closed():
+            return 0
+        total = 0
+        for request in (termios.FIONREAD, termios.TIOCOUTQ):
+            buffer = _COUNT.pack(0)
+            with contextlib.suppress(OSError):
+                buffer = fcntl.ioctl(self.socket, request, buffer)
+            total += _COUNT.unpack(buffer)[0]
+        return total
+
+    def release(self) -> None:
+        """Ends the count of what waits in the kernel."""
+        if self.holder is not None:
+            self.holder.release()
+            self.holder = None
+
     def set_reset_on_close(self, is_reset: bool) -> None:
         """Sets whether the client sees a close as a reset.
 
@@ -89,27 +120,51 @@
         """Closes the socket; notes whether bytes waited there."""
         self.closed_at = clock.monotonic()
         self.was_unread = self.has_unread()
+        self.open_streams.discard(self)
+        self.release()
         super().close_fd()
 
 
+class ConnectionDelegate(httputil.HTTPServerConnectionDelegate):
+    """What the server asks of its delegate besides what Tornado does."""
+
+    def make_room(self) -> bool:
+        """Closes connections for a new one; returns whether any was."""
+        raise NotImplementedError
+
+    def refuse_connection(self, sock: socket.socket) -> None:
+        """Answers a connection that is not served, which is then closed."""
+        raise NotImplementedError
+
+
 class ClientServer(httpserver.HTTPServer):
     """An HTTP server whose connections are client streams.
 
-    Its delegate is told which connections are closed.
+    Its delegate is told which connections are closed.  open_streams holds
+    the open connections, max_connections of them at most.
     """
 
+    max_connections: float = float('inf')
+    open_streams: set[ClientStream]
+
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
     ) -> None:
-        """Serves a new connection."""
-        super().handle_stream(
-            ClientStream(
-                stream.socket,
-                max_buffer_size=stream.max_buffer_size,
-                read_chunk_size=stream.read_chunk_size,
-            ),
-            address,
+        """Serves a new connection, or refuses it."""
+        delegate = typing.cast(ConnectionDelegate, self.request_callback)
+        if len(self.open_streams) >= self.max_connections:
+            if not delegate.make_room():
+                delegate.refuse_connection(stream.socket)
+                stream.close()
+                return
+        made = ClientStream(
+            stream.socket,
+            max_buffer_size=stream.max_buffer_size,
+            read_chunk_size=stream.read_chunk_size,
         )
+        made.open_streams = self.open_streams
+        self.open_streams.add(made)
+        super().handle_stream(made, address)
 
     def on_close(self, server_conn: object) -> None:
         """Passes the end of a connection on, which Tornado does not."""
--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -18,7 +18,7 @@
     """Idle connections by a key that identifies one incarnation of a peer.
 
     connect opens a connection to a host and port, within a time in seconds.
-    link counts what comes on the connections.
+    link counts what comes on the connections.  At most max_idle are kept.
     """
 
     connect: Connect = channel.connect
@@ -27,6 +27,7 @@
     )
     opened: int = 0
     link: own_link.OwnLink | None = None
+    max_idle: float = float('inf')
 
     async def acquire(
         self,
@@ -74,12 +75,16 @@
         now: float,
     ) -> None:
         """Pools a connection for reuse, or closes it if not reusable."""
-        if connection.is_reusable(now):
+        if connection.is_reusable(now) and self.count() < self.max_idle:
             connection.protocol.idle = True
             self.idle.setdefault(key, []).append(connection)
         else:
             connection.close()
 
+    def count(self) -> int:
+        """Returns how many connections wait for a request."""
+        return sum(map(len, self.idle.values()))
+
     def close_idle(self, key: collections.abc.Hashable) -> None:
         """Closes the idle connections of a key."""
         for connection in self.idle.pop(key, []):
--- a/oleanderdrift/gateway/connection_reply.py
+++ b/oleanderdrift/gateway/connection_reply.py
@@ -1,6 +1,7 @@
 """Writes the response to a request on a client's connection."""
 
 import asyncio
+import typing
 
 from tornado import httputil
 from tornado import iostream
@@ -8,9 +9,13 @@
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 
+# A longer body is not copied behind its head.
+JOINED_BYTES: typing.Final = 16_384
+
 
 class ConnectionReply:
     """Writes one response to a client connection.
@@ -21,10 +26,14 @@
     """
 
     def __init__(
-        self, conn: httputil.HTTPConnection, board: board_lib.Board
+        self,
+        conn: httputil.HTTPConnection,
+        board: board_lib.Board,
+        events: event_log.EventLog,
     ) -> None:
         self.conn = conn
         self.board = board
+        self.events = events
         self.started = False
         self.progress: progress_lib.Progress | None = None
         self.ended = False
@@ -43,7 +52,8 @@
         self, status: int, headers: reply_lib.Headers, body: bytes | None
     ) -> None:
         """Sends the status and headers, and the body if it is given."""
-        await self.wait_until_sent(self.start_head(status, headers, body))
+        sending = self.start_head(status, headers, body)
+        await self.wait_until_sent(sending, len(body or b''))
 
     def start_head(
         self, status: int, headers: reply_lib.Headers, body: bytes | None
@@ -62,7 +72,11 @@
         if self.close_announced:
             fields['Connection'] = 'close'
         start_line = httputil.ResponseStartLine('HTTP/1.1', status, 'Answer')
-        sending = self.conn.write_headers(start_line, fields, body or None)
+        if body is None or len(body) <= JOINED_BYTES:
+            sending = self.conn.write_headers(start_line, fields, body or None)
+        else:
+            self.conn.write_headers(start_line, fields)
+            sending = self.conn.write(body)
         if body is not None:
             # Nothing can come between a whole response and its end.
             self.end()
@@ -86,15 +100,36 @@
         stream = getattr(self.conn, 'stream', None)
         return stream is not None and bool(stream.closed())
 
-    async def wait_until_sent(self, future: 'asyncio.Future[None]') -> None:
-        """Waits for a write.
+    async def wait_until_sent(
+        self, future: 'asyncio.Future[None]', count: int = 0
+    ) -> None:
+        """Waits for a write of a number of bytes.
 
-        Raises ClientDisconnectedError if the connection is closed.
+        They are held while the caller does not read.  Raises
+        ClientDisconnectedError if the connection is closed.
         """
+        holder = None
+        if count and not future.done():
+            source = self.progress.account_name() if self.progress else ''
+            holder = self.board.held.open(source, self.stop_unread)
+            holder.grow(count)
         try:
             await future
         except (iostream.StreamClosedError, OSError) as error:
             raise reply_lib.ClientDisconnectedError from error
+        finally:
+            if holder is not None:
+                holder.release()
+
+    def stop_unread(self) -> None:
+        """Cuts a response that its caller does not read."""
+        self.board.refusals['unread-answers'] += 1
+        self.events.info(
+            'answer-unread',
+            account=self.progress.account_name() if self.progress else '',
+            held=self.board.held.total,
+        )
+        self.close()
 
     async def send_complete(
         self, status: int, headers: reply_lib.Headers, body: bytes
@@ -109,7 +144,7 @@
 
     async def write(self, chunk: bytes) -> None:
         """Sends a chunk of the body."""
-        await self.wait_until_sent(self.conn.write(chunk))
+        await self.wait_until_sent(self.conn.write(chunk), len(chunk))
 
     async def finish(self) -> None:
         """Marks a response of unknown length as complete."""
--- a/oleanderdrift/gateway/held_bytes.py
+++ b/oleanderdrift/gateway/held_bytes.py
@@ -12,9 +12,6 @@
 
 import attrs
 
-# Of the memory limit.  What is held may exist twice for a moment, and the
-# process itself and its records of turns need the rest.
-BUDGET_SHARE: typing.Final = 0.15
 # What the interpreter needs for each piece besides its bytes.
 PIECE_BYTES: typing.Final = 48
 
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -1,43 +1,40 @@
 """Tornado HTTP server: reads client requests and writes responses."""
 
 import asyncio
+import contextlib
+import functools
 import socket
 import typing
 
-from tornado import http1connection
 from tornado import httputil
 from tornado import netutil
 
-from oleanderdrift import codes
-from oleanderdrift import errors
 from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import caller_limits
 from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
-from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import forwarder
-from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
-from oleanderdrift.gateway import request_end
+from oleanderdrift.gateway import request_reader
 
-READ_BYTES: typing.Final = 65_536
 # At least so much is read of a head, since the configured limit may grow while
 # a connection waits for its next request.  Longer ones take processor time:
 # all of a head is searched for its end with each read.
 MIN_HEAD_BYTES: typing.Final = 524_288
-# A head that is over the configured limit, by less than this factor, is read
-# and refused with a code.
-HEAD_FACTOR: typing.Final = 2
-BODY_WITH_HEAD_BYTES: typing.Final = READ_BYTES
-# The only one for which Tornado writes chunks.
-CHUNKED_VERSION: typing.Final = 'HTTP/1.1'
-# Around the name and the value of each header.
-HEADER_FRAMING_BYTES: typing.Final = 4
+# Fewer bytes in a socket's buffers are not worth counting.
+KERNEL_BYTES: typing.Final = 131_072
+# Sent to a connection over the limit before any of its requests is read.
+_TOO_MANY: typing.Final = (
+    f'HTTP/1.1 503 Answer\r\nRetry-After: {admission.RETRY_ELSEWHERE_S:g}\r\n'
+    'Content-Length: 0\r\nConnection: close\r\n\r\n'
+).encode()
 
 
-class Ingress(httputil.HTTPServerConnectionDelegate):
+class Ingress(client_stream.ConnectionDelegate):
     """Creates a request reader for each request on a connection.
 
+    At its limit of connections, it closes some that wait for a caller.
     readers holds the current request reader of each open connection, and
     listeners the listening sockets.
     """
@@ -50,7 +47,7 @@
         self.forwarder = target
         self.codec = codec
         self.tasks: set[asyncio.Task[None]] = set()
-        self.readers: dict[object, _RequestReader] = {}
+        self.readers: dict[object, request_reader.RequestReader] = {}
         self.listeners: list[socket.socket] = []
         self.limits = model.Limits()
         self.server = make_server(self, self.limits)
@@ -66,9 +63,10 @@
         request_conn: httputil.HTTPConnection,
     ) -> httputil.HTTPMessageDelegate:
         """Returns the reader for one request."""
-        reader = _RequestReader(self, request_conn)
+        reader = request_reader.RequestReader(self, request_conn)
         previous = self.readers.get(server_conn)
         if previous is not None:
+            reader.is_first = False
             reader.keep_idle_timeout(previous.idle_timeout_s)
         self.readers[server_conn] = reader
         return reader
@@ -81,7 +79,9 @@
                 reader.release()
             self.log_idle_close(reader, clock.monotonic())
 
-    def log_idle_close(self, reader: '_RequestReader', now: float) -> None:
+    def log_idle_close(
+        self, reader: request_reader.RequestReader, now: float
+    ) -> None:
         """Logs that this side closed a connection that awaited a request.
 
         unread says whether bytes waited in its socket when it was closed.
@@ -105,10 +105,77 @@
                 reader.close()
 
     def close_overdue(self, now: float) -> None:
-        """Closes connections whose next request takes longer than allowed."""
+        """Ends requests that take longer to arrive than allowed."""
         for reader in list(self.readers.values()):
             if reader.is_overdue(now, self.limits.header_timeout_s):
+                if reader.stream is not None and reader.stream.first_read_at:
+                    self.forwarder.board.refusals['slow-heads'] += 1
                 reader.close()
+            elif reader.is_body_overdue(now):
+                reader.refuse_slow('the body is not whole at its deadline')
+
+    def count_kernel_bytes(self) -> None:
+        """Counts what waits in the kernel, which the machine has to hold."""
+        for reader in list(self.readers.values()):
+            stream = reader.stream
+            if stream is None:
+                continue
+            count = stream.kernel_bytes()
+            if count <= KERNEL_BYTES:
+                stream.release()
+                continue
+            if stream.holder is None:
+                stream.holder = self.forwarder.board.held.open(
+                    reader.account_name() if reader.received_at else '',
+                    functools.partial(self.close_unread, reader),
+                )
+            holder = stream.holder
+            holder.shrink(holder.count)
+            holder.grow(count)
+
+    def close_unread(self, reader: request_reader.RequestReader) -> None:
+        """Closes a connection for what waits in the kernel for its caller."""
+        board = self.forwarder.board
+        board.refusals['unread-answers'] += 1
+        self.forwarder.events.info('kernel-bytes-held', held=board.held.total)
+        reader.closed = True
+        # Its answer may be whole, and wait to be sent.
+        reader.reply.close()
+
+    def make_room(self) -> bool:
+        """Closes connections that wait for their callers, for a new one."""
+        now = clock.monotonic()
+        found = caller_limits.victims(
+            [
+                (reader, *reader.stage())
+                for reader in self.readers.values()
+                if not reader.closed and not reader.reply.is_disconnected()
+            ],
+            now,
+        )
+        board = self.forwarder.board
+        for reader in found:
+            stage, since = reader.stage()
+            board.refusals['connections-closed'] += 1
+            self.forwarder.events.info(
+                'connection-evicted',
+                stage=stage.name.lower(),
+                age_ms=round((now - since) * 1_000),
+                open=len(self.server.open_streams),
+            )
+            if stage is caller_limits.Stage.BODY:
+                reader.refuse_slow('a new connection needs its place')
+            reader.close()
+        return bool(found)
+
+    def refuse_connection(self, sock: socket.socket) -> None:
+        """Answers a connection over the limit; no byte of it was read."""
+        self.forwarder.board.refusals['connections-refused'] += 1
+        self.forwarder.events.info(
+            'connection-refused', open=len(self.server.open_streams)
+        )
+        with contextlib.suppress(OSError):
+            sock.send(_TOO_MANY, socket.MSG_DONTWAIT)
 
     def apply_limits(self, limits: model.Limits) -> None:
         """Applies the configured limits to later requests.
@@ -120,7 +187,7 @@
         self.limits = limits
         self.server.conn_params.max_body_size = limits.body_bytes
         self.server.conn_params.max_header_size = max(
-            MIN_HEAD_BYTES, limits.header_bytes * HEAD_FACTOR
+            MIN_HEAD_BYTES, limits.header_bytes * request_reader.HEAD_FACTOR
         )
         for reader in self.readers.values():
             reader.keep_idle_timeout(limits.idle_timeout_s)
@@ -134,245 +201,10 @@
         delegate,
         max_header_size=MIN_HEAD_BYTES,
         max_body_size=limits.body_bytes,
-        chunk_size=READ_BYTES,
+        chunk_size=client_stream.READ_BYTES,
     )
+    server.open_streams = set()
+    server.max_connections = delegate.forwarder.board.caller_limits.clients
     # Its time-out would come before bytes that wait in the socket.
     server.conn_params.header_timeout = None
     return server
-
-
-class _RequestReader(httputil.HTTPMessageDelegate):
-    """Reads one request and starts the task that answers it.
-
-    received_at is when its head had been read, 0 before.  idle_timeout_s is
-    how long its connection may be idle before it begins, and from then on
-    how long it may be idle after the answer at least.  holder counts the bytes
-    of its head while that is read, then those of its body.
-    """
-
-    def __init__(
-        self, ingress: Ingress, conn: httputil.HTTPConnection
-    ) -> None:
-        self.ingress = ingress
-        self.conn = conn
-        self.body_chunks: list[bytes] = []
-        self.received_at = 0.0
-        self.idle_since = clock.monotonic()
-        self.idle_timeout_s = ingress.limits.idle_timeout_s
-        self.closed = False
-        self.reply = connection_reply.ConnectionReply(
-            conn, ingress.forwarder.board
-        )
-        self.task: asyncio.Task[None] | None = None
-        self.holder: held_bytes.Holder | None = None
-        stream = getattr(conn, 'stream', None)
-        self.stream: client_stream.ClientStream | None = None
-        if isinstance(stream, client_stream.ClientStream):
-            self.stream = stream
-            stream.expect_request()
-            stream.on_read = self.note_read
-
-    def keep_idle_timeout(self, timeout_s: float) -> None:
-        """Lets the connection be idle for at least this time."""
-        self.idle_timeout_s = max(self.idle_timeout_s, timeout_s)
-
-    def is_idle(self) -> bool:
-        """Returns whether no byte of a request has arrived."""
-        if self.received_at:
-            return False
-        stream = self.stream
-        return stream is None or (
-            stream.first_read_at is None and not stream.has_unread()
-        )
-
-    def is_overdue(self, now: float, header_timeout_s: float) -> bool:
-        """Returns whether its head takes longer than allowed."""
-        stream = self.stream
-        if self.received_at or stream is None:
-            return False
-        if stream.first_read_at is None:
-            due_at = self.idle_since + self.idle_timeout_s
-        else:
-            due_at = stream.first_read_at + header_timeout_s
-        # Bytes that wait may be the rest of the head.
-        return now >= due_at and not stream.has_unread()
-
-    def close(self) -> None:
-        """Closes the connection before a request has been read."""
-        self.closed = True
-        self.reply.abort()
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Stores the start line and headers of the request."""
-        # Not in __init__: Tornado creates the reader as soon as the previous
-        # request has ended.
-        self.received_at = clock.monotonic()
-        self.idle_timeout_s = self.ingress.limits.idle_timeout_s
-        self.start_line = typing.cast(httputil.RequestStartLine, start_line)
-        self.headers = list(headers.get_all())
-        self.reply.takes_chunks = self.start_line.version == CHUNKED_VERSION
-        self.release()
-        if isinstance(self.conn, http1connection.HTTP1Connection):
-            self.conn.set_max_body_size(self.ingress.limits.body_bytes)
-
-    def note_read(self, count: int) -> None:
-        """Counts bytes of a head that is not whole yet, up to a limit."""
-        if self.received_at or self.closed:
-            return
-        self.hold(count)
-        if self.holder is not None and self.holder.count > self.max_head():
-            self.close()
-
-    def max_head(self) -> int:
-        """Returns how many bytes are read until a head is whole.
-
-        A part of the body may come with its end.
-        """
-        limit = self.ingress.limits.header_bytes * HEAD_FACTOR
-        return limit + BODY_WITH_HEAD_BYTES
-
-    def hold(self, count: int) -> None:
-        """Counts bytes that are held for this request."""
-        if self.holder is None:
-            source = self.account_name() if self.received_at else ''
-            held = self.ingress.forwarder.board.held
-            self.holder = held.open(source, self.stop_for_bytes)
-        self.holder.grow(count)
-
-    def release(self) -> None:
-        """Ends the count of the bytes that are held."""
-        if self.holder is not None:
-            self.holder.release()
-            self.holder = None
-
-    def account_name(self) -> str:
-        """Returns the account whose key the head names, empty if none."""
-        config = self.ingress.forwarder.board.config
-        accounts = (config.accounts_by_key if config else None) or {}
-        account = accounts.get(self.ingress.codec.key(self.headers))
-        return account.name if account is not None else ''
-
-    def stop_for_bytes(self) -> None:
-        """Refuses the request before it is whole; nothing of it was sent."""
-        self.closed = True
-        self.body_chunks.clear()
-        if not self.received_at:
-            self.reply.abort()
-            return
-        codec = self.ingress.codec
-        request_id = codec.request_id(self.headers)
-        code = codes.MEMORY_EXHAUSTED
-        self.ingress.forwarder.events.info(
-            'request-refused',
-            request=request_id,
-            code=code.number,
-            detail=f'too many bytes are held for {self.account_name()}',
-        )
-        headers = codec.refusal_headers(
-            request_id or None, admission.RETRY_ELSEWHERE_S
-        )
-        try:
-            self.reply.refuse_unread(code.status, headers)
-        except Exception:
-            # Another request's bytes have led here, and are not to blame.
-            self.reply.abort()
-
-    def head_bytes(self) -> int:
-        """Returns the size of the start line and headers."""
-        return len(self.start_line.path) + sum(
-            len(name) + len(value) + HEADER_FRAMING_BYTES
-            for name, value in self.headers
-        )
-
-    def data_received(self, chunk: bytes) -> None:
-        """Stores a chunk of the body."""
-        link = self.ingress.forwarder.board.link
-        link.note(len(chunk), clock.monotonic())
-        if self.closed:
-            return
-        self.body_chunks.append(chunk)
-        self.hold(len(chunk) + held_bytes.PIECE_BYTES)
-
-    def finish(self) -> None:
-        """Starts the response to a complete request."""
-        end = request_end.RequestEnd(
-            reply=self.reply,
-            codec=self.ingress.codec,
-            events=self.ingress.forwarder.events,
-            request_id=self.ingress.codec.request_id(self.headers),
-        )
-        if self.closed or self.reply.is_disconnected():
-            # No client waits for the response.
-            end.log_end(None, 'closed')
-            self.release()
-            return
-        if self.holder is not None:
-            self.holder.keep()
-        self.task = asyncio.create_task(self.respond(self.reply))
-        self.ingress.tasks.add(self.task)
-        self.task.add_done_callback(self.ingress.tasks.discard)
-        self.task.add_done_callback(end.on_done)
-        self.task.add_done_callback(lambda _: self.release())
-        if isinstance(self.conn, http1connection.HTTP1Connection):
-            # Tornado tells the delegate only until the request is read.
-            self.conn.set_close_callback(self.on_connection_close)
-
-    def on_connection_close(self) -> None:
-        """Cancels the work for a client that disconnected.
-
-        One that is not idempotent goes on once it may have begun, but is
-        not sent again.
-        """
-        progress = self.reply.progress
-        if progress is not None:
-            progress.caller_left = True
-            if progress.must_complete():
-                return
-        if self.task is not None:
-            self.task.cancel()
-
-    async def respond(self, reply: connection_reply.ConnectionReply) -> None:
-        """Decodes the request and has the forwarder serve it."""
-        try:
-            request = self.decode()
-        except errors.ResultError as error:
-            await self.refuse(reply, error)
-            return
-        except Exception as error:
-            raise errors.ResultError(codes.BAD_REQUEST, repr(error)) from error
-        await self.ingress.forwarder.serve(request, reply)
-
-    def decode(self) -> model.Request:
-        """Returns the request; raises ResultError if it is refused."""
-        if self.head_bytes() > self.ingress.limits.header_bytes:
-            raise errors.ResultError(codes.HEAD_TOO_LARGE)
-        return self.ingress.codec.decode_request(
-            self.start_line.method,
-            self.start_line.path,
-            self.headers,
-            b''.join(self.body_chunks),
-            self.received_at,
-        )
-
-    async def refuse(
-        self,
-        reply: connection_reply.ConnectionReply,
-        error: errors.ResultError,
-    ) -> None:
-        """Refuses a request that cannot be decoded; logs why."""
-        codec = self.ingress.codec
-        request_id = codec.request_id(self.headers)
-        self.ingress.forwarder.events.info(
-            'request-refused',
-            request=request_id,
-            code=error.code.number,
-            detail=error.detail[: request_end.LOGGED_CHARACTERS],
-        )
-        headers = codec.refusal_headers(
-            request_id or None, error.retry_after_s
-        )
-        await reply.send_complete(error.code.status, headers, b'')
--- /dev/null
+++ b/oleanderdrift/gateway/request_reader.py
@@ -0,0 +1,344 @@
+"""Reads one request of a caller and starts the task that answers it."""
+
+import asyncio
+import typing
+
+from tornado import http1connection
+from tornado import httputil
+
+from oleanderdrift import codes
+from oleanderdrift import errors
+from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import caller_limits
+from oleanderdrift.gateway import client_stream
+from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_reply
+from oleanderdrift.gateway import forwarder
+from oleanderdrift.gateway import held_bytes
+from oleanderdrift.gateway import model
+from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import request_end
+
+# A head that is over the configured limit, by less than this factor, is read
+# and refused with a code.
+HEAD_FACTOR: typing.Final = 2
+# The only one for which Tornado writes chunks.
+CHUNKED_VERSION: typing.Final = 'HTTP/1.1'
+# Around the name and the value of each header.
+HEADER_FRAMING_BYTES: typing.Final = 4
+# Whatever a request's deadline is, its body may take this long to arrive.
+MIN_BODY_S: typing.Final = 1.0
+
+
+class Owner(typing.Protocol):
+    """What a reader uses of the ingress."""
+
+    forwarder: forwarder.Forwarder
+    codec: ports.Codec
+    tasks: set[asyncio.Task[None]]
+    limits: model.Limits
+
+
+class RequestReader(httputil.HTTPMessageDelegate):
+    """Reads one request and starts the task that answers it.
+
+    received_at is when its head had been read, 0 before.  idle_timeout_s is
+    how long its connection may be idle before it begins, and from then on
+    how long it may be idle after the answer at least.  holder counts the bytes
+    of its head while that is read, then those of its body.  is_first says
+    that no other request came before it on its connection.  deadline is when
+    its body is no longer waited for, None until that was looked up.
+    """
+
+    def __init__(self, ingress: Owner, conn: httputil.HTTPConnection) -> None:
+        self.ingress = ingress
+        self.conn = conn
+        # One block, which the allocator moves without copying it.
+        self.body = bytearray()
+        self.received_at = 0.0
+        self.idle_since = clock.monotonic()
+        self.idle_timeout_s = ingress.limits.idle_timeout_s
+        self.closed = False
+        self.reply = connection_reply.ConnectionReply(
+            conn, ingress.forwarder.board, ingress.forwarder.events
+        )
+        self.task: asyncio.Task[None] | None = None
+        self.holder: held_bytes.Holder | None = None
+        self.is_first = True
+        self.deadline: float | None = None
+        stream = getattr(conn, 'stream', None)
+        self.stream: client_stream.ClientStream | None = None
+        if isinstance(stream, client_stream.ClientStream):
+            self.stream = stream
+            stream.expect_request()
+            stream.on_read = self.note_read
+
+    def keep_idle_timeout(self, timeout_s: float) -> None:
+        """Lets the connection be idle for at least this time."""
+        self.idle_timeout_s = max(self.idle_timeout_s, timeout_s)
+
+    def is_idle(self) -> bool:
+        """Returns whether no byte of a request has arrived."""
+        if self.received_at:
+            return False
+        stream = self.stream
+        return stream is None or (
+            stream.first_read_at is None and not stream.has_unread()
+        )
+
+    def is_overdue(self, now: float, header_timeout_s: float) -> bool:
+        """Returns whether its head takes longer than allowed."""
+        stream = self.stream
+        if self.received_at or stream is None:
+            return False
+        if stream.first_read_at is None:
+            due_at = self.idle_since + self.idle_timeout_s
+        else:
+            due_at = stream.first_read_at + header_timeout_s
+        # Bytes that wait may be the rest of the head.
+        return now >= due_at and not stream.has_unread()
+
+    def stage(self) -> tuple[caller_limits.Stage, float]:
+        """Returns what its connection waits for, and since when."""
+        stream = self.stream
+        if self.task is not None or stream is None:
+            return caller_limits.Stage.SERVED, self.received_at
+        if self.received_at:
+            if stream.has_unread():
+                return caller_limits.Stage.SERVED, self.received_at
+            return caller_limits.Stage.BODY, stream.last_read_at
+        if stream.first_read_at is not None:
+            return caller_limits.Stage.HEAD, stream.first_read_at
+        if stream.has_unread():
+            return caller_limits.Stage.SERVED, self.idle_since
+        if self.is_first:
+            return caller_limits.Stage.UNUSED, self.idle_since
+        return caller_limits.Stage.IDLE, self.idle_since
+
+    def is_body_overdue(self, now: float) -> bool:
+        """Returns whether its body is not whole at its own deadline."""
+        if not self.received_at or self.task is not None or self.closed:
+            return False
+        if now < self.received_at + MIN_BODY_S:
+            return False
+        if self.deadline is None:
+            self.deadline = self.read_deadline()
+        return now >= self.deadline
+
+    def read_deadline(self) -> float:
+        """Returns when the caller expects no answer any more."""
+        codec = self.ingress.codec
+        line = self.start_line
+        try:
+            request = codec.decode_request(
+                line.method, line.path, self.headers, b'', self.received_at
+            )
+        except errors.ResultError:
+            # It is refused once it is whole.
+            return self.received_at + MIN_BODY_S
+        return request.deadline
+
+    def refuse_slow(self, detail: str) -> None:
+        """Refuses the request for its body that does not come."""
+        self.ingress.forwarder.board.refusals['slow-bodies'] += 1
+        self.refuse_unread(codes.SLOW_SENDER, detail)
+
+    def close(self) -> None:
+        """Closes the connection before a request has been read."""
+        self.closed = True
+        self.reply.abort()
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Stores the start line and headers of the request."""
+        # Not in __init__: Tornado creates the reader as soon as the previous
+        # request has ended.
+        self.received_at = clock.monotonic()
+        self.idle_timeout_s = self.ingress.limits.idle_timeout_s
+        self.start_line = typing.cast(httputil.RequestStartLine, start_line)
+        self.headers = list(headers.get_all())
+        self.reply.takes_chunks = self.start_line.version == CHUNKED_VERSION
+        self.release()
+        if isinstance(self.conn, http1connection.HTTP1Connection):
+            self.conn.set_max_body_size(self.ingress.limits.body_bytes)
+
+    def note_read(self, count: int) -> None:
+        """Counts bytes of a head that is not whole yet, up to a limit."""
+        if self.received_at or self.closed:
+            return
+        self.hold(count)
+        if self.holder is not None and self.holder.count > self.max_head():
+            self.ingress.forwarder.board.refusals['long-heads'] += 1
+            self.ingress.forwarder.events.info(
+                'head-too-long', bytes=self.holder.count
+            )
+            self.close()
+
+    def max_head(self) -> int:
+        """Returns how many bytes are read until a head is whole.
+
+        A part of the body may come with its end.
+        """
+        limit = self.ingress.limits.header_bytes * HEAD_FACTOR
+        return limit + client_stream.READ_BYTES
+
+    def hold(self, count: int) -> None:
+        """Counts bytes that are held for this request."""
+        if self.holder is None:
+            source = self.account_name() if self.received_at else ''
+            held = self.ingress.forwarder.board.held
+            self.holder = held.open(source, self.stop_for_bytes)
+        self.holder.grow(count)
+
+    def release(self) -> None:
+        """Ends the count of the bytes that are held."""
+        if self.holder is not None:
+            self.holder.release()
+            self.holder = None
+
+    def account_name(self) -> str:
+        """Returns the account whose key the head names, empty if none."""
+        config = self.ingress.forwarder.board.config
+        accounts = (config.accounts_by_key if config else None) or {}
+        account = accounts.get(self.ingress.codec.key(self.headers))
+        return account.name if account is not None else ''
+
+    def stop_for_bytes(self) -> None:
+        """Refuses the request before it is whole; nothing of it was sent."""
+        self.closed = True
+        self.ingress.forwarder.board.refusals['held-bytes'] += 1
+        if not self.received_at:
+            self.reply.abort()
+            return
+        self.refuse_unread(
+            codes.MEMORY_EXHAUSTED,
+            f'too many bytes are held for {self.account_name()}',
+        )
+
+    def refuse_unread(self, code: codes.ResultCode, detail: str) -> None:
+        """Refuses the request before it is whole, and closes."""
+        self.closed = True
+        self.body = bytearray()
+        self.release()
+        codec = self.ingress.codec
+        request_id = codec.request_id(self.headers)
+        self.ingress.forwarder.events.info(
+            'request-refused',
+            request=request_id,
+            code=code.number,
+            detail=detail,
+        )
+        headers = codec.refusal_headers(
+            request_id or None, admission.RETRY_ELSEWHERE_S
+        )
+        try:
+            self.reply.refuse_unread(code.status, headers)
+        except Exception:
+            # Another caller's doing has led here, and is not to blame.
+            self.reply.abort()
+
+    def head_bytes(self) -> int:
+        """Returns the size of the start line and headers."""
+        return len(self.start_line.path) + sum(
+            len(name) + len(value) + HEADER_FRAMING_BYTES
+            for name, value in self.headers
+        )
+
+    def data_received(self, chunk: bytes) -> None:
+        """Stores a chunk of the body."""
+        link = self.ingress.forwarder.board.link
+        link.note(len(chunk), clock.monotonic())
+        if self.closed:
+            return
+        self.body += chunk
+        self.hold(len(chunk))
+
+    def finish(self) -> None:
+        """Starts the response to a complete request."""
+        end = request_end.RequestEnd(
+            reply=self.reply,
+            codec=self.ingress.codec,
+            events=self.ingress.forwarder.events,
+            request_id=self.ingress.codec.request_id(self.headers),
+        )
+        if self.closed or self.reply.is_disconnected():
+            # No client waits for the response.
+            end.log_end(None, 'closed')
+            self.release()
+            return
+        if self.holder is not None:
+            self.holder.keep()
+        self.task = asyncio.create_task(self.respond(self.reply))
+        self.ingress.tasks.add(self.task)
+        self.task.add_done_callback(self.ingress.tasks.discard)
+        self.task.add_done_callback(end.on_done)
+        self.task.add_done_callback(lambda _: self.release())
+        if isinstance(self.conn, http1connection.HTTP1Connection):
+            # Tornado tells the delegate only until the request is read.
+            self.conn.set_close_callback(self.on_connection_close)
+
+    def on_connection_close(self) -> None:
+        """Cancels the work for a client that disconnected.
+
+        One that is not idempotent goes on once it may have begun, but is
+        not sent again.
+        """
+        progress = self.reply.progress
+        if progress is not None:
+            progress.caller_left = True
+            if progress.must_complete():
+                return
+        if self.task is not None:
+            self.task.cancel()
+
+    async def respond(self, reply: connection_reply.ConnectionReply) -> None:
+        """Decodes the request and has the forwarder serve it."""
+        try:
+            request = self.decode()
+        except errors.ResultError as error:
+            await self.refuse(reply, error)
+            return
+        except Exception as error:
+            raise errors.ResultError(codes.BAD_REQUEST, repr(error)) from error
+        await self.ingress.forwarder.serve(request, reply)
+
+    def decode(self) -> model.Request:
+        """Returns the request; raises ResultError if it is refused."""
+        if self.head_bytes() > self.ingress.limits.header_bytes:
+            self.ingress.forwarder.board.refusals['long-heads'] += 1
+            raise errors.ResultError(codes.HEAD_TOO_LARGE)
+        return self.ingress.codec.decode_request(
+            self.start_line.method,
+            self.start_line.path,
+            self.headers,
+            self.take_body(),
+            self.received_at,
+        )
+
+    def take_body(self) -> bytes:
+        """Returns the body, which is kept here no more."""
+        body = bytes(self.body)
+        self.body = bytearray()
+        return body
+
+    async def refuse(
+        self,
+        reply: connection_reply.ConnectionReply,
+        error: errors.ResultError,
+    ) -> None:
+        """Refuses a request that cannot be decoded; logs why."""
+        codec = self.ingress.codec
+        request_id = codec.request_id(self.headers)
+        self.ingress.forwarder.events.info(
+            'request-refused',
+            request=request_id,
+            code=error.code.number,
+            detail=error.detail[: request_end.LOGGED_CHARACTERS],
+        )
+        headers = codec.refusal_headers(
+            request_id or None, error.retry_after_s
+        )
+        await reply.send_complete(error.code.status, headers, b'')
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -6,12 +6,12 @@
 import typing
 
 import attrs
-from tornado import httpserver
 from tornado import web
 
 from oleanderdrift import errors
 from oleanderdrift.gateway import allotments
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import caller_limits
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import directory
 from oleanderdrift.gateway import drain
@@ -20,9 +20,11 @@
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import gossip
 from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import operators_port
 from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import peer_sockets
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import process_memory
 from oleanderdrift.gateway import reachability
 from oleanderdrift.gateway import settings as settings_lib
 from oleanderdrift.gateway import time_limits
@@ -37,6 +39,18 @@
 # Removed upstreams are kept this long for responses still under way.
 REMOVED_UPSTREAM_RETENTION_S: typing.Final = 5.0
 METRICS_PATH: typing.Final = '/metrics'
+# Each is a gauge.
+REFUSAL_KINDS: typing.Final = (
+    'connections-closed',
+    'connections-refused',
+    'held-bytes',
+    'long-heads',
+    'slow-bodies',
+    'slow-heads',
+    'operators',
+    'tunnels',
+    'unread-answers',
+)
 RESTART_DELAY_S: typing.Final = 0.5
 SETTINGS_POLL_INTERVAL_S: typing.Final = 1.0
 
@@ -69,28 +83,44 @@
         """Opens all sockets; raises OSError."""
         settings = self.board.settings
         self.ingress.listen(*settings_lib.split_address(settings.listen))
-        host, port = settings_lib.split_address(settings.ready_listen)
-        application = web.Application(
-            [(self.ready_path, _ReadyHandler, {'board': self.board})],
-            log_function=_skip_access_log,
+        self.listen_operators(
+            settings.ready_listen,
+            (self.ready_path, _ReadyHandler, {'board': self.board}),
         )
-        httpserver.HTTPServer(application).listen(port, host)
-        host, port = settings_lib.split_address(settings.metrics_listen)
-        application = web.Application(
-            [(METRICS_PATH, _MetricsHandler, {'gateway': self})],
-            log_function=_skip_access_log,
+        self.listen_operators(
+            settings.metrics_listen,
+            (METRICS_PATH, _MetricsHandler, {'gateway': self}),
         )
-        httpserver.HTTPServer(application).listen(port, host)
         self.gossip.bind()
         self.tunnels.listen(
             *settings_lib.split_address(settings.tunnel_listen)
         )
 
+    def listen_operators(
+        self,
+        address: str,
+        handler: tuple[str, type[web.RequestHandler], dict[str, typing.Any]],
+    ) -> None:
+        """Opens a port that operators use; raises OSError."""
+        host, port = settings_lib.split_address(address)
+        application = web.Application([handler], log_function=_skip_access_log)
+        operators_port.make_server(
+            application, self.board, self.events
+        ).listen(port, host)
+
     def gauges(self, boot_now: float) -> dict[str, float]:
         """Returns the current values of the gauge metrics."""
         board = self.board
         config = board.config
         return {
+            **{
+                f'refused_{kind.replace("-", "_")}': board.refusals[kind]
+                for kind in REFUSAL_KINDS
+            },
+            'client_connections': len(self.ingress.server.open_streams),
+            'client_connections_limit': board.caller_limits.clients,
+            'held_bytes': board.held.total,
+            'held_bytes_limit': board.held.limit,
             'open_requests': board.open_requests,
             'config_version': config.version if config else 0,
             'store_age_seconds': board.freshness.age_s(boot_now),
@@ -180,6 +210,7 @@
             if self.board.config is not None:
                 self.ingress.apply_limits(self.board.config.limits)
             self.ingress.close_overdue(clock.monotonic())
+            self.ingress.count_kernel_bytes()
 
     async def poll_settings(self) -> None:
         """Reloads the settings periodically until cancelled.
@@ -309,7 +340,13 @@
             data_centre=settings.data_centre
         ),
         link=link or own_link.OwnLink(mbps=settings.link_mbps),
+        caller_limits=caller_limits.derive(
+            settings.memory_bytes,
+            process_memory.descriptor_limit(settings.max_descriptors),
+            process_memory.resident_bytes(),
+        ),
     )
+    process_memory.return_freed_memory()
     events = event_log.EventLog()
     fleet = directory.Directory(board, log, events)
     request_forwarder = forwarder.Forwarder(board, codec, log, events)
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -11,7 +11,8 @@
     upstream_drain_s is the time after which a leaving upstream may get no
     more requests.  cores is the share of processors that the instance may use.
     link_mbps is the rate of the instance's link in Mbit/s.
-    memory_bytes is what the process may use before it is killed.
+    memory_bytes is what the process may use before it is killed, and
+    max_descriptors how many files it may have open, 0 if that is not stated.
     key_grace_s is how long after the last response from the store API
     keys are still accepted.  stop_s is the time between SIGTERM and
     SIGKILL.
@@ -35,6 +36,7 @@
     memory_bytes: int
     link_mbps: float
     turn_retention_s: float
+    max_descriptors: int = 0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -15,6 +15,7 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
+from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import time_limits
 from oleanderdrift.gateway import tunnel_wire
@@ -25,10 +26,10 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.15
 # A connection is no evidence if the own link was full for a part of it.
 HELD_S: typing.Final = 0.05
-# Each takes two file descriptors, and at most about 0.2 MB of buffers.
-MAX_TUNNELS: typing.Final = 256
-# More connections are closed unread.
-MAX_CONNECTIONS: typing.Final = MAX_TUNNELS + 64
+# Of connections that are not accepted yet.
+BACKLOG: typing.Final = 320
+# asyncio accepts as many before the first is counted.
+ACCEPTED_AT_ONCE: typing.Final = 4
 # A connection with more unsent bytes has its source wait.
 WRITE_BUFFER_BYTES: typing.Final = 32_768
 # A peer whose caller reads slowly has no window meanwhile, and TCP counts
@@ -53,19 +54,19 @@
 
     def listen(self, host: str, port: int) -> None:
         """Starts listening; raises OSError."""
-        self.listeners = netutil.bind_sockets(
-            port, host, backlog=MAX_CONNECTIONS
-        )
+        self.listeners = netutil.bind_sockets(port, host, backlog=BACKLOG)
 
     async def serve(self) -> None:
         """Accepts connections until cancelled."""
         loop = asyncio.get_running_loop()
         servers = [
             await loop.create_server(
-                lambda: PeerSide(self), sock=one, backlog=MAX_CONNECTIONS
+                lambda: PeerSide(self), sock=one, backlog=ACCEPTED_AT_ONCE
             )
             for one in self.listeners
         ]
+        for one in self.listeners:
+            one.listen(BACKLOG)
         try:
             await asyncio.Event().wait()
         finally:
@@ -94,10 +95,18 @@
         """Returns why no tunnel is opened now; empty if one may be."""
         if self.board.stopping:
             return 'the instance is stopping'
-        if len(self.open) > MAX_TUNNELS:
-            return f'more than {MAX_TUNNELS} tunnels'
+        most = self.board.caller_limits.tunnels
+        if sum(one.opening is not None for one in self.open) > most:
+            return f'more than {most} tunnels'
         return ''
 
+    def make_room(self) -> None:
+        """Closes the oldest of too many connections that ask for nothing."""
+        waiting = [one for one in self.open if one.opening is None]
+        if len(waiting) > self.board.caller_limits.opening:
+            oldest = min(waiting, key=lambda one: one.began)
+            oldest.refuse(f'{len(waiting)} connections wait for a message')
+
 
 class PeerSide(asyncio.BufferedProtocol):
     """The connection from a peer; upstream_side is None until it is open."""
@@ -109,14 +118,14 @@
         self.upstream_side: UpstreamSide | None = None
         self.opening: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.began = clock.monotonic()
+        self.holder: held_bytes.Holder | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Waits for the Open."""
         self.transport = typing.cast(asyncio.Transport, transport)
         self.server.open.add(self)
-        if len(self.server.open) > MAX_CONNECTIONS:
-            self.refuse(f'more than {MAX_CONNECTIONS} connections')
-            return
+        self.server.make_room()
         channel.set_tcp_options(transport, PEER_USER_TIMEOUT_MS)
         self.transport.set_write_buffer_limits(WRITE_BUFFER_BYTES)
         loop = asyncio.get_running_loop()
@@ -163,6 +172,7 @@
 
     def refuse(self, reason: str) -> None:
         """Closes a connection that does not keep to the protocol."""
+        self.server.board.refusals['tunnels'] += 1
         self.log_refused('', reason)
         self.close()
 
@@ -188,8 +198,28 @@
     def close(self) -> None:
         """Ends the tunnel at once."""
         assert self.transport is not None
+        self.server.open.discard(self)
         self.transport.abort()
 
+    def hold(self, count: int) -> None:
+        """Counts bytes that wait for the side that reads slowly."""
+        assert self.transport is not None
+        if self.holder is None:
+            host, _ = self.transport.get_extra_info('peername', ('', 0))
+            self.holder = self.server.board.held.open(
+                f'tunnel {host}', self.stop_for_bytes
+            )
+        self.holder.grow(count)
+
+    def let_go(self) -> None:
+        """Counts no bytes any more."""
+        if self.holder is not None:
+            self.holder.shrink(self.holder.count)
+
+    def stop_for_bytes(self) -> None:
+        """Ends the tunnel for what waits in it."""
+        self.refuse('too many bytes wait for a slow reader')
+
     async def try_connect(self, incarnation: str) -> tunnel_wire.Message:
         """Connects to the upstream; returns the answer to the Open."""
         reason = self.server.reason_to_refuse()
@@ -234,9 +264,12 @@
         """Has the upstream wait: the peer does not read."""
         if self.upstream_side is not None:
             self.upstream_side.pause_reading()
+        if self.transport is not None:
+            self.hold(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Goes on reading from the upstream."""
+        self.let_go()
         if self.upstream_side is not None:
             self.upstream_side.resume_reading()
 
@@ -248,6 +281,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Closes the upstream's connection, so that it stops work."""
         self.server.open.discard(self)
+        if self.holder is not None:
+            self.holder.release()
         if self.timer is not None:
             self.timer.cancel()
         if self.opening is not None:
@@ -290,9 +325,12 @@
     def pause_writing(self) -> None:
         """Has the peer wait: the upstream does not read."""
         self.peer_side.pause_reading()
+        if self.transport is not None:
+            self.peer_side.hold(self.transport.get_write_buffer_size())
 
     def resume_writing(self) -> None:
         """Goes on reading from the peer."""
+        self.peer_side.let_go()
         self.peer_side.resume_reading()
 
     def pause_reading(self) -> None:
--- a/oleanderdrift/gateway/upstream_connections.py
+++ b/oleanderdrift/gateway/upstream_connections.py
@@ -293,6 +293,7 @@
         self, upstream: upstreams.Upstream, connection: channel.Channel
     ) -> None:
         """Breaks off an answer, so that others can be held."""
+        self.board.refusals['held-bytes'] += 1
         self.events.info(
             'answer-cut-for-bytes',
             upstream=upstream.entry.upstream_id,
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -13,6 +13,7 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import bounds as bounds_lib
 from oleanderdrift.gateway import settings
 
 PATH_VARIABLE: typing.Final = 'OLEANDERDRIFT_CONFIG'
@@ -42,6 +43,8 @@
     Cores: float = 1.0
     MemoryMb: float = 180
     LinkMbps: float = 1_000
+    # Zero or less: the limit of the process alone holds.
+    MaxFds: float = 0
 
 
 class _Platform(msgspec.Struct):
@@ -113,4 +116,10 @@
         memory_bytes=int(limits.MemoryMb * BYTES_PER_MB),
         link_mbps=limits.LinkMbps,
         turn_retention_s=file_settings.Platform.RetainS,
+        max_descriptors=_count(limits.MaxFds),
     )
+
+
+def _count(value: float) -> int:
+    """Returns a count from the file; 0 if it is none."""
+    return int(value) if 0 < value <= bounds_lib.MAX_COUNT else 0
--- /dev/null
+++ b/tests/test_gateway_caller_limits.py
@@ -0,0 +1,99 @@
+"""Decisions on what callers may fill."""
+
+import asyncio
+import socket
+import typing
+
+import pytest
+
+from oleanderdrift.gateway import caller_limits
+from oleanderdrift.gateway import ingress
+from oleanderdrift.platform import codec
+from oleanderdrift.platform import settings as platform_settings
+from tests import test_gateway_ingress
+from tests import test_platform_adapter
+
+MB: typing.Final = 1_048_576
+Stage: typing.TypeAlias = caller_limits.Stage
+
+
+@pytest.mark.parametrize(
+    'memory_mb', [-1, 0, 10, 64, 80, 136, 180, 1_000, 100_000]
+)
+@pytest.mark.parametrize('descriptors', [0, 64, 256, 400, 1_638, 8_200])
+def test_limits_leave_the_process_what_it_needs(
+    memory_mb: int, descriptors: int
+) -> None:
+    """Guards against limits that add up to more than there is."""
+    found = caller_limits.derive(memory_mb * MB, descriptors, 42 * MB)
+    # A body of the largest size by default fits, and some callers do.
+    assert found.held_bytes >= 4_194_304 + 65_536
+    assert found.clients >= caller_limits.MIN_CONNECTIONS
+    if memory_mb >= 64:
+        filled = found.held_bytes + found.clients * 40_960 + 42 * MB
+        assert filled < memory_mb * MB
+    if descriptors >= 256:
+        opened = 2.5 * found.clients + 2 * found.tunnels + found.opening
+        assert opened + 2 * found.operators < descriptors - 39
+
+
+def test_smallest_machine_serves_many() -> None:
+    found = caller_limits.derive(136 * MB, 1_638, 42 * MB)
+    assert found.clients > 400
+    assert found.held_bytes > 5 * 4_194_304
+
+
+@pytest.mark.parametrize(
+    ('connections', 'closed'),
+    [
+        # Connections by their stage and their time in it.
+        ([(Stage.SERVED, 99.0), (Stage.HEAD, 0.1), (Stage.BODY, 0.9)], []),
+        ([(Stage.BODY, 9.0), (Stage.HEAD, 9.0), (Stage.IDLE, 1.0)], [2, 1, 0]),
+        ([(Stage.IDLE, 9.0), (Stage.UNUSED, 0.0)], [1, 0]),
+        ([(Stage.IDLE, 1.0), (Stage.IDLE, 2.0)], [1, 0]),
+        ([(Stage.UNUSED, 1.0)] * 20, list(range(8))),
+        ([], []),
+    ],
+)
+def test_connections_that_wait_for_their_callers_make_room(
+    connections: list[tuple[Stage, float]], closed: list[int]
+) -> None:
+    """Guards against a new connection that ends a request under way."""
+    now = 100.0
+    assert closed == caller_limits.victims(
+        [
+            (number, stage, now - age)
+            for number, (stage, age) in enumerate(connections)
+        ],
+        now,
+    )
+
+
+def test_connection_over_the_limit_is_told_that_nothing_ran() -> None:
+    async def play() -> bytes:
+        forwarder = test_gateway_ingress.Forwarder()
+        made = ingress.Ingress(
+            typing.cast(typing.Any, forwarder), codec.PlatformCodec()
+        )
+        ours, theirs = socket.socketpair()
+        with ours, theirs:
+            made.refuse_connection(ours)
+            assert forwarder.board.refusals['connections-refused'] == 1
+            return theirs.recv(1_000)
+
+    answer = asyncio.run(play())
+    assert answer.startswith(b'HTTP/1.1 503 ')
+    assert b'\r\nRetry-After: ' in answer
+
+
+@pytest.mark.parametrize(
+    ('value', 'found'), [('200', 200), ('0', 0), ('-5', 0), ('1e99', 0)]
+)
+def test_descriptors_are_read_from_the_settings(
+    value: str, found: int
+) -> None:
+    text = test_platform_adapter.SETTINGS.replace(
+        '[Limits]', f'[Limits]\nMaxFds = {value}'
+    )
+    settings = platform_settings.decode(text.encode())
+    assert settings.max_descriptors == found
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -15,6 +15,7 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import drain
+from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import tunnel_client
 from standins import platform_store
 from standins import replica
@@ -232,6 +233,7 @@
         reply = connection_reply.ConnectionReply(
             typing.cast(httputil.HTTPConnection, conn),
             typing.cast(board_lib.Board, None),
+            event_log.EventLog(),
         )
         reply.close_announced = True
         finishing = asyncio.create_task(reply.finish())
@@ -253,6 +255,7 @@
         reply = connection_reply.ConnectionReply(
             typing.cast(httputil.HTTPConnection, conn),
             typing.cast(board_lib.Board, None),
+            event_log.EventLog(),
         )
         reply.close_announced = True
         await reply.finish()
--- a/tests/test_gateway_tunnels.py
+++ b/tests/test_gateway_tunnels.py
@@ -357,10 +357,10 @@
     run(scenario)
 
 
-def test_too_many_tunnels_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(tunnel_server, 'MAX_TUNNELS', 2)
-
+def test_too_many_tunnels_are_refused() -> None:
     async def scenario(carrier: tunnel_support.Carrier) -> None:
+        board = carrier.server.board
+        board.caller_limits = attrs.evolve(board.caller_limits, tunnels=2)
         first = await carrier.open()
         await carrier.open()
         with pytest.raises(tunnel_client.UpstreamUnreachableError):
@@ -372,16 +372,17 @@
     run(scenario)
 
 
-def test_connections_that_ask_for_nothing_are_bounded(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    monkeypatch.setattr(tunnel_server, 'MAX_CONNECTIONS', 2)
+def test_connections_that_ask_for_nothing_are_bounded() -> None:
+    """Guards also against a crowd that keeps the tunnels of peers out."""
 
     async def scenario(carrier: tunnel_support.Carrier) -> None:
+        board = carrier.server.board
+        board.caller_limits = attrs.evolve(board.caller_limits, opening=2)
         address = carrier.server.listeners[0].getsockname()
         pairs = [await asyncio.open_connection(*address) for _ in range(3)]
-        assert await pairs[2][0].read() == b''
+        assert await pairs[0][0].read() == b''
         assert len(carrier.server.open) == 2
+        (await carrier.open()).close()
         for _, writer in pairs:
             writer.close()
 
--- a/tests/test_gateway_untrusted_callers.py
+++ b/tests/test_gateway_untrusted_callers.py
@@ -7,7 +7,9 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import pathlib
+import re
 import typing
 
 import attrs
@@ -52,14 +54,16 @@
         """Keeps the connection open until the test ends."""
         writer.transport.pause_reading()  # type: ignore[attr-defined]
         self.writers.add(writer)
-        await asyncio.Event().wait()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.Event().wait()
 
 
 @attrs.frozen(kw_only=True)
 class Row:
     """What each caller of a crowd sends; head is that of its requests.
 
-    data follows the head, piece by piece with a pause after each.
+    data follows the head, piece by piece with a pause after each.  refused
+    is a kind of refusal that such a crowd meets.
     """
 
     head: bytes | None = None
@@ -71,6 +75,7 @@
     callers: int = CROWD
     reads: bool = False
     upstream: 'replica_lib.Behaviour | type[Unread]' = replica_lib.Silent()
+    refused: str = 'connections_closed'
 
     async def call(self, site: floods.Site) -> None:
         """Sends all, then keeps the connection open until cancelled."""
@@ -105,7 +110,7 @@
     'whole-smaller-bodies': Row(
         fields='Content-Length: 524288\r\n', data=BODY[:8], upstream=Unread
     ),
-    'short-bodies': Row(data=SHORT),
+    'short-bodies': Row(data=SHORT, refused='held_bytes'),
     'short-chunked-bodies': Row(
         fields=CHUNKED, data=[floods.chunk(BLOCK)] * (len(BODY) - 1)
     ),
@@ -114,12 +119,15 @@
         fields=CHUNKED, data=[floods.chunk(b'x' * 64) * 16] * 200
     ),
     'pipelined-unread': Row(
-        fields='Content-Length: 0\r\n', repeats=3_000, upstream=ANSWER
+        fields='Content-Length: 0\r\n',
+        repeats=3_000,
+        upstream=ANSWER,
+        refused='unread_answers',
     ),
     'pipelined-bodies-unread': Row(
         data=BODY, repeats=4, upstream=replica_lib.CompleteResponse()
     ),
-    'endless-heads': Row(fields='A: ' + 'b' * 1_000_000),
+    'endless-heads': Row(fields='A: ' + 'b' * 1_000_000, refused='long_heads'),
     'head-a-byte-a-second': Row(
         head=b'POST /calls/x', data=[b'x'] * 60, pause_s=1, callers=MANY
     ),
@@ -127,46 +135,93 @@
     'silent': Row(head=b'', callers=MANY),
     'heads-then-silent': Row(callers=MANY),
     'ready-bodies': Row(
-        head=POST % b'/-/ready', data=SHORT, port=gateways.READY_PORT
+        head=POST % b'/-/ready',
+        data=SHORT,
+        port=gateways.READY_PORT,
+        refused='operators',
+    ),
+    'ready-silent': Row(
+        head=b'', callers=MANY, port=gateways.READY_PORT, refused='operators'
+    ),
+    'ready-heads': Row(
+        head=BLOCK * 16, port=gateways.READY_PORT, refused='operators'
     ),
-    'ready-silent': Row(head=b'', callers=MANY, port=gateways.READY_PORT),
-    'ready-heads': Row(head=BLOCK * 16, port=gateways.READY_PORT),
     'metrics-bodies': Row(
-        head=POST % b'/metrics', data=SHORT, port=METRICS_PORT
+        head=POST % b'/metrics',
+        data=SHORT,
+        port=METRICS_PORT,
+        refused='operators',
     ),
     'metrics-pipelined': Row(
-        head=GET % b'/metrics', repeats=2_000, port=METRICS_PORT
+        head=GET % b'/metrics',
+        repeats=2_000,
+        port=METRICS_PORT,
+        refused='operators',
+    ),
+    'metrics-silent': Row(
+        head=b'', callers=MANY, port=METRICS_PORT, refused='operators'
     ),
-    'metrics-silent': Row(head=b'', callers=MANY, port=METRICS_PORT),
     'tunnel-bodies': Row(
         head=TUNNEL,
         data=[b'', *BODY],
         pause_s=0.01,
         port=gateways.TUNNEL_PORT,
+        refused='tunnels',
         callers=MANY,
         upstream=Unread,
     ),
-    'tunnel-silent': Row(head=b'', callers=MANY, port=gateways.TUNNEL_PORT),
+    'tunnel-silent': Row(
+        head=b'', callers=MANY, port=gateways.TUNNEL_PORT, refused='tunnels'
+    ),
+}
+
+
+# The log line of each kind of refusal.
+EVENTS: typing.Final = {
+    'connections_closed': 'event=connection-evicted',
+    'connections_refused': 'event=connection-refused',
+    'held_bytes': 'code=3004',
+    'long_heads': 'event=head-too-long',
+    'operators': 'event=operators-connection-closed',
+    'slow_bodies': 'code=1007',
+    'slow_heads': 'event=connection-closed',
+    'tunnels': 'event=tunnel-refused',
+    'unread_answers': 'held=',
 }
 
 
+def count_refused(metrics: str, kind: str) -> float:
+    """Returns how many refusals of a kind the metrics show."""
+    (found,) = re.findall(
+        rf'^oleanderdrift_refused_{kind} (.*)$', metrics, re.M
+    )
+    return float(found)
+
+
+async def await_event(site: floods.Site, kind: str) -> None:
+    """Waits for the log line of a kind of refusal; lines come in batches."""
+    async with asyncio.timeout(floods.WAIT_S):
+        while EVENTS[kind] not in site.instance.log():
+            await asyncio.sleep(0.1)
+
+
 async def read_answer(site: floods.Site, port: int, path: bytes) -> bytes:
-    """Returns the start of an answer of an operators' port."""
+    """Returns the answer of an operators' port."""
     try:
         reader, writer = await asyncio.open_connection(
             site.instance.address, port
         )
-        writer.write(GET % path)
+        writer.write((GET % path).replace(b'x\r', b'x\r\nConnection: close\r'))
         async with asyncio.timeout(2):
-            received = await reader.read(12)
+            received = await reader.read()
         writer.transport.abort()
     except (TimeoutError, OSError):
         return b''
     return received
 
 
-async def await_ordinary(site: floods.Site) -> None:
-    """Waits until an ordinary request and both ports are answered."""
+async def await_ordinary(site: floods.Site) -> str:
+    """Waits until a request and both ports are answered; returns metrics."""
     async with asyncio.timeout(floods.WAIT_S):
         while not await floods.is_serving(site):
             await asyncio.sleep(0.1)
@@ -174,8 +229,12 @@
             (gateways.READY_PORT, b'/-/ready'),
             (METRICS_PORT, b'/metrics'),
         ):
-            while await read_answer(site, port, path) != b'HTTP/1.1 200':
+            while True:
+                answer = await read_answer(site, port, path)
+                if answer.startswith(b'HTTP/1.1 200'):
+                    break
                 await asyncio.sleep(0.1)
+    return answer.decode()
 
 
 @pytest.mark.parametrize('row', ROWS.values(), ids=ROWS)
@@ -210,11 +269,55 @@
             for task in crowd:
                 task.cancel()
             await asyncio.gather(*crowd, return_exceptions=True)
-            await await_ordinary(site)
+            found = await await_ordinary(site)
             watcher.cancel()
             peak_mb = site.peak_mb()
             print(f'peak_mb={peak_mb:.0f} fds={most_fds}')
             assert peak_mb < MEMORY_MB
             assert most_fds < MAX_FDS
+            await await_event(site, row.refused)
+            assert count_refused(found, row.refused) > 0
+
+    asyncio.run(play())
+
+
+def test_single_callers_within_the_limits_are_served(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against limits that a caller within the documented ones meets.
+
+    The machine is the smallest.  Callers that are too slow are told so.
+    """
+
+    async def play() -> None:
+        async with floods.run_site(
+            tmp_path,
+            replica_lib.CompleteResponse(),
+            'MemoryMb = 136\nMaxFds = 1638\n',
+        ) as site:
+            padding = f'A: {"b" * 15_000}\r\nConnection: close\r\n'
+            answer = await site.send(
+                '/calls/',
+                fields=padding + STATED,
+                body=BLOCK * len(BODY),
+            )
+            assert answer.startswith(b'HTTP/1.1 200')
+            # The deadline of its requests is 3 s.
+            slow = await site.send('/calls/', fields=STATED, body=BLOCK)
+            assert slow.startswith(b'HTTP/1.1 408')
+            _, writer = await asyncio.open_connection(
+                site.instance.address, gateways.FRONT_PORT
+            )
+            writer.write(b'POST /calls/')
+            async with asyncio.timeout(floods.WAIT_S):
+                while True:
+                    found = await await_ordinary(site)
+                    if count_refused(found, 'slow_heads'):
+                        break
+                    await asyncio.sleep(0.1)
+            assert count_refused(found, 'slow_bodies') == 1
+            for kind in ('slow_bodies', 'slow_heads'):
+                await await_event(site, kind)
+            writer.close()
 
     asyncio.run(play())
