--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -8,6 +8,7 @@
 from oleanderdrift.gateway import accusations as accusations_lib
 from oleanderdrift.gateway import allotments as allotments_lib
 from oleanderdrift.gateway import call_speeds as call_speeds_lib
+from oleanderdrift.gateway import caller_limits as caller_limits_lib
 from oleanderdrift.gateway import cold_shares as cold_shares_lib
 from oleanderdrift.gateway import crash_ledger
 from oleanderdrift.gateway import fleet_members
@@ -28,6 +29,8 @@
 
 # Enough for the programs that start within some minutes.
 MAX_STARTED_PROGRAMS: typing.Final = 20_000
+# Where neither the settings nor the process state a limit.
+DEFAULT_DESCRIPTORS: typing.Final = 8_192
 # After a longer pause, what is known of the peers' spending is too old.
 MAX_PAUSE_S: typing.Final = 1.0
 
@@ -47,6 +50,8 @@
     held counts the bytes of others that are in memory, and link those that
     lately came over the link of this instance.  call_speeds has the usual
     times of calls.
+    caller_limits says what callers may fill, and refusals counts by kind what
+    was refused or closed for it.
     grantors are the instances that grant tokens of programs.
     pauses counts the pauses of this process that were noticed.
     exchanged_at is when states were last exchanged with peers, and resumed_at
@@ -110,10 +115,22 @@
             takes_self=True,
         )
     )
+    caller_limits: caller_limits_lib.CallerLimits = attrs.field(
+        default=attrs.Factory(
+            lambda self: caller_limits_lib.derive(
+                self.settings.memory_bytes,
+                self.settings.max_descriptors or DEFAULT_DESCRIPTORS,
+            ),
+            takes_self=True,
+        )
+    )
+    refusals: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
     held: held_bytes.HeldBytes = attrs.field(
         default=attrs.Factory(
             lambda self: held_bytes.HeldBytes(
-                limit=int(self.settings.memory_bytes * held_bytes.BUDGET_SHARE)
+                limit=self.caller_limits.held_bytes
             ),
             takes_self=True,
         )
--- a/oleanderdrift/gateway/settings.py
+++ b/oleanderdrift/gateway/settings.py
@@ -12,7 +12,8 @@
     upstream_drain_s is the time after which a leaving upstream may get no
     more requests.  cores is the share of processors that the instance may use.
     link_mbps is the rate of the instance's link in Mbit/s.
-    memory_bytes is what the process may use before it is killed.
+    memory_bytes is what the process may use before it is killed, and
+    max_descriptors how many files it may have open, 0 if that is not stated.
     region is that of the instance, empty if it is not known, and
     regions_by_data_centre has those of all data centres that are known.
     evacuate_s is how long an instance that alone has lost the store may send
@@ -44,6 +45,7 @@
     grant_listen: str = ''
     region: str = ''
     regions_by_data_centre: dict[str, str] = attrs.field(factory=dict)
+    max_descriptors: int = 0
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -48,6 +48,8 @@
     Cores: float = 1.0
     MemoryMb: float = 180
     LinkMbps: float = 1_000
+    # Zero or less: the limit of the process alone holds.
+    MaxFds: float = 0
 
 
 class _Platform(msgspec.Struct):
@@ -137,6 +139,7 @@
         regions_by_data_centre=_regions(
             file_settings.Zones, file_settings.Region
         ),
+        max_descriptors=_count(limits.MaxFds),
     )
 
 
@@ -158,3 +161,8 @@
     if ignored:
         logs.info('settings-ignored', names=','.join(ignored))
     return regions
+
+
+def _count(value: float) -> int:
+    """Returns a count from the file; 0 if it is none."""
+    return int(value) if 0 < value <= bounds_lib.MAX_COUNT else 0
