Have new requests wait for the read after a pause

Cause: a process that was paused refuses until it has read the store.

Change: before its admission, a request waits for that read for up to 0.1 s. What was admitted before the pause is refused as before.

The new case of tests/test_gateway_places.py fails without the wait.

--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -24,6 +24,9 @@
 
 # Enough to tell the requests of a log apart.
 LOGGED_DIGITS: typing.Final = 8
+# The first read of the store after a pause takes some milliseconds.
+READ_WAIT_S: typing.Final = 0.1
+READ_POLL_S: typing.Final = 0.005
 
 
 class Forwarder:
@@ -63,6 +66,7 @@
         result = codes.OK
         detail = ''
         try:
+            await self.wait_for_read()
             admitted = admission.admit(
                 self.board, request, clock.monotonic(), clock.boot()
             )
@@ -102,6 +106,15 @@
                 progress.release()
             self.record_outcome(request, progress, result, detail)
 
+    async def wait_for_read(self) -> None:
+        """Waits for a moment if the store was not read since a pause."""
+        self.board.check_pause(clock.monotonic(), clock.boot())
+        until = clock.monotonic() + READ_WAIT_S
+        while (
+            not self.board.has_read_since_pause() and clock.monotonic() < until
+        ):
+            await asyncio.sleep(READ_POLL_S)
+
     @contextlib.asynccontextmanager
     async def limit(
         self, deadline: float
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -324,6 +324,28 @@
             assert not is_served and error.code is codes.KEYS_UNVERIFIABLE
 
 
+@pytest.mark.parametrize('is_read', [True, False])
+def test_new_request_waits_for_the_read_after_a_pause(is_read: bool) -> None:
+    """Guards against refusing all that came in the pause."""
+
+    async def play() -> None:
+        async with gateway_desk.run_harness(
+            [replica.CompleteResponse()], route={**CALL, 'public': True}
+        ) as harness:
+            board = harness.forwarder.board
+            board.freshness.confirmed_at = clock.boot()
+            board.exchanged_at = clock.boot() - 2.0
+            sent = asyncio.create_task(harness.send_request())
+            await asyncio.sleep(0.02)
+            assert harness.replicas[0].received == []
+            if is_read:
+                board.freshness.confirm(clock.boot(), clock.boot())
+            assert (await sent).status == (200 if is_read else 503)
+            assert len(harness.replicas[0].received) == is_read
+
+    asyncio.run(play())
+
+
 def test_full_read_precedes_its_configuration_and_pauses_hurry_reads() -> None:
     """Guards against requests on a configuration without its evacuations."""
     board = gateway_support.board(now=clock.boot() - 3.0)
