Learn and share the speed of engines, and place turns by it

Cause: placement, the queue's time and admission assumed 200 prompt tokens per ms and 1.3 ms per token of every engine, while engines of one service differ by a factor of two and may turn slow.

Change: an engine's time per token is a line over its running requests (the fit of oleanderdrift/speed.py, with the decay as an argument) times a ratio that shows a sudden change; its reading speed is speed.py's envelope. The newest two measurements of an instance go to its peers. placement.delay_s, upstreams.queue_s, program_admission and upstream_limits use them; Upstream.slowness is gone. Engines at 1.5 times the lowest ratio get one turn in 50. What was held up by the link, the caller or the processor for a quarter of the time does not count.

Tests changed: the slow engine of test_gateway_placement and the overloaded one of test_gateway_upstream_limits are made slow by measurements, since the attributes are gone; the sample of states has the new fields.

--- a/oleanderdrift/gateway/answer_relay.py
+++ b/oleanderdrift/gateway/answer_relay.py
@@ -4,17 +4,19 @@
 import collections.abc
 import typing
 
+import attrs
+
 from oleanderdrift.gateway import answer_joins
 from oleanderdrift.gateway import board as board_lib
 from oleanderdrift.gateway import buffering
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import crash_detector
+from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import events
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import origin_log
-from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import stream_origins
@@ -32,6 +34,20 @@
 EVENTS_PER_TURN: typing.Final = 8
 
 
+@attrs.frozen(kw_only=True)
+class _StreamTimes:
+    """When a stream's request was sent, and its events came.
+
+    busy_s is the time in which the instance did not read on.
+    """
+
+    events: int
+    sent_at: float
+    first_at: float
+    last_at: float
+    busy_s: float
+
+
 class AnswerRelay:
     """Relays answers, whole or event by event."""
 
@@ -137,6 +153,7 @@
         prompt = progress.admitted.request.prompt
         protocol = outcome.connection.protocol
         event_count, first_at, last_at = 0, started, started
+        busy_s = 0.0
         while chunk := await outcome.connection.read_chunk():
             last_at = upstream.last_received = clock.monotonic()
             rest_bytes = len(reader.rest)
@@ -155,20 +172,57 @@
                 if event_count % EVENTS_PER_TURN == 0:
                     await asyncio.sleep(0)
             protocol.hold(len(reader.rest) - rest_bytes)
+            # Also while the caller does not read.
+            busy_s += clock.monotonic() - last_at
         answer_joins.check_end(outcome.head, event_count, reader.rest)
         upstream.abortable.pop(outcome.connection, None)
         if event_count >= MIN_MEASURED_EVENTS:
-            tokens = progress.admitted.service.tokens_per_event
-            upstream.note_work(
-                (last_at - first_at) / (event_count - 1),
-                tokens * placement.TOKEN_S,
-                last_at,
+            self.note_turn(
+                progress,
+                upstream,
+                _StreamTimes(
+                    events=event_count,
+                    sent_at=outcome.sent_at,
+                    first_at=first_at,
+                    last_at=last_at,
+                    busy_s=busy_s,
+                ),
             )
         if not reply.started:
             await reply.start(outcome.head.status, outcome.head.headers)
         await self.turns.store_turn(progress)
         await reply.finish()
 
+    def note_turn(
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        times: _StreamTimes,
+    ) -> None:
+        """Measures the speed of an engine by a stream."""
+        now = clock.monotonic()
+        if self.board.call_speeds.pauses.spans(times.sent_at, now):
+            return
+        link = self.board.link
+        stride = progress.admitted.service.tokens_per_event
+        at_end = upstream.own_requests + upstream.peer_requests
+        running = (at_end + progress.running_requests) / 2
+        upstream.engine.note_turn(
+            engine_speed.TurnTimes(
+                unread_tokens=progress.unread_tokens,
+                tokens=times.events * stride,
+                tokens_per_event=stride,
+                running=min(running, upstream.entry.slots),
+                sent_at=times.sent_at,
+                first_at=times.first_at,
+                last_at=times.last_at,
+                read_held_s=link.held_s(times.sent_at, times.first_at),
+                held_s=times.busy_s
+                + link.held_s(times.first_at, times.last_at),
+            ),
+            now,
+        )
+
     async def relay_event(
         self,
         progress: progress_lib.Progress,
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -99,6 +99,11 @@
             progress.running_requests = (
                 upstream.own_requests + upstream.peer_requests
             )
+            progress.unread_tokens = (
+                progress.uncached_tokens
+                + upstream.pending_tokens
+                + upstream.peer_pending_tokens
+            )
             upstream.add_pending_tokens(request.request_id, request.prompt)
             self.crashes.begin(progress, upstream)
             try:
--- a/oleanderdrift/gateway/exchange.py
+++ b/oleanderdrift/gateway/exchange.py
@@ -87,10 +87,14 @@
 
 @attrs.frozen(kw_only=True)
 class ResponseStarted:
-    """The response headers were received; the body follows."""
+    """The response headers were received; the body follows.
+
+    sent_at is when the whole request had been sent.
+    """
 
     head: ports.UpstreamHead
     connection: channel.Channel
+    sent_at: float
 
 
 Outcome: typing.TypeAlias = (
@@ -190,7 +194,9 @@
             upstream.abortable.pop(connection, None)
             return NotRun(head=head)
         handed_over = True
-        return ResponseStarted(head=head, connection=connection)
+        return ResponseStarted(
+            head=head, connection=connection, sent_at=sent_at
+        )
     except buffering.ChannelError as error:
         return MayHaveRun(reason=str(error), via=connection.via)
     finally:
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -207,7 +207,7 @@
                 speed=speed,
             )
             for name, one, speed in (
-                (name, one, one.calls.report(one.entry.born_ms, now))
+                (name, one, one.speed_report(now))
                 for name, one in self.board.upstreams.by_id.items()
             )
             if one.own_requests or one.new_parts or speed is not None
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -25,12 +25,6 @@
 from oleanderdrift.gateway import upstream_speed
 from oleanderdrift.gateway import upstreams
 
-# Prefill on an engine of usual speed.
-PREFILL_S_PER_TOKEN: typing.Final = 1 / 200_000
-# The time between two events of a stream on an idle engine, per token.
-TOKEN_S: typing.Final = 0.0013
-# What each running request adds to the time of a turn.
-BATCH_SLOWDOWN_S: typing.Final = 0.003
 # A call without a prompt, on a route of which no call has been measured.
 CALL_S: typing.Final = 0.04
 # A round trip to another data centre, including the price of its traffic.
@@ -43,9 +37,15 @@
 INSTANCES_PER_UPSTREAM: typing.Final = 10
 # Two random choices already spread requests far better than one.
 MIN_COMPARED: typing.Final = 2
-# An upstream whose calls take so many times those of the fastest one gets no
-# more of them than it takes to see whether it is still slow.
+# An upstream that takes so many times as long as the fastest one gets no more
+# requests than it takes to see whether it is still slow.
 SLOW_RATIO: typing.Final = 2.0
+# Below engine_speed.JUMP: any engine that turned slow is tried again.
+SLOW_TURN_RATIO: typing.Final = 1.5
+# The parts of calls and of turns that may go to such upstreams.  A turn there
+# makes its program late.
+RETRY_SHARE: typing.Final = 0.05
+RETRY_TURNS_SHARE: typing.Final = 0.02
 # Upper bound of a hash-based cost that keeps requests with equal prompts
 # together when costs are equal.
 TIE_BREAK_S: typing.Final = 0.002
@@ -81,18 +81,15 @@
     queued = max(running + 1 - entry.slots, 0)
     remote_s = 0.0 if entry.data_centre == data_centre else REMOTE_S
     if request.prompt:
+        engine = upstream.engine
+        reading_s = engine.reading_s()
+        prefill_s = upstream.uncached_tokens(request.prompt) * reading_s
         pending = upstream.pending_tokens + upstream.peer_pending_tokens
-        uncached = upstream.uncached_tokens(request.prompt)
-        prefill_s = uncached * PREFILL_S_PER_TOKEN
-        request_s = (
-            upstreams.TURN_DECODE_S + prefill_s + pending * PREFILL_S_PER_TOKEN
-        )
-        request_s += (
-            running * BATCH_SLOWDOWN_S
-            + queued * upstreams.TURN_DECODE_S / entry.slots
-        )
-        work_s = request_s + running * (prefill_s + BATCH_SLOWDOWN_S)
-        return work_s * upstream.current_slowness(now) + remote_s
+        turn_s = engine.turn_s(min(running + 1, entry.slots), now)
+        request_s = turn_s + prefill_s + pending * reading_s
+        request_s += queued * turn_s / entry.slots
+        slowdown_s = turn_s - engine.turn_s(min(running, entry.slots), now)
+        return request_s + running * (prefill_s + slowdown_s) + remote_s
     load = running / entry.slots
     work_s = call_s * (1 + load / 2 + queued / entry.slots * 2)
     if upstream.is_warm_for(request.affinity_key):
@@ -113,7 +110,7 @@
 
     Upstreams that are ejected or in a silent data centre are chosen only
     if there are no others: a busy one is worth waiting for.  Those that are
-    slow for calls are compared only if the others have a queue.
+    much slower are compared only if the others have a queue.
     """
     remaining = [
         one for one in candidates if one.entry.upstream_id not in excluded
@@ -142,15 +139,15 @@
         for one in healthy or remaining
         if one.entry.upstream_id not in busy
     ]
-    slow = [] if request.prompt else slow_ones(free, now)
+    slow = slow_ones(free, bool(request.prompt), now)
     if not slow:
         compared = draw(free, request, place, chance)
         return min(compared, key=score, default=None)
-    if chance.random() < upstream_speed.RETRY_SHARE:
+    share = RETRY_TURNS_SHARE if request.prompt else RETRY_SHARE
+    if chance.random() < share:
         retried = chance.choice(slow)
-        if not has_queue(retried) and retried.calls.try_retry(
-            now, place.instances
-        ):
+        ratio = ratio_of(retried, bool(request.prompt))
+        if not has_queue(retried) and ratio.try_retry(now, place.instances):
             return retried
     names = {one.entry.upstream_id for one in slow}
     fast = [one for one in free if one.entry.upstream_id not in names]
@@ -165,14 +162,25 @@
     return one.own_requests + one.peer_requests >= one.entry.slots
 
 
+def ratio_of(
+    one: upstreams.Upstream, is_turn: bool
+) -> upstream_speed.SpeedRatio:
+    """Returns how slow an upstream is for turns or for calls."""
+    return one.engine.ratio if is_turn else one.calls
+
+
 def slow_ones(
-    candidates: list[upstreams.Upstream], now: float
+    candidates: list[upstreams.Upstream], is_turn: bool, now: float
 ) -> list[upstreams.Upstream]:
-    """Returns those that are slow for calls beside the fastest one."""
-    if not any(one.calls.log_mean for one in candidates):
+    """Returns those that are much slower than the fastest one.
+
+    Engines count only if they are much slower than they usually are: their
+    usual speed is in the cost of each.
+    """
+    if not any(ratio_of(one, is_turn).log_mean for one in candidates):
         return []
-    ratios = [one.calls.ratio(now) for one in candidates]
-    limit = SLOW_RATIO * min(ratios)
+    ratios = [ratio_of(one, is_turn).ratio(now) for one in candidates]
+    limit = (SLOW_TURN_RATIO if is_turn else SLOW_RATIO) * min(ratios)
     return [
         one
         for one, ratio in zip(candidates, ratios, strict=True)
--- a/oleanderdrift/gateway/program_admission.py
+++ b/oleanderdrift/gateway/program_admission.py
@@ -11,6 +11,7 @@
 
 import collections.abc
 import math
+import statistics
 import typing
 
 import attrs
@@ -68,12 +69,14 @@
     engines are those that the program's turns could go to, and limits the
     rates that some of them take.
     """
-    running = slots = 0
-    for one in engines:
-        if one.is_ejected(now):
-            continue
-        running += one.own_requests + one.peer_requests
-        slots += _usable_slots(one, limits)
+    found = [one for one in engines if not one.is_ejected(now)]
+    running = sum(one.own_requests + one.peer_requests for one in found)
+    usual_s = statistics.median_low(
+        [one.engine.turn_s(1, now) for one in found] or [0.0]
+    )
+    slots = round(
+        sum(_usable_slots(one, limits, usual_s, now) for one in found)
+    )
     limit = MAX_URGENT_LOAD if priority <= URGENT_PRIORITY else MAX_LOAD
     if not slots or running < limit * slots:
         return None
@@ -84,11 +87,20 @@
 
 
 def _usable_slots(
-    engine: upstreams.Upstream, limits: upstream_limits.UpstreamLimits | None
-) -> int:
-    """Returns how many slots an engine's rate limit lets requests use."""
+    engine: upstreams.Upstream,
+    limits: upstream_limits.UpstreamLimits | None,
+    usual_s: float,
+    now: float,
+) -> float:
+    """Returns how many slots an engine has, as one of usual speed.
+
+    One that takes twice the usual time for a turn carries half as many
+    programs.  Its rate limit may let requests use fewer.
+    """
+    turn_s = engine.engine.turn_s(1, now)
+    carried = engine.entry.slots * min(usual_s / turn_s, 1.0)
     rate_per_s = limits.rate_per_s(engine) if limits is not None else None
     if rate_per_s is None:
-        return engine.entry.slots
-    used = math.ceil(rate_per_s * upstreams.TURN_DECODE_S)
-    return min(used, engine.entry.slots)
+        return carried
+    used = math.ceil(rate_per_s * turn_s)
+    return min(used, carried)
--- a/oleanderdrift/gateway/progress.py
+++ b/oleanderdrift/gateway/progress.py
@@ -24,8 +24,9 @@
     the caller has closed its connection.  possibly_ran
     holds the upstreams that may have run it and may still do so, excluded
     those that must not get it again.  tokens and output are those sent to
-    the caller, output_bytes the output's size.  uncached_tokens and
-    running_requests were the inputs of the last placement.  first_ms is the
+    the caller, output_bytes the output's size.  uncached_tokens,
+    unread_tokens (its own and those before it) and running_requests were the
+    inputs of the last placement.  first_ms is the
     time until the first event, or -1.  origin is that of the stream that the
     caller has begun to receive.  holder counts the earlier turns in body.
     is_renewed says that body is stored as the turn's input, and earlier where
@@ -51,6 +52,7 @@
     excluded: set[str] = attrs.field(factory=set)
     possibly_ran: set[str] = attrs.field(factory=set)
     uncached_tokens: int = 0
+    unread_tokens: int = 0
     running_requests: int = 0
     first_ms: int = -1
     upstream: str = ''
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -102,6 +102,12 @@
             'slow_upstreams': len(board.call_speeds.slow),
             'call_seconds_expected': board.call_speeds.expected_s,
             'call_seconds_measured': board.call_speeds.measured_s,
+            'turn_seconds_expected': sum(
+                one.engine.expected_s for one in board.upstreams.by_id.values()
+            ),
+            'turn_seconds_measured': sum(
+                one.engine.measured_s for one in board.upstreams.by_id.values()
+            ),
             'open_tunnels': len(self.tunnels.open),
             'lost_paths': len(board.lost_paths),
             'tunnels_opened': (
--- a/oleanderdrift/gateway/upstream_limits.py
+++ b/oleanderdrift/gateway/upstream_limits.py
@@ -226,7 +226,7 @@
             one.entry.upstream_id
             for one, rate in zip(engines, rates, strict=True)
             if (
-                one.current_slowness(now) > MAX_SLOWNESS
+                one.load_slowness(now) > MAX_SLOWNESS
                 if rate is None
                 else not self.may_send(one, now, may_use_reserve=False)
             )
--- a/oleanderdrift/gateway/upstream_speed.py
+++ b/oleanderdrift/gateway/upstream_speed.py
@@ -14,6 +14,8 @@
 import attrs
 import msgspec
 
+from oleanderdrift.gateway import bounds
+
 # Measurements of an instance that a message carries; more in one interval
 # between messages are not told.
 MAX_REPORTED: typing.Final = 2
@@ -37,32 +39,57 @@
 CODES_PER_OCTAVE: typing.Final = 11
 CODE_OF_ONE: typing.Final = 44
 MAX_CODE: typing.Final = 127
+# Times are told as a byte, from 0.1 us on in steps of 7.2%.
+TIME_CODES_PER_OCTAVE: typing.Final = 10
+FIRST_TIME_S: typing.Final = 1e-7
+MAX_TIME_CODE: typing.Final = 255
 COUNTS: typing.Final = 65_536
 # The tags of two starts of one upstream differ.
 TAGS: typing.Final = 65_536
-# Calls to an upstream that was slow, to see whether it still is: only after
-# nobody has measured it for a while, at most this part of an instance's calls
-# and so many a second from all instances.
+# Requests to an upstream that was slow, to see whether it still is: only after
+# nobody has measured it for a while, and at most so many a second from all
+# instances.
 RETRY_AFTER_S: typing.Final = 0.1
-RETRY_SHARE: typing.Final = 0.05
 RETRIES_PER_S: typing.Final = 20.0
 
 Code: typing.TypeAlias = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_CODE)]
+TimeCode: typing.TypeAlias = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=MAX_TIME_CODE)
+]
 Tag: typing.TypeAlias = typing.Annotated[
     int, msgspec.Meta(ge=0, lt=max(COUNTS, TAGS))
 ]
 
 
+Value = typing.TypeVar('Value')
+
+
+class TurnPoint(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
+    """A measured turn of an engine.
+
+    running is the number of requests there.  token and reading are the codes
+    of the times for each token and for each prompt token, None if its prompt
+    was too short to tell.
+    """
+
+    running: bounds.Slots
+    token: TimeCode
+    reading: TimeCode | None = None
+
+
 class Report(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
     """An instance's newest measurements of one start of an upstream.
 
-    start is the start's tag.  count is the number of measurements so far,
-    modulo COUNTS, by which a receiver knows those that are new to it.
+    start is the start's tag.  count is the number of measured calls so far,
+    modulo COUNTS, by which a receiver knows the ratios that are new to it,
+    and turn_count that of turns.
     """
 
     start: Tag
     count: Tag
     ratios: tuple[Code, ...] = ()
+    turn_count: Tag = 0
+    turns: tuple[TurnPoint, ...] = ()
 
 
 def tag(born_ms: int) -> int:
@@ -81,6 +108,54 @@
     return (code - CODE_OF_ONE) / CODES_PER_OCTAVE * math.log(2.0)
 
 
+def encode_s(time_s: float) -> int:
+    """Returns the code of a time, bounded."""
+    octaves = math.log2(max(time_s, FIRST_TIME_S) / FIRST_TIME_S)
+    return min(round(octaves * TIME_CODES_PER_OCTAVE), MAX_TIME_CODE)
+
+
+def decode_s(code: int) -> float:
+    """Returns the time of a code."""
+    return FIRST_TIME_S * math.exp2(code / TIME_CODES_PER_OCTAVE)
+
+
+@attrs.define(kw_only=True)
+class Series(typing.Generic[Value]):
+    """An instance's newest measurements, and the counts that it has heard.
+
+    count is the number of its own, modulo COUNTS, newest are the latest of
+    them and at is when the last one was made.
+    """
+
+    count: int = 0
+    newest: tuple[Value, ...] = ()
+    at: float = float('-inf')
+    heard: dict[str, int] = attrs.field(factory=dict)
+
+    def add(self, value: Value, now: float) -> None:
+        """Adds a measurement, to be told to peers."""
+        self.count = (self.count + 1) % COUNTS
+        self.newest = (*self.newest, value)[-MAX_REPORTED:]
+        self.at = now
+
+    def is_due(self, now: float) -> bool:
+        """Returns whether peers are to be told the newest measurements."""
+        return now - self.at <= REPORTED_S
+
+    def new_ones(
+        self, peer: str, count: int, values: tuple[Value, ...]
+    ) -> tuple[Value, ...]:
+        """Returns those of a peer's measurements that are new."""
+        known = self.heard.get(peer)
+        if known == count:
+            return ()
+        self.heard[peer] = count
+        new = min(len(values), MAX_REPORTED)
+        if known is not None:
+            new = min((count - known) % COUNTS, new)
+        return values[len(values) - new :]
+
+
 @attrs.define(kw_only=True)
 class OpenCall:
     """A call that was sent to a plain upstream.
@@ -111,19 +186,18 @@
     """The ratio of an upstream's time to what is usual.
 
     log_mean is its logarithm.  votes are the newest measurements, the latest
-    last, and measured_at is when the latest one came.  own_count counts this
-    instance's, own_codes has the newest of them and own_at when the latest
-    was made.  heard has the counts of the peers.  retried_at is when this
-    instance last sent a request here although the upstream was slow.
+    last, and measured_at is when the latest one came.  retried_at is when
+    this instance last sent a request here although the upstream was slow.
+    jump is the change, as a logarithm, at which it follows the median, and
+    smoothing the step otherwise.
     """
 
     log_mean: float = 0.0
     votes: list[Vote] = attrs.field(factory=list)
     measured_at: float = float('-inf')
-    own_count: int = 0
-    own_codes: tuple[int, ...] = ()
-    own_at: float = float('-inf')
-    heard: dict[str, int] = attrs.field(factory=dict)
+    series: Series[int] = attrs.field(factory=lambda: Series())
+    jump: float = JUMP
+    smoothing: float = SMOOTHING_FACTOR
     retried_at: float = float('-inf')
 
     def ratio(self, now: float) -> float:
@@ -138,32 +212,10 @@
     def note_own(self, log_ratio: float, now: float) -> None:
         """Applies a measurement of this instance, to be told to peers."""
         code = encode_ratio(log_ratio)
-        self.own_count = (self.own_count + 1) % COUNTS
-        self.own_codes = (*self.own_codes, code)[-MAX_REPORTED:]
-        self.own_at = now
+        self.series.add(code, now)
         # As peers apply it, so that all have the same estimate.
         self.apply('', decode_ratio(code), now)
 
-    def report(self, born_ms: int, now: float) -> Report | None:
-        """Returns what peers are to be told, None if there is no news."""
-        if now - self.own_at > REPORTED_S:
-            return None
-        return Report(
-            start=tag(born_ms), count=self.own_count, ratios=self.own_codes
-        )
-
-    def note_report(self, peer: str, report: Report, now: float) -> None:
-        """Applies those of a peer's measurements that are new."""
-        known = self.heard.get(peer)
-        if known == report.count:
-            return
-        self.heard[peer] = report.count
-        new = len(report.ratios)
-        if known is not None:
-            new = min((report.count - known) % COUNTS, new)
-        for code in report.ratios[-min(new, MAX_REPORTED) :]:
-            self.apply(peer, decode_ratio(code), now)
-
     def apply(self, source: str, log_ratio: float, now: float) -> None:
         """Applies one measurement."""
         self.measured_at = now
@@ -174,11 +226,11 @@
         votes.append(Vote(source=source, log_ratio=log_ratio))
         del votes[:-WINDOW]
         recent = self.median()
-        if abs(recent - self.log_mean) > JUMP:
+        if abs(recent - self.log_mean) > self.jump:
             self.log_mean = recent
             return
         change = min(max(log_ratio - self.log_mean, -MAX_CHANGE), MAX_CHANGE)
-        self.log_mean += SMOOTHING_FACTOR * change
+        self.log_mean += self.smoothing * change
 
     def median(self) -> float:
         """Returns the median of the newest measurements."""
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -7,13 +7,13 @@
 
 import collections
 import collections.abc
-import math
 import random
 import typing
 
 import attrs
 
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import leaving as leaving_lib
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import upstream_paths
@@ -23,8 +23,6 @@
 ENGINE_SILENCE_S: typing.Final = 0.9
 # A sound upstream may be silent for a second or so; its requests wait for it.
 ABORT_DELAY_S: typing.Final = 1.1
-# An engine's time for a turn of usual length, without prefill.
-TURN_DECODE_S: typing.Final = 0.33
 # Silence time-out if the upstream's data centre is unreachable.
 UNREACHABLE_SILENCE_S: typing.Final = 0.4
 FIRST_EJECTION_S: typing.Final = 0.5
@@ -35,11 +33,6 @@
 MAX_PROBE_S: typing.Final = 2.0
 # The part of an interval by which probes are spread at random.
 PROBE_SPREAD: typing.Final = 0.2
-# Weight of the newest measurement in the moving average.
-SMOOTHING_FACTOR: typing.Final = 0.2
-MAX_SLOWNESS: typing.Final = 10.0
-# Time constant with which the weight of a measurement decays.
-SLOWNESS_DECAY_S: typing.Final = 4.0
 # Prompt parts recorded for each upstream; those of the last minute.
 MAX_CACHED_PARTS: typing.Final = 1_024
 # Objects recorded for each upstream; those of some minutes.
@@ -54,9 +47,8 @@
     """One incarnation of an upstream.
 
     own_requests counts this instance's open requests, peer_requests those
-    of its peers by their latest messages.  slowness is the ratio of measured
-    to expected time of its work, as of measured_at.  pending_tokens counts
-    the prompt tokens of this instance's requests that are not prefilled yet,
+    of its peers by their latest messages.  pending_tokens counts the
+    prompt tokens of this instance's requests that are not prefilled yet,
     by request in pending_by_request; peer_pending_tokens those of its peers.
     new_parts holds the parts of prompts that this instance's requests
     brought into its cache and that peers are still to hear of: the next turn
@@ -76,7 +68,8 @@
     first answered without saying which start of the upstream answers.  path is
     the direct path to it.  older_entries counts those of an earlier start that
     came since its own last entry.  writes_no_report says that it has answered
-    so.  calls is how slow it is for calls, open_calls has this instance's by
+    so.  engine is how fast it is for turns.  calls is how slow it is for
+    calls, open_calls has this instance's by
     request, and overdue_at is when one of these was last counted as overdue.
     """
 
@@ -85,8 +78,6 @@
     peer_requests: int = 0
     pending_tokens: int = 0
     peer_pending_tokens: int = 0
-    slowness: float = 1.0
-    measured_at: float = float('-inf')
     failures: int = 0
     ejected_until: float = float('-inf')
     last_received: float = float('-inf')
@@ -103,6 +94,9 @@
     path: upstream_paths.Path = attrs.field(factory=upstream_paths.Path)
     older_entries: int = 0
     writes_no_report: bool = False
+    engine: engine_speed.EngineSpeed = attrs.field(
+        factory=engine_speed.EngineSpeed
+    )
     calls: upstream_speed.SpeedRatio = attrs.field(
         factory=upstream_speed.SpeedRatio
     )
@@ -209,36 +203,46 @@
         """Returns how long a request waits for a slot, by its load."""
         running = self.own_requests + self.peer_requests
         rounds = max(running - self.entry.slots, 0) / self.entry.slots
-        return rounds * TURN_DECODE_S * self.current_slowness(now)
+        return rounds * self.engine.turn_s(self.entry.slots, now)
 
     def note_success(self) -> None:
         """Resets the failures."""
         self.failures = 0
         self.ejected_until = float('-inf')
 
-    def note_work(
-        self, measured_s: float, expected_s: float, now: float
-    ) -> None:
-        """Updates the slowness by a measurement."""
-        ratio = min(max(measured_s / expected_s, 0.2), MAX_SLOWNESS)
-        previous = self.current_slowness(now)
-        self.slowness = previous + SMOOTHING_FACTOR * (ratio - previous)
-        self.measured_at = now
-
-    def current_slowness(self, now: float) -> float:
-        """Returns the slowness, decayed towards 1 with time.
+    def load_slowness(self, now: float) -> float:
+        """Returns how much slower than an idle engine its load makes it."""
+        running = max(self.own_requests + self.peer_requests, 1)
+        running = min(running, self.entry.slots)
+        return self.engine.token_s(running, now) / self.engine.idle_token_s()
 
-        The decay makes a slow upstream be tried again after a while.
-        """
-        weight = math.exp(-max(now - self.measured_at, 0.0) / SLOWNESS_DECAY_S)
-        return 1.0 + (self.slowness - 1.0) * weight
+    def speed_report(self, now: float) -> upstream_speed.Report | None:
+        """Returns the measurements that peers are to be told, if any."""
+        calls, turns = self.calls.series, self.engine.series
+        if not (calls.is_due(now) or turns.is_due(now)):
+            return None
+        return upstream_speed.Report(
+            start=upstream_speed.tag(self.entry.born_ms),
+            count=calls.count,
+            ratios=calls.newest,
+            turn_count=turns.count,
+            turns=turns.newest,
+        )
 
     def note_speed_report(
         self, peer: str, report: upstream_speed.Report, now: float
     ) -> None:
         """Applies a peer's measurements of this start of the upstream."""
-        if report.start == upstream_speed.tag(self.entry.born_ms):
-            self.calls.note_report(peer, report, now)
+        if report.start != upstream_speed.tag(self.entry.born_ms):
+            return
+        for code in self.calls.series.new_ones(
+            peer, report.count, report.ratios
+        ):
+            self.calls.apply(peer, upstream_speed.decode_ratio(code), now)
+        for point in self.engine.series.new_ones(
+            peer, report.turn_count, report.turns
+        ):
+            self.engine.apply(peer, point, now)
 
     def add_pending_tokens(
         self, request_id: str, prompt: tuple[model.PromptPart, ...]
--- a/oleanderdrift/speed.py
+++ b/oleanderdrift/speed.py
@@ -83,13 +83,15 @@
     )
 
 
-def add_point(line: LineFit, x: float, y: float) -> None:
+def add_point(
+    line: LineFit, x: float, y: float, decay: float = FIT_DECAY
+) -> None:
     """Adds a point and decays the older ones."""
-    line.weight = line.weight * FIT_DECAY + 1.0
-    line.x = line.x * FIT_DECAY + x
-    line.y = line.y * FIT_DECAY + y
-    line.xx = line.xx * FIT_DECAY + x * x
-    line.xy = line.xy * FIT_DECAY + x * y
+    line.weight = line.weight * decay + 1.0
+    line.x = line.x * decay + x
+    line.y = line.y * decay + y
+    line.xx = line.xx * decay + x * x
+    line.xy = line.xy * decay + x * y
 
 
 def decode_s(speed: Speed, concurrent_calls: float) -> float:
--- a/tests/speed_fleet.py
+++ b/tests/speed_fleet.py
@@ -1,4 +1,4 @@
-"""Replays calls of a fleet that shares the speeds of its upstreams."""
+"""Replays calls and turns of a fleet that shares its upstreams' speeds."""
 
 import collections
 import collections.abc
@@ -9,6 +9,7 @@
 import attrs
 
 from oleanderdrift.gateway import call_speeds
+from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import peer_load
 from oleanderdrift.gateway import peer_messages
@@ -18,6 +19,7 @@
 
 PUBLISH_S: typing.Final = 0.1
 NEWS_AGE_S: typing.Final = (0.1, 0.3)
+READING_S: typing.Final = 1 / 300_000
 # The times of calls on the two routes that were measured.
 ROUTES: typing.Final = {
     gateway_support.route(path_prefix='/short/'): 0.004,
@@ -41,7 +43,7 @@
 
     factors has by how much an upstream is slower than usual.  calls has the
     upstream and the start of each call.  shares says whether instances tell
-    each other measurements.
+    each other measurements, and learns whether they measure.
     """
 
     instances: int
@@ -50,6 +52,7 @@
     per_s: float
     chance: random.Random
     shares: bool = True
+    learns: bool = True
     now: float = 0.0
     count: int = 0
     factors: collections.defaultdict[int, float] = attrs.field(
@@ -141,7 +144,8 @@
         """Ends a call."""
         desk, one, request = data
         one.own_requests -= 1
-        desk.speeds.end(one, request.request_id, self.now, 0.0)
+        if self.learns:
+            desk.speeds.end(one, request.request_id, self.now, 0.0)
 
     def publish(self, number: int) -> None:
         """Tells all peers the load and the speeds that an instance knows."""
@@ -152,7 +156,7 @@
             name: peer_messages.UpstreamLoad(
                 running=one.own_requests,
                 pending=0,
-                speed=one.calls.report(1, self.now) if self.shares else None,
+                speed=one.speed_report(self.now) if self.shares else None,
             )
             for name, one in desk.known.by_id.items()
         }
@@ -176,3 +180,62 @@
         """Returns the mean time of the calls that began in a span."""
         found = [took for at, took in self.took_s if since <= at < until]
         return sum(found) / len(found)
+
+
+@attrs.define(kw_only=True)
+class EngineFleet(Fleet):
+    """Turns on engines of two speeds that slow down as more run."""
+
+    def token_s(self, number: int, running: int) -> float:
+        """Returns an engine's time per token."""
+        token_s = 0.0007 if number % 2 else 0.00145
+        return token_s * self.factors[number] * (1 + running / 50)
+
+    def arrive(self, _: None) -> None:
+        """Places a turn at a random instance."""
+        self.at(self.now + self.chance.expovariate(self.per_s), self.arrive, _)
+        desk = self.chance.choice(self.desks)
+        tokens = self.chance.choice([840, 12_600])
+        part = model.PromptPart(part_id=f'p{self.count}', tokens=tokens)
+        request = gateway_support.request(
+            request_id=f'q{self.count}', prompt=(part,)
+        )
+        one = self.choose(desk, request, gateway_support.route())
+        one.own_requests += 1
+        one.add_pending_tokens(request.request_id, request.prompt)
+        number = int(one.entry.upstream_id)
+        self.calls.append((self.now, number))
+        slots = self.free_at[number]
+        running = sum(each > self.now for each in slots) + 1
+        begins = max(heapq.heappop(slots), self.now)
+        token_s = self.token_s(number, running)
+        token_s *= self.chance.lognormvariate(0, 0.1)
+        first_at = begins + tokens * READING_S + token_s * 14
+        ends = first_at + token_s * 238
+        heapq.heappush(slots, ends)
+        self.took_s.append((self.now, ends - self.now))
+        times = engine_speed.TurnTimes(
+            unread_tokens=tokens,
+            tokens=252,
+            tokens_per_event=14,
+            running=running,
+            sent_at=self.now,
+            first_at=first_at,
+            last_at=ends,
+            read_held_s=0.0,
+            held_s=0.0,
+        )
+        self.at(ends, self.end_turn, (one, request, times))
+
+    def end_turn(
+        self,
+        data: tuple[
+            upstreams_lib.Upstream, model.Request, engine_speed.TurnTimes
+        ],
+    ) -> None:
+        """Ends a turn."""
+        one, request, times = data
+        one.own_requests -= 1
+        one.clear_pending_tokens(request.request_id)
+        if self.learns:
+            one.engine.note_turn(times, self.now)
--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -82,8 +82,8 @@
 )
 STATE: typing.Final = (
     b'\x9d\xa5north\xcb?\xd0\x00\x00\x00\x00\x00\x00\x81\xa4ward\x92\x07\xcb'
-    b'@\x04\x00\x00\x00\x00\x00\x00\xc3\x81\xa2u1\x94\x02\x1e\x91\xa2a1\x93'
-    b'\x05\x07\x91,\xc3'
+    b'@\x04\x00\x00\x00\x00\x00\x00\xc3\x81\xa2u1\x94\x02\x1e\x91\xa2a1\x95'
+    b'\x05\x07\x91,\x01\x91\x93\x03d\xc0\xc3'
     b'\x81\xa4u1\x1f5\x92\xc0\xcb?\xf0\x00\x00\x00\x00\x00\x00\x81\xa4u2\x1f'
     b'6\x93\xcb?\xe0\x00\x00\x00\x00\x00\x00\x91\xa2q1\x91\xa2q2\x81\xa2f1'
     b'\xcb@N\x00\x00\x00\x00\x00\x00\x81\xa4u3\x1f7\xcb@\x00\x00\x00\x00\x00'
@@ -100,7 +100,13 @@
             running=2,
             pending=30,
             cached=('a1',),
-            speed=upstream_speed.Report(start=5, count=7, ratios=(44,)),
+            speed=upstream_speed.Report(
+                start=5,
+                count=7,
+                ratios=(44,),
+                turn_count=1,
+                turns=(upstream_speed.TurnPoint(running=3, token=100),),
+            ),
         )
     },
     leaving=True,
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -8,6 +8,7 @@
 
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import placement
+from oleanderdrift.gateway import upstream_speed
 from oleanderdrift.gateway import upstreams
 from tests import gateway_support
 from tests import peer_fleet
@@ -65,9 +66,13 @@
 def test_slow_upstream_is_avoided_and_retried_later() -> None:
     slow = gateway_support.upstream('slow')
     fast = gateway_support.upstream('fast')
-    for _ in range(20):
-        slow.note_work(0.1, 0.02, 0.0)
-        fast.note_work(0.012, 0.02, 0.0)
+    for count in range(40):
+        times = [0.0013, 0.0013] if count < 20 else [0.0065, 0.0008]
+        for one, token_s in zip([slow, fast], times, strict=True):
+            point = upstream_speed.TurnPoint(
+                running=1, token=upstream_speed.encode_s(token_s)
+            )
+            one.engine.apply('', point, 0.0)
     fast.own_requests = 12
     assert choose([slow, fast]) == 'fast'
     assert choose([slow, fast], now=60.0) == 'slow'
--- a/tests/test_gateway_program_admission.py
+++ b/tests/test_gateway_program_admission.py
@@ -10,6 +10,7 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import admission
+from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import program_admission
 from oleanderdrift.gateway import upstreams
@@ -17,7 +18,7 @@
 
 ENGINES: typing.Final = 12
 SLOTS: typing.Final = 8
-TURN_S: typing.Final = upstreams.TURN_DECODE_S
+TURN_S: typing.Final = engine_speed.TURN_DECODE_S
 TURNS: typing.Final = 5
 # Users' target: so many times the program's time on idle engines.
 TARGET_RATIO: typing.Final = 1.4
--- a/tests/test_gateway_upstream_limits.py
+++ b/tests/test_gateway_upstream_limits.py
@@ -10,6 +10,7 @@
 from oleanderdrift.gateway import allotments
 from oleanderdrift.gateway import program_admission
 from oleanderdrift.gateway import upstream_limits
+from oleanderdrift import speed
 from standins import replica
 from tests import gateway_fleet
 from tests import gateway_support
@@ -294,7 +295,11 @@
     limited, other = (gateway_support.upstream(name) for name in 'ab')
     now = 10.0
     assert limits.can_begin('guide', [limited, other], now)
-    other.slowness, other.measured_at = 4.0, now
+    # Its load makes it 1.8 times as slow.
+    other.engine.speed.decode = line = speed.LineFit()
+    speed.add_point(line, 1, 0.0010)
+    speed.add_point(line, 9, 0.0018)
+    other.peer_requests = 9
     # No upstream names a limit.
     assert limits.can_begin('guide', [limited, other], now)
     limits.note_answer(limited, 5.0, now - 1.0)
--- a/tests/test_gateway_upstream_speed.py
+++ b/tests/test_gateway_upstream_speed.py
@@ -95,16 +95,16 @@
     for number in range(4):
         speeds.begin(one, REQUEST, ROUTE, number)
         speeds.end(one, REQUEST.request_id, number + 0.04, 0.0)
-    counted = one.calls.own_count
+    counted = one.calls.series.count
     speeds.begin(one, REQUEST, ROUTE, 10.0)
     counts = []
     for now in (10.08, 10.12, 10.5):
         speeds.pauses.check(now)
         speeds.note_overdue([one], now)
-        counts.append(one.calls.own_count - counted)
+        counts.append(one.calls.series.count - counted)
     speeds.pauses.check(10.6)
     speeds.end(one, REQUEST.request_id, 10.6, 0.0)
-    assert [*counts, one.calls.own_count - counted] == [0, 1, 1, 1]
+    assert [*counts, one.calls.series.count - counted] == [0, 1, 1, 1]
 
 
 @pytest.mark.parametrize(
