--- a/oleanderdrift/gateway/prefill_admission.py
+++ b/oleanderdrift/gateway/prefill_admission.py
@@ -13,7 +13,6 @@
 import attrs
 
 from oleanderdrift.gateway import model
-from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import upstreams as upstreams_lib
 
 # A prompt is long if reading it takes more than this part of a target.
@@ -36,7 +35,7 @@
 
 def read_s(engine: upstreams_lib.Upstream, tokens: int) -> float:
     """Returns how long an engine reads prompt tokens for."""
-    return tokens * placement.PREFILL_S_PER_TOKEN
+    return tokens * engine.engine.reading_s()
 
 
 def long_s(config: model.Configuration, service: str) -> float:
@@ -115,7 +114,7 @@
             return
         mix = self.mixes.setdefault(service, Mix())
         tokens = sum(part.tokens for part in prompt)
-        if read_s(engines[0], tokens) <= limit_s:
+        if min(read_s(one, tokens) for one in engines) <= limit_s:
             mix.short_at = now
         elif now - max(mix.looked_at, mix.long_at) > LOOK_S:
             mix.looked_at = now
--- a/standins/gateways.py
+++ b/standins/gateways.py
@@ -20,7 +20,8 @@
 FRONT_PORT: typing.Final = 8080
 READY_PORT: typing.Final = 8081
 PEER_PORT: typing.Final = 8100
-# The next ones are for tunnels and for grants of tokens.
+TUNNEL_PORT: typing.Final = 8101
+# For grants of tokens.
 LAST_PORT: typing.Final = 8102
 PARTITIONS: typing.Final = 4
 SETTINGS: typing.Final = """\
