An answer that ends while its request is still sent has broken off

Cause: an upstream that answers a long upload at once, without a length, closes its direction in order and then resets the connection: the end of its direction was taken for the end of the answer, and the caller, directly or through a peer's tunnel, got a part as a complete response.

Change: the end of a connection counts as a reset while bytes of the request wait to be sent, here, in asyncio's buffer or in the kernel; a carrier of a tunnel then tells its peer so.

--- a/oleanderdrift/gateway/buffering.py
+++ b/oleanderdrift/gateway/buffering.py
@@ -7,6 +7,9 @@
 
 import asyncio
 import enum
+import fcntl
+import struct
+import termios
 import typing
 
 from oleanderdrift.gateway import clock
@@ -16,9 +19,10 @@
 # A connection with more unread bytes is not read until its reader catches up.
 MAX_BUFFERED: typing.Final = 32_768
 READ_BYTES: typing.Final = 65_536
-# All connections read into it, each in its turn, and copy what has come.
 # A longer request is sent in pieces, as the peer takes them.
 SEND_BYTES: typing.Final = 65_536
+_COUNT: typing.Final = struct.Struct('i')
+# All connections read into it, each in its turn, and copy what has come.
 _READ_BUFFER: typing.Final = memoryview(bytearray(READ_BYTES))
 
 
@@ -38,6 +42,22 @@
         self.failure = failure
 
 
+def has_unsent(transport: asyncio.Transport | None) -> bool:
+    """Returns whether bytes wait here to be sent to the peer."""
+    if transport is None:
+        return False
+    if transport.get_write_buffer_size():
+        return True
+    sock = transport.get_extra_info('socket')
+    buffer = bytearray(_COUNT.size)
+    try:
+        fcntl.ioctl(sock, termios.TIOCOUTQ, buffer)
+    except (OSError, ValueError, TypeError):
+        # It is closed, or no socket of the kernel.
+        return False
+    return bool(_COUNT.unpack(buffer)[0])
+
+
 class BufferingProtocol(asyncio.BufferedProtocol):
     """Buffers received bytes for a channel.
 
@@ -125,8 +145,13 @@
         self.send_more()
 
     def eof_received(self) -> bool:
-        """Records that the peer closed the connection."""
-        self.closed = self.closed or Failure.CLOSED
+        """Records that the peer closed the connection.
+
+        An upstream that has not taken the whole request breaks off.
+        """
+        is_early = bool(self.unsent) or has_unsent(self.transport)
+        reason = Failure.RESET if is_early else Failure.CLOSED
+        self.closed = self.closed or reason
         self.wake()
         return False
 
--- a/oleanderdrift/gateway/tunnel_server.py
+++ b/oleanderdrift/gateway/tunnel_server.py
@@ -12,6 +12,7 @@
 from tornado import netutil
 
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import buffering
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import event_log
@@ -344,8 +345,12 @@
             self.transport.resume_reading()
 
     def eof_received(self) -> bool:
-        """Tells the peer that the upstream closed in order."""
-        self.end(tunnel_wire.End())
+        """Tells the peer that the upstream closed, and whether in order."""
+        if buffering.has_unsent(self.transport):
+            # It has not taken the whole request.
+            self.end(tunnel_wire.Reset())
+        else:
+            self.end(tunnel_wire.End())
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
