Take an answer with a status over 599 for malformed

Cause: h11 takes any status of three digits from 100 on, and 600 and 999 were passed on to callers, who cannot act on them.

Change: such a head fails the exchange as any malformed one does: 502 for the caller, or another try where that is allowed.

Tests: tests/test_gateway_invalid_answers.py, statuses 600 and 999; without the change 24 of 24 rows (calls, repeated calls, retained turns; with a length and without; direct and tunnel) and 8 of 8 of a process fail, and all pass with it. 000 and 099 held before.

--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -41,6 +41,8 @@
 # Other tasks run after this many events that were parsed without waiting.
 EVENTS_PER_TURN: typing.Final = 256
 FRAMING_HEADERS: typing.Final = (b'content-length', b'transfer-encoding')
+# h11 refuses those below 100, and takes all of three digits.
+MAX_STATUS: typing.Final = 599
 # Their answers have no body.
 NO_BODY_STATUSES: typing.Final = (204, 304)
 _KEEP_ALIVE_TIMEOUT: typing.Final = re.compile(rb'timeout\s*=\s*(\d+)')
@@ -172,6 +174,10 @@
             raise buffering.ChannelError(
                 buffering.Failure.CLOSED, 'no response'
             )
+        if event.status_code > MAX_STATUS:
+            raise buffering.ChannelError(
+                buffering.Failure.MALFORMED, f'status {event.status_code}'
+            )
         self.note_idle_timeout(event, now)
         self.body_length = None
         if self.request.method != b'HEAD':
--- a/tests/test_gateway_invalid_answers.py
+++ b/tests/test_gateway_invalid_answers.py
@@ -36,6 +36,7 @@
     'text': b'part',
     'events': b'id: 1\ndata: e1\n\n',
 }
+STATED: typing.Final = 'Content-Length: 4\r\n'
 RESET: typing.Final = struct.pack('ii', 1, 0)
 PAUSE_S: typing.Final = 0.05
 BAD_GATEWAY: typing.Final = 502
@@ -153,8 +154,8 @@
 
 
 @pytest.mark.parametrize('tunnel', [False, True], ids=['direct', 'tunnel'])
-@pytest.mark.parametrize('framing', ['Content-Length: 4\r\n', ''])
-@pytest.mark.parametrize('status', ['000', '099'])
+@pytest.mark.parametrize('framing', [STATED, ''])
+@pytest.mark.parametrize('status', ['000', '099', '600', '999'])
 @pytest.mark.parametrize('route', ROUTES.values(), ids=ROUTES)
 def test_status_that_is_none_is_not_passed_on(
     route: dict[str, typing.Any], status: str, framing: str, tunnel: bool
@@ -215,9 +216,10 @@
     async def play() -> None:
         upstream = Early(behaviours=[])
         async with floods.run_site(tmp_path, upstream) as site:
-            for status in ('200', '099'):
+            for status in ('200', '099', '600', '999'):
                 for end in ENDS.values():
-                    upstream.answer_data = head(status, '') + b'part'
+                    fields = '' if status == '200' else STATED
+                    upstream.answer_data = head(status, fields) + b'part'
                     upstream.pause_s = end.get('pause_s', 0.0)
                     upstream.ends_first = end.get('ends_first', False)
                     async with asyncio.timeout(floods.WAIT_S):
