--- a/oleanderdrift/gateway/grant_client.py
+++ b/oleanderdrift/gateway/grant_client.py
@@ -15,6 +15,7 @@
 from oleanderdrift.gateway import grant_desk
 from oleanderdrift.gateway import grant_links
 from oleanderdrift.gateway import grant_messages
+from oleanderdrift.gateway import grantors
 from oleanderdrift.gateway import relays
 from oleanderdrift.gateway import shared_work
 from oleanderdrift.gateway import time_limits
@@ -79,7 +80,8 @@
 
     def grantor_of(self, program: str, now: float) -> relays.Instance | None:
         """Returns a program's grantor; None if there is none to be asked."""
-        if len(program) > bounds.MAX_TEXT_LENGTH:
+        is_small = self.board.instances < grantors.MIN_INSTANCES
+        if is_small or len(program) > bounds.MAX_TEXT_LENGTH:
             return None
         settings = self.board.settings
         own = None
--- a/oleanderdrift/gateway/grantors.py
+++ b/oleanderdrift/gateway/grantors.py
@@ -14,6 +14,9 @@
 from oleanderdrift.gateway import relays
 from oleanderdrift.gateway import routing
 
+# Smaller fleets do without.  In fleets of any size, turns that come to
+# several instances wait less with a grantor, and take fewer calls.
+MIN_INSTANCES: typing.Final = 2
 # How long a silent grantor is avoided; doubles with each silence.
 FIRST_AVOIDANCE_S: typing.Final = 2.0
 MAX_AVOIDANCE_S: typing.Final = 16.0
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -315,8 +315,8 @@
                 return verdict
             self.check_store(progress, reserved=False)
         verdict = await self.grants.reserve(progress)
-        if grantor is not None and verdict is budgets.Verdict.SPENT:
-            # What the grantor holds, and open turns, may come back.
+        if self.board.grantors.peers and verdict is budgets.Verdict.SPENT:
+            # What grantors hold, and open turns, may come back.
             return budgets.Verdict.UNSETTLED
         return verdict
 
