--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -262,6 +262,9 @@
     assert result.instance == 'n1'
     assert result.peer_listen == '10.1.0.11:7780'
     assert result.tunnel_listen == '10.1.0.11:7781'
+    assert result.grant_listen == '10.1.0.11:7782'
+    short = SETTINGS.replace('7795', '7781')
+    assert settings.decode(short.encode()).grant_listen == ''
     assert result.store_partitions == 12
     assert result.key_grace_s == 4.5
     assert result.link_mbps == 22.5
