--- a/tests/test_gateway_grants.py
+++ b/tests/test_gateway_grants.py
@@ -246,6 +246,23 @@
     run(play)
 
 
+def test_reservation_that_a_pause_fell_into_is_not_used() -> None:
+    async def play(net: grant_net.Net) -> None:
+        waiting = asyncio.create_task(
+            net.begin(net.others[0], 'p', TURN, BUDGET)
+        )
+        await asyncio.sleep(grant_net.STORE_S)
+        net.own.flow.board.pauses += 1
+        assert (await waiting).grant is None
+        await asyncio.sleep(1.5)
+        settled = records.decode_budget(stored(net, 'p')[-1])
+        assert isinstance(settled, records.Settle)
+        assert settled.turn.startswith(net.own.name)
+        assert settled.tokens == 0
+
+    run(play)
+
+
 def test_instance_that_stops_hands_its_programs_over() -> None:
     async def play(net: grant_net.Net) -> None:
         assert await net.turn(net.others[0], 'p', TURN, 2 * TURN, 9) == 9
