Bound open requests, and read long bodies in larger pieces

Cause: a request that is not idempotent goes on, with its connection to an upstream, when its caller has left, so client connections alone did not bound descriptors. Smaller reads cost processor time for each body. Under load, one crowd of pipelined requests reached 64 of 64 MB: what is read and parsed for a connection before it is counted is more than was allowed for.

Reads are of 64 KiB while a body of a known length is coming, else of 16 KiB. A connection is taken to cost 80 KiB. After no connection could be closed for a new one, none is looked for for 50 ms.

--- a/oleanderdrift/gateway/caller_limits.py
+++ b/oleanderdrift/gateway/caller_limits.py
@@ -20,9 +20,9 @@
 HELD_SHARE: typing.Final = 0.4
 # The largest body by default, twice, so that one request always fits.
 MIN_HELD_BYTES: typing.Final = 8_388_608
-# Python's objects of a connection and of its request, and the bytes that are
-# read before they are counted.
-CONNECTION_BYTES: typing.Final = 40_960
+# Python's objects of a connection and of its request, and what is read and
+# parsed for it, from its caller and its upstream, before it is counted.
+CONNECTION_BYTES: typing.Final = 81_920
 MIN_CONNECTIONS: typing.Final = 16
 # Listeners, the store, peers, the log and what the interpreter opens.
 OWN_DESCRIPTORS_SHARE: typing.Final = 1 / 16
--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -17,6 +17,8 @@
 
 # Connections are many, and each holds up to twice as much that it has read.
 READ_BYTES: typing.Final = 16_384
+# So much at a time is read of a body, which is taken from the stream at once.
+BODY_READ_BYTES: typing.Final = 65_536
 _COUNT: typing.Final = struct.Struct('i')
 _PEEK_FLAGS: typing.Final = socket.MSG_PEEK | socket.MSG_DONTWAIT
 # Whether to linger, and for how many seconds: without any, a close is a reset.
@@ -31,6 +33,7 @@
     client closed the connection, closed_at when the socket was closed here,
     and was_unread whether bytes waited in it then.  on_read is told of the
     number of bytes of each read.  last_read_at is when bytes were last read.
+    body_left is how many bytes of a body are still to come, if that is known.
     open_streams holds the open ones of the server.  holder counts what waits
     in the kernel.
     """
@@ -52,17 +55,20 @@
         self.was_unread = False
         self.on_read: collections.abc.Callable[[int], None] | None = None
         self.last_read_at = clock.monotonic()
+        self.body_left = 0
         self.open_streams: set[ClientStream] = set()
         self.holder: held_bytes.Holder | None = None
 
     def expect_request(self) -> None:
         """Notes that the bytes to come are those of another request."""
         self.first_read_at = None
+        self.body_left = 0
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads what is there; notes when."""
+        limit = max(READ_BYTES, min(self.body_left, BODY_READ_BYTES))
         try:
-            count = super().read_from_fd(buf)
+            count = super().read_from_fd(memoryview(buf)[:limit])
         except OSError:
             self.peer_closed = True
             raise
@@ -72,6 +78,8 @@
             self.last_read_at = clock.monotonic()
             if self.first_read_at is None:
                 self.first_read_at = self.last_read_at
+        if count:
+            self.body_left = max(self.body_left - count, 0)
         if count and self.on_read is not None:
             self.on_read(count)
         return count
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -24,6 +24,8 @@
 MIN_HEAD_BYTES: typing.Final = 524_288
 # Fewer bytes in a socket's buffers are not worth counting.
 KERNEL_BYTES: typing.Final = 131_072
+# How long no connection is looked for to be closed after none was found.
+FULL_S: typing.Final = 0.05
 # Sent to a connection over the limit before any of its requests is read.
 _TOO_MANY: typing.Final = (
     f'HTTP/1.1 503 Answer\r\nRetry-After: {admission.RETRY_ELSEWHERE_S:g}\r\n'
@@ -35,6 +37,7 @@
     """Creates a request reader for each request on a connection.
 
     At its limit of connections, it closes some that wait for a caller.
+    full_until is until when no connection is closed for a new one.
     readers holds the current request reader of each open connection, and
     listeners the listening sockets.
     """
@@ -50,6 +53,7 @@
         self.readers: dict[object, request_reader.RequestReader] = {}
         self.listeners: list[socket.socket] = []
         self.limits = model.Limits()
+        self.full_until = 0.0
         self.server = make_server(self, self.limits)
 
     def listen(self, host: str, port: int) -> None:
@@ -145,6 +149,8 @@
     def make_room(self) -> bool:
         """Closes connections that wait for their callers, for a new one."""
         now = clock.monotonic()
+        if now < self.full_until:
+            return False
         found = caller_limits.victims(
             [
                 (reader, *reader.stage())
@@ -166,6 +172,8 @@
             if stage is caller_limits.Stage.BODY:
                 reader.refuse_slow('a new connection needs its place')
             reader.close()
+        if not found:
+            self.full_until = now + FULL_S
         return bool(found)
 
     def refuse_connection(self, sock: socket.socket) -> None:
@@ -201,7 +209,7 @@
         delegate,
         max_header_size=MIN_HEAD_BYTES,
         max_body_size=limits.body_bytes,
-        chunk_size=client_stream.READ_BYTES,
+        chunk_size=client_stream.BODY_READ_BYTES,
     )
     server.open_streams = set()
     server.max_connections = delegate.forwarder.board.caller_limits.clients
--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -1,6 +1,7 @@
 """Reads one request of a caller and starts the task that answers it."""
 
 import asyncio
+import re
 import typing
 
 from tornado import http1connection
@@ -26,6 +27,8 @@
 CHUNKED_VERSION: typing.Final = 'HTTP/1.1'
 # Around the name and the value of each header.
 HEADER_FRAMING_BYTES: typing.Final = 4
+# Longer ones are over any limit of bodies.
+LENGTH: typing.Final = re.compile(r'\A[0-9]{1,12}\Z')
 # Whatever a request's deadline is, its body may take this long to arrive.
 MIN_BODY_S: typing.Final = 1.0
 
@@ -162,6 +165,9 @@
         self.headers = list(headers.get_all())
         self.reply.takes_chunks = self.start_line.version == CHUNKED_VERSION
         self.release()
+        length = headers.get('Content-Length', '')
+        if self.stream is not None and LENGTH.search(length):
+            self.stream.body_left = int(length)
         if isinstance(self.conn, http1connection.HTTP1Connection):
             self.conn.set_max_body_size(self.ingress.limits.body_bytes)
 
@@ -297,6 +303,7 @@
     async def respond(self, reply: connection_reply.ConnectionReply) -> None:
         """Decodes the request and has the forwarder serve it."""
         try:
+            self.check_open_requests()
             request = self.decode()
         except errors.ResultError as error:
             await self.refuse(reply, error)
@@ -305,6 +312,22 @@
             raise errors.ResultError(codes.BAD_REQUEST, repr(error)) from error
         await self.ingress.forwarder.serve(request, reply)
 
+    def check_open_requests(self) -> None:
+        """Raises ResultError if too many requests are open.
+
+        Each may have a connection to an upstream, and those that are not
+        idempotent go on when their callers leave.
+        """
+        board = self.ingress.forwarder.board
+        if board.open_requests < board.caller_limits.clients:
+            return
+        board.refusals['open-requests'] += 1
+        raise errors.ResultError(
+            codes.OVERLOADED,
+            f'{board.open_requests} requests are open',
+            retry_after_s=admission.RETRY_ELSEWHERE_S,
+        )
+
     def decode(self) -> model.Request:
         """Returns the request; raises ResultError if it is refused."""
         if self.head_bytes() > self.ingress.limits.header_bytes:
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -47,6 +47,7 @@
     'long-heads',
     'slow-bodies',
     'slow-heads',
+    'open-requests',
     'operators',
     'tunnels',
     'unread-answers',
