Let programs with little time left have the fast engines

Cause: each turn took the engine that was best for itself, however much time its program had, so fast engines were full of turns that could have waited.

Change: Finish-Ms is decoded as Request.finish_s. A turn of a program with plenty of time, or one that is late anyway, pays for the time that an engine faster than the mean saves, in proportion to the load (gateway/time_left.py). Turns in a hurry do not try slow engines. The line event=request has finish_ms; malformed numbers count as not specified.

--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -219,6 +219,9 @@
             tokens=progress.tokens if progress else 0,
             most=request.max_tokens,
             budget=request.token_budget,
+            finish_ms=round(request.finish_s * 1_000)
+            if request.finish_s is not None
+            else None,
             code=result.number,
             detail=detail,
             ms=round(elapsed_s * 1_000),
--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -148,7 +148,8 @@
     caller stops waiting.  program_id and session_id are empty outside
     programs.  affinity_key names the object that the request is about.
     resumes is the id of the request whose answer began the stream that this
-    one continues after last_event_id.
+    one continues after last_event_id.  finish_s is the time until its program
+    should end, None if that is not specified.
     """
 
     request_id: str
@@ -169,3 +170,4 @@
     last_event_id: str | None = None
     resumes: str | None = None
     affinity_key: str | None = None
+    finish_s: float | None = None
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -22,6 +22,7 @@
 
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import time_left
 from oleanderdrift.gateway import upstream_speed
 from oleanderdrift.gateway import upstreams
 
@@ -132,19 +133,22 @@
         is_connected = one.entry.upstream_id in place.connected
         connect_s = 0.0 if is_connected else NEW_CONNECTION_S
         delay = delay_s(one, request, place.data_centre, now, place.call_s)
-        return delay + connect_s + tie
+        price_s = prices_s.get(one.entry.upstream_id, 0.0)
+        return delay + connect_s + tie + price_s
 
     free = [
         one
         for one in healthy or remaining
         if one.entry.upstream_id not in busy
     ]
+    prices_s = time_left.prices_s(free, request, now)
     slow = slow_ones(free, bool(request.prompt), now)
     if not slow:
         compared = draw(free, request, place, chance)
         return min(compared, key=score, default=None)
     share = RETRY_TURNS_SHARE if request.prompt else RETRY_SHARE
-    if chance.random() < share:
+    may_retry = not time_left.hurries(free, request, now)
+    if may_retry and chance.random() < share:
         retried = chance.choice(slow)
         ratio = ratio_of(retried, bool(request.prompt))
         if not has_queue(retried) and ratio.try_retry(now, place.instances):
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -25,6 +25,8 @@
 REQUEST_ID_HEADER: typing.Final = 'attempt-id'
 KEY_HEADER: typing.Final = 'credential'
 DEADLINE_HEADER: typing.Final = 'deadline-ms'
+# The time until the request's program should end.
+FINISH_HEADER: typing.Final = 'finish-ms'
 # Proof that a response comes from the upstream itself.
 SEAL_HEADER: typing.Final = 'response-seal'
 NOT_RUN_HEADER: typing.Final = 'not-executed'
@@ -128,6 +130,7 @@
             last_event_id=by_name.get(LAST_EVENT_HEADER),
             resumes=by_name.get(RESUMES_HEADER) or None,
             affinity_key=_affinity_key(headers),
+            finish_s=_optional_s(by_name.get(FINISH_HEADER)),
         )
 
     def request_id(self, headers: Headers) -> str:
@@ -238,6 +241,16 @@
     return number
 
 
+def _optional_s(text: str | None) -> float | None:
+    """Returns the seconds of a header; None if it is missing or unusable."""
+    try:
+        number = float(text or '')
+    except ValueError:
+        return None
+    # Also false for NaN.
+    return number / MS_PER_S if 0 <= number < 10**MAX_DIGITS else None
+
+
 def _is_count(text: str) -> bool:
     """Returns whether a text has decimal digits only."""
     return text.isascii() and text.isdigit()
--- a/tests/speed_fleet.py
+++ b/tests/speed_fleet.py
@@ -184,7 +184,16 @@
 
 @attrs.define(kw_only=True)
 class EngineFleet(Fleet):
-    """Turns on engines of two speeds that slow down as more run."""
+    """Turns on engines of two speeds that slow down as more run.
+
+    finish_s has the times left to the programs, drawn at random for each
+    turn, and took_by_finish the times of the turns.
+    """
+
+    finish_s: tuple[float | None, ...] = (None,)
+    took_by_finish: collections.defaultdict[float | None, list[float]] = (
+        attrs.field(factory=lambda: collections.defaultdict(list))
+    )
 
     def token_s(self, number: int, running: int) -> float:
         """Returns an engine's time per token."""
@@ -198,7 +207,10 @@
         tokens = self.chance.choice([840, 12_600])
         part = model.PromptPart(part_id=f'p{self.count}', tokens=tokens)
         request = gateway_support.request(
-            request_id=f'q{self.count}', prompt=(part,)
+            request_id=f'q{self.count}',
+            prompt=(part,),
+            received=self.now,
+            finish_s=self.chance.choice(self.finish_s),
         )
         one = self.choose(desk, request, gateway_support.route())
         one.own_requests += 1
@@ -214,6 +226,7 @@
         ends = first_at + token_s * 238
         heapq.heappush(slots, ends)
         self.took_s.append((self.now, ends - self.now))
+        self.took_by_finish[request.finish_s].append(ends - self.now)
         times = engine_speed.TurnTimes(
             unread_tokens=tokens,
             tokens=252,
--- a/tests/test_gateway_engine_speed.py
+++ b/tests/test_gateway_engine_speed.py
@@ -1,11 +1,13 @@
 """Engines that differ in speed, and turns that are placed by it."""
 
 import random
+import statistics
 
 import pytest
 
 from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import program_admission
+from oleanderdrift.gateway import time_left
 from tests import gateway_support
 from tests import speed_fleet
 
@@ -96,6 +98,37 @@
     assert speed.ratio.ratio(30.0) > 3.0
 
 
+@pytest.mark.parametrize(
+    ('left_s', 'share'),
+    [(0.0, 1.0), (0.2, 1.0), (0.4, 0.0), (1.2, 0.0), (2.4, 0.5), (60.0, 1.0)],
+)
+def test_who_leaves_the_fast_engines(left_s: float, share: float) -> None:
+    assert time_left.spare_share(left_s, 0.3) == pytest.approx(share)
+
+
+def test_programs_with_little_time_have_the_fast_engines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def mean_s(price: float) -> float:
+        monkeypatch.setattr(time_left, 'PRICE', price)
+        made = speed_fleet.EngineFleet(
+            instances=21,
+            upstreams=12,
+            slots=8,
+            per_s=200.0,
+            chance=random.Random(1),
+            finish_s=(0.1, 0.9, 8.0),
+        )
+        made.run(3.0)
+        made.took_by_finish.clear()
+        made.run(7.0)
+        # Nobody waits for long for that.
+        assert max(map(max, made.took_by_finish.values())) < 2.0
+        return statistics.mean(made.took_by_finish[0.9])
+
+    assert mean_s(time_left.PRICE) < 0.95 * mean_s(0.0)
+
+
 def test_slow_engine_carries_fewer_programs() -> None:
     engines = [gateway_support.upstream(f'u{n}', slots=8) for n in range(3)]
     for one in engines:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -179,6 +179,18 @@
     assert [part.tokens for part in result.prompt] == [800, 410]
 
 
+@pytest.mark.parametrize(
+    ('text', 'finish_s'),
+    [
+        ('1500', 1.5),
+        ('0', 0.0),
+        *((text, None) for text in ('', 'x', '-1', 'nan', 'inf', '1e30')),
+    ],
+)
+def test_time_left_is_decoded(text: str, finish_s: float | None) -> None:
+    assert decode_changed(Finish_Ms=text).finish_s == finish_s
+
+
 def test_callers_cannot_set_the_gateways_headers() -> None:
     result = decode_changed()
     sent = codec.PlatformCodec().upstream_headers(
