Bound the tokens that engines hold by their memory

Cause: prompts were placed without regard to the memory of engines, so one could be full while another had room, and a request that fits nowhere was sent all the same.

Change: KvCapacity is decoded as Service.memory_tokens; instances publish the prompt and output tokens of their open requests on each engine. Engines without room are left out while another one that can be used has room (gateway/engine_memory.py). What no engine can hold is refused at once, not run. Without KvCapacity nothing changes.

--- a/oleanderdrift/gateway/admission.py
+++ b/oleanderdrift/gateway/admission.py
@@ -7,6 +7,7 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import engine_memory
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import program_admission
 from oleanderdrift.gateway import routing
@@ -104,6 +105,7 @@
         raise errors.ResultError(
             codes.NO_UPSTREAM, f'no service {name} is configured'
         )
+    engine_memory.check(service, request)
     program_started = _has_started(board, request)
     begins_program = bool(
         service.is_engine and request.program_id and not program_started
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -91,8 +91,9 @@
                 break
             progress.upstream = upstream.entry.upstream_id
             self.log_continued(progress, upstream)
-            upstream.own_requests += 1
             request = progress.admitted.request
+            upstream.own_requests += 1
+            upstream.own_held_tokens += request.memory_tokens()
             if progress.admitted.service.is_engine:
                 upstream.silence_timeout_s = upstreams.ENGINE_SILENCE_S
             progress.uncached_tokens = upstream.uncached_tokens(request.prompt)
@@ -111,6 +112,7 @@
             finally:
                 self.crashes.end(progress, upstream)
                 upstream.own_requests -= 1
+                upstream.own_held_tokens -= request.memory_tokens()
                 upstream.open_calls.pop(request.request_id, None)
                 upstream.clear_pending_tokens(request.request_id)
             if done:
--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -205,6 +205,7 @@
                 pending=min(one.pending_tokens, bounds.MAX_COUNT),
                 cached=tuple(one.new_parts),
                 speed=speed,
+                held=min(one.own_held_tokens, bounds.MAX_COUNT),
             )
             for name, one, speed in (
                 (name, one, one.speed_report(now))
--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -61,12 +61,15 @@
 class Service:
     """A group of interchangeable upstreams.
 
-    Each event of a stream stands for tokens_per_event tokens.
+    Each event of a stream stands for tokens_per_event tokens.  memory_tokens
+    is how many prompt and output tokens of running requests an engine holds,
+    0 if that is not specified.
     """
 
     name: str
     tokens_per_event: int
     is_engine: bool
+    memory_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -171,3 +174,7 @@
     resumes: str | None = None
     affinity_key: str | None = None
     finish_s: float | None = None
+
+    def memory_tokens(self) -> int:
+        """Returns how many tokens an engine holds while it runs there."""
+        return sum(part.tokens for part in self.prompt) + self.max_tokens
--- a/oleanderdrift/gateway/peer_load.py
+++ b/oleanderdrift/gateway/peer_load.py
@@ -14,10 +14,11 @@
 
 @attrs.frozen(kw_only=True)
 class Load:
-    """Open requests and prompt tokens that are not processed yet."""
+    """Open requests, their prompt tokens that are not processed, and all."""
 
     running: int = 0
     pending: int = 0
+    held: int = 0
 
 
 _NO_LOAD: typing.Final = Load()
@@ -55,7 +56,9 @@
         self.replace(
             peer,
             {
-                name: Load(running=one.running, pending=one.pending)
+                name: Load(
+                    running=one.running, pending=one.pending, held=one.held
+                )
                 for name, one in work.items()
             },
         )
@@ -81,6 +84,7 @@
             total = Load(
                 running=total.running + new.running - old.running,
                 pending=total.pending + new.pending - old.pending,
+                held=total.held + new.held - old.held,
             )
             if total != _NO_LOAD:
                 self.totals[name] = total
@@ -88,6 +92,7 @@
             if upstream is not None:
                 upstream.peer_requests = total.running
                 upstream.peer_pending_tokens = total.pending
+                upstream.peer_held_tokens = total.held
 
     def expire(self, now: float) -> list[str]:
         """Drops the load of silent peers and returns their names."""
--- a/oleanderdrift/gateway/peer_messages.py
+++ b/oleanderdrift/gateway/peer_messages.py
@@ -41,12 +41,14 @@
     their prompt tokens that the upstream has not processed yet.  cached
     holds the parts of their prompts that the upstream has cached lately.
     speed has the instance's newest measurements, None if it has none.
+    held counts the prompt and output tokens of its open requests.
     """
 
     running: bounds.Count
     pending: bounds.Count
     cached: tuple[str, ...] = ()
     speed: upstream_speed.Report | None = None
+    held: bounds.Count = 0
 
 
 class StateUpdate(msgspec.Struct, array_like=True, frozen=True, kw_only=True):
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -99,6 +99,10 @@
             'peers': len(self.gossip.peer_load.last_heard),
             'silent_data_centres': len(board.silent_data_centres),
             'upstream_connections_opened': self.forwarder.attempts.pool.opened,
+            'tokens_held_by_engines': sum(
+                one.own_held_tokens + one.peer_held_tokens
+                for one in board.upstreams.by_id.values()
+            ),
             'slow_upstreams': len(board.call_speeds.slow),
             'call_seconds_expected': board.call_speeds.expected_s,
             'call_seconds_measured': board.call_speeds.measured_s,
--- a/oleanderdrift/gateway/upstream_choice.py
+++ b/oleanderdrift/gateway/upstream_choice.py
@@ -14,6 +14,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import continuations
+from oleanderdrift.gateway import engine_memory
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import progress as progress_lib
@@ -179,7 +180,14 @@
         elif admitted.route.is_resumable_stream():
             candidates = self.board.origins.of_listed(candidates, clock.boot())
         if len(progress.possibly_ran) < admitted.route.attempts:
-            return candidates
+            return engine_memory.with_room(
+                candidates,
+                admitted.service,
+                admitted.request,
+                clock.monotonic(),
+                progress.excluded,
+                self.board.silent_data_centres,
+            )
         # Only upstreams that may have run it already may get it again.
         return [
             one
--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -50,6 +50,7 @@
     of its peers by their latest messages.  pending_tokens counts the
     prompt tokens of this instance's requests that are not prefilled yet,
     by request in pending_by_request; peer_pending_tokens those of its peers.
+    own_held_tokens and peer_held_tokens are all tokens of their open requests.
     new_parts holds the parts of prompts that this instance's requests
     brought into its cache and that peers are still to hear of: the next turn
     of a conversation may come to any of them.
@@ -78,6 +79,8 @@
     peer_requests: int = 0
     pending_tokens: int = 0
     peer_pending_tokens: int = 0
+    own_held_tokens: int = 0
+    peer_held_tokens: int = 0
     failures: int = 0
     ejected_until: float = float('-inf')
     last_received: float = float('-inf')
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -50,6 +50,8 @@
 class _Engine(msgspec.Struct):
     # The number of tokens in one stream event.
     Stride: bounds.Count = 1
+    # The tokens that its memory holds; 0 for no limit.
+    KvCapacity: bounds.Count = 0
 
 
 class _Service(msgspec.Struct):
@@ -161,6 +163,7 @@
         name=service.Name,
         tokens_per_event=engine.Stride if engine else 1,
         is_engine=engine is not None,
+        memory_tokens=engine.KvCapacity if engine else 0,
     )
 
 
--- a/tests/speed_fleet.py
+++ b/tests/speed_fleet.py
@@ -9,6 +9,7 @@
 import attrs
 
 from oleanderdrift.gateway import call_speeds
+from oleanderdrift.gateway import engine_memory
 from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import peer_load
@@ -43,7 +44,8 @@
 
     factors has by how much an upstream is slower than usual.  calls has the
     upstream and the start of each call.  shares says whether instances tell
-    each other measurements, and learns whether they measure.
+    each other measurements, and learns whether they measure.  service has
+    the memory that instances know of.
     """
 
     instances: int
@@ -53,6 +55,9 @@
     chance: random.Random
     shares: bool = True
     learns: bool = True
+    service: model.Service = attrs.field(
+        factory=lambda: gateway_support.config().services['guide']
+    )
     now: float = 0.0
     count: int = 0
     factors: collections.defaultdict[int, float] = attrs.field(
@@ -129,7 +134,12 @@
             call_s=desk.speeds.usual_s(route) or placement.CALL_S,
         )
         found = placement.choose(
-            list(desk.known.by_id.values()),
+            engine_memory.with_room(
+                list(desk.known.by_id.values()),
+                self.service,
+                request,
+                self.now,
+            ),
             request,
             place,
             self.now,
@@ -157,6 +167,7 @@
                 running=one.own_requests,
                 pending=0,
                 speed=one.speed_report(self.now) if self.shares else None,
+                held=one.own_held_tokens,
             )
             for name, one in desk.known.by_id.items()
         }
@@ -187,9 +198,13 @@
     """Turns on engines of two speeds that slow down as more run.
 
     finish_s has the times left to the programs, drawn at random for each
-    turn, and took_by_finish the times of the turns.
+    turn, and took_by_finish the times of the turns.  held has the tokens on
+    an engine after each turn that began there.
     """
 
+    held: collections.defaultdict[str, list[int]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
     finish_s: tuple[float | None, ...] = (None,)
     took_by_finish: collections.defaultdict[float | None, list[float]] = (
         attrs.field(factory=lambda: collections.defaultdict(list))
@@ -209,11 +224,19 @@
         request = gateway_support.request(
             request_id=f'q{self.count}',
             prompt=(part,),
+            max_tokens=252,
             received=self.now,
             finish_s=self.chance.choice(self.finish_s),
         )
         one = self.choose(desk, request, gateway_support.route())
         one.own_requests += 1
+        one.own_held_tokens += request.memory_tokens()
+        self.held[one.entry.upstream_id].append(
+            sum(
+                each.known.by_id[one.entry.upstream_id].own_held_tokens
+                for each in self.desks
+            )
+        )
         one.add_pending_tokens(request.request_id, request.prompt)
         number = int(one.entry.upstream_id)
         self.calls.append((self.now, number))
@@ -249,6 +272,7 @@
         """Ends a turn."""
         one, request, times = data
         one.own_requests -= 1
+        one.own_held_tokens -= request.memory_tokens()
         one.clear_pending_tokens(request.request_id)
         if self.learns:
             one.engine.note_turn(times, self.now)
--- a/tests/test_gateway_older_builds.py
+++ b/tests/test_gateway_older_builds.py
@@ -82,8 +82,8 @@
 )
 STATE: typing.Final = (
     b'\x9d\xa5north\xcb?\xd0\x00\x00\x00\x00\x00\x00\x81\xa4ward\x92\x07\xcb'
-    b'@\x04\x00\x00\x00\x00\x00\x00\xc3\x81\xa2u1\x94\x02\x1e\x91\xa2a1\x95'
-    b'\x05\x07\x91,\x01\x91\x93\x03d\xc0\xc3'
+    b'@\x04\x00\x00\x00\x00\x00\x00\xc3\x81\xa2u1\x95\x02\x1e\x91\xa2a1\x95'
+    b'\x05\x07\x91,\x01\x91\x93\x03d\xc0\x09\xc3'
     b'\x81\xa4u1\x1f5\x92\xc0\xcb?\xf0\x00\x00\x00\x00\x00\x00\x81\xa4u2\x1f'
     b'6\x93\xcb?\xe0\x00\x00\x00\x00\x00\x00\x91\xa2q1\x91\xa2q2\x81\xa2f1'
     b'\xcb@N\x00\x00\x00\x00\x00\x00\x81\xa4u3\x1f7\xcb@\x00\x00\x00\x00\x00'
@@ -107,6 +107,7 @@
                 turn_count=1,
                 turns=(upstream_speed.TurnPoint(running=3, token=100),),
             ),
+            held=9,
         )
     },
     leaving=True,
@@ -239,11 +240,11 @@
     assert state.leaving is (fields > 5)
 
 
-@pytest.mark.parametrize('fields', range(2, 6))
+@pytest.mark.parametrize('fields', range(2, 7))
 def test_load_with_fewer_or_more_fields_is_read(fields: int) -> None:
     """Guards against a build that takes no load from its older peers."""
     known = msgspec.msgpack.decode(STATE)
-    known[4] = {'u1': [2, 30, ['a1'], None, 'new'][:fields]}
+    known[4] = {'u1': [2, 30, ['a1'], None, 9, 'new'][:fields]}
     state = msgspec.Raw(msgspec.msgpack.encode(known))
     envelope = peer_messages.Envelope(
         instance='north-1', incarnation=1, sequence=1, state=state
