Publish no measured load that peers would not read; log slow engines too

Cause: a turn whose mean load rounds to 0 would be published as such, which is out of the range of the field, so peers would not read the whole state. And only calls counted for the events upstream-slow and upstream-fast-again.

Change: the load of a measurement is one at least; the review takes the ratio of engines too. test_what_a_turn_tells failed with a ValidationError on the code before (running=0.2) and passes now.

--- a/oleanderdrift/gateway/call_speeds.py
+++ b/oleanderdrift/gateway/call_speeds.py
@@ -196,9 +196,9 @@
         """Returns which upstreams became slow or fast since the last call."""
         by_service: dict[str, list[tuple[float, upstreams_lib.Upstream]]] = {}
         for one in known:
-            by_service.setdefault(one.entry.service, []).append(
-                (one.calls.ratio(now), one)
-            )
+            # One of the two is 1: it serves either calls or turns.
+            ratio = one.calls.ratio(now) * one.engine.ratio.ratio(now)
+            by_service.setdefault(one.entry.service, []).append((ratio, one))
         changes = []
         slow = set()
         for found in by_service.values():
--- a/oleanderdrift/gateway/engine_speed.py
+++ b/oleanderdrift/gateway/engine_speed.py
@@ -127,7 +127,8 @@
         )
         self.measured_s += times.last_at - times.sent_at
         point = upstream_speed.TurnPoint(
-            running=round(times.running),
+            # Peers would not read a state with a value out of range.
+            running=max(round(times.running), 1),
             token=upstream_speed.encode_s(token_s),
             reading=reading,
         )
--- a/tests/test_gateway_engine_speed.py
+++ b/tests/test_gateway_engine_speed.py
@@ -3,11 +3,13 @@
 import random
 import statistics
 
+import msgspec
 import pytest
 
 from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import program_admission
 from oleanderdrift.gateway import time_left
+from oleanderdrift.gateway import upstream_speed
 from tests import gateway_support
 from tests import speed_fleet
 
@@ -70,6 +72,8 @@
         (TIMES._replace(read_held_s=0.04), 1, False),
         # A short prompt tells nothing of reading.
         (TIMES._replace(unread_tokens=840), 1, False),
+        # Values that no peer would read.
+        (TIMES._replace(running=0.2, unread_tokens=0), 1, False),
         # A clock that stands still.
         (TIMES._replace(first_at=0.0, last_at=0.0), 1, False),
     ],
@@ -80,6 +84,9 @@
     speed = engine_speed.EngineSpeed()
     speed.note_turn(times, 1.0)
     assert speed.series.count == counts
+    for point in speed.series.newest:
+        data = msgspec.msgpack.encode(point)
+        msgspec.msgpack.decode(data, type=upstream_speed.TurnPoint)
     assert (speed.reading_s() != engine_speed.READING_S) == reads
 
 
--- a/tests/test_gateway_upstream_speed.py
+++ b/tests/test_gateway_upstream_speed.py
@@ -151,3 +151,14 @@
     ]
     assert found[0] is fast
     assert 15 <= found.count(slow)
+
+
+def test_change_of_speed_is_told_once() -> None:
+    speeds = call_speeds.CallSpeeds(data_centre='north')
+    known = [gateway_support.upstream(name) for name in 'ab']
+    told = []
+    for ratio in (1.0, 6.0, 6.0, 6.0, 1.0, 1.0, 1.0, 1.0):
+        known[0].calls.note_own(math.log(ratio), 1.0)
+        told += [one.is_slow for one in speeds.review(known, 1.0)]
+    assert told == [True, False]
+    assert not speeds.slow
