Count no call as overdue that waits behind the own link

Cause: a call that was open for long counted before its end also where the own link had been full meanwhile; and of a link that was full for longer than own_link.MAX_HELD_S only this part was subtracted.

Change: the time of the own link is subtracted from open calls too, and what reaches that limit does not count, for calls and turns. Long turns on a busy link are measured by other instances only.

Both new cases failed on the code before: test_call_behind_a_full_link_is_not_overdue and test_what_condemns_an_upstream[calls4-None-1.0]; they pass now.

--- a/oleanderdrift/gateway/answer_relay.py
+++ b/oleanderdrift/gateway/answer_relay.py
@@ -17,6 +17,7 @@
 from oleanderdrift.gateway import exchange
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import origin_log
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import progress as progress_lib
 from oleanderdrift.gateway import reply as reply_lib
 from oleanderdrift.gateway import stream_origins
@@ -204,6 +205,11 @@
         if self.board.call_speeds.pauses.spans(times.sent_at, now):
             return
         link = self.board.link
+        read_held_s = link.held_s(times.sent_at, times.first_at)
+        held_s = link.held_s(times.first_at, times.last_at)
+        if max(read_held_s, held_s) >= own_link.MAX_HELD_S:
+            # It was full for longer than is known.
+            return
         stride = progress.admitted.service.tokens_per_event
         at_end = upstream.own_requests + upstream.peer_requests
         running = (at_end + progress.running_requests) / 2
@@ -216,9 +222,8 @@
                 sent_at=times.sent_at,
                 first_at=times.first_at,
                 last_at=times.last_at,
-                read_held_s=link.held_s(times.sent_at, times.first_at),
-                held_s=times.busy_s
-                + link.held_s(times.first_at, times.last_at),
+                read_held_s=read_held_s,
+                held_s=times.busy_s + held_s,
             ),
             now,
         )
--- a/oleanderdrift/gateway/board.py
+++ b/oleanderdrift/gateway/board.py
@@ -96,7 +96,7 @@
     call_speeds: call_speeds_lib.CallSpeeds = attrs.field(
         default=attrs.Factory(
             lambda self: call_speeds_lib.CallSpeeds(
-                data_centre=self.settings.data_centre
+                data_centre=self.settings.data_centre, link=self.link
             ),
             takes_self=True,
         )
--- a/oleanderdrift/gateway/call_speeds.py
+++ b/oleanderdrift/gateway/call_speeds.py
@@ -13,6 +13,7 @@
 import attrs
 
 from oleanderdrift.gateway import model
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import upstream_speed
 from oleanderdrift.gateway import upstreams as upstreams_lib
@@ -90,11 +91,13 @@
 class CallSpeeds:
     """The usual times of routes, and the measurements of calls.
 
+    link is that of this instance.
     slow has the incarnations of the upstreams that count as slow.  expected_s
     and measured_s are the sums of the times of all measured calls.
     """
 
     data_centre: str
+    link: own_link.OwnLink = attrs.field(factory=own_link.OwnLink)
     routes: dict[str, RouteTime] = attrs.field(factory=dict)
     pauses: Pauses = attrs.field(factory=Pauses)
     slow: set[str] = attrs.field(factory=set)
@@ -143,7 +146,7 @@
         if call is None or self.pauses.spans(call.sent_at, now):
             return
         whole_s = now - call.sent_at
-        if held_s > whole_s * MAX_HELD_SHARE:
+        if is_held(whole_s, held_s):
             return
         measured_s = max(whole_s - held_s, MIN_CALL_S)
         if upstream.entry.data_centre != self.data_centre:
@@ -182,6 +185,13 @@
                     or self.pauses.spans(call.sent_at, now)
                 ):
                     continue
+                held_s = self.link.held_s(call.sent_at, now)
+                open_s -= held_s
+                if (
+                    is_held(open_s + held_s, held_s)
+                    or open_s < call.expected_s * OVERDUE_RATIO
+                ):
+                    continue
                 call.is_overdue = True
                 one.overdue_at = now
                 total_s = open_s * OVERDUE_TOTAL / call.factor
@@ -217,5 +227,13 @@
         return changes
 
 
+def is_held(whole_s: float, held_s: float) -> bool:
+    """Returns whether the own link was full for most of a time.
+
+    It may have been for longer than is known.
+    """
+    return held_s > whole_s * MAX_HELD_SHARE or held_s >= own_link.MAX_HELD_S
+
+
 def _key(route: model.Route) -> str:
     return f'{route.host} {route.path_prefix}'
--- a/tests/test_gateway_upstream_speed.py
+++ b/tests/test_gateway_upstream_speed.py
@@ -7,6 +7,7 @@
 import pytest
 
 from oleanderdrift.gateway import call_speeds
+from oleanderdrift.gateway import own_link
 from oleanderdrift.gateway import placement
 from oleanderdrift.gateway import upstream_speed
 from tests import gateway_support
@@ -68,6 +69,8 @@
         # The own link is full.
         ([(0.24, 0.2)] * 4, None, 1.0),
         ([(0.05, 0.01)] * 4, None, 1.0),
+        # It was full for longer than is known.
+        ([(1.2, own_link.MAX_HELD_S)] * 4, None, 1.0),
         # The instance is paused during the calls.
         ([(0.24, 0.0)] * 4, 0.1, 1.0),
     ],
@@ -81,14 +84,31 @@
     for time_s, held_s in USUAL + calls:
         speeds.pauses.check(now)
         speeds.begin(one, REQUEST, ROUTE, now)
-        if pause_at is None:
-            speeds.pauses.check(now + time_s / 2)
+        for step in range(0 if pause_at else int(time_s / 0.05)):
+            speeds.pauses.check(now + step * 0.05)
         now += time_s
         speeds.end(one, REQUEST.request_id, now, held_s)
         one.overdue_at = now
     assert one.calls.ratio(now) == pytest.approx(ratio, rel=0.15)
 
 
+def test_call_behind_a_full_link_is_not_overdue() -> None:
+    link = own_link.OwnLink(mbps=8.0)
+    speeds = call_speeds.CallSpeeds(data_centre='north', link=link)
+    one = gateway_support.upstream()
+    for number in range(4):
+        speeds.begin(one, REQUEST, ROUTE, number)
+        speeds.end(one, REQUEST.request_id, number + 0.04, 0.0)
+    counted = one.calls.series.count
+    speeds.begin(one, REQUEST, ROUTE, 10.0)
+    for step in range(1, 40):
+        now = 10.0 + step * 0.02
+        link.note(20_000, now)
+        speeds.pauses.check(now)
+        speeds.note_overdue([one], now)
+    assert one.calls.series.count == counted
+
+
 def test_overdue_call_counts_before_it_ends_but_once() -> None:
     speeds = call_speeds.CallSpeeds(data_centre='north')
     one = gateway_support.upstream()
