--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -5,7 +5,7 @@
 requests that run there.  The request goes to the upstream with the lowest
 total cost: the expected time of this request, from the tokens that wait for
 prefill and the uncached tokens of its prompt, plus the delay that it causes
-for running requests.  Both are multiplied by the upstream's recent slowness.
+for running requests, both at the speeds that were measured there.
 
 In a large fleet many instances place requests before any of them hears of
 the others' choices.  If each took the best upstream, they would all take the
