--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -66,6 +66,8 @@
     Each event of a stream stands for tokens_per_event tokens.  An upstream
     that has just started is cold for cold_start_s, and takes cold_per_s
     requests a second until then; 0 if the operators name none.
+    memory_tokens is how many prompt and output tokens of running requests an
+    engine holds, 0 if that is not specified.
     """
 
     name: str
@@ -73,6 +75,7 @@
     is_engine: bool
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    memory_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -158,7 +161,8 @@
     caller stops waiting.  program_id and session_id are empty outside
     programs.  affinity_key names the object that the request is about.
     resumes is the id of the request whose answer began the stream that this
-    one continues after last_event_id.
+    one continues after last_event_id.  finish_s is the time until its program
+    should end, None if that is not specified.
     """
 
     request_id: str
@@ -179,3 +183,8 @@
     last_event_id: str | None = None
     resumes: str | None = None
     affinity_key: str | None = None
+    finish_s: float | None = None
+
+    def memory_tokens(self) -> int:
+        """Returns how many tokens an engine holds while it runs there."""
+        return sum(part.tokens for part in self.prompt) + self.max_tokens
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -5,7 +5,7 @@
 requests that run there.  The request goes to the upstream with the lowest
 total cost: the expected time of this request, from the tokens that wait for
 prefill and the uncached tokens of its prompt, plus the delay that it causes
-for running requests.  Both are multiplied by the upstream's recent slowness.
+for running requests, both at the speeds that were measured there.
 
 In a large fleet many instances place requests before any of them hears of
 the others' choices.  If each took the best upstream, they would all take the
@@ -22,6 +22,7 @@
 
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import routing
+from oleanderdrift.gateway import time_left
 from oleanderdrift.gateway import upstream_speed
 from oleanderdrift.gateway import upstreams
 
@@ -161,7 +162,8 @@
         compared = draw(free, request, place, chance)
         return min(compared, key=score, default=None)
     share = RETRY_TURNS_SHARE if request.prompt else RETRY_SHARE
-    if chance.random() < share:
+    may_retry = not time_left.hurries(free, request, now)
+    if may_retry and chance.random() < share:
         retried = chance.choice(slow)
         ratio = ratio_of(retried, bool(request.prompt))
         if not has_queue(retried) and ratio.try_retry(now, place.instances):
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -54,6 +54,8 @@
 class _Engine(msgspec.Struct):
     # The number of tokens in one stream event.
     Stride: bounds.Count = 1
+    # The tokens that its memory holds; 0 for no limit.
+    KvCapacity: bounds.Count = 0
 
 
 class _Service(msgspec.Struct):
@@ -188,6 +190,7 @@
         is_engine=engine is not None,
         cold_start_s=service.ColdStartS,
         cold_per_s=service.ColdPerS,
+        memory_tokens=engine.KvCapacity if engine else 0,
     )
 
 
--- a/tests/test_gateway_engine_speed.py
+++ b/tests/test_gateway_engine_speed.py
@@ -2,10 +2,13 @@
 
 import random
 
+import msgspec
 import pytest
 
 from oleanderdrift.gateway import engine_speed
 from oleanderdrift.gateway import program_admission
+from oleanderdrift.gateway import time_left
+from oleanderdrift.gateway import upstream_speed
 from tests import gateway_support
 from tests import speed_fleet
 
@@ -68,6 +71,8 @@
         (TIMES._replace(read_held_s=0.04), 1, False),
         # A short prompt tells nothing of reading.
         (TIMES._replace(unread_tokens=840), 1, False),
+        # Values that no peer would read.
+        (TIMES._replace(running=0.2, unread_tokens=0), 1, False),
         # A clock that stands still.
         (TIMES._replace(first_at=0.0, last_at=0.0), 1, False),
     ],
@@ -78,6 +83,9 @@
     speed = engine_speed.EngineSpeed()
     speed.note_turn(times, 1.0)
     assert speed.series.count == counts
+    for point in speed.series.newest:
+        data = msgspec.msgpack.encode(point)
+        msgspec.msgpack.decode(data, type=upstream_speed.TurnPoint)
     assert (speed.reading_s() != engine_speed.READING_S) == reads
 
 
@@ -96,6 +104,16 @@
     assert speed.ratio.ratio(30.0) > 3.0
 
 
+@pytest.mark.parametrize(
+    ('left_s', 'is_short'),
+    [(0.0, False), (0.2, False), (0.4, True), (1.2, True), (2.4, False)],
+)
+def test_programs_with_little_time_try_no_slow_engine(
+    left_s: float, is_short: bool
+) -> None:
+    assert time_left.is_short(left_s, 0.3) is is_short
+
+
 def test_slow_engine_carries_fewer_programs() -> None:
     engines = [gateway_support.upstream(f'u{n}', slots=8) for n in range(3)]
     for one in engines:
