Take no sound upstream for slow because its calls vary

The median of five calls is often twice the usual time, and the lowest of 16 ratios is low by chance.

Seven calls decide now, the newest three whether an upstream is fast again, beside the quartile of all and not the fastest, from 2.5 times on.

--- a/oleanderdrift/gateway/call_speeds.py
+++ b/oleanderdrift/gateway/call_speeds.py
@@ -212,12 +212,12 @@
         changes = []
         slow = set()
         for found in by_service.values():
-            lowest = min(ratio for ratio, _ in found)
+            fast = placement.fast_ratio([ratio for ratio, _ in found])
             for ratio, one in found:
                 name = one.entry.incarnation()
                 was_slow = name in self.slow
                 limit = FAST_RATIO if was_slow else SLOW_RATIO
-                if is_slow := ratio > limit * lowest:
+                if is_slow := ratio > limit * fast:
                     slow.add(name)
                 if is_slow is not was_slow:
                     changes.append(
--- a/oleanderdrift/gateway/placement.py
+++ b/oleanderdrift/gateway/placement.py
@@ -38,9 +38,9 @@
 INSTANCES_PER_UPSTREAM: typing.Final = 10
 # Two random choices already spread requests far better than one.
 MIN_COMPARED: typing.Final = 2
-# An upstream that takes so many times as long as the fastest one gets no more
+# An upstream that takes so many times as long as the fast ones gets no more
 # requests than it takes to see whether it is still slow.
-SLOW_RATIO: typing.Final = 2.0
+SLOW_RATIO: typing.Final = 2.5
 # Below engine_speed.JUMP: any engine that turned slow is tried again.
 SLOW_TURN_RATIO: typing.Final = 1.5
 # The parts of calls and of turns that may go to such upstreams.  A turn there
@@ -191,7 +191,7 @@
 def slow_ones(
     candidates: list[upstreams.Upstream], is_turn: bool, now: float
 ) -> list[upstreams.Upstream]:
-    """Returns those that are much slower than the fastest one.
+    """Returns those that are much slower than the fast ones.
 
     Engines count only if they are much slower than they usually are: their
     usual speed is in the cost of each.
@@ -199,7 +199,8 @@
     if not any(ratio_of(one, is_turn).log_mean for one in candidates):
         return []
     ratios = [ratio_of(one, is_turn).ratio(now) for one in candidates]
-    limit = (SLOW_TURN_RATIO if is_turn else SLOW_RATIO) * min(ratios)
+    limit = SLOW_TURN_RATIO if is_turn else SLOW_RATIO
+    limit *= fast_ratio(ratios)
     return [
         one
         for one, ratio in zip(candidates, ratios, strict=True)
@@ -207,6 +208,14 @@
     ]
 
 
+def fast_ratio(ratios: collections.abc.Collection[float]) -> float:
+    """Returns the ratio of a fast upstream, by the quartile.
+
+    The lowest of many measured ratios is too low by chance.
+    """
+    return sorted(ratios)[(len(ratios) - 1) // 4]
+
+
 def draw(
     candidates: list[upstreams.Upstream],
     request: model.Request,
--- a/oleanderdrift/gateway/upstream_speed.py
+++ b/oleanderdrift/gateway/upstream_speed.py
@@ -21,8 +21,11 @@
 MAX_REPORTED: typing.Final = 2
 # A measurement is repeated in messages for this long; they can be lost.
 REPORTED_S: typing.Final = 1.0
-# The newest measurements, whose median shows a sudden change.
-WINDOW: typing.Final = 5
+# The newest measurements, whose median shows a sudden change.  Calls vary so
+# much that of five, three often take twice as long as usual by chance.
+WINDOW: typing.Final = 7
+# The newest of them show that it is fast again; to be wrong costs little.
+RECOVERY_WINDOW: typing.Final = 3
 # Of these, at most so many are from one instance.
 MAX_VOTES: typing.Final = 2
 # While there are fewer, those that are missing count as usual.
@@ -225,16 +228,20 @@
             votes.remove(same[0])
         votes.append(Vote(source=source, log_ratio=log_ratio))
         del votes[:-WINDOW]
-        recent = self.median()
-        if abs(recent - self.log_mean) > self.jump:
+        recent = self.median(WINDOW)
+        newest = self.median(RECOVERY_WINDOW)
+        if recent - self.log_mean > self.jump:
             self.log_mean = recent
             return
+        if self.log_mean - newest > self.jump:
+            self.log_mean = newest
+            return
         change = min(max(log_ratio - self.log_mean, -MAX_CHANGE), MAX_CHANGE)
         self.log_mean += self.smoothing * change
 
-    def median(self) -> float:
-        """Returns the median of the newest measurements."""
-        ordered = [one.log_ratio for one in self.votes]
+    def median(self, count: int) -> float:
+        """Returns the median of so many of the newest measurements."""
+        ordered = [one.log_ratio for one in self.votes[-count:]]
         ordered += [0.0] * (MIN_VOTES - len(ordered))
         ordered.sort()
         return ordered[len(ordered) // 2]
--- a/tests/test_gateway_upstream_speed.py
+++ b/tests/test_gateway_upstream_speed.py
@@ -182,3 +182,20 @@
         told += [one.is_slow for one in speeds.review(known, 1.0)]
     assert told == [True, False]
     assert not speeds.slow
+
+
+def test_calls_of_varying_length_make_no_upstream_slow() -> None:
+    """Sound upstreams were taken for slow in turn, and the others filled."""
+    chance = random.Random(4)
+    known = [gateway_support.upstream(f'u{one}', slots=6) for one in range(16)]
+    slow = judged = 0
+    for step in range(8_000):
+        now = step / 400
+        one = chance.choice(known)
+        log_ratio = chance.gauss(0.0, 0.7)
+        source = f'n{chance.randrange(31)}'
+        one.calls.apply(source, log_ratio, now)
+        if step > 1_000 and step % 10 == 0:
+            slow += len(placement.slow_ones(known, False, now))
+            judged += len(known)
+    assert slow < 0.02 * judged
