Mend what a read of the whole change found

Callers that read a long answer slowly, or an error, made its upstream count as slow at all instances, as its call stayed open: such calls are not measured now. A tunnel whose peer died counted as a failure of the upstream at all instances. Idle connections that upstreams had closed took the places of sound ones once the limit was reached, so that each request opened a connection (test failed before). An EvacuateMs of 500 or less refused every request (test failed before). A Stride of 0 cut every stream at its end.

--- a/oleanderdrift/gateway/answer_relay.py
+++ b/oleanderdrift/gateway/answer_relay.py
@@ -87,7 +87,9 @@
                 progress, upstream, outcome, reply, started
             )
             return
-        body = await self.relay_body(outcome, reply)
+        if outcome.head.status >= FIRST_ERROR_STATUS:
+            self.drop_call(progress, upstream)
+        body = await self.relay_body(progress, upstream, outcome, reply)
         if progress.admitted.route.sticky:
             upstream.note_warm_object(progress.admitted.request.affinity_key)
         if reply.started:
@@ -95,8 +97,7 @@
                 await reply.write(body)
             await reply.finish()
             return
-        if outcome.head.status < FIRST_ERROR_STATUS:
-            self.note_call(progress, upstream)
+        self.note_call(progress, upstream)
         await reply.send_complete(
             outcome.head.status, outcome.head.headers, body
         )
@@ -113,8 +114,22 @@
         held_s = self.board.link.held_s(call.sent_at, now)
         self.board.call_speeds.end(upstream, request_id, now, held_s)
 
+    def drop_call(
+        self, progress: progress_lib.Progress, upstream: upstreams.Upstream
+    ) -> None:
+        """Leaves a call unmeasured, as its time is not the upstream's.
+
+        Errors come early, and the pace of a long body is the caller's.
+        """
+        request_id = progress.admitted.request.request_id
+        upstream.open_calls.pop(request_id, None)
+
     async def relay_body(
-        self, outcome: exchange.ResponseStarted, reply: reply_lib.Reply
+        self,
+        progress: progress_lib.Progress,
+        upstream: upstreams.Upstream,
+        outcome: exchange.ResponseStarted,
+        reply: reply_lib.Reply,
     ) -> bytes:
         """Relays a long body as it comes; returns what is left to be sent."""
         connection = outcome.connection
@@ -124,6 +139,7 @@
             connection.protocol.hold(len(chunk))
             if len(held) <= MAX_HELD_BODY_BYTES:
                 continue
+            self.drop_call(progress, upstream)
             if not reply.started:
                 await reply.start(outcome.head.status, _head_fields(outcome))
             # While the caller does not read, its account holds the bytes.
--- a/oleanderdrift/gateway/attempts.py
+++ b/oleanderdrift/gateway/attempts.py
@@ -356,9 +356,10 @@
         if not via and upstream.path.loss is not None:
             self.note_lost_on_path(progress, upstream, reason)
             return False
-        self.board.failures.note_failure(
-            upstream.entry.incarnation(), clock.monotonic()
-        )
+        if not via:
+            self.board.failures.note_failure(
+                upstream.entry.incarnation(), clock.monotonic()
+            )
         check = self.crashes.note_broken(progress, upstream)
         if not progress.admitted.may_repeat():
             if not via:
--- a/oleanderdrift/gateway/connection_pool.py
+++ b/oleanderdrift/gateway/connection_pool.py
@@ -84,6 +84,8 @@
         now: float,
     ) -> None:
         """Pools a connection for reuse, or closes it if not reusable."""
+        if self.count() >= self.max_idle:
+            self.close_unusable(now)
         if connection.is_reusable(now) and self.count() < self.max_idle:
             connection.protocol.idle = True
             self.idle.setdefault(key, []).append(connection)
@@ -94,6 +96,11 @@
         """Returns how many connections wait for a request."""
         return sum(map(len, self.idle.values()))
 
+    def close_unusable(self, now: float) -> None:
+        """Closes the idle connections that their upstreams have closed."""
+        for key in list(self.idle):
+            self._close_where(key, lambda one: not one.is_reusable(now))
+
     def close_idle(self, key: collections.abc.Hashable) -> None:
         """Closes the idle connections of a key."""
         for connection in self.idle.pop(key, []):
--- a/oleanderdrift/gateway/follow.py
+++ b/oleanderdrift/gateway/follow.py
@@ -102,13 +102,7 @@
             name = change.data_centre
             if change.kind is evacuations_lib.Kind.ENDED:
                 now = clock.monotonic()
-                self.board.cold_shares.mark_data_centre(
-                    name,
-                    known.by_id.values(),
-                    self.board.services(),
-                    since=now,
-                    now=now,
-                )
+                self.board.mark_cold(name, now, now)
             self.events.info(
                 'evacuation-' + change.kind.value,
                 data_centre=name,
--- a/oleanderdrift/platform/operator.py
+++ b/oleanderdrift/platform/operator.py
@@ -186,7 +186,7 @@
     engine = service.Engine
     return model.Service(
         name=service.Name,
-        tokens_per_event=engine.Stride if engine else 1,
+        tokens_per_event=max(engine.Stride, 1) if engine else 1,
         is_engine=engine is not None,
         cold_start_s=service.ColdStartS,
         cold_per_s=service.ColdPerS,
--- a/oleanderdrift/platform/settings.py
+++ b/oleanderdrift/platform/settings.py
@@ -28,6 +28,8 @@
 # revoked, nor to a data centre more than EvacuateMs after the begin of its
 # evacuation.  The margin covers the time a request takes to the upstream.
 _MARGIN_S: typing.Final = 0.5
+# The store is read every half a second; a shorter time would refuse always.
+_MIN_EVACUATE_S: typing.Final = 1.0
 
 
 class _Listen(msgspec.Struct):
@@ -122,7 +124,7 @@
         store_writes_per_s=max(file_settings.Platform.WritesPerS, 1.0),
         key_grace_s=bounds.RevokeMs / MS_PER_S - _MARGIN_S,
         evacuate_s=(
-            bounds.EvacuateMs / MS_PER_S - _MARGIN_S
+            max(bounds.EvacuateMs / MS_PER_S - _MARGIN_S, _MIN_EVACUATE_S)
             if bounds.EvacuateMs is not None
             else None
         ),
--- a/tests/test_gateway_caller_limits.py
+++ b/tests/test_gateway_caller_limits.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import socket
+import types
 import typing
 
 import pytest
 
 from oleanderdrift.gateway import caller_limits
+from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import ingress
 from oleanderdrift.gateway import request_reader
 from oleanderdrift.platform import codec
@@ -121,3 +124,32 @@
     )
     settings = platform_settings.decode(text.encode())
     assert settings.max_descriptors == found
+
+
+class IdleConnection:
+    """An idle connection that its upstream may have closed."""
+
+    def __init__(self) -> None:
+        self.is_open = True
+        self.protocol = types.SimpleNamespace(idle=False)
+
+    def is_reusable(self, now: float) -> bool:
+        """Returns whether a request can be sent."""
+        return self.is_open
+
+    def close(self) -> None:
+        """Closes it."""
+        self.is_open = False
+
+
+def test_closed_idle_connections_take_no_place() -> None:
+    """New ones were closed after each request while the limit was reached."""
+    pool = connection_pool.Pool(max_idle=2)
+    made = [IdleConnection() for _ in range(4)]
+    for one in made[:2]:
+        pool.release('a', typing.cast(channel.Channel, one), 0.0)
+    pool.release('b', typing.cast(channel.Channel, made[2]), 0.0)
+    assert not made[2].is_open
+    made[0].is_open = False
+    pool.release('b', typing.cast(channel.Channel, made[3]), 0.0)
+    assert made[3].is_open and pool.count() == 2
--- a/tests/test_gateway_places.py
+++ b/tests/test_gateway_places.py
@@ -433,3 +433,9 @@
             board.upstreams.by_id['u1'], clock.monotonic()
         )
         assert is_cold is (value is None)
+
+
+def test_short_bound_of_evacuations_leaves_time_to_read_the_store() -> None:
+    """Every request was refused, as the last read was always too old."""
+    text = SETTINGS_FILE.format('', '[Bounds]\nEvacuateMs = 300\n')
+    assert settings.decode(text.encode()).evacuate_s == 1.0
