--- a/tests/test_gateway_floods.py
+++ b/tests/test_gateway_floods.py
@@ -41,28 +41,32 @@
     '/turns/': {'Kind': 'streaming', 'Service': 'flood', 'Retain': True},
     '/sound/': {'Kind': 'idempotent', 'Service': 'sound'},
 }
-CONFIG: typing.Final = {
-    'Version': 1,
-    'Routes': [
-        {
-            'Name': prefix,
-            'Host': 'desk.example',
-            'PathPrefix': prefix,
-            'TimeoutMs': DEADLINE_MS,
-            'Attempts': 1,
-            **fields,
-        }
-        for prefix, fields in ROUTES.items()
-    ],
-    'Services': [
-        {'Name': 'flood', 'Engine': {'Stride': 14}},
-        {'Name': 'sound'},
-    ],
-    'Tenants': [
-        {'Name': 'ward', 'ApiKeys': ['k1'], 'RatePerS': 0},
-        {'Name': 'desk', 'ApiKeys': ['k2'], 'RatePerS': 0},
-    ],
-}
+
+
+def configuration(timeout_ms: int) -> dict[str, typing.Any]:
+    """Returns a configuration whose routes have a timeout."""
+    return {
+        'Version': 1,
+        'Routes': [
+            {
+                'Name': prefix,
+                'Host': 'desk.example',
+                'PathPrefix': prefix,
+                'TimeoutMs': timeout_ms,
+                'Attempts': 1,
+                **fields,
+            }
+            for prefix, fields in ROUTES.items()
+        ],
+        'Services': [
+            {'Name': 'flood', 'Engine': {'Stride': 14}},
+            {'Name': 'sound'},
+        ],
+        'Tenants': [
+            {'Name': 'ward', 'ApiKeys': ['k1'], 'RatePerS': 0},
+            {'Name': 'desk', 'ApiKeys': ['k2'], 'RatePerS': 0},
+        ],
+    }
 
 
 @attrs.define(kw_only=True)
@@ -145,8 +149,12 @@
     folder: pathlib.Path,
     flood: 'replica_lib.Behaviour | replica_lib.Replica',
     limits: str = f'MemoryMb = {MEMORY_MB}\n',
+    timeout_ms: int = DEADLINE_MS,
 ) -> collections.abc.AsyncIterator[Site]:
-    """Runs an instance with a flooding upstream and a sound one."""
+    """Runs an instance with a flooding upstream and a sound one.
+
+    timeout_ms is that of its routes.
+    """
     store_server = platform_store.start()
     flooding = (
         flood
@@ -164,7 +172,7 @@
             upstream_id,
             soak_callers.entry(one.port, service, 'v1'),
         )
-    value = json.dumps(CONFIG).encode()
+    value = json.dumps(configuration(timeout_ms)).encode()
     store_server.store.put('keyed.op', 'config', value)
     (instance,) = await gateways.build(
         folder, 1, store_server.port, random.SystemRandom()
