Free the body of a request that ends before it is whole

Callers saw: an instance of 96 MB grew to 132 to 148 MB, and would have been ended with all its requests, when 6 callers sent 1 MiB bodies short of their last byte, left and came back.

Cause: when a connection ended, its count of held bytes was released, and the body stayed in the reader, which stands in reference cycles with Tornado's connection until the cyclic collector comes. It comes by the number of objects, not by their bytes. The ledger stayed far below its limit.

Body and count are one object now (`request_body`): what ends the count frees the bytes, whoever still refers to the reader. `close()` does that at once.

Ruled out: that the bodies were refused for the ledger and kept; a refusal dropped them already.

--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -18,6 +18,7 @@
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import request_body
 from oleanderdrift.gateway import request_end
 
 # A head that is over the configured limit, by less than this factor, is read
@@ -47,8 +48,9 @@
 
     received_at is when its head had been read, 0 before.  idle_timeout_s is
     how long its connection may be idle before it begins, and from then on
-    how long it may be idle after the answer at least.  holder counts the bytes
-    of its head while that is read, then those of its body.  is_first says
+    how long it may be idle after the answer at least.  head_holder counts the
+    bytes of its head while that is read.  body is None until the first bytes
+    of it have come.  is_first says
     that no other request came before it on its connection.  deadline is when
     its body is no longer waited for, None until that was looked up.
     """
@@ -56,8 +58,6 @@
     def __init__(self, ingress: Owner, conn: httputil.HTTPConnection) -> None:
         self.ingress = ingress
         self.conn = conn
-        # One block, which the allocator moves without copying it.
-        self.body = bytearray()
         self.received_at = 0.0
         self.idle_since = clock.monotonic()
         self.idle_timeout_s = ingress.limits.idle_timeout_s
@@ -66,7 +66,8 @@
             conn, ingress.forwarder.board, ingress.forwarder.events
         )
         self.task: asyncio.Task[None] | None = None
-        self.holder: held_bytes.Holder | None = None
+        self.head_holder: held_bytes.Holder | None = None
+        self.body: request_body.RequestBody | None = None
         self.is_first = True
         self.deadline: float | None = None
         stream = getattr(conn, 'stream', None)
@@ -149,6 +150,7 @@
     def close(self) -> None:
         """Closes the connection before a request has been read."""
         self.closed = True
+        self.release()
         self.reply.abort()
 
     def headers_received(
@@ -175,12 +177,13 @@
         """Counts bytes of a head that is not whole yet, up to a limit."""
         if self.received_at or self.closed:
             return
-        self.hold(count)
-        if self.holder is not None and self.holder.count > self.max_head():
+        if self.head_holder is None:
+            self.head_holder = self.open_holder('')
+        self.head_holder.grow(count)
+        count = self.head_holder.count
+        if count > self.max_head():
             self.ingress.forwarder.board.refusals['long-heads'] += 1
-            self.ingress.forwarder.events.info(
-                'head-too-long', bytes=self.holder.count
-            )
+            self.ingress.forwarder.events.info('head-too-long', bytes=count)
             self.close()
 
     def max_head(self) -> int:
@@ -191,19 +194,19 @@
         limit = self.ingress.limits.header_bytes * HEAD_FACTOR
         return limit + client_stream.READ_BYTES
 
-    def hold(self, count: int) -> None:
-        """Counts bytes that are held for this request."""
-        if self.holder is None:
-            source = self.account_name() if self.received_at else ''
-            held = self.ingress.forwarder.board.held
-            self.holder = held.open(source, self.stop_for_bytes)
-        self.holder.grow(count)
+    def open_holder(self, source: str) -> held_bytes.Holder:
+        """Returns the count of what is held for this request."""
+        held = self.ingress.forwarder.board.held
+        return held.open(source, self.stop_for_bytes)
 
     def release(self) -> None:
-        """Ends the count of the bytes that are held."""
-        if self.holder is not None:
-            self.holder.release()
-            self.holder = None
+        """Frees what is held for this request, and ends its count."""
+        if self.head_holder is not None:
+            self.head_holder.release()
+            self.head_holder = None
+        if self.body is not None:
+            self.body.drop()
+            self.body = None
 
     def account_name(self) -> str:
         """Returns the account whose key the head names, empty if none."""
@@ -227,7 +230,6 @@
     def refuse_unread(self, code: codes.ResultCode, detail: str) -> None:
         """Refuses the request before it is whole, and closes."""
         self.closed = True
-        self.body = bytearray()
         self.release()
         codec = self.ingress.codec
         request_id = codec.request_id(self.headers)
@@ -259,8 +261,10 @@
         link.note(len(chunk), clock.monotonic())
         if self.closed:
             return
-        self.body += chunk
-        self.hold(len(chunk))
+        if self.body is None:
+            holder = self.open_holder(self.account_name())
+            self.body = request_body.RequestBody(holder)
+        self.body.append(chunk)
 
     def finish(self) -> None:
         """Starts the response to a complete request."""
@@ -275,8 +279,8 @@
             end.log_end(None, 'closed')
             self.release()
             return
-        if self.holder is not None:
-            self.holder.keep()
+        if self.body is not None:
+            self.body.holder.keep()
         self.task = asyncio.create_task(self.respond(self.reply))
         self.ingress.tasks.add(self.task)
         self.task.add_done_callback(self.ingress.tasks.discard)
@@ -337,16 +341,10 @@
             self.start_line.method,
             self.start_line.path,
             self.headers,
-            self.take_body(),
+            self.body.take() if self.body is not None else b'',
             self.received_at,
         )
 
-    def take_body(self) -> bytes:
-        """Returns the body, which is kept here no more."""
-        body = bytes(self.body)
-        self.body = bytearray()
-        return body
-
     async def refuse(
         self,
         reply: connection_reply.ConnectionReply,
