Leave no closed connection to the cyclic collector

Callers saw: an instance of 96 MB grew to 155 and 175 MB when 8 callers sent whole bodies of 4 MiB and left at once, again and again.

Cause: three reference cycles kept every connection after its end, until the cyclic collector came by the number of its objects. The stream's `on_read` led to the reader, and the reader to the stream; Tornado asks for one reader more on a connection that has just closed, which set `on_read` again; and a reader's task keeps what it raised, whose traceback has the frames that the request was served in, with its body.

`on_read` ends with the socket and is not set on a closed one, and a reader forgets its task when it is done. `is_whole` takes the place of the task where only that was asked.

--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -130,6 +130,8 @@
         self.was_unread = self.has_unread()
         self.open_streams.discard(self)
         self.release()
+        # It leads back here.
+        self.on_read = None
         super().close_fd()
 
 
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -79,7 +79,7 @@
         """Drops the reader of a closed connection."""
         reader = self.readers.pop(server_conn, None)
         if reader is not None:
-            if reader.task is None:
+            if not reader.is_whole:
                 reader.release()
             self.log_idle_close(reader, clock.monotonic())
 
--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -50,9 +50,10 @@
     how long its connection may be idle before it begins, and from then on
     how long it may be idle after the answer at least.  head_holder counts the
     bytes of its head while that is read.  body is None until the first bytes
-    of it have come.  is_first says
-    that no other request came before it on its connection.  deadline is when
-    its body is no longer waited for, None until that was looked up.
+    of it have come; is_whole says that all have, and task answers it then.
+    is_first says that no other request came before it on its connection.
+    deadline is when its body is no longer waited for, None until that was
+    looked up.
     """
 
     def __init__(self, ingress: Owner, conn: httputil.HTTPConnection) -> None:
@@ -65,6 +66,7 @@
         self.reply = connection_reply.ConnectionReply(
             conn, ingress.forwarder.board, ingress.forwarder.events
         )
+        self.is_whole = False
         self.task: asyncio.Task[None] | None = None
         self.head_holder: held_bytes.Holder | None = None
         self.body: request_body.RequestBody | None = None
@@ -75,7 +77,8 @@
         if isinstance(stream, client_stream.ClientStream):
             self.stream = stream
             stream.expect_request()
-            stream.on_read = self.note_read
+            if not stream.closed():
+                stream.on_read = self.note_read
 
     def keep_idle_timeout(self, timeout_s: float) -> None:
         """Lets the connection be idle for at least this time."""
@@ -105,7 +108,7 @@
     def stage(self) -> tuple[caller_limits.Stage, float]:
         """Returns what its connection waits for, and since when."""
         stream = self.stream
-        if self.task is not None or stream is None:
+        if self.is_whole or stream is None:
             return caller_limits.Stage.SERVED, self.received_at
         if self.received_at:
             if stream.has_unread():
@@ -121,7 +124,7 @@
 
     def is_body_overdue(self, now: float) -> bool:
         """Returns whether its body is not whole at its own deadline."""
-        if not self.received_at or self.task is not None or self.closed:
+        if not self.received_at or self.is_whole or self.closed:
             return False
         if now < self.received_at + MIN_BODY_S:
             return False
@@ -279,17 +282,26 @@
             end.log_end(None, 'closed')
             self.release()
             return
+        self.is_whole = True
         if self.body is not None:
             self.body.holder.keep()
         self.task = asyncio.create_task(self.respond(self.reply))
         self.ingress.tasks.add(self.task)
         self.task.add_done_callback(self.ingress.tasks.discard)
         self.task.add_done_callback(end.on_done)
-        self.task.add_done_callback(lambda _: self.release())
+        self.task.add_done_callback(self.on_done)
         if isinstance(self.conn, http1connection.HTTP1Connection):
             # Tornado tells the delegate only until the request is read.
             self.conn.set_close_callback(self.on_connection_close)
 
+    def on_done(self, task: asyncio.Task[None]) -> None:
+        """Frees what was held for a request whose task is done.
+
+        What the task raised refers to all that it has worked with.
+        """
+        self.release()
+        self.task = None
+
     def on_connection_close(self) -> None:
         """Cancels the work for a client that disconnected.
 
