Keep no input of a turn whose caller has left

Callers saw: an instance of 96 MB grew to 323 and 418 MB, and would have been ended, when 4 callers sent whole turns of 4 MiB and left at once, again and again.

Cause: the input of a kept turn waits to be appended to the store, in copies of its parts. It stayed in that queue when its caller had left and its count had ended, and one input after the other is appended.

An input leaves the queue with the task that waits for it, and its parts are views of the body, so that it is in memory once. What is on its way to the store is one batch, and stays until the store answers.

--- a/oleanderdrift/gateway/ports.py
+++ b/oleanderdrift/gateway/ports.py
@@ -10,6 +10,9 @@
 
 from oleanderdrift.gateway import model
 
+# What is appended to the log, possibly a part of something longer.
+Record: typing.TypeAlias = bytes | memoryview
+
 
 @attrs.frozen(kw_only=True)
 class LogRecords:
@@ -63,7 +66,7 @@
         self,
         topic: str,
         partition: int,
-        records: collections.abc.Sequence[bytes],
+        records: collections.abc.Sequence[Record],
     ) -> int:
         """Appends all records or none; returns the first record's offset."""
 
--- a/oleanderdrift/gateway/retrying_log.py
+++ b/oleanderdrift/gateway/retrying_log.py
@@ -47,7 +47,7 @@
         self,
         topic: str,
         partition: int,
-        records: collections.abc.Sequence[bytes],
+        records: collections.abc.Sequence[ports.Record],
     ) -> int:
         """Appends records; returns the first one's offset.
 
@@ -69,7 +69,7 @@
         self,
         topic: str,
         partitions: tuple[int, ...],
-        data: collections.abc.Sequence[bytes],
+        data: collections.abc.Sequence[ports.Record],
     ) -> tuple[int, int]:
         """Appends to the first of several partitions that confirms it.
 
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -36,11 +36,14 @@
 MAX_CHAIN: typing.Final = 1_000
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class _PendingInput:
-    """The chunks of an input that is waiting to be appended."""
+    """The chunks of an input that is waiting to be appended.
 
-    chunks: list[bytes]
+    They are views of the input, so that it is in memory once.
+    """
+
+    chunks: list[memoryview]
     location: asyncio.Future[records.InputLocation]
 
     def size(self) -> int:
@@ -82,19 +85,34 @@
         self.appender: asyncio.Task[None] | None = None
 
     async def append_input(self, data: bytes) -> records.InputLocation:
-        """Appends a turn's input, batched with other pending inputs."""
-        max_chunk = self.log.record_bytes - RECORD_MARGIN_BYTES
-        chunks = [
-            data[at : at + max_chunk] for at in range(0, len(data), max_chunk)
-        ] or [b'']
+        """Appends a turn's input, batched with other pending inputs.
+
+        One whose caller leaves before is not appended.
+        """
         loop = asyncio.get_running_loop()
-        one = _PendingInput(chunks=chunks, location=loop.create_future())
+        one = _PendingInput(
+            chunks=self.split(data), location=loop.create_future()
+        )
         self.pending_inputs.append(one)
         if self.appender is None or self.appender.done():
             # A separate task, so that a caller that disconnects does not
             # cancel the append of other callers' inputs.
             self.appender = asyncio.create_task(self.append_pending_inputs())
-        return await one.location
+        try:
+            return await one.location
+        except asyncio.CancelledError:
+            if one in self.pending_inputs:
+                self.pending_inputs.remove(one)
+            raise
+
+    def split(self, data: bytes) -> list[memoryview]:
+        """Returns the records of an input, at least one."""
+        most = self.log.record_bytes - RECORD_MARGIN_BYTES
+        view = memoryview(data)
+        return [
+            view[start : start + most]
+            for start in range(0, max(len(data), 1), most)
+        ]
 
     async def append_pending_inputs(self) -> None:
         """Appends inputs in batches until none is pending."""
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -88,7 +88,7 @@
         self,
         topic: str,
         partition: int,
-        records: collections.abc.Sequence[bytes],
+        records: collections.abc.Sequence[ports.Record],
     ) -> int:
         """Appends all records; returns the offset of the first."""
         self.appends += 1
@@ -100,7 +100,7 @@
             raise errors.ResultError(codes.APPEND_UNCONFIRMED, 'too long')
         found = self.data[topic, partition]
         start = len(found)
-        found.extend(records)
+        found.extend(map(bytes, records))
         if self.hanging_appends:
             self.hanging_appends -= 1
             await asyncio.Event().wait()
--- a/tests/test_gateway_long_programs.py
+++ b/tests/test_gateway_long_programs.py
@@ -32,7 +32,7 @@
         self,
         topic: str,
         partition: int,
-        records: collections.abc.Sequence[bytes],
+        records: collections.abc.Sequence[ports.Record],
     ) -> int:
         """Appends records; notes when."""
         times = self.times.setdefault((topic, partition), [])
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -8,6 +8,7 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import records
 from oleanderdrift.gateway import retrying_log
 from oleanderdrift.gateway import turn_log
@@ -95,6 +96,28 @@
     assert asyncio.run(scenario()).size == len(b'second')
 
 
+def test_input_whose_caller_left_is_not_appended() -> None:
+    """Guards against bodies that wait for a slow store, and count nowhere."""
+
+    async def scenario() -> None:
+        memory = gateway_support.MemoryLog()
+        memory.blocked_topic = records.INPUT_TOPIC
+        log = make_turn_log(memory, 'north-1')
+        first = asyncio.create_task(log.append_input(b'first'))
+        await asyncio.sleep(0.01)
+        gone = asyncio.create_task(log.append_input(b'gone'))
+        later = asyncio.create_task(log.append_input(b'later'))
+        await asyncio.sleep(0.01)
+        gone.cancel()
+        await asyncio.wait([gone])
+        assert [one.size() for one in log.pending_inputs] == [len(b'later')]
+        memory.gate.set()
+        await asyncio.gather(first, later)
+        assert sum(memory.data.values(), []) == [b'first', b'later']
+
+    asyncio.run(scenario())
+
+
 class LimitedLog(gateway_support.MemoryLog):
     """A log that takes a limited number of bytes in one call."""
 
@@ -102,7 +125,7 @@
         self,
         topic: str,
         partition: int,
-        records: collections.abc.Sequence[bytes],
+        records: collections.abc.Sequence[ports.Record],
     ) -> int:
         """Appends all records if they are within the limit."""
         if sum(map(len, records)) > CALL_BYTES:
