Send records to the store from where they are

Callers saw: while a turn of 4 MiB was stored, it was in memory twice more: each append framed its records and joined them to one body, and an append whose answer is late is sent again, up to four times, each with its own copy. None of that was counted.

A body may now be given as its parts (`buffering.Pieces`); a connection writes them in turn, as its peer takes them. Records are framed by parts.

--- a/oleanderdrift/gateway/buffering.py
+++ b/oleanderdrift/gateway/buffering.py
@@ -6,12 +6,15 @@
 """
 
 import asyncio
+import collections
 import enum
 import fcntl
 import struct
 import termios
 import typing
 
+import attrs
+
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import own_link
@@ -42,6 +45,20 @@
         self.failure = failure
 
 
+@attrs.frozen(kw_only=True)
+class Pieces:
+    """A body that is sent from where its parts are, without a copy of all."""
+
+    parts: tuple[bytes | memoryview, ...]
+
+    def __len__(self) -> int:
+        """Returns the number of bytes of all parts."""
+        return sum(map(len, self.parts))
+
+
+Body: typing.TypeAlias = bytes | Pieces
+
+
 def has_unsent(transport: asyncio.Transport | None) -> bool:
     """Returns whether bytes wait here to be sent to the peer."""
     if transport is None:
@@ -80,7 +97,7 @@
         self.closed: Failure | None = None
         self.waiter: asyncio.Future[None] | None = None
         self.transport: asyncio.Transport | None = None
-        self.unsent = memoryview(b'')
+        self.unsent: collections.deque[memoryview] = collections.deque()
         self.write_paused = False
         self.in_use = 0
         self.holder: held_bytes.Holder | None = None
@@ -117,23 +134,35 @@
             self.holder.grow(len(data))
         self.wake()
 
-    def send(self, head: bytes, body: bytes) -> None:
+    def send(self, head: bytes, body: Body) -> None:
         """Sends a request; what the peer does not take yet is sent later."""
         assert self.transport is not None
-        self.unsent = memoryview(body)[SEND_BYTES:]
-        self.transport.write(head + body[:SEND_BYTES] if body else head)
+        parts = body.parts if isinstance(body, Pieces) else (body,)
+        self.unsent.extend(memoryview(part) for part in parts if part)
+        self.transport.write(head + self.take_unsent())
         self.send_more()
 
+    def take_unsent(self) -> bytes:
+        """Returns the next bytes to send, SEND_BYTES at the most."""
+        taken = []
+        left = SEND_BYTES
+        while self.unsent and left:
+            first = self.unsent.popleft()
+            if len(first) > left:
+                self.unsent.appendleft(first[left:])
+                first = first[:left]
+            taken.append(first)
+            left -= len(first)
+        return b''.join(taken)
+
     def send_more(self) -> None:
         """Sends what the peer takes."""
         transport = self.transport
         while self.unsent and not self.write_paused:
             if transport is None or transport.is_closing():
-                self.unsent = memoryview(b'')
+                self.unsent.clear()
                 return
-            piece = bytes(self.unsent[:SEND_BYTES])
-            self.unsent = self.unsent[SEND_BYTES:]
-            transport.write(piece)
+            transport.write(self.take_unsent())
 
     def pause_writing(self) -> None:
         """Has the rest of the request wait."""
@@ -159,7 +188,7 @@
         """Records the end of the connection; an error counts as a reset."""
         reason = Failure.CLOSED if exc is None else Failure.RESET
         self.closed = self.closed or reason
-        self.unsent = memoryview(b'')
+        self.unsent.clear()
         self.wake()
 
     def has_unread(self) -> bool:
@@ -215,7 +244,7 @@
         self.closed = Failure.RESET
         self.received.clear()
         self.buffered_bytes = 0
-        self.unsent = memoryview(b'')
+        self.unsent.clear()
         if self.transport is not None:
             self.transport.abort()
         self.wake()
--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -93,7 +93,11 @@
         self.body_length: int | None = None
 
     async def send(
-        self, method: str, target: str, headers: Headers, body: bytes
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: buffering.Body,
     ) -> None:
         """Sends a complete request.
 
@@ -114,8 +118,9 @@
             raise errors.ResultError(codes.BAD_REQUEST, str(error)) from error
         data = self.h11_connection.send(request) or b''
         if body:
-            # With a stated length, a body is sent as it is.
-            self.h11_connection.send(h11.Data(data=body))
+            # With a stated length, a body is sent as it is; this counts it.
+            data_event = h11.Data(data=typing.cast(bytes, body))
+            self.h11_connection.send_with_data_passthrough(data_event)
         self.h11_connection.send(h11.EndOfMessage())
         self.request = request
         self.protocol.send(data, body)
--- a/oleanderdrift/platform/store.py
+++ b/oleanderdrift/platform/store.py
@@ -102,7 +102,7 @@
         method: str,
         path: str,
         query: dict[str, str | int],
-        body: bytes = b'',
+        body: buffering.Body = b'',
         wait_s: float = 0.0,
     ) -> tuple[int, bytes]:
         """Makes one call over a pooled connection.
@@ -179,10 +179,10 @@
         self,
         topic: str,
         partition: int,
-        records: collections.abc.Sequence[bytes],
+        records: collections.abc.Sequence[ports.Record],
     ) -> int:
         """Appends all records or none; returns the first record's offset."""
-        body = b''.join(_frame(record) for record in records)
+        body = _frame_all(records)
         status, response = await self.call(
             'POST', '/-/log-append', {'Topic': topic, 'part': partition}, body
         )
@@ -298,7 +298,7 @@
             'part': 0,
             'At': end,
         }
-        body = _frame(_encode_keyed(key, b''))
+        body = _frame_all([_encode_keyed(key, b'')])
         status, _ = await self.call('POST', '/-/log-append', query, body)
         if status == CONDITION_FAILED:
             return False
@@ -379,8 +379,14 @@
     )
 
 
-def _frame(record: bytes) -> bytes:
-    return _RECORD_LENGTH.pack(len(record)) + record
+def _frame_all(
+    records: collections.abc.Sequence[ports.Record],
+) -> buffering.Pieces:
+    """Returns records, each after its length."""
+    parts: list[ports.Record] = []
+    for record in records:
+        parts += [_RECORD_LENGTH.pack(len(record)), record]
+    return buffering.Pieces(parts=tuple(parts))
 
 
 def _encode_keyed(key: str, value: bytes) -> bytes:
--- a/tests/test_platform_store_odd.py
+++ b/tests/test_platform_store_odd.py
@@ -12,6 +12,7 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import buffering
 from oleanderdrift.platform import store
 from tests import odd_values
 
@@ -48,7 +49,7 @@
         method: str,
         path: str,
         query: dict[str, str | int],
-        body: bytes = b'',
+        body: buffering.Body = b'',
         wait_s: float = 0.0,
     ) -> tuple[int, bytes]:
         """Returns the next answer."""
