Decode a chunked body piece by piece, not chunk by chunk

Callers saw: 200 callers with chunks of one byte, and no ordinary request was answered in 20 s; the store counted as lost, as the event loop was behind for seconds. One body of the largest legal size in such chunks was not served in 30 s either.

Cause: Tornado takes three reads for each chunk, some 10,000 turns of its reader for 64 KB. It yields to other connections after 256 chunks, so the time of one turn of the loop grew with the number of such connections.

`headers_received` reads the body with the stream's public methods and returns what follows it to the stream.

Ruled out: a limit on the number of chunks. A client within the documented limits would meet it.

A connection that ends within a chunked body is no longer left in cycles (test_gateway_ended_connections.py[short-chunks], one of each kind before).

--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -35,7 +35,7 @@
     number of bytes of each read.  last_read_at is when bytes were last read.
     body_left is how many bytes of a body are still to come, if that is known.
     open_streams holds the open ones of the server.  holder counts what waits
-    in the kernel.
+    in the kernel.  returned holds bytes that are to be read once more.
     """
 
     def __init__(
@@ -58,17 +58,33 @@
         self.body_left = 0
         self.open_streams: set[ClientStream] = set()
         self.holder: held_bytes.Holder | None = None
+        self.returned = b''
 
     def expect_request(self) -> None:
         """Notes that the bytes to come are those of another request."""
         self.first_read_at = None
         self.body_left = 0
 
+    def unread(self, data: bytes) -> None:
+        """Has bytes read once more, before those that come after them.
+
+        All that the stream has read must have been taken from it.
+        """
+        self.returned = data
+
+    def take_returned(self, buf: memoryview) -> int:
+        """Copies returned bytes into a buffer; returns how many."""
+        count = min(len(buf), len(self.returned))
+        buf[:count] = self.returned[:count]
+        self.returned = self.returned[count:]
+        return count
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads what is there; notes when."""
         limit = max(READ_BYTES, min(self.body_left, BODY_READ_BYTES))
+        view = memoryview(buf)[:limit]
         try:
-            count = super().read_from_fd(memoryview(buf)[:limit])
+            count = self.take_returned(view) or super().read_from_fd(view)
         except OSError:
             self.peer_closed = True
             raise
@@ -85,9 +101,11 @@
         return count
 
     def has_unread(self) -> bool:
-        """Returns whether bytes wait in the socket."""
+        """Returns whether bytes wait to be read."""
         if self.closed():
             return False
+        if self.returned:
+            return True
         try:
             return bool(self.socket.recv(1, _PEEK_FLAGS))
         except OSError:
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -17,6 +17,7 @@
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import request_reader
+from oleanderdrift.gateway import work_share
 
 # At least so much is read of a head, since the configured limit may grow while
 # a connection waits for its next request.  Longer ones take processor time:
@@ -39,7 +40,7 @@
     At its limit of connections, it closes some that wait for a caller.
     full_until is until when no connection is closed for a new one.
     readers holds the current request reader of each open connection, and
-    listeners the listening sockets.
+    listeners the listening sockets.  work is what small chunks cause.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         self.listeners: list[socket.socket] = []
         self.limits = model.Limits()
         self.full_until = 0.0
+        self.work = work_share.WorkShare()
         self.server = make_server(self, self.limits)
 
     def listen(self, host: str, port: int) -> None:
--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -1,16 +1,20 @@
 """Reads one request of a caller and starts the task that answers it."""
 
 import asyncio
+import collections.abc
 import re
 import typing
 
 from tornado import http1connection
 from tornado import httputil
+from tornado import iostream
 
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import caller_limits
+from oleanderdrift.gateway import chunked_decoder
+from oleanderdrift.gateway import chunked_reader
 from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_reply
@@ -20,6 +24,7 @@
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import request_body
 from oleanderdrift.gateway import request_end
+from oleanderdrift.gateway import work_share
 
 # A head that is over the configured limit, by less than this factor, is read
 # and refused with a code.
@@ -28,6 +33,9 @@
 CHUNKED_VERSION: typing.Final = 'HTTP/1.1'
 # Around the name and the value of each header.
 HEADER_FRAMING_BYTES: typing.Final = 4
+# Of a caller that waits for it before it sends a body.
+CONTINUE: typing.Final = '100-continue'
+CONTINUE_ANSWER: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Longer ones are over any limit of bodies.
 LENGTH: typing.Final = re.compile(r'\A[0-9]{1,12}\Z')
 # Whatever a request's deadline is, its body may take this long to arrive.
@@ -41,6 +49,7 @@
     codec: ports.Codec
     tasks: set[asyncio.Task[None]]
     limits: model.Limits
+    work: work_share.WorkShare
 
 
 class RequestReader(httputil.HTTPMessageDelegate):
@@ -160,8 +169,12 @@
         self,
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
-    ) -> None:
-        """Stores the start line and headers of the request."""
+    ) -> collections.abc.Awaitable[None] | None:
+        """Stores the start line and headers of the request.
+
+        Returns what reads its body if that is chunked: Tornado would take a
+        turn of its own for each chunk.  It then finds none to be read.
+        """
         # Not in __init__: Tornado creates the reader as soon as the previous
         # request has ended.
         self.received_at = clock.monotonic()
@@ -175,6 +188,36 @@
             self.stream.body_left = int(length)
         if isinstance(self.conn, http1connection.HTTP1Connection):
             self.conn.set_max_body_size(self.ingress.limits.body_bytes)
+        if self.stream is None or not _is_chunked(headers):
+            return None
+        return self.read_chunks(self.stream, headers)
+
+    async def read_chunks(
+        self, stream: client_stream.ClientStream, headers: httputil.HTTPHeaders
+    ) -> None:
+        """Reads a chunked body; raises HTTPInputError if there is none."""
+        if headers.pop('Expect', '').lower() == CONTINUE:
+            stream.write(CONTINUE_ANSWER)
+        del headers['Transfer-Encoding']
+        try:
+            await chunked_reader.read_chunked(
+                stream,
+                self.ingress.limits.body_bytes,
+                self.ingress.work,
+                self.take_part,
+            )
+        except chunked_decoder.MalformedBodyError as error:
+            raise httputil.HTTPInputError(str(error)) from error
+        except chunked_decoder.BodyTooLongError as error:
+            raise httputil.HTTPInputError('the body is too long') from error
+        except iostream.StreamClosedError as error:
+            # Tornado would log any other as not foreseen.
+            raise httputil.HTTPInputError('the caller left') from error
+
+    def take_part(self, part: bytes) -> bool:
+        """Stores a part of the body; returns whether more is wanted."""
+        self.data_received(part)
+        return not self.closed
 
     def note_read(self, count: int) -> None:
         """Counts bytes of a head that is not whole yet, up to a limit."""
@@ -375,3 +418,12 @@
             request_id or None, error.retry_after_s
         )
         await reply.send_complete(error.code.status, headers, b'')
+
+
+def _is_chunked(headers: httputil.HTTPHeaders) -> bool:
+    """Returns whether a body is chunked.
+
+    Tornado refuses a head that says something else beside it.
+    """
+    encoding = headers.get('Transfer-Encoding', '')
+    return 'Content-Length' not in headers and encoding.lower() == 'chunked'
--- a/tests/test_gateway_ended_connections.py
+++ b/tests/test_gateway_ended_connections.py
@@ -29,6 +29,7 @@
 )
 STATED: typing.Final = f'Content-Length: {len(BODY)}\r\n'
 CHUNKED: typing.Final = 'Transfer-Encoding: chunked\r\n'
+CHUNK: typing.Final = b'186a0\r\n' + BODY + b'\r\n'
 # What there is of each connection or request.
 KINDS: typing.Final = (
     client_stream.ClientStream,
@@ -75,6 +76,10 @@
     [
         pytest.param(STATED, b'', replica_lib.Silent(), id='head'),
         pytest.param(STATED, BODY[1:], replica_lib.Silent(), id='short'),
+        pytest.param(CHUNKED, CHUNK, replica_lib.Silent(), id='short-chunks'),
+        pytest.param(
+            CHUNKED, CHUNK + b'0\r\n\r\n', replica_lib.Silent(), id='chunks'
+        ),
         pytest.param(CHUNKED, b'zz\r\n', replica_lib.Silent(), id='malformed'),
         pytest.param(
             CHUNKED, b'ffffffff\r\n', replica_lib.Silent(), id='too-long'
