Bound what the kernel holds of callers' bytes, all connections together

Callers saw: 200 callers that send bodies of 4 MiB, and an instance of 96 MB used 141 to 189 MB with the bytes that it had not read yet. On the users' machines such bytes count against its memory, so it would have been ended.

Cause: the kernel takes up to some MiB unread on each connection, and more the faster the first bytes were read. Nothing bounded that for all of them; single connections with over 128 KiB were closed for it, each 0.3 s.

All connections share what is set aside for them, 32 KiB for each at the limit of connections (a part of the 80 KiB that a connection is taken to cost). A window is that divided by the open connections, a power of two from 16 to 256 KiB, and is set again when their number has changed by so much. Alone, and up to 56 of them on the smallest machine, callers have 256 KiB.

Ruled out: a small buffer on the listening socket, which cuts the throughput of callers that are far away also in calm.

--- a/oleanderdrift/gateway/caller_limits.py
+++ b/oleanderdrift/gateway/caller_limits.py
@@ -23,6 +23,8 @@
 # Python's objects of a connection and of its request, and what is read and
 # parsed for it, from its caller and its upstream, before it is counted.
 CONNECTION_BYTES: typing.Final = 81_920
+# Of these, what the kernel may hold unread.
+UNREAD_BYTES: typing.Final = 32_768
 MIN_CONNECTIONS: typing.Final = 16
 # Listeners, the store, peers, the log and what the interpreter opens.
 OWN_DESCRIPTORS_SHARE: typing.Final = 1 / 16
@@ -53,12 +55,14 @@
 class CallerLimits:
     """The limits that one process keeps to.
 
-    held_bytes is the budget of `held_bytes`; the others count connections.
+    held_bytes is the budget of `held_bytes`, and unread_bytes what the kernel
+    may hold of callers' bytes; the others count connections.
     operators is for each of the operators' ports.  opening are connections
     of peers that have not asked for a tunnel yet.
     """
 
     held_bytes: int
+    unread_bytes: int
     clients: int
     idle_upstreams: int
     tunnels: int
@@ -91,6 +95,7 @@
     clients = max(clients, MIN_CONNECTIONS)
     return CallerLimits(
         held_bytes=held,
+        unread_bytes=clients * UNREAD_BYTES,
         clients=clients,
         idle_upstreams=int(clients * IDLE_UPSTREAM_SHARE),
         tunnels=tunnels,
--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -14,6 +14,7 @@
 
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import held_bytes
+from oleanderdrift.gateway import receive_windows
 
 # Connections are many, and each holds up to twice as much that it has read.
 READ_BYTES: typing.Final = 16_384
@@ -169,11 +170,13 @@
     """An HTTP server whose connections are client streams.
 
     Its delegate is told which connections are closed.  open_streams holds
-    the open connections, max_connections of them at most.
+    the open connections, max_connections of them at most, and windows bounds
+    what the kernel holds for them.
     """
 
     max_connections: float = float('inf')
     open_streams: set[ClientStream]
+    windows: receive_windows.ReceiveWindows
 
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
@@ -192,6 +195,7 @@
         )
         made.open_streams = self.open_streams
         self.open_streams.add(made)
+        self.windows.fit_new(made, self.open_streams)
         super().handle_stream(made, address)
 
     def on_close(self, server_conn: object) -> None:
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -16,6 +16,7 @@
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
+from oleanderdrift.gateway import receive_windows
 from oleanderdrift.gateway import request_reader
 from oleanderdrift.gateway import work_share
 
@@ -120,8 +121,9 @@
             elif reader.is_body_overdue(now):
                 reader.refuse_slow('the body is not whole at its deadline')
 
-    def count_kernel_bytes(self) -> None:
-        """Counts what waits in the kernel, which the machine has to hold."""
+    def limit_kernel_bytes(self) -> None:
+        """Bounds and counts what the kernel holds for callers."""
+        self.server.windows.fit_all(self.server.open_streams)
         for reader in list(self.readers.values()):
             stream = reader.stream
             if stream is None:
@@ -214,7 +216,11 @@
         chunk_size=client_stream.BODY_READ_BYTES,
     )
     server.open_streams = set()
-    server.max_connections = delegate.forwarder.board.caller_limits.clients
+    limits_of_callers = delegate.forwarder.board.caller_limits
+    server.max_connections = limits_of_callers.clients
+    server.windows = receive_windows.ReceiveWindows(
+        budget=limits_of_callers.unread_bytes
+    )
     # Its time-out would come before bytes that wait in the socket.
     server.conn_params.header_timeout = None
     return server
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -242,7 +242,7 @@
             if self.board.config is not None:
                 self.ingress.apply_limits(self.board.config.limits)
             self.ingress.close_overdue(clock.monotonic())
-            self.ingress.count_kernel_bytes()
+            self.ingress.limit_kernel_bytes()
 
     async def poll_settings(self) -> None:
         """Reloads the settings periodically until cancelled.
