Read nothing ahead of what is asked for on a caller's connection

Cause: after it has read a head, Tornado's stream still has the limit of heads, 512 KiB, as what it reads up to whenever its socket is ready, also while nobody asks for bytes.

While nobody waits for bytes, a client stream reads once, 16 KiB at most: that shows whether the caller has closed. What waits to be decoded is as little.

--- a/oleanderdrift/gateway/chunked_reader.py
+++ b/oleanderdrift/gateway/chunked_reader.py
@@ -32,8 +32,10 @@
     decoder = chunked_decoder.ChunkedDecoder(max_bytes)
     count = 0
     while not decoder.is_done:
+        # What waits to be decoded is not counted.
+        size = max(client_stream.READ_BYTES, min(decoder.left, TURN_BYTES))
         stream.body_left = decoder.left
-        data = await stream.read_bytes(TURN_BYTES, partial=True)
+        data = await stream.read_bytes(size, partial=True)
         count += len(data)
         if data.count(b'\n') > MAX_LINES:
             part = await share.run(functools.partial(decoder.feed, data))
--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -37,6 +37,7 @@
     body_left is how many bytes of a body are still to come, if that is known.
     open_streams holds the open ones of the server.  holder counts what waits
     in the kernel.  returned holds bytes that are to be read once more.
+    has_read_ahead says that bytes were read that nobody has asked for yet.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.open_streams: set[ClientStream] = set()
         self.holder: held_bytes.Holder | None = None
         self.returned = b''
+        self.has_read_ahead = False
 
     def expect_request(self) -> None:
         """Notes that the bytes to come are those of another request."""
@@ -81,7 +83,13 @@
         return count
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Reads what is there; notes when."""
+        """Reads what is there; notes when.
+
+        While nobody waits for bytes, it reads once at most, to see whether
+        the client has closed; Tornado would fill its buffer.
+        """
+        if self.has_read_ahead and not self.reading():
+            return None
         limit = max(READ_BYTES, min(self.body_left, BODY_READ_BYTES))
         view = memoryview(buf)[:limit]
         try:
@@ -92,6 +100,7 @@
         if count == 0:
             self.peer_closed = True
         elif count is not None:
+            self.has_read_ahead = not self.reading()
             self.last_read_at = clock.monotonic()
             if self.first_read_at is None:
                 self.first_read_at = self.last_read_at
--- a/tests/test_gateway_ingress.py
+++ b/tests/test_gateway_ingress.py
@@ -1,13 +1,17 @@
-"""Requests that arrive while a drain closes their idle connection."""
+"""Connections of callers: requests that cross a close, and what is read."""
 
 import asyncio
+import contextlib
+import socket
 import typing
 
 import attrs
 import pytest
 from tornado import httputil
+from tornado import iostream
 
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import event_log
@@ -70,3 +74,40 @@
         assert forwarder.served == runs
 
     asyncio.run(play())
+
+
+def test_stream_reads_nothing_ahead_of_what_is_asked_for() -> None:
+    """Guards against bytes that fill a buffer while a caller is served."""
+
+    async def play() -> tuple[int, bool]:
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        stream = client_stream.ClientStream(ours)
+        stream.on_read = counts.append
+        await _send(theirs, b'head\n')
+        assert await stream.read_until(b'\n', max_bytes=1 << 20) == b'head\n'
+        # Has it wait for bytes, as a reader does before it is kept waiting.
+        waiting = stream.read_bytes(1)
+        await _send(theirs, b'x')
+        await waiting
+        stream.set_close_callback(lambda: None)
+        await _send(theirs, bytes(100_000))
+        await asyncio.sleep(0.05)
+        ahead = sum(counts) - len(b'head\nx')
+        rest = await stream.read_bytes(100_000)
+        theirs.close()
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.read_bytes(1)
+        return ahead, rest == bytes(100_000)
+
+    counts: list[int] = []
+    ahead, is_whole = asyncio.run(play())
+    assert is_whole
+    assert ahead <= client_stream.READ_BYTES
+
+
+async def _send(sock: socket.socket, data: bytes) -> None:
+    """Sends bytes, as far as they are taken at once, and lets others run."""
+    loop = asyncio.get_running_loop()
+    asyncio.create_task(loop.sock_sendall(sock, data))
+    await asyncio.sleep(0.05)
