--- a/tests/test_gateway_body_crowds.py
+++ b/tests/test_gateway_body_crowds.py
@@ -68,7 +68,7 @@
 
 @attrs.frozen(kw_only=True)
 class Row:
-    """A crowd: its paths, how its bodies are framed, and what it sends."""
+    """A crowd: its paths, the last fields of its heads, and what it sends."""
 
     framing: str = stated()
     pieces: tuple[Piece, ...]
@@ -225,28 +225,31 @@
         task.cancel()
 
 
+async def check_crowd(
+    row: Row,
+    folder: pathlib.Path,
+    behaviour: replica_lib.Behaviour,
+) -> None:
+    """Plays a row against one instance; checks what it holds and serves."""
+    limits = f'MemoryMb = {MEMORY_MB}\nMaxFds = {MAX_FDS}\n'
+    async with floods.run_site(folder, behaviour, limits) as site:
+        crowd = row.crowd(site.instance.address)
+        async with run_crowd(site, crowd) as most:
+            await untrusted.await_ordinary(site)
+        await untrusted.await_ordinary(site)
+        peak_mb = site.peak_mb()
+        print(
+            f'peak_mb={peak_mb:.0f} fds={most.descriptors} '
+            f'with_unread_mb={most.memory / MB:.0f}'
+        )
+        assert peak_mb < MEMORY_MB
+        assert most.memory < MEMORY_MB * MB
+        assert most.descriptors < MAX_FDS
+
+
 @pytest.mark.parametrize('row', ROWS.values(), ids=ROWS)
 def test_crowd_of_bodies_does_not_fill_the_process(
     row: Row, tmp_path: pathlib.Path
 ) -> None:
     """Guards against a process that is killed for what callers send."""
-    limits = f'MemoryMb = {MEMORY_MB}\nMaxFds = {MAX_FDS}\n'
-
-    async def play() -> None:
-        async with floods.run_site(
-            tmp_path, replica_lib.Silent(), limits
-        ) as site:
-            crowd = row.crowd(site.instance.address)
-            async with run_crowd(site, crowd) as most:
-                await untrusted.await_ordinary(site)
-            await untrusted.await_ordinary(site)
-            peak_mb = site.peak_mb()
-            print(
-                f'peak_mb={peak_mb:.0f} fds={most.descriptors} '
-                f'with_unread_mb={most.memory / MB:.0f}'
-            )
-            assert peak_mb < MEMORY_MB
-            assert most.memory < MEMORY_MB * MB
-            assert most.descriptors < MAX_FDS
-
-    asyncio.run(play())
+    asyncio.run(check_crowd(row, tmp_path, replica_lib.Silent()))
