Count what a head takes until its request ends

Callers saw: 200 callers with heads of 16 KB in fields of five bytes, and an instance of 96 MB had 180 MB; with one field 3,900 times, 109 MB.

Cause: the bytes of a head counted while it was read, and nothing once it was parsed. Each field is some objects here, some more in Tornado, and some more in what is sent to the upstream: up to 60 times the bytes of the head, for as long as its body is waited for.

From its head on, a request counts its text and 1 KiB for each field, to the account whose key it has, and the largest of the account that holds the most is refused as before. A refused head is dropped at once, also Tornado's copy; with over 64 fields, Tornado is left only those that frame the request.

Ruled out: a limit on the number of fields; HeaderBytes alone bounds them.

--- a/oleanderdrift/gateway/request_body.py
+++ b/oleanderdrift/gateway/request_body.py
@@ -1,4 +1,4 @@
-"""The body of a request while it arrives."""
+"""What is held of a request: its head, and its body while that arrives."""
 
 import mmap
 import typing
@@ -29,6 +29,10 @@
         self.blocks: list[mmap.mmap] = []
         self.filled = BLOCK_BYTES
 
+    def hold_head(self, count: int) -> None:
+        """Counts what the head of the request takes, beside its body."""
+        self.holder.grow(count)
+
     def append(self, data: bytes) -> None:
         """Adds bytes; this or another request may be refused for them."""
         if not self.holder.is_open:
--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -33,6 +33,16 @@
 CHUNKED_VERSION: typing.Final = 'HTTP/1.1'
 # Around the name and the value of each header.
 HEADER_FRAMING_BYTES: typing.Final = 4
+# With more of them, Tornado is left only those that it needs.
+USUAL_HEADERS: typing.Final = 64
+FRAMING_HEADERS: typing.Final = (
+    'Connection',
+    'Content-Length',
+    'Expect',
+    'Transfer-Encoding',
+)
+# What is made of each header here and for an upstream, besides its text.
+HEADER_OBJECT_BYTES: typing.Final = 1_024
 # Of a caller that waits for it before it sends a body.
 CONTINUE: typing.Final = '100-continue'
 CONTINUE_ANSWER: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -58,8 +68,8 @@
     received_at is when its head had been read, 0 before.  idle_timeout_s is
     how long its connection may be idle before it begins, and from then on
     how long it may be idle after the answer at least.  head_holder counts the
-    bytes of its head while that is read.  body is None until the first bytes
-    of it have come; is_whole says that all have, and task answers it then.
+    bytes of its head while that is read.  body counts both from then on, and
+    is None before; is_whole says that all has come, and task answers it then.
     is_first says that no other request came before it on its connection.
     deadline is when its body is no longer waited for, None until that was
     looked up.
@@ -69,6 +79,7 @@
         self.ingress = ingress
         self.conn = conn
         self.received_at = 0.0
+        self.headers: list[tuple[str, str]] = []
         self.idle_since = clock.monotonic()
         self.idle_timeout_s = ingress.limits.idle_timeout_s
         self.closed = False
@@ -175,17 +186,26 @@
         Returns what reads its body if that is chunked: Tornado would take a
         turn of its own for each chunk.  It then finds none to be read.
         """
+        self.release()
         # Not in __init__: Tornado creates the reader as soon as the previous
         # request has ended.
         self.received_at = clock.monotonic()
         self.idle_timeout_s = self.ingress.limits.idle_timeout_s
         self.start_line = typing.cast(httputil.RequestStartLine, start_line)
         self.headers = list(headers.get_all())
+        if len(self.headers) > USUAL_HEADERS:
+            _keep_framing(headers)
         self.reply.takes_chunks = self.start_line.version == CHUNKED_VERSION
-        self.release()
+        self.body = request_body.RequestBody(
+            self.open_holder(self.account_name())
+        )
+        self.body.hold_head(self.held_head_bytes())
         length = headers.get('Content-Length', '')
-        if self.stream is not None and LENGTH.search(length):
-            self.stream.body_left = int(length)
+        if self.stream is not None:
+            self.stream.body_left = _parse_length(length)
+        if self.closed:
+            # It was refused for what its head takes.
+            headers.clear()
         if isinstance(self.conn, http1connection.HTTP1Connection):
             self.conn.set_max_body_size(self.ingress.limits.body_bytes)
         if self.stream is None or not _is_chunked(headers):
@@ -240,6 +260,10 @@
         limit = self.ingress.limits.header_bytes * HEAD_FACTOR
         return limit + client_stream.READ_BYTES
 
+    def held_head_bytes(self) -> int:
+        """Returns what its head takes while it is served."""
+        return self.head_bytes() + HEADER_OBJECT_BYTES * len(self.headers)
+
     def open_holder(self, source: str) -> held_bytes.Holder:
         """Returns the count of what is held for this request."""
         held = self.ingress.forwarder.board.held
@@ -253,6 +277,7 @@
         if self.body is not None:
             self.body.drop()
             self.body = None
+        self.headers = []
 
     def account_name(self) -> str:
         """Returns the account whose key the head names, empty if none."""
@@ -276,9 +301,9 @@
     def refuse_unread(self, code: codes.ResultCode, detail: str) -> None:
         """Refuses the request before it is whole, and closes."""
         self.closed = True
-        self.release()
         codec = self.ingress.codec
         request_id = codec.request_id(self.headers)
+        self.release()
         self.ingress.forwarder.events.info(
             'request-refused',
             request=request_id,
@@ -307,10 +332,8 @@
         link.note(len(chunk), clock.monotonic())
         if self.closed:
             return
-        if self.body is None:
-            holder = self.open_holder(self.account_name())
-            self.body = request_body.RequestBody(holder)
-        self.body.append(chunk)
+        if self.body is not None:
+            self.body.append(chunk)
 
     def finish(self) -> None:
         """Starts the response to a complete request."""
@@ -420,6 +443,18 @@
         await reply.send_complete(error.code.status, headers, b'')
 
 
+def _keep_framing(headers: httputil.HTTPHeaders) -> None:
+    """Removes the headers that do not frame a body or a connection."""
+    kept = {name: headers[name] for name in FRAMING_HEADERS if name in headers}
+    headers.clear()
+    headers.update(kept)
+
+
+def _parse_length(text: str) -> int:
+    """Returns a stated length, 0 if there is none."""
+    return int(text) if LENGTH.search(text) else 0
+
+
 def _is_chunked(headers: httputil.HTTPHeaders) -> bool:
     """Returns whether a body is chunked.
 
--- /dev/null
+++ b/tests/test_gateway_many_heads.py
@@ -0,0 +1,111 @@
+"""Heads with many fields: what they take is counted."""
+
+import asyncio
+import typing
+
+import pytest
+from tornado import httputil
+
+from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import request_reader
+from oleanderdrift.platform import codec
+from tests import test_gateway_ingress
+from tests import test_gateway_whole as whole
+
+MANY: typing.Final = 500
+FIELDS: typing.Final = ''.join(f'f{n}: {n}\r\n' for n in range(MANY))
+HEAD: typing.Final = (
+    'POST /a/b HTTP/1.%d\r\nHost: desk.example\r\nCredential: k1\r\n'
+    'Attempt-Id: %s\r\nDeadline-Ms: 5000\r\n%s%s\r\n'
+)
+
+
+def test_head_counts_until_its_request_ends() -> None:
+    """Guards against heads that take memory which nobody counts."""
+
+    async def play() -> None:
+        forwarder = test_gateway_ingress.Forwarder()
+        held = forwarder.board.held
+        made = ingress.Ingress(
+            typing.cast(typing.Any, forwarder), codec.PlatformCodec()
+        )
+        conn = typing.cast(httputil.HTTPConnection, object())
+        reader = typing.cast(
+            request_reader.RequestReader, made.start_request('c', conn)
+        )
+        line = httputil.RequestStartLine('POST', '/a/b', 'HTTP/1.1')
+        headers = httputil.HTTPHeaders({'Attempt-Id': 'q1'})
+        for number in range(MANY):
+            headers.add(f'f{number}', str(number))
+        headers.add('Content-Length', '3')
+        reader.headers_received(line, headers)
+        each = request_reader.HEADER_OBJECT_BYTES
+        assert held.total > (MANY + 2) * each
+        # Tornado keeps its own until the next request on the connection.
+        assert list(headers.get_all()) == [('Content-Length', '3')]
+        assert len(reader.headers) == MANY + 2
+        reader.close()
+        assert (held.total, reader.headers) == (0, [])
+
+    asyncio.run(play())
+
+
+def test_head_that_there_is_no_room_for_is_refused() -> None:
+    """Guards against a refused head that stays until its connection ends."""
+
+    async def play() -> None:
+        forwarder = test_gateway_ingress.Forwarder()
+        forwarder.board.held.limit = 100_000
+        made = ingress.Ingress(
+            typing.cast(typing.Any, forwarder), codec.PlatformCodec()
+        )
+        conn = typing.cast(httputil.HTTPConnection, object())
+        reader = typing.cast(
+            request_reader.RequestReader, made.start_request('c', conn)
+        )
+        line = httputil.RequestStartLine('GET', '/a/b', 'HTTP/1.1')
+        headers = httputil.HTTPHeaders({'Attempt-Id': 'q1'})
+        for number in range(MANY):
+            headers.add(f'f{number}', str(number))
+        reader.headers_received(line, headers)
+        assert forwarder.board.refusals['held-bytes'] == 1
+        assert reader.closed
+        assert not list(headers.get_all())
+        reader.finish()
+        assert (forwarder.served, forwarder.board.held.total) == (0, 0)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize('version', [0, 1])
+@pytest.mark.parametrize('framing', ['Content-Length: 4\r\n', ''])
+def test_request_with_many_fields_is_served(
+    version: int, framing: str
+) -> None:
+    """Its connection and its body are framed as those of any other."""
+    body = b'body' if framing else b''
+    # An older client's stream has no chunks, and ends with its connection.
+    count = 2 if version else 1
+
+    async def play() -> bytes:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            reader, writer = await asyncio.open_connection(
+                '127.0.0.1', env.port
+            )
+            keep = 'Connection: keep-alive\r\n' if not version else ''
+            first = HEAD % (version, 'q1', FIELDS, framing + keep)
+            last = HEAD % (version, 'q2', FIELDS, framing)
+            last = last.replace('\r\nf0', '\r\nConnection: close\r\nf0')
+            for head in (first, last):
+                writer.write(head.encode() + body)
+            async with asyncio.timeout(whole.WAIT_S):
+                received = await reader.read()
+            writer.close()
+            found = [one.body for one in env.replica.received]
+            assert found == [body] * count
+            for one in env.replica.received:
+                assert one.headers[f'f{MANY - 1}'] == str(MANY - 1)
+            return received
+
+    assert asyncio.run(play()).count(b'HTTP/1.1 200') == count
