Read as many heads in a turn of the loop as can be handled in it

Callers saw: 200 callers whose heads have 2,600 fields, who leave and come back, and no ordinary request was answered in 20 s.

Cause: heads that have arrived are all parsed in the same turn of the event loop, and up to 128 new connections have theirs parsed while they are accepted. A head with very many fields takes 5 ms to parse and more to serve, so a turn took a second, and what ages by time counted as lost: the store's reads, the paths to upstreams.

All connections together read 16 KiB of heads in a turn, which is one such head or some dozens of usual ones; the others are still ready in the next one.

--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -15,9 +15,13 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import receive_windows
+from oleanderdrift.gateway import work_share
 
 # Connections are many, and each holds up to twice as much that it has read.
 READ_BYTES: typing.Final = 16_384
+# Of all heads in one turn of the event loop: one that has very many fields, or
+# some dozens of usual ones.
+HEAD_TURN_BYTES: typing.Final = 16_384
 # So much at a time is read of a body, which is taken from the stream at once.
 BODY_READ_BYTES: typing.Final = 65_536
 _COUNT: typing.Final = struct.Struct('i')
@@ -38,6 +42,8 @@
     open_streams holds the open ones of the server.  holder counts what waits
     in the kernel.  returned holds bytes that are to be read once more.
     has_read_ahead says that bytes were read that nobody has asked for yet.
+    in_head says that a head is being read, and head_bytes what all streams of
+    the server may read of heads in a turn.
     """
 
     def __init__(
@@ -62,11 +68,14 @@
         self.holder: held_bytes.Holder | None = None
         self.returned = b''
         self.has_read_ahead = False
+        self.in_head = True
+        self.head_bytes = work_share.TurnBytes(HEAD_TURN_BYTES)
 
     def expect_request(self) -> None:
         """Notes that the bytes to come are those of another request."""
         self.first_read_at = None
         self.body_left = 0
+        self.in_head = True
 
     def unread(self, data: bytes) -> None:
         """Has bytes read once more, before those that come after them.
@@ -90,6 +99,9 @@
         """
         if self.has_read_ahead and not self.reading():
             return None
+        if self.in_head and not self.head_bytes.has_left():
+            # The loop finds it ready again in its next turn.
+            return None
         limit = max(READ_BYTES, min(self.body_left, BODY_READ_BYTES))
         view = memoryview(buf)[:limit]
         try:
@@ -106,6 +118,8 @@
                 self.first_read_at = self.last_read_at
         if count:
             self.body_left = max(self.body_left - count, 0)
+        if count and self.in_head:
+            self.head_bytes.use(count)
         if count and self.on_read is not None:
             self.on_read(count)
         return count
@@ -180,12 +194,14 @@
 
     Its delegate is told which connections are closed.  open_streams holds
     the open connections, max_connections of them at most, and windows bounds
-    what the kernel holds for them.
+    what the kernel holds for them.  head_bytes is what they may read of heads
+    in a turn of the event loop.
     """
 
     max_connections: float = float('inf')
     open_streams: set[ClientStream]
     windows: receive_windows.ReceiveWindows
+    head_bytes: work_share.TurnBytes
 
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
@@ -203,6 +219,7 @@
             read_chunk_size=stream.read_chunk_size,
         )
         made.open_streams = self.open_streams
+        made.head_bytes = self.head_bytes
         self.open_streams.add(made)
         self.windows.fit_new(made, self.open_streams)
         super().handle_stream(made, address)
--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -202,6 +202,7 @@
         self.body.hold_head(self.held_head_bytes())
         length = headers.get('Content-Length', '')
         if self.stream is not None:
+            self.stream.in_head = False
             self.stream.body_left = _parse_length(length)
         if self.closed:
             # It was refused for what its head takes.
--- a/oleanderdrift/gateway/work_share.py
+++ b/oleanderdrift/gateway/work_share.py
@@ -66,3 +66,29 @@
                 break
         if self.jobs:
             asyncio.get_running_loop().call_soon(self.run_turn)
+
+
+class TurnBytes:
+    """The bytes that may be read of some kind in one turn of the event loop.
+
+    What is read of them may take long to handle, and its time is not known
+    when it is read.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        self.used = 0
+
+    def has_left(self) -> bool:
+        """Returns whether any may be read in this turn."""
+        return self.used < self.limit
+
+    def use(self, count: int) -> None:
+        """Counts bytes that were read in this turn."""
+        if not self.used:
+            asyncio.get_running_loop().call_soon(self.begin_turn)
+        self.used += count
+
+    def begin_turn(self) -> None:
+        """Allows as many bytes again."""
+        self.used = 0
--- a/tests/test_gateway_many_heads.py
+++ b/tests/test_gateway_many_heads.py
@@ -1,6 +1,7 @@
-"""Heads with many fields: what they take is counted."""
+"""Heads with many fields: what they take is counted, and shared in time."""
 
 import asyncio
+import collections.abc
 import typing
 
 import pytest
@@ -8,6 +9,7 @@
 
 from oleanderdrift.gateway import ingress
 from oleanderdrift.gateway import request_reader
+from oleanderdrift.gateway import work_share
 from oleanderdrift.platform import codec
 from tests import test_gateway_ingress
 from tests import test_gateway_whole as whole
@@ -109,3 +111,50 @@
             return received
 
     assert asyncio.run(play()).count(b'HTTP/1.1 200') == count
+
+
+def test_bytes_of_a_turn_are_bounded() -> None:
+    async def play() -> list[int]:
+        found = []
+        share = work_share.TurnBytes(100)
+        for count in (60, 60, 60, 200, 1):
+            used = 0
+            while share.has_left():
+                share.use(count)
+                used += count
+            found.append(used)
+            await asyncio.sleep(0)
+        return found
+
+    assert asyncio.run(play()) == [120, 120, 120, 200, 100]
+
+
+def heads_at_once(count: int) -> collections.abc.Iterator[bytes]:
+    """Yields heads of requests that each have an id of their own."""
+    for number in range(count):
+        yield (
+            HEAD % (1, f'q{number}', FIELDS, 'Content-Length: 0\r\n')
+        ).encode()
+
+
+def test_heads_that_come_at_once_are_all_served() -> None:
+    """Guards against connections that wait for their turn and never get it."""
+
+    async def play() -> int:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            opened = [
+                await asyncio.open_connection('127.0.0.1', env.port)
+                for _ in range(30)
+            ]
+            for (_, writer), head in zip(
+                opened, heads_at_once(30), strict=True
+            ):
+                writer.write(head)
+            async with asyncio.timeout(whole.WAIT_S):
+                found = [await reader.readline() for reader, _ in opened]
+            for _, writer in opened:
+                writer.close()
+            return sum(line.startswith(b'HTTP/1.1 200') for line in found)
+
+    assert asyncio.run(play()) == 30
