Know long ids of callers by their digests

Callers saw: 20 callers whose turns have program ids of 15 KB, and an instance of 96 MB grew to 114 to 277 MB.

Cause: ids that callers choose are kept after their request, each up to the size of a head: 20,000 started programs, budgets and grants by program and turn, the index of turns, 1,024 parts of prompts for each upstream.

Ids of programs, sessions, turns and prompts' parts that have over 64 characters are known by a digest of 32 (`identifiers`). What is sent to upstreams and back to callers stays as it came.

A turn whose id is long is found by its digest at all instances of this build; those of earlier builds know it by its whole id, so such a conversation is refused while both run. Usual ids have 16 characters.

--- a/oleanderdrift/gateway/model.py
+++ b/oleanderdrift/gateway/model.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from oleanderdrift.gateway import identifiers
+
 INCARNATION_SEPARATOR: typing.Final = '\x1f'
 
 
@@ -185,6 +187,11 @@
     affinity_key: str | None = None
     finish_s: float | None = None
 
+    @property
+    def turn_id(self) -> str:
+        """What previous_turn of later turns names it by."""
+        return identifiers.short_id(self.request_id)
+
     def memory_tokens(self) -> int:
         """Returns how many tokens an engine holds while it runs there."""
         return sum(part.tokens for part in self.prompt) + self.max_tokens
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -92,7 +92,7 @@
             request.token_budget is None
             or self.budgets.grants.try_spend(
                 request.program_id,
-                request.request_id,
+                request.turn_id,
                 request.max_tokens,
                 clock.monotonic(),
             )
@@ -221,7 +221,7 @@
             )
         turn_keys = [
             (records.TURN_TOPIC, partition)
-            for partition in self.turns.partitions_of(request.request_id)
+            for partition in self.turns.partitions_of(request.turn_id)
         ]
         retains = progress.admitted.route.retains
         if retains and all(
@@ -330,7 +330,7 @@
                 location = await asyncio.shield(progress.input_location)
                 whole = progress.is_renewed
                 turn = turns.Turn(
-                    turn_id=request.request_id,
+                    turn_id=request.turn_id,
                     previous=None if whole else request.previous_turn,
                     account=progress.account_name(),
                     input=progress.body if whole else request.body,
--- a/oleanderdrift/gateway/turn_grants.py
+++ b/oleanderdrift/gateway/turn_grants.py
@@ -67,7 +67,7 @@
         pauses = self.board.pauses
         verdict = await self.budgets.reserve(
             request.program_id,
-            request.request_id,
+            request.turn_id,
             request.max_tokens,
             request.token_budget or 0,
             clock.monotonic(),
@@ -85,7 +85,7 @@
         if progress.grant is not None:
             self.client.report(progress.grant, progress.tokens)
         self.budgets.settle(
-            progress.admitted.request.request_id,
+            progress.admitted.request.turn_id,
             progress.tokens,
             clock.monotonic(),
         )
@@ -112,7 +112,7 @@
     """Returns what a turn needs."""
     request = progress.admitted.request
     return grant_desk.TurnTokens(
-        key=request.request_id,
+        key=request.turn_id,
         program=request.program_id,
         tokens=request.max_tokens,
         budget=request.token_budget or 0,
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -8,6 +8,7 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import bounds
+from oleanderdrift.gateway import identifiers
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.platform import operator
@@ -122,14 +123,17 @@
             key=by_name.get(KEY_HEADER),
             deadline=now + deadline_ms / MS_PER_S,
             received=now,
-            program_id=by_name.get('program-id', ''),
-            session_id=by_name.get('session-id', ''),
+            program_id=identifiers.short_id(by_name.get('program-id', '')),
+            session_id=identifiers.short_id(by_name.get('session-id', '')),
             token_budget=int(_number_header(by_name, 'token-budget', 0))
             if budget is not None
             else None,
             max_tokens=_parse_count(tokens) if _is_count(tokens) else 0,
             prompt=_parse_prompt(by_name.get('prompt-prefix', '')),
-            previous_turn=by_name.get('previous-turn') or None,
+            previous_turn=identifiers.short_id(
+                by_name.get('previous-turn', '')
+            )
+            or None,
             last_event_id=by_name.get(LAST_EVENT_HEADER),
             resumes=by_name.get(RESUMES_HEADER) or None,
             affinity_key=_affinity_key(headers),
@@ -322,6 +326,9 @@
         part_id, _, tokens = entry.strip().partition(':')
         if part_id and _is_count(tokens):
             parts.append(
-                model.PromptPart(part_id=part_id, tokens=_parse_count(tokens))
+                model.PromptPart(
+                    part_id=identifiers.short_id(part_id),
+                    tokens=_parse_count(tokens),
+                )
             )
     return tuple(parts)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 
 from oleanderdrift import codes
 from oleanderdrift import errors
+from oleanderdrift.gateway import identifiers
 from oleanderdrift.gateway import model
 from oleanderdrift.platform import codec
 from oleanderdrift.platform import operator
@@ -180,6 +181,35 @@
     assert [part.tokens for part in result.prompt] == [800, 410]
 
 
+def test_long_ids_are_kept_as_short_ones() -> None:
+    """Guards against ids of any length that stay after their request."""
+    long = 'p' * 5_000
+    most = identifiers.MAX_ID_LENGTH
+    result = decode_changed(
+        Attempt_Id=long,
+        Program_Id=long,
+        Session_Id='s' * most,
+        Previous_Turn=long,
+        Prompt_Prefix=f'{long}:3,{"q" * most}:4',
+    )
+    # What is sent on and sent back is what came.
+    assert result.request_id == long
+    assert ('Program-Id', long) in result.headers
+    assert len(result.turn_id) <= most
+    # A later turn names it by the same id.
+    assert result.previous_turn == result.turn_id == result.program_id
+    assert result.session_id == 's' * most
+    first, second = (part.part_id for part in result.prompt)
+    assert (first, second) == (result.turn_id, 'q' * most)
+    other = decode_changed(Program_Id=long + 'p')
+    assert other.program_id != result.program_id
+
+
+def test_usual_ids_are_kept_as_they_are() -> None:
+    result = decode_changed(Attempt_Id='q1', Previous_Turn='q0')
+    assert (result.turn_id, result.previous_turn) == ('q1', 'q0')
+
+
 @pytest.mark.parametrize(
     ('text', 'finish_s'),
     [
