Take the rest of a prompt with very many parts for one

Callers saw: prompts in 2,600 parts, and an instance of 96 MB grew to 126 to 136 MB; with 20 callers that come back, ordinary requests took 4 to 40 s.

Cause: each part is an object of a request, is decoded by itself (10 ms a request), and is looked up and noted for each upstream and event. Peers are told of all parts that are new at an upstream, in one message; over 1 MiB it would close their connection.

The first 256 parts are taken as they are, the rest counts as one part with all of its tokens, so that what an engine has to read and hold is still known. Peers are told of 128 new parts of an upstream at once, those of the beginning of a prompt first.

--- a/oleanderdrift/gateway/upstreams.py
+++ b/oleanderdrift/gateway/upstreams.py
@@ -37,6 +37,8 @@
 PROBE_SPREAD: typing.Final = 0.2
 # Prompt parts recorded for each upstream; those of the last minute.
 MAX_CACHED_PARTS: typing.Final = 1_024
+# Of those, what peers are told at once, so that no message is too long.
+MAX_NEW_PARTS: typing.Final = 128
 # Objects recorded for each upstream; those of some minutes.
 MAX_WARM_OBJECTS: typing.Final = 1_024
 # A start that has ended may have written one entry that arrives late.  One
@@ -267,6 +269,8 @@
     def note_cached_parts(self, parts: tuple[model.PromptPart, ...]) -> None:
         """Records a prompt's parts as cached there."""
         for place, part in enumerate(parts):
+            if len(self.new_parts) >= MAX_NEW_PARTS:
+                break
             if place == 0 or part.part_id not in self.cached_parts:
                 self.new_parts[part.part_id] = None
         self.add_cached_parts(part.part_id for part in parts)
--- a/oleanderdrift/platform/codec.py
+++ b/oleanderdrift/platform/codec.py
@@ -1,6 +1,7 @@
 """Decodes requests and responses on the wire, and encodes their headers."""
 
 import collections.abc
+import re
 import typing
 
 from tornado import httputil
@@ -23,6 +24,8 @@
 AFFINITY_COOKIE: typing.Final = 'Affinity-Key'
 # Longer values are not used; they would cost memory for each object.
 MAX_AFFINITY_LENGTH: typing.Final = 128
+# Parts are looked up for each upstream.  The rest of a prompt counts as one.
+MAX_PROMPT_PARTS: typing.Final = 256
 REQUEST_ID_HEADER: typing.Final = 'attempt-id'
 KEY_HEADER: typing.Final = 'credential'
 DEADLINE_HEADER: typing.Final = 'deadline-ms'
@@ -45,6 +48,9 @@
 LEAVING_VALUE: typing.Final = '1'
 # How much longer the upstream will be slow after its start.
 COLD_HEADER: typing.Final = 'cold-ms'
+_PART_TOKENS: typing.Final = re.compile(
+    r':([0-9]{1,%d})[ \t]*(?:,|\Z)' % MAX_DIGITS
+)
 _HOP_BY_HOP: typing.Final = frozenset(
     (
         'connection',
@@ -321,8 +327,10 @@
 
 
 def _parse_prompt(text: str) -> tuple[model.PromptPart, ...]:
+    entries = text.split(',', MAX_PROMPT_PARTS)
+    rest = entries.pop() if len(entries) > MAX_PROMPT_PARTS else ''
     parts = []
-    for entry in text.split(','):
+    for entry in entries:
         part_id, _, tokens = entry.strip().partition(':')
         if part_id and _is_count(tokens):
             parts.append(
@@ -331,4 +339,11 @@
                     tokens=_parse_count(tokens),
                 )
             )
+    if rest:
+        tokens_left = sum(map(int, _PART_TOKENS.findall(rest)))
+        parts.append(
+            model.PromptPart(
+                part_id=identifiers.short_id(rest), tokens=tokens_left
+            )
+        )
     return tuple(parts)
--- a/tests/test_gateway_gossip.py
+++ b/tests/test_gateway_gossip.py
@@ -8,6 +8,7 @@
 from oleanderdrift.gateway import directory
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import gossip
+from oleanderdrift.gateway import model
 from oleanderdrift.gateway import peer_messages
 from oleanderdrift.gateway import peer_sockets
 from tests import gateway_support
@@ -147,3 +148,27 @@
     receive(listener, broken, envelope('a', 2, u1=4))
     receive(listener, envelope('a', 2, u1=4))
     assert listener.board.upstreams.by_id['u1'].peer_requests == 4
+
+
+def test_parts_that_peers_are_told_of_fit_into_a_message() -> None:
+    """Guards against a state that is too long, and closes its connection."""
+    loads = {}
+    for number in range(90):
+        one = gateway_support.upstream(f'u{number}')
+        for prompt in range(20):
+            one.note_cached_parts(
+                tuple(
+                    model.PromptPart(
+                        part_id=f'{number} {prompt} {part}'.rjust(64),
+                        tokens=1,
+                    )
+                    for part in range(256)
+                )
+            )
+        loads[f'u{number}'] = peer_messages.UpstreamLoad(
+            running=1, pending=0, cached=tuple(one.new_parts)
+        )
+        # Those at the beginning tell which upstream has more of a prompt.
+        assert f'{number} 0 0'.rjust(64) in one.new_parts
+    size = len(msgspec.msgpack.encode(loads))
+    assert size < peer_sockets.MAX_MESSAGE_BYTES
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -210,6 +210,20 @@
     assert (result.turn_id, result.previous_turn) == ('q1', 'q0')
 
 
+def test_rest_of_a_prompt_with_very_many_parts_is_one() -> None:
+    """Guards against prompts that take long to look up."""
+    most = codec.MAX_PROMPT_PARTS
+    entries = [f'p{n}:{n}' for n in range(3 * most)]
+    odd = ['x', ':3', 'y:', 'z:+1', 'v:1:2']
+    result = decode_changed(Prompt_Prefix=', '.join([*entries, *odd]))
+    assert len(result.prompt) == most + 1
+    assert result.prompt[most - 1].part_id == f'p{most - 1}'
+    total = sum(part.tokens for part in result.prompt)
+    assert total == sum(range(3 * most)) + 3 + 2
+    same = decode_changed(Prompt_Prefix=','.join(entries[:most]))
+    assert same.prompt == result.prompt[:most]
+
+
 @pytest.mark.parametrize(
     ('text', 'finish_s'),
     [
