Let no body that comes a byte at a time keep its place

Callers saw: 300 callers that send a byte of their body each 0.4 s, at an instance with 220 places, and every new connection was refused with 503, for as long as they went on; no ordinary request was answered in 20 s. Beside chunks of one byte, connections were refused with 450 open.

Cause: only a body that had been silent for a second was closed for a new connection, and one whose bytes waited here to be read counted as served, so the busier this process, the fewer places it gave.

A body that is not whole after 2 s may be closed for a new connection, the oldest first, after all that are silent. It gets 408, which is true: nothing of it was sent. Without a full table it may take as long as its deadline.

--- a/oleanderdrift/gateway/caller_limits.py
+++ b/oleanderdrift/gateway/caller_limits.py
@@ -47,6 +47,8 @@
 # A head comes in one piece as a rule, and a pause in a body is short.
 MIN_HEAD_AGE_S: typing.Final = 0.3
 MIN_SILENCE_S: typing.Final = 1.0
+# A body whose bytes come now and then, or wait here to be read.
+MIN_SLOW_S: typing.Final = 2.0
 # So that not every new connection looks for another to close.
 MAX_VICTIMS: typing.Final = 8
 
@@ -111,7 +113,8 @@
     IDLE = 1
     HEAD = 2
     BODY = 3
-    SERVED = 4
+    SLOW_BODY = 4
+    SERVED = 5
 
 
 _MIN_AGE_S: typing.Final = {
@@ -119,6 +122,7 @@
     Stage.IDLE: 0.0,
     Stage.HEAD: MIN_HEAD_AGE_S,
     Stage.BODY: MIN_SILENCE_S,
+    Stage.SLOW_BODY: MIN_SLOW_S,
 }
 _Connection = typing.TypeVar('_Connection')
 
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -157,7 +157,7 @@
             return False
         found = caller_limits.victims(
             [
-                (reader, *reader.stage())
+                (reader, *reader.stage(now))
                 for reader in self.readers.values()
                 if not reader.closed and not reader.reply.is_disconnected()
             ],
@@ -165,7 +165,7 @@
         )
         board = self.forwarder.board
         for reader in found:
-            stage, since = reader.stage()
+            stage, since = reader.stage(now)
             board.refusals['connections-closed'] += 1
             self.forwarder.events.info(
                 'connection-evicted',
@@ -173,7 +173,7 @@
                 age_ms=round((now - since) * 1_000),
                 open=len(self.server.open_streams),
             )
-            if stage is caller_limits.Stage.BODY:
+            if reader.received_at:
                 reader.refuse_slow('a new connection needs its place')
             reader.close()
         if not found:
--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -125,14 +125,15 @@
         # Bytes that wait may be the rest of the head.
         return now >= due_at and not stream.has_unread()
 
-    def stage(self) -> tuple[caller_limits.Stage, float]:
+    def stage(self, now: float) -> tuple[caller_limits.Stage, float]:
         """Returns what its connection waits for, and since when."""
         stream = self.stream
         if self.is_whole or stream is None:
             return caller_limits.Stage.SERVED, self.received_at
         if self.received_at:
-            if stream.has_unread():
-                return caller_limits.Stage.SERVED, self.received_at
+            silent_s = now - stream.last_read_at
+            if silent_s < caller_limits.MIN_SILENCE_S or stream.has_unread():
+                return caller_limits.Stage.SLOW_BODY, self.received_at
             return caller_limits.Stage.BODY, stream.last_read_at
         if stream.first_read_at is not None:
             return caller_limits.Stage.HEAD, stream.first_read_at
--- a/tests/test_gateway_caller_limits.py
+++ b/tests/test_gateway_caller_limits.py
@@ -9,6 +9,7 @@
 
 from oleanderdrift.gateway import caller_limits
 from oleanderdrift.gateway import channel
+from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import connection_pool
 from oleanderdrift.gateway import ingress
 from oleanderdrift.gateway import request_reader
@@ -54,6 +55,9 @@
         # Connections by their stage and their time in it.
         ([(Stage.SERVED, 99.0), (Stage.HEAD, 0.1), (Stage.BODY, 0.9)], []),
         ([(Stage.BODY, 9.0), (Stage.HEAD, 9.0), (Stage.IDLE, 1.0)], [2, 1, 0]),
+        ([(Stage.SLOW_BODY, 1.9), (Stage.SERVED, 99.0)], []),
+        ([(Stage.SLOW_BODY, 2.0), (Stage.SLOW_BODY, 3.0)], [1, 0]),
+        ([(Stage.SLOW_BODY, 99.0), (Stage.BODY, 1.0)], [1, 0]),
         ([(Stage.IDLE, 9.0), (Stage.UNUSED, 0.0)], [1, 0]),
         ([(Stage.IDLE, 1.0), (Stage.IDLE, 2.0)], [1, 0]),
         ([(Stage.UNUSED, 1.0)] * 20, list(range(8))),
@@ -153,3 +157,47 @@
     made[0].is_open = False
     pool.release('b', typing.cast(channel.Channel, made[3]), 0.0)
     assert made[3].is_open and pool.count() == 2
+
+
+@pytest.mark.parametrize(
+    ('is_unread', 'age_s', 'silent_s', 'stage'),
+    [
+        (False, 9.0, 9.0, Stage.BODY),
+        (False, 9.0, 0.5, Stage.SLOW_BODY),
+        # It is this process that does not read.
+        (True, 9.0, 9.0, Stage.SLOW_BODY),
+        (True, 0.5, 0.5, Stage.SLOW_BODY),
+    ],
+)
+def test_body_that_does_not_become_whole_keeps_no_place(
+    is_unread: bool, age_s: float, silent_s: float, stage: Stage
+) -> None:
+    """Guards against callers that send a byte now and then, in all places."""
+
+    async def play() -> None:
+        forwarder = test_gateway_ingress.Forwarder()
+        made = ingress.Ingress(
+            typing.cast(typing.Any, forwarder), codec.PlatformCodec()
+        )
+        ours, theirs = socket.socketpair()
+        stream = client_stream.ClientStream(ours)
+        conn = types.SimpleNamespace(stream=stream)
+        reader = typing.cast(
+            request_reader.RequestReader,
+            made.start_request('c', typing.cast(typing.Any, conn)),
+        )
+        now = 1_000.0
+        reader.received_at = now - age_s
+        stream.last_read_at = now - silent_s
+        if is_unread:
+            theirs.send(b'x')
+        found, since = reader.stage(now)
+        assert found is stage
+        closed = caller_limits.victims([(reader, found, since)], now)
+        assert bool(closed) is (age_s > caller_limits.MIN_SLOW_S)
+        reader.is_whole = True
+        assert reader.stage(now)[0] is Stage.SERVED
+        stream.close()
+        theirs.close()
+
+    asyncio.run(play())
