Count a conversation before it is joined, turn by turn

Callers saw: 40 callers that each go on from a conversation of 6 MB with a turn of no bytes, and an instance of 96 MB had 280 MB; from one of 11 MB, 475 MB.

Cause: the turns before a turn were all read, and joined for the upstream, and only then counted and refused. All that come at once did so before the first was refused.

Each turn that is found counts to its account before the next is looked for, and before all are joined; the one that there is no room for ends the search. Of one conversation, 2 MiB are read from the store at once, or one turn.

--- a/oleanderdrift/gateway/forwarder.py
+++ b/oleanderdrift/gateway/forwarder.py
@@ -87,7 +87,6 @@
                     await self.find_origin(progress)
                 if admitted.is_turn():
                     await self.turns.prepare(progress)
-                    self.hold_conversation(progress)
                 await self.attempts.run(progress, reply)
         except errors.ResultError as error:
             result, detail = error.code, error.detail
@@ -145,23 +144,6 @@
             admitted, origin, self.board.config, self.board.upstreams
         )
 
-    def hold_conversation(self, progress: progress_lib.Progress) -> None:
-        """Counts what a turn sends besides its own body.
-
-        Raises ResultError if that is too much beside what others hold.
-        """
-        more = len(progress.body) - len(progress.admitted.request.body)
-        if not more:
-            return
-        progress.holder = self.board.held.open(progress.account_name())
-        progress.holder.grow(more)
-        if self.board.held.is_over():
-            raise errors.ResultError(
-                codes.MEMORY_EXHAUSTED,
-                f'the conversation has {more} bytes',
-                retry_after_s=admission.RETRY_ELSEWHERE_S,
-            )
-
     async def handle_timeout(
         self,
         progress: progress_lib.Progress | None,
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -1,6 +1,7 @@
 """Reserves budgets and loads conversations for turns, and stores turns."""
 
 import asyncio
+import functools
 import typing
 
 from oleanderdrift import codes
@@ -35,6 +36,12 @@
 RENEWAL_FRACTION: typing.Final = 0.4
 # The store takes some MiB in one call, with the inputs of other turns.
 MAX_RENEWED_BYTES: typing.Final = 1_048_576
+# What a conversation may be refused with though the store has answered.
+NOT_OF_THE_STORE: typing.Final = (
+    codes.BAD_REQUEST,
+    codes.MEMORY_EXHAUSTED,
+    codes.UNKNOWN_TURN,
+)
 # Other instances return a program's unused tokens after two seconds.
 UNSETTLED_RETRY_AFTER_S: typing.Final = 0.7
 
@@ -187,7 +194,7 @@
         except TimeoutError as error:
             raise self.late_error(request, has_chain=has_chain) from error
         except errors.ResultError as error:
-            if error.code in (codes.UNKNOWN_TURN, codes.BAD_REQUEST):
+            if error.code in NOT_OF_THE_STORE:
                 raise
             raise self.store_unavailable_error(
                 request, error.detail
@@ -296,9 +303,28 @@
         if not progress.admitted.route.retains or not request.previous_turn:
             return []
         return await self.turns.chain(
-            request.previous_turn, progress.account_name()
+            request.previous_turn,
+            progress.account_name(),
+            functools.partial(self.hold_earlier, progress),
         )
 
+    def hold_earlier(
+        self, progress: progress_lib.Progress, count: int
+    ) -> None:
+        """Counts bytes of the turns before a turn, before they are joined.
+
+        Raises ResultError if that is too much beside what others hold.
+        """
+        if progress.holder is None:
+            progress.holder = self.board.held.open(progress.account_name())
+        progress.holder.grow(count)
+        if self.board.held.is_over():
+            raise errors.ResultError(
+                codes.MEMORY_EXHAUSTED,
+                f'the conversation has {progress.holder.count} bytes',
+                retry_after_s=admission.RETRY_ELSEWHERE_S,
+            )
+
     async def reserve(
         self,
         progress: progress_lib.Progress,
--- a/oleanderdrift/gateway/turn_loads.py
+++ b/oleanderdrift/gateway/turn_loads.py
@@ -24,6 +24,9 @@
 # Pauses before a read of a known place is tried again.
 READ_RETRY_DELAYS_S: typing.Final = (0.1, 0.2, 0.4, 0.8)
 MS_PER_S: typing.Final = 1_000.0
+# Of one conversation at once, before its caller counts them.  One turn may
+# have more.
+LOAD_BYTES: typing.Final = 2_097_152
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -74,7 +77,7 @@
             'turns-loaded',
             turn=name,
             turns=len(loaded),
-            size=sum(len(one.input) + len(one.output) for one in loaded),
+            size=sum(one.size() for one in loaded),
             ms=round((clock.monotonic() - begun) * MS_PER_S),
         )
         return loaded
@@ -111,14 +114,13 @@
     async def fetch_listed(
         self, entry: records.IndexedTurn, account: str
     ) -> list[turns.Turn] | None:
-        """Reads the turns of an entry, the latest first.
+        """Reads the latest turns of an entry, the latest first.
 
         Returns None if they are not where it says.
         """
         check_account(entry.turns[-1].turn, entry.account, account)
-        fetched = await asyncio.gather(
-            *(self.fetch(stored) for stored in reversed(entry.turns))
-        )
+        latest = turns.latest_within(entry, LOAD_BYTES)
+        fetched = await asyncio.gather(*map(self.fetch, latest))
         loaded = [turn for turn in fetched if turn is not None]
         if len(loaded) < len(fetched):
             self.events.info('turn-misplaced', turn=entry.turns[-1].turn)
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -200,9 +200,15 @@
         """
         return routing.two_partitions(turn, self.log.partitions)
 
-    async def chain(self, last: str, account: str) -> list[turns.Turn]:
+    async def chain(
+        self,
+        last: str,
+        account: str,
+        hold: collections.abc.Callable[[int], None] | None = None,
+    ) -> list[turns.Turn]:
         """Returns a turn and all turns before it, oldest first.
 
+        hold is told of the bytes of each; what it raises ends the search.
         Raises ResultError UNKNOWN_TURN if the account has no such turn,
         BAD_REQUEST if the conversation is too long, and the store's
         ResultError if that cannot be determined.
@@ -217,6 +223,8 @@
                         f'the conversation has more than {MAX_CHAIN} turns',
                     )
                 turn_loads.check_account(turn.turn_id, turn.account, account)
+                if hold is not None:
+                    hold(turn.size())
                 found.append(turn)
                 name = turn.previous
         return found[::-1]
--- a/oleanderdrift/gateway/turns.py
+++ b/oleanderdrift/gateway/turns.py
@@ -32,6 +32,10 @@
     ended_ms: int
     stored: records.StoredTurn | None = None
 
+    def size(self) -> int:
+        """Returns how many bytes it adds to a conversation."""
+        return len(self.input) + len(self.output)
+
 
 @attrs.define(kw_only=True)
 class TurnCache:
@@ -55,10 +59,10 @@
         if turn.turn_id in self.turns:
             return
         self.turns[turn.turn_id] = turn
-        self.size += len(turn.input) + len(turn.output)
+        self.size += turn.size()
         while self.size > self.limit and len(self.turns) > 1:
             _, old = self.turns.popitem(last=False)
-            self.size -= len(old.input) + len(old.output)
+            self.size -= old.size()
 
 
 @attrs.define(kw_only=True)
@@ -128,6 +132,23 @@
     return tuple(reversed(found))
 
 
+def latest_within(
+    entry: records.IndexedTurn, limit: int
+) -> list[records.StoredTurn]:
+    """Returns the latest turns of an entry that have some bytes together.
+
+    The latest comes first, and is always there.
+    """
+    found: list[records.StoredTurn] = []
+    total = 0
+    for stored in reversed(entry.turns):
+        total += stored.size + stored.input.size
+        if found and total > limit:
+            break
+        found.append(stored)
+    return found
+
+
 def connected(loaded: collections.abc.Sequence[Turn]) -> list[Turn]:
     """Returns turns as far as each is the previous one of the one before."""
     found = list(loaded[:1])
--- a/tests/test_gateway_turns.py
+++ b/tests/test_gateway_turns.py
@@ -215,3 +215,57 @@
         )
     assert cache.get('a') is None
     assert cache.get('c') is not None
+
+
+@pytest.mark.parametrize(
+    ('sizes', 'count'),
+    [([5, 5, 5], 3), ([5, 6, 5], 2), ([1, 1, 99], 1), ([99, 1, 1], 2)],
+)
+def test_turns_of_an_entry_are_read_some_bytes_at_once(
+    sizes: list[int], count: int
+) -> None:
+    """Guards against long turns that are all in memory before any counts."""
+    entry = records.IndexedTurn(
+        account='a',
+        turns=tuple(
+            records.StoredTurn(
+                turn=f't{number}',
+                part=0,
+                offset=0,
+                size=1,
+                input=records.InputLocation(
+                    part=0, offset=0, count=1, size=size - 1
+                ),
+            )
+            for number, size in enumerate(sizes)
+        ),
+        ended_ms=1,
+    )
+    found = turns.latest_within(entry, 15)
+    names = [f't{number}' for number in range(len(sizes))]
+    assert [one.turn for one in found] == names[::-1][:count]
+
+
+def test_conversation_that_there_is_no_room_for_is_not_read_on() -> None:
+    counts: list[int] = []
+
+    def hold(count: int) -> None:
+        counts.append(count)
+        if sum(counts) > 30:
+            raise errors.ResultError(codes.MEMORY_EXHAUSTED)
+
+    async def scenario() -> None:
+        log = gateway_support.MemoryLog()
+        first = make_turn_log(log, 'north-1')
+        for number in range(20):
+            previous = f'a{number - 1}' if number else None
+            await store(first, f'a{number}', previous, 'ward')
+        second = make_turn_log(log, 'south-1')
+        with pytest.raises(errors.ResultError) as raised:
+            await second.chain('a19', 'ward', hold)
+        assert raised.value.code is codes.MEMORY_EXHAUSTED
+        await second.chain('a1', 'ward', counts.append)
+
+    asyncio.run(scenario())
+    # Each is `in a19;` and `out a19\n`, the last ones `in a1;` and so on.
+    assert counts == [15, 15, 15, 13, 13]
