Keep no head of a request on an idle connection to an upstream

A head of 16 KB in small fields takes some 600 KB, and counts until its request has ended.

A connection keeps the method alone, which tells how an answer is framed.

A crowd that fills an instance with it was not found: what comes back so quickly uses few connections.

--- a/oleanderdrift/gateway/channel.py
+++ b/oleanderdrift/gateway/channel.py
@@ -80,6 +80,8 @@
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
         self.idle_deadline = float('inf')
+        # That of the last request, whose head is not kept.
+        self.method = b''
         self.request_count = 0
         self.response_complete = True
         self.events_this_turn = 0
@@ -122,7 +124,7 @@
             data_event = h11.Data(data=typing.cast(bytes, body))
             self.h11_connection.send_with_data_passthrough(data_event)
         self.h11_connection.send(h11.EndOfMessage())
-        self.request = request
+        self.method = request.method
         self.protocol.send(data, body)
 
     async def next_event(self) -> object:
@@ -187,7 +189,7 @@
             )
         self.note_idle_timeout(event, now)
         self.body_length = None
-        if self.request.method != b'HEAD':
+        if self.method != b'HEAD':
             self.body_length = _stated_length(event)
         return Head(
             status=event.status_code,
@@ -210,8 +212,8 @@
         # h11 parses a response only after a request; this one is not sent.
         self.h11_connection.send(
             h11.Request(
-                method=self.request.method,
-                target=self.request.target,
+                method=self.method,
+                target=b'/',
                 headers=[('host', 'x')],
             )
         )
--- a/tests/test_gateway_ended_connections.py
+++ b/tests/test_gateway_ended_connections.py
@@ -10,6 +10,7 @@
 import gc
 import typing
 
+import h11
 import pytest
 
 from oleanderdrift.gateway import client_stream
@@ -34,6 +35,7 @@
 KINDS: typing.Final = (
     client_stream.ClientStream,
     connection_reply.ConnectionReply,
+    h11.Request,
     model.Request,
     progress.Progress,
     request_body.RequestBody,
