Bound the lines that wait to be logged by their bytes

The queue takes 1 MiB of lines, with 64 bytes for each beside its text. What does not fit is lost and counted, as before.

Evidence: test_queue_is_bounded_by_the_length_of_its_lines[20000] would hold 2,000 lines, 40 MB, before.

--- a/oleanderdrift/gateway/event_log.py
+++ b/oleanderdrift/gateway/event_log.py
@@ -19,7 +19,10 @@
 
 # Twice the requests per second of an instance's share of a burst.
 LINES_PER_S: typing.Final = 60
-MAX_QUEUED_LINES: typing.Final = 2_000
+# Lines have ids of callers, which may be long.  A text of any length takes
+# some bytes besides.
+MAX_QUEUED_BYTES: typing.Final = 1_048_576
+TEXT_BYTES: typing.Final = 64
 # Lines are collected this long, as each write costs a thread wake-up.
 BATCH_DELAY_S: typing.Final = 0.05
 # A reader that has stalled must not hold up the exit of the process.
@@ -35,12 +38,40 @@
     left_out: int = 0
 
 
+class _TextQueue(queue.Queue[str | None]):
+    """A queue whose size is that of its texts, in bytes."""
+
+    def _init(self, maxsize: int) -> None:
+        """Prepares an empty queue."""
+        super()._init(maxsize)
+        self.size = 0
+
+    def _qsize(self) -> int:
+        """Returns the size; that of the end counts as well."""
+        return self.size
+
+    def _put(self, item: str | None) -> None:
+        """Adds a text."""
+        super()._put(item)
+        self.size += _size(item)
+
+    def _get(self) -> str | None:
+        """Removes the oldest text."""
+        item = super()._get()
+        self.size -= _size(item)
+        return item
+
+
+def _size(item: str | None) -> int:
+    return len(item or '') + TEXT_BYTES
+
+
 class BoundedOutput:
     """A text stream that never blocks; lines that do not fit are lost."""
 
     def __init__(self, file: typing.TextIO) -> None:
         self.file = file
-        self.lines: queue.Queue[str | None] = queue.Queue(MAX_QUEUED_LINES)
+        self.lines = _TextQueue(MAX_QUEUED_BYTES)
         self.lost = 0
         self.thread = threading.Thread(target=self.run, daemon=True)
         self.thread.start()
--- a/tests/test_gateway_event_log.py
+++ b/tests/test_gateway_event_log.py
@@ -18,7 +18,7 @@
     with os.fdopen(writer, 'w') as file:
         output = event_log.BoundedOutput(file)
         began = time.monotonic()
-        for _ in range(event_log.MAX_QUEUED_LINES * 3):
+        for _ in range(event_log.MAX_QUEUED_BYTES // 100):
             output.write('x' * 200 + '\n')
         assert time.monotonic() - began < 5.0
         assert output.lost > 0
@@ -29,6 +29,26 @@
         os.close(reader)
 
 
+@pytest.mark.parametrize('length', [10, 20_000])
+def test_queue_is_bounded_by_the_length_of_its_lines(length: int) -> None:
+    """Guards against long ids of callers behind a stalled reader."""
+    reader, writer = os.pipe()
+    with os.fdopen(writer, 'w') as file:
+        output = event_log.BoundedOutput(file)
+        most = event_log.MAX_QUEUED_BYTES
+        each = length + event_log.TEXT_BYTES
+        for _ in range(6 * most // each):
+            output.write('x' * length)
+        queued = len(output.lines.queue) * each
+        assert most / 2 < queued < most + each
+        assert queued == output.lines.size
+        assert output.lost > 0
+        drain = threading.Thread(target=os.read, args=(reader, 1 << 22))
+        drain.start()
+        drain.join()
+        os.close(reader)
+
+
 def test_number_of_lost_lines_is_logged() -> None:
     written = threading.Event()
 
