Bound what strangers leave at the peers' states port

Callers saw ordinary requests go unanswered, and the process ended, while others subscribed to topics of their own at the port where instances publish their states.

Cause: ZeroMQ keeps each topic that a subscriber asks for, with some hundred bytes for each byte of it, and has no limit on them; a message of up to 1 MiB was taken, although a peer's subscription has two bytes.

More than 16 topics that no peer asks for close the socket with all that was kept; it listens again in the next exchange, and peers come back by themselves. Both are counted: refusals of the kind `peer-topics`, the event `peer-connections-closed`.

Open: the number of connections at this port has no bound, and a stranger there can still make peers connect anew. Callers must not reach it.

--- a/oleanderdrift/gateway/gossip.py
+++ b/oleanderdrift/gateway/gossip.py
@@ -113,7 +113,9 @@
 
     def exchange(self, now: float) -> None:
         """Receives, publishes and forwards states once."""
-        self.sockets.update_subscribed()
+        if self.sockets.update_subscribed():
+            self.board.refusals['peer-topics'] += 1
+            self.events.info('peer-connections-closed')
         self.receive_pending(now)
         self.expire_silent(now)
         self.peer_crashes.review(now)
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -49,6 +49,7 @@
     'slow-heads',
     'open-requests',
     'operators',
+    'peer-topics',
     'tunnels',
     'unread-answers',
 )
--- a/tests/peer_fleet.py
+++ b/tests/peer_fleet.py
@@ -61,7 +61,7 @@
             return waiting.popleft()[1]
         return None
 
-    def update_subscribed(self) -> None:
+    def update_subscribed(self) -> bool:
         """Looks up which topics are subscribed to here."""
         self.subscribed = {
             topic
@@ -70,6 +70,7 @@
                 relays.Source(instance=self.name, topic=topic)
             ]
         }
+        return False
 
 
 @attrs.define(kw_only=True)
--- a/tests/test_gateway_peer_sockets.py
+++ b/tests/test_gateway_peer_sockets.py
@@ -21,6 +21,17 @@
 # Seven instances in one data centre use relays, two in the other none.
 PLACES: typing.Final = ['north'] * 7 + ['south'] * 2
 WAIT_S: typing.Final = 20.0
+# What a subscriber sends first: signature, version, mechanism, and its kind.
+GREETING: typing.Final = (
+    b'\xff\0\0\0\0\0\0\0\x01\x7f\x03\0NULL'
+    + bytes(48)
+    + b'\x04\x19\x05READY\x0bSocket-Type\0\0\0\x03SUB'
+)
+# A long message that subscribes; the library's own sockets end their process
+# with such a topic, as they go down one call for each byte.
+LONG_TOPIC: typing.Final = (
+    b'\x02' + (1_000_001).to_bytes(8) + b'\x01' + b't' * 1_000_000
+)
 
 
 @attrs.define(kw_only=True)
@@ -155,3 +166,108 @@
         context.destroy(linger=0)
 
     asyncio.run(play())
+
+
+@contextlib.contextmanager
+def listening() -> collections.abc.Iterator[
+    tuple[peer_sockets.PeerSockets, str]
+]:
+    """Yields sockets that listen, and their endpoint."""
+    (port,) = whole.free_ports(1)
+    sockets = peer_sockets.PeerSockets()
+    sockets.bind(f'127.0.0.1:{port}')
+    yield sockets, f'tcp://127.0.0.1:{port}'
+    sockets.close()
+
+
+async def await_topic(
+    sockets: peer_sockets.PeerSockets, peer: zmq.Socket[bytes]
+) -> int:
+    """Waits until a peer's subscription is known; counts the drops."""
+    drops = 0
+    async with asyncio.timeout(WAIT_S):
+        while peer_messages.Topic.OWN not in sockets.subscribed:
+            drops += sockets.update_subscribed()
+            # It subscribes again as it looks for messages.
+            peer.poll(0)
+            await asyncio.sleep(0.01)
+    return drops
+
+
+def test_strangers_topics_are_not_kept() -> None:
+    """Guards against memory that anybody at the port can fill.
+
+    The library keeps each topic, and has no limit of them.
+    """
+
+    async def play() -> None:
+        context = zmq.Context()
+        with listening() as (sockets, endpoint):
+            peer = context.socket(zmq.SUB)
+            peer.reconnect_ivl = peer_sockets.RECONNECT_MS
+            peer.connect(endpoint)
+            peer.subscribe(peer_messages.Topic.OWN.value)
+            assert await await_topic(sockets, peer) == 0
+            stranger = context.socket(zmq.SUB)
+            stranger.connect(endpoint)
+            for number in range(5_000):
+                stranger.subscribe(f'{number}'.rjust(40).encode())
+            drops = 0
+            async with asyncio.timeout(WAIT_S):
+                while not drops:
+                    drops += sockets.update_subscribed()
+                    await asyncio.sleep(0.01)
+            stranger.close(linger=0)
+            assert not sockets.subscribed
+            # The peer comes back by itself.
+            await await_topic(sockets, peer)
+            sockets.publish(
+                peer_messages.Topic.OWN,
+                peer_messages.Bundle(publisher='a', envelopes=[]),
+            )
+            async with asyncio.timeout(WAIT_S):
+                while not peer.poll(0):
+                    await asyncio.sleep(0.01)
+        context.destroy(linger=0)
+
+    asyncio.run(play())
+
+
+def test_few_unknown_topics_close_nothing() -> None:
+    """Peers of a later build may ask for more."""
+
+    async def play() -> None:
+        context = zmq.Context()
+        with listening() as (sockets, endpoint):
+            peer = context.socket(zmq.SUB)
+            peer.connect(endpoint)
+            for topic in (b'x', b'y', peer_messages.Topic.OWN.value):
+                peer.subscribe(topic)
+            assert await await_topic(sockets, peer) == 0
+        context.destroy(linger=0)
+
+    asyncio.run(play())
+
+
+def test_long_topic_closes_its_connection_alone() -> None:
+    """Guards against topics of 1 MiB, each of whose bytes takes memory."""
+
+    async def play() -> None:
+        context = zmq.Context()
+        with listening() as (sockets, endpoint):
+            _, writer = await asyncio.open_connection(
+                '127.0.0.1', int(endpoint.rpartition(':')[2])
+            )
+            writer.write(GREETING + LONG_TOPIC)
+            peer = context.socket(zmq.SUB)
+            peer.connect(endpoint)
+            peer.subscribe(peer_messages.Topic.OWN.value)
+            assert await await_topic(sockets, peer) == 0
+            for _ in range(20):
+                assert not sockets.update_subscribed()
+                await asyncio.sleep(0.01)
+            assert sockets.unknown_topics == 0
+            writer.close()
+        context.destroy(linger=0)
+
+    asyncio.run(play())
