Search each byte of a head once, however it is cut

Ordinary callers waited about a second while others sent long heads a byte at a time.

Cause: Tornado searches all that has come of a head for its end with each read. A head of 28 KB that comes a byte at a time is searched 28,000 times; the budget of bytes that are read of heads in a turn counts one byte of it.

HeadSearch goes on where the last search ended, less the length of an end that is not whole.

--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -13,6 +13,7 @@
 from tornado import iostream
 
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import head_search
 from oleanderdrift.gateway import held_bytes
 from oleanderdrift.gateway import receive_windows
 from oleanderdrift.gateway import work_share
@@ -43,7 +44,7 @@
     in the kernel.  returned holds bytes that are to be read once more.
     has_read_ahead says that bytes were read that nobody has asked for yet.
     in_head says that a head is being read, and head_bytes what all streams of
-    the server may read of heads in a turn.
+    the server may read of heads in a turn.  head_search finds the end of one.
     """
 
     def __init__(
@@ -70,12 +71,27 @@
         self.has_read_ahead = False
         self.in_head = True
         self.head_bytes = work_share.TurnBytes(HEAD_TURN_BYTES)
+        self.head_search = head_search.HeadSearch()
 
     def expect_request(self) -> None:
         """Notes that the bytes to come are those of another request."""
         self.first_read_at = None
         self.body_left = 0
         self.in_head = True
+        self.head_search.begin()
+
+    def _find_read_pos(self) -> int | None:
+        """Returns where the bytes end that are waited for, if they came.
+
+        Tornado searches all of a head again with each byte that comes.
+        """
+        if self._read_regex is None or not self.in_head:
+            return super()._find_read_pos()
+        end = self.head_search.find(self._read_regex, self._read_buffer)
+        self._check_max_bytes(
+            self._read_regex, self._read_buffer_size if end is None else end
+        )
+        return end
 
     def unread(self, data: bytes) -> None:
         """Has bytes read once more, before those that come after them.
