Refuse a body over the limit with its code, not with a bare 400

Callers whose body was over the limit, announced or in chunks, or whose chunks were malformed, saw `400 Bad Request` without a header: neither the request's id nor what the pages promise of a refusal, and no line was logged.

Cause: the reader left these to Tornado, which knows nothing of refusals.

`long-bodies` counts the former among the refusals.

--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -46,8 +46,9 @@
 # Of a caller that waits for it before it sends a body.
 CONTINUE: typing.Final = '100-continue'
 CONTINUE_ANSWER: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-# Longer ones are over any limit of bodies.
-LENGTH: typing.Final = re.compile(r'\A[0-9]{1,12}\Z')
+LENGTH: typing.Final = re.compile(r'\A[0-9]+\Z')
+# A length with more digits is over any limit of bodies.
+LENGTH_DIGITS: typing.Final = 12
 # Whatever a request's deadline is, its body may take this long to arrive.
 MIN_BODY_S: typing.Final = 1.0
 
@@ -171,6 +172,11 @@
         self.ingress.forwarder.board.refusals['slow-bodies'] += 1
         self.refuse_unread(codes.SLOW_SENDER, detail)
 
+    def refuse_long(self, detail: str) -> None:
+        """Refuses the request for its body that is over the limit."""
+        self.ingress.forwarder.board.refusals['long-bodies'] += 1
+        self.refuse_unread(codes.BODY_TOO_LARGE, detail)
+
     def close(self) -> None:
         """Closes the connection before a request has been read."""
         self.closed = True
@@ -201,12 +207,14 @@
             self.open_holder(self.account_name())
         )
         self.body.hold_head(self.held_head_bytes())
-        length = headers.get('Content-Length', '')
+        length = _parse_length(headers.get('Content-Length', ''))
         if self.stream is not None:
             self.stream.in_head = False
-            self.stream.body_left = _parse_length(length)
+            self.stream.body_left = length
+        if length > self.ingress.limits.body_bytes and not self.closed:
+            self.refuse_long(f'its length is {length}')
         if self.closed:
-            # It was refused for what its head takes.
+            # Tornado is to read no body of a request that was refused.
             headers.clear()
         if isinstance(self.conn, http1connection.HTTP1Connection):
             self.conn.set_max_body_size(self.ingress.limits.body_bytes)
@@ -217,7 +225,10 @@
     async def read_chunks(
         self, stream: client_stream.ClientStream, headers: httputil.HTTPHeaders
     ) -> None:
-        """Reads a chunked body; raises HTTPInputError if there is none."""
+        """Reads a chunked body, or refuses the request.
+
+        Raises HTTPInputError if the caller left.
+        """
         if headers.pop('Expect', '').lower() == CONTINUE:
             stream.write(CONTINUE_ANSWER)
         del headers['Transfer-Encoding']
@@ -229,9 +240,9 @@
                 self.take_part,
             )
         except chunked_decoder.MalformedBodyError as error:
-            raise httputil.HTTPInputError(str(error)) from error
-        except chunked_decoder.BodyTooLongError as error:
-            raise httputil.HTTPInputError('the body is too long') from error
+            self.refuse_unread(codes.BAD_FRAMING, str(error))
+        except chunked_decoder.BodyTooLongError:
+            self.refuse_long('its chunks are too long')
         except iostream.StreamClosedError as error:
             # Tornado would log any other as not foreseen.
             raise httputil.HTTPInputError('the caller left') from error
@@ -453,8 +464,10 @@
 
 
 def _parse_length(text: str) -> int:
-    """Returns a stated length, 0 if there is none."""
-    return int(text) if LENGTH.search(text) else 0
+    """Returns a stated length, 0 if there is none that is valid."""
+    if not LENGTH.search(text):
+        return 0
+    return int(text[: LENGTH_DIGITS + 1])
 
 
 def _is_chunked(headers: httputil.HTTPHeaders) -> bool:
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -44,6 +44,7 @@
     'connections-closed',
     'connections-refused',
     'held-bytes',
+    'long-bodies',
     'long-heads',
     'slow-bodies',
     'slow-heads',
