--- a/tests/test_gateway_body_crowds.py
+++ b/tests/test_gateway_body_crowds.py
@@ -193,19 +193,27 @@
     memory: int = 0
 
     async def watch(self, site: floods.Site) -> None:
-        """Samples until cancelled."""
+        """Samples until cancelled; the instance may be started again."""
+        while True:
+            # Its process may end at any moment.
+            with contextlib.suppress(FileNotFoundError, ProcessLookupError):
+                self.sample(site)
+            await asyncio.sleep(SAMPLE_S)
+
+    def sample(self, site: floods.Site) -> None:
+        """Looks up what is used now; raises OSError if nothing runs."""
         child = site.instance.child
         assert child is not None
         folder = pathlib.Path(f'/proc/{child.pid}')
-        while True:
-            count = len(list((folder / 'fd').iterdir()))
-            self.descriptors = max(self.descriptors, count)
-            (resident,) = re.findall(
-                r'^VmRSS:\s+(\d+) kB$', (folder / 'status').read_text(), re.M
-            )
-            used = int(resident) * 1_024 + unread_bytes(site.instance.address)
-            self.memory = max(self.memory, used)
-            await asyncio.sleep(SAMPLE_S)
+        count = len(list((folder / 'fd').iterdir()))
+        status = (folder / 'status').read_text()
+        found = re.search(r'^VmRSS:\s+(\d+) kB$', status, re.M)
+        if found is None:
+            # It has ended, and nobody has waited for it yet.
+            return
+        used = int(found[1]) * 1_024 + unread_bytes(site.instance.address)
+        self.descriptors = max(self.descriptors, count)
+        self.memory = max(self.memory, used)
 
 
 @contextlib.asynccontextmanager
