--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import re
 import typing
 
 from tornado import http1connection
@@ -24,6 +23,7 @@
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import request_body
 from oleanderdrift.gateway import request_end
+from oleanderdrift.gateway import request_head
 from oleanderdrift.gateway import work_share
 
 # A head that is over the configured limit, by less than this factor, is read
@@ -31,24 +31,11 @@
 HEAD_FACTOR: typing.Final = 2
 # The only one for which Tornado writes chunks.
 CHUNKED_VERSION: typing.Final = 'HTTP/1.1'
-# Around the name and the value of each header.
-HEADER_FRAMING_BYTES: typing.Final = 4
 # With more of them, Tornado is left only those that it needs.
 USUAL_HEADERS: typing.Final = 64
-FRAMING_HEADERS: typing.Final = (
-    'Connection',
-    'Content-Length',
-    'Expect',
-    'Transfer-Encoding',
-)
-# What is made of each header here and for an upstream, besides its text.
-HEADER_OBJECT_BYTES: typing.Final = 1_024
 # Of a caller that waits for it before it sends a body.
 CONTINUE: typing.Final = '100-continue'
 CONTINUE_ANSWER: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-LENGTH: typing.Final = re.compile(r'\A[0-9]+\Z')
-# A length with more digits is over any limit of bodies.
-LENGTH_DIGITS: typing.Final = 12
 # Whatever a request's deadline is, its body may take this long to arrive.
 MIN_BODY_S: typing.Final = 1.0
 
@@ -201,13 +188,15 @@
         self.start_line = typing.cast(httputil.RequestStartLine, start_line)
         self.headers = list(headers.get_all())
         if len(self.headers) > USUAL_HEADERS:
-            _keep_framing(headers)
+            request_head.keep_framing(headers)
         self.reply.takes_chunks = self.start_line.version == CHUNKED_VERSION
         self.body = request_body.RequestBody(
             self.open_holder(self.account_name())
         )
-        self.body.hold_head(self.held_head_bytes())
-        length = _parse_length(headers.get('Content-Length', ''))
+        self.body.hold_head(
+            request_head.held_size(self.start_line.path, self.headers)
+        )
+        length = request_head.stated_length(headers)
         if self.stream is not None:
             self.stream.in_head = False
             self.stream.body_left = length
@@ -218,7 +207,7 @@
             headers.clear()
         if isinstance(self.conn, http1connection.HTTP1Connection):
             self.conn.set_max_body_size(self.ingress.limits.body_bytes)
-        if self.stream is None or not _is_chunked(headers):
+        if self.stream is None or not request_head.is_chunked(headers):
             return None
         return self.read_chunks(self.stream, headers)
 
@@ -273,10 +262,6 @@
         limit = self.ingress.limits.header_bytes * HEAD_FACTOR
         return limit + client_stream.READ_BYTES
 
-    def held_head_bytes(self) -> int:
-        """Returns what its head takes while it is served."""
-        return self.head_bytes() + HEADER_OBJECT_BYTES * len(self.headers)
-
     def open_holder(self, source: str) -> held_bytes.Holder:
         """Returns the count of what is held for this request."""
         held = self.ingress.forwarder.board.held
@@ -332,13 +317,6 @@
             # Another caller's doing has led here, and is not to blame.
             self.reply.abort()
 
-    def head_bytes(self) -> int:
-        """Returns the size of the start line and headers."""
-        return len(self.start_line.path) + sum(
-            len(name) + len(value) + HEADER_FRAMING_BYTES
-            for name, value in self.headers
-        )
-
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body."""
         link = self.ingress.forwarder.board.link
@@ -425,7 +403,8 @@
 
     def decode(self) -> model.Request:
         """Returns the request; raises ResultError if it is refused."""
-        if self.head_bytes() > self.ingress.limits.header_bytes:
+        size = request_head.size(self.start_line.path, self.headers)
+        if size > self.ingress.limits.header_bytes:
             self.ingress.forwarder.board.refusals['long-heads'] += 1
             raise errors.ResultError(codes.HEAD_TOO_LARGE)
         return self.ingress.codec.decode_request(
@@ -454,26 +433,3 @@
             request_id or None, error.retry_after_s
         )
         await reply.send_complete(error.code.status, headers, b'')
-
-
-def _keep_framing(headers: httputil.HTTPHeaders) -> None:
-    """Removes the headers that do not frame a body or a connection."""
-    kept = {name: headers[name] for name in FRAMING_HEADERS if name in headers}
-    headers.clear()
-    headers.update(kept)
-
-
-def _parse_length(text: str) -> int:
-    """Returns a stated length, 0 if there is none that is valid."""
-    if not LENGTH.search(text):
-        return 0
-    return int(text[: LENGTH_DIGITS + 1])
-
-
-def _is_chunked(headers: httputil.HTTPHeaders) -> bool:
-    """Returns whether a body is chunked.
-
-    Tornado refuses a head that says something else beside it.
-    """
-    encoding = headers.get('Transfer-Encoding', '')
-    return 'Content-Length' not in headers and encoding.lower() == 'chunked'
--- a/tests/test_gateway_crowd_changes.py
+++ b/tests/test_gateway_crowd_changes.py
@@ -1,6 +1,8 @@
 """An instance under a crowd stops, loses the store and starts as always."""
 
 import asyncio
+import collections.abc
+import contextlib
 import pathlib
 import signal
 import typing
@@ -29,14 +31,25 @@
 each_crowd: typing.Final = pytest.mark.parametrize('name', CROWDS)
 
 
-def check_bounds(site: floods.Site, most: bodies.Watcher) -> None:
-    """Checks what an instance has used under a crowd."""
-    print(
-        f'with_unread_mb={most.memory / bodies.MB:.0f} fds={most.descriptors}'
-    )
-    assert site.peak_mb() < bodies.MEMORY_MB
-    assert most.memory < bodies.MEMORY_MB * bodies.MB
-    assert most.descriptors < bodies.MAX_FDS
+@contextlib.asynccontextmanager
+async def run_under_crowd(
+    name: str, folder: pathlib.Path
+) -> collections.abc.AsyncIterator[floods.Site]:
+    """Runs an instance under a crowd; checks at its end what it used."""
+    silent = replica_lib.Silent()
+    async with floods.run_site(folder, silent, LIMITS) as site:
+        crowd = bodies.ROWS[name].crowd(site.instance.address)
+        async with bodies.run_crowd(site, crowd) as most:
+            yield site
+            await untrusted.await_ordinary(site)
+        await untrusted.await_ordinary(site)
+        print(
+            f'with_unread_mb={most.memory / bodies.MB:.0f} '
+            f'fds={most.descriptors}'
+        )
+        assert site.peak_mb() < bodies.MEMORY_MB
+        assert most.memory < bodies.MEMORY_MB * bodies.MB
+        assert most.descriptors < bodies.MAX_FDS
 
 
 @each_crowd
@@ -46,16 +59,10 @@
     """Guards against what fills a process while its appends wait."""
 
     async def play() -> None:
-        silent = replica_lib.Silent()
-        async with floods.run_site(tmp_path, silent, LIMITS) as site:
-            crowd = bodies.ROWS[name].crowd(site.instance.address)
-            async with bodies.run_crowd(site, crowd) as most:
-                site.instance.link.flowing.clear()
-                await asyncio.sleep(OUTAGE_S)
-                site.instance.link.flowing.set()
-                await untrusted.await_ordinary(site)
-            await untrusted.await_ordinary(site)
-            check_bounds(site, most)
+        async with run_under_crowd(name, tmp_path) as site:
+            site.instance.link.flowing.clear()
+            await asyncio.sleep(OUTAGE_S)
+            site.instance.link.flowing.set()
 
     asyncio.run(play())
 
@@ -67,14 +74,9 @@
     """Guards against a roll that callers who stay can hold up."""
 
     async def play() -> None:
-        silent = replica_lib.Silent()
-        async with floods.run_site(tmp_path, silent, LIMITS) as site:
-            crowd = bodies.ROWS[name].crowd(site.instance.address)
-            async with bodies.run_crowd(site, crowd) as most:
-                await stop(site.instance)
-                site.instance.start()
-                await untrusted.await_ordinary(site)
-            check_bounds(site, most)
+        async with run_under_crowd(name, tmp_path) as site:
+            await stop(site.instance)
+            site.instance.start()
 
     asyncio.run(play())
 
--- a/tests/test_gateway_many_heads.py
+++ b/tests/test_gateway_many_heads.py
@@ -8,6 +8,7 @@
 from tornado import httputil
 
 from oleanderdrift.gateway import ingress
+from oleanderdrift.gateway import request_head
 from oleanderdrift.gateway import request_reader
 from oleanderdrift.gateway import work_share
 from oleanderdrift.platform import codec
@@ -41,7 +42,7 @@
             headers.add(f'f{number}', str(number))
         headers.add('Content-Length', '3')
         reader.headers_received(line, headers)
-        each = request_reader.HEADER_OBJECT_BYTES
+        each = request_head.HEADER_OBJECT_BYTES
         assert held.total > (MANY + 2) * each
         # Tornado keeps its own until the next request on the connection.
         assert list(headers.get_all()) == [('Content-Length', '3')]
