Count a cached turn's objects, and fit the cache to the machine

Turns of no bytes, with answers of few, could fill it in an hour or so.

Cause: the cache of complete turns counted their texts alone, to 24 MB. A turn of no bytes counted nothing and took 524 bytes, so that there was no limit on their number. And 24 MB are more than the quarter that the smallest machines have for all of their own state.

A turn counts 1 KiB beside its text, and the limit is 70% of that quarter, 24 MB at most: 23.8 MB of 136, 11 of 64.

--- a/oleanderdrift/gateway/caller_limits.py
+++ b/oleanderdrift/gateway/caller_limits.py
@@ -17,6 +17,8 @@
 MAX_RESTING_SHARE: typing.Final = 0.6
 # For the process's own state: configuration, records of turns, peers.
 OWN_STATE_SHARE: typing.Final = 0.25
+# Of that, for complete turns that are cached.
+CACHED_TURNS_SHARE: typing.Final = 0.7
 HELD_SHARE: typing.Final = 0.4
 # The largest body by default, twice, so that one request always fits.
 MIN_HELD_BYTES: typing.Final = 8_388_608
@@ -57,14 +59,16 @@
 class CallerLimits:
     """The limits that one process keeps to.
 
-    held_bytes is the budget of `held_bytes`, and unread_bytes what the kernel
-    may hold of callers' bytes; the others count connections.
+    held_bytes is the budget of `held_bytes`, unread_bytes what the kernel may
+    hold of callers' bytes, and cached_turns_bytes what complete turns may
+    take; the others count connections.
     operators is for each of the operators' ports.  opening are connections
     of peers that have not asked for a tunnel yet.
     """
 
     held_bytes: int
     unread_bytes: int
+    cached_turns_bytes: int
     clients: int
     idle_upstreams: int
     tunnels: int
@@ -81,7 +85,8 @@
     that it uses before it serves anything.
     """
     resting = min(resting_bytes, int(memory_bytes * MAX_RESTING_SHARE))
-    spare = memory_bytes - resting - int(memory_bytes * OWN_STATE_SHARE)
+    own_state = int(memory_bytes * OWN_STATE_SHARE)
+    spare = memory_bytes - resting - own_state
     held = max(int(spare * HELD_SHARE), MIN_HELD_BYTES)
     own = max(int(descriptors * OWN_DESCRIPTORS_SHARE), MIN_OWN_DESCRIPTORS)
     tunnels = min(int(descriptors * TUNNEL_SHARE), MAX_TUNNELS)
@@ -98,6 +103,7 @@
     return CallerLimits(
         held_bytes=held,
         unread_bytes=clients * UNREAD_BYTES,
+        cached_turns_bytes=int(own_state * CACHED_TURNS_SHARE),
         clients=clients,
         idle_upstreams=int(clients * IDLE_UPSTREAM_SHARE),
         tunnels=tunnels,
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -62,6 +62,7 @@
             self.retrying_log,
             board.settings.instance,
             board.settings.link_mbps,
+            min(turns.CACHE_BYTES, board.caller_limits.cached_turns_bytes),
         )
         # All long reads come over one link.
         self.share = self.turns.share
--- a/oleanderdrift/gateway/turn_log.py
+++ b/oleanderdrift/gateway/turn_log.py
@@ -63,11 +63,12 @@
         log: retrying_log.RetryingLog,
         instance: str,
         link_mbps: float = math.inf,
+        cache_bytes: int = turns.CACHE_BYTES,
     ) -> None:
         self.log = log
         self.share = link_share.LinkShare(link_mbps)
         self.events = event_log.EventLog()
-        self.cache = turns.TurnCache()
+        self.cache = turns.TurnCache(limit=cache_bytes)
         self.index = turn_index_log.TurnIndexLog(log, self.events)
         self.search = turn_search.TurnSearch(log, self.share, self.events)
         self.loads = turn_loads.TurnLoads(
--- a/oleanderdrift/gateway/turns.py
+++ b/oleanderdrift/gateway/turns.py
@@ -11,6 +11,8 @@
 # Complete turns in an instance's memory.  All instances together hold many
 # times as much, and the store has all turns.
 CACHE_BYTES: typing.Final = 24_000_000
+# Python's objects of a turn, with its ids and its place in the cache.
+TURN_OBJECT_BYTES: typing.Final = 1_024
 # Of a longer conversation, an entry of the index has the latest turns only:
 # each turn of it writes one.
 MAX_LISTED_TURNS: typing.Final = 8
@@ -36,10 +38,18 @@
         """Returns how many bytes it adds to a conversation."""
         return len(self.input) + len(self.output)
 
+    def held_size(self) -> int:
+        """Returns how many bytes it takes in memory."""
+        return self.size() + TURN_OBJECT_BYTES
+
 
 @attrs.define(kw_only=True)
 class TurnCache:
-    """Complete turns, the most recently used last."""
+    """Complete turns, the most recently used last.
+
+    size is what they take in memory, in bytes, and limit the most of it; the
+    latest turn is kept whatever it takes.
+    """
 
     turns: collections.OrderedDict[str, Turn] = attrs.field(
         factory=collections.OrderedDict
@@ -59,10 +69,10 @@
         if turn.turn_id in self.turns:
             return
         self.turns[turn.turn_id] = turn
-        self.size += turn.size()
+        self.size += turn.held_size()
         while self.size > self.limit and len(self.turns) > 1:
             _, old = self.turns.popitem(last=False)
-            self.size -= old.size()
+            self.size -= old.held_size()
 
 
 @attrs.define(kw_only=True)
--- a/tests/test_gateway_caller_limits.py
+++ b/tests/test_gateway_caller_limits.py
@@ -37,6 +37,7 @@
     assert found.clients >= caller_limits.MIN_CONNECTIONS
     if memory_mb >= 64:
         filled = found.clients * caller_limits.CONNECTION_BYTES
+        filled += found.cached_turns_bytes
         assert found.held_bytes + filled + 42 * MB < memory_mb * MB
     if descriptors >= 256:
         opened = 2.5 * found.clients + 2 * found.tunnels + found.opening
