--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -21,8 +21,7 @@
 from oleanderdrift.gateway import work_share
 
 # At least so much is read of a head, since the configured limit may grow while
-# a connection waits for its next request.  Longer ones take processor time:
-# all of a head is searched for its end with each read.
+# a connection waits for its next request.
 MIN_HEAD_BYTES: typing.Final = 524_288
 # Fewer bytes in a socket's buffers are not worth counting.
 KERNEL_BYTES: typing.Final = 131_072
