Refuse a request once, also where its chunks turn out malformed later

A request that had been refused for held bytes while its chunks waited to be decoded was refused again when they were malformed or too long: two lines for one request, the second without its id, and two in the counts. Callers saw one answer.

Both rows of the test failed with two lines, and pass.

--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -229,9 +229,12 @@
                 self.take_part,
             )
         except chunked_decoder.MalformedBodyError as error:
-            self.refuse_unread(codes.BAD_FRAMING, str(error))
+            # It may have been refused while it waited to be decoded.
+            if not self.closed:
+                self.refuse_unread(codes.BAD_FRAMING, str(error))
         except chunked_decoder.BodyTooLongError:
-            self.refuse_long('its chunks are too long')
+            if not self.closed:
+                self.refuse_long('its chunks are too long')
         except iostream.StreamClosedError as error:
             # Tornado would log any other as not foreseen.
             raise httputil.HTTPInputError('the caller left') from error
--- a/tests/test_gateway_request_end.py
+++ b/tests/test_gateway_request_end.py
@@ -16,6 +16,8 @@
 from oleanderdrift.gateway import admission
 from oleanderdrift.gateway import answer_relay
 from oleanderdrift.gateway import board as board_lib
+from oleanderdrift.gateway import chunked_decoder
+from oleanderdrift.gateway import chunked_reader
 from oleanderdrift.gateway import connection_reply
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import exchange
@@ -515,6 +517,35 @@
     assert (line['request'], line['code']) == ('q1', code.number)
 
 
+@pytest.mark.parametrize(
+    'error',
+    [chunked_decoder.BodyTooLongError, chunked_decoder.MalformedBodyError],
+)
+def test_request_that_was_refused_is_not_refused_again(
+    lines: Lines, monkeypatch: pytest.MonkeyPatch, error: type[Exception]
+) -> None:
+    """Guards against a second refusal for what was to be decoded then."""
+
+    async def refuse_and_fail(*args: typing.Any) -> None:
+        # The last one stores parts of the body for the reader.
+        args[-1].__self__.stop_for_bytes()
+        raise error
+
+    monkeypatch.setattr(chunked_reader, 'read_chunked', refuse_and_fail)
+    head = HEAD.replace('Content-Length: 0', 'Transfer-Encoding: chunked')
+
+    async def play() -> None:
+        async with whole.run_environment() as env:
+            await whole.make_ready(env)
+            async with asyncio.timeout(END_WITHIN_S):
+                answer = await send_until_closed(env, f'{head}\r\n')
+            assert answer.startswith(b'HTTP/1.1 503 ')
+            assert answer.count(b'HTTP/1.1') == 1
+
+    asyncio.run(play())
+    assert len(named(lines, 'request-refused')) == 1
+
+
 async def send(env: whole.Environment, data: str) -> bytes:
     """Sends bytes on a new connection; returns the head of the answer."""
     reader, writer = await asyncio.open_connection('127.0.0.1', env.port)
