Tell a test's own connections from those that other tests left

In a whole run, beside a load of 23 on 8 cores, all 11 rows of test_ended_connections_leave_nothing failed; each passes by itself and with the tests of the drain before it. They count all objects of connections and requests in the process, also those that other tests still refer to.

What is there before a row, after a collection, is left out now, object by object; what the row leaves is counted as before.

--- a/tests/test_gateway_ended_connections.py
+++ b/tests/test_gateway_ended_connections.py
@@ -43,12 +43,19 @@
 )
 
 
-def alive() -> dict[str, int]:
-    """Returns how many objects of connections and requests there are."""
-    found = collections.Counter(
-        type(one).__name__ for one in gc.get_objects() if type(one) in KINDS
+def alive() -> list[object]:
+    """Returns all objects of connections and requests."""
+    return [one for one in gc.get_objects() if type(one) in KINDS]
+
+
+def count_new(others: list[object]) -> dict[str, int]:
+    """Returns how many objects there are besides others, by their kind."""
+    known = set(map(id, others))
+    return dict(
+        collections.Counter(
+            type(one).__name__ for one in alive() if id(one) not in known
+        )
     )
-    return dict(found)
 
 
 async def call(port: int, number: int, fields: str, data: bytes) -> None:
@@ -64,15 +71,14 @@
 
 
 @pytest.fixture
-def uncollected() -> collections.abc.Iterator[None]:
-    """Switches the cyclic collector off."""
+def others() -> collections.abc.Iterator[list[object]]:
+    """Switches the cyclic collector off; yields what other tests left."""
     gc.collect()
     gc.disable()
-    yield
+    yield alive()
     gc.enable()
 
 
-@pytest.mark.usefixtures('uncollected')
 @pytest.mark.parametrize(
     ('fields', 'data', 'behaviour'),
     [
@@ -103,7 +109,10 @@
     ],
 )
 def test_ended_connections_leave_nothing(
-    fields: str, data: bytes, behaviour: replica_lib.Behaviour
+    fields: str,
+    data: bytes,
+    behaviour: replica_lib.Behaviour,
+    others: list[object],
 ) -> None:
     """Guards against bodies that nobody counts."""
 
@@ -130,6 +139,6 @@
             )
             # The last callbacks of the tasks that have ended.
             await asyncio.sleep(0.05)
-            assert alive() == {}
+            assert count_new(others) == {}
 
     asyncio.run(play())
