Let no head wait that came with the body before it

A caller that sends its next request right behind a chunked body, while others' heads have used up what is read of heads in this turn, got no answer until it sent more.

Cause: bytes that follow a chunked body go back to the stream, and the socket is not ready for them again; the bound on heads of a turn had them wait for that.

--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -107,6 +107,15 @@
         self.returned = self.returned[count:]
         return count
 
+    def must_wait(self) -> bool:
+        """Returns whether the socket is to be read in another turn only.
+
+        The loop finds it ready again then; returned bytes it would not find.
+        """
+        if self.returned or not self.in_head:
+            return False
+        return not self.head_bytes.has_left()
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads what is there; notes when.
 
@@ -115,8 +124,7 @@
         """
         if self.has_read_ahead and not self.reading():
             return None
-        if self.in_head and not self.head_bytes.has_left():
-            # The loop finds it ready again in its next turn.
+        if self.must_wait():
             return None
         limit = max(READ_BYTES, min(self.body_left, BODY_READ_BYTES))
         view = memoryview(buf)[:limit]
--- a/tests/test_gateway_many_heads.py
+++ b/tests/test_gateway_many_heads.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import collections.abc
+import socket
 import typing
 
 import pytest
 from tornado import httputil
 
+from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import ingress
 from oleanderdrift.gateway import request_head
 from oleanderdrift.gateway import request_reader
@@ -131,6 +133,25 @@
     assert asyncio.run(play()) == [120, 120, 120, 200, 100]
 
 
+def test_head_that_came_with_a_body_does_not_wait_for_more() -> None:
+    """Guards against a next request that hangs until its caller sends."""
+
+    async def play() -> bytes:
+        ours, theirs = socket.socketpair()
+        stream = client_stream.ClientStream(ours)
+        stream.head_bytes = work_share.TurnBytes(100)
+        stream.head_bytes.use(100)
+        stream.expect_request()
+        stream.unread(b'GET / HTTP/1.1\r\n\r\n')
+        async with asyncio.timeout(whole.WAIT_S):
+            head = await stream.read_until_regex(b'\r\n\r\n')
+        stream.close()
+        theirs.close()
+        return head
+
+    assert asyncio.run(play()) == b'GET / HTTP/1.1\r\n\r\n'
+
+
 def heads_at_once(count: int) -> collections.abc.Iterator[bytes]:
     """Yields heads of requests that each have an id of their own."""
     for number in range(count):
