Read bodies and heads by shares of their own in a turn

What callers saw: beside 200 to 900 clients that send chunked bodies, or bodies that are short of their end, and come back at once when refused, an ordinary request got no answer for seconds, or none within its deadline.

Cause: each turn of the event loop reads 16 KiB of heads, and one read of a head took up to 16 KiB, of which nearly all was of the body behind it. So one such head was read in a turn, and a new request waited for as many turns as such heads had come before it. Counting the head alone had made it worse, as nothing bounded what is read of bodies in a turn.

Change: a head is read 2 KiB at a time, so that the share of a turn is eight such heads or more, and the bodies of a turn have a share of their own, 512 KiB.

--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -20,11 +20,14 @@
 
 # Connections are many, and each holds up to twice as much that it has read.
 READ_BYTES: typing.Final = 16_384
-# Of all heads in one turn of the event loop: one that has very many fields, or
-# some dozens of usual ones.
+# So much at a time is read of a head; what comes with its end is of its body.
+HEAD_READ_BYTES: typing.Final = 2_048
+# Of all heads in one turn of the event loop: some dozens of usual ones.
 HEAD_TURN_BYTES: typing.Final = 16_384
 # So much at a time is read of a body, which is taken from the stream at once.
 BODY_READ_BYTES: typing.Final = 65_536
+# Of all bodies in one turn of the event loop.
+BODY_TURN_BYTES: typing.Final = 524_288
 _COUNT: typing.Final = struct.Struct('i')
 _PEEK_FLAGS: typing.Final = socket.MSG_PEEK | socket.MSG_DONTWAIT
 # Whether to linger, and for how many seconds: without any, a close is a reset.
@@ -43,8 +46,9 @@
     open_streams holds the open ones of the server.  holder counts what waits
     in the kernel.  returned holds bytes that are to be read once more.
     has_read_ahead says that bytes were read that nobody has asked for yet.
-    in_head says that a head is being read, and head_bytes what all streams of
-    the server may read of heads in a turn.  head_search finds the end of one.
+    in_head says that a head is being read.  head_bytes and body_bytes are what
+    all streams of the server may read of heads and of all else in a turn of
+    the event loop.  head_search finds the end of a head.
     """
 
     def __init__(
@@ -71,6 +75,7 @@
         self.has_read_ahead = False
         self.in_head = True
         self.head_bytes = work_share.TurnBytes(HEAD_TURN_BYTES)
+        self.body_bytes = work_share.TurnBytes(BODY_TURN_BYTES)
         self.head_search = head_search.HeadSearch()
 
     def expect_request(self) -> None:
@@ -112,9 +117,17 @@
 
         The loop finds it ready again then; returned bytes it would not find.
         """
-        if self.returned or not self.in_head:
-            return False
-        return not self.head_bytes.has_left()
+        return not self.returned and not self.turn_bytes().has_left()
+
+    def turn_bytes(self) -> work_share.TurnBytes:
+        """Returns what may be read in this turn of what comes next."""
+        return self.head_bytes if self.in_head else self.body_bytes
+
+    def max_read(self) -> int:
+        """Returns how many bytes are read at a time."""
+        if self.in_head:
+            return HEAD_READ_BYTES
+        return max(READ_BYTES, min(self.body_left, BODY_READ_BYTES))
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads what is there; notes when.
@@ -126,8 +139,7 @@
             return None
         if self.must_wait():
             return None
-        limit = max(READ_BYTES, min(self.body_left, BODY_READ_BYTES))
-        view = memoryview(buf)[:limit]
+        view = memoryview(buf)[: self.max_read()]
         try:
             count = self.take_returned(view) or super().read_from_fd(view)
         except OSError:
@@ -142,8 +154,7 @@
                 self.first_read_at = self.last_read_at
         if count:
             self.body_left = max(self.body_left - count, 0)
-        if count and self.in_head:
-            self.head_bytes.use(count)
+            self.turn_bytes().use(count)
         if count and self.on_read is not None:
             self.on_read(count)
         return count
@@ -218,14 +229,15 @@
 
     Its delegate is told which connections are closed.  open_streams holds
     the open connections, max_connections of them at most, and windows bounds
-    what the kernel holds for them.  head_bytes is what they may read of heads
-    in a turn of the event loop.
+    what the kernel holds for them.  head_bytes and body_bytes are what they
+    may read of heads and of all else in a turn of the event loop.
     """
 
     max_connections: float = float('inf')
     open_streams: set[ClientStream]
     windows: receive_windows.ReceiveWindows
     head_bytes: work_share.TurnBytes
+    body_bytes: work_share.TurnBytes
 
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
@@ -244,6 +256,7 @@
         )
         made.open_streams = self.open_streams
         made.head_bytes = self.head_bytes
+        made.body_bytes = self.body_bytes
         self.open_streams.add(made)
         self.windows.fit_new(made, self.open_streams)
         super().handle_stream(made, address)
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -222,6 +222,7 @@
         budget=limits_of_callers.unread_bytes
     )
     server.head_bytes = work_share.TurnBytes(client_stream.HEAD_TURN_BYTES)
+    server.body_bytes = work_share.TurnBytes(client_stream.BODY_TURN_BYTES)
     # Its time-out would come before bytes that wait in the socket.
     server.conn_params.header_timeout = None
     return server
