Have refused callers that still send see the refusal

What callers saw: a reset in place of 413, 400 or 503, while they still sent a body.

Cause: a connection that is closed while bytes wait unread in it, or before more come, is reset by the kernel.

Change: the connection of a refused caller, or of an answer that ends with it, outlives its stream: this side ends its direction, and drops what comes until the caller closes, for 5 s at the most. 16 linger at a time; of others, what has come is read once. Their descriptors are taken from those of callers (436 connections with 136 MB and 1,638 descriptors, 442 before).

--- a/oleanderdrift/gateway/caller_limits.py
+++ b/oleanderdrift/gateway/caller_limits.py
@@ -42,6 +42,9 @@
 MIN_OPERATORS: typing.Final = 8
 MAX_OPERATORS: typing.Final = 32
 OPERATORS_PORTS: typing.Final = 2
+LINGERING_SHARE: typing.Final = 1 / 100
+MIN_LINGERING: typing.Final = 8
+MAX_LINGERING: typing.Final = 16
 # Of the descriptors that are left.  Each request may need a connection to an
 # upstream besides its caller's, and idle ones are kept.
 CLIENT_SHARE: typing.Final = 0.4
@@ -63,7 +66,8 @@
     hold of callers' bytes, and cached_turns_bytes what complete turns may
     take; the others count connections.
     operators is for each of the operators' ports.  opening are connections
-    of peers that have not asked for a tunnel yet.
+    of peers that have not asked for a tunnel yet, and lingering those of
+    callers that were refused and still send.
     """
 
     held_bytes: int
@@ -74,6 +78,7 @@
     tunnels: int
     opening: int
     operators: int
+    lingering: int
 
 
 def derive(
@@ -94,7 +99,10 @@
     operators = min(
         max(int(descriptors * OPERATORS_SHARE), MIN_OPERATORS), MAX_OPERATORS
     )
-    left = descriptors - own - 2 * tunnels - opening
+    lingering = min(
+        max(int(descriptors * LINGERING_SHARE), MIN_LINGERING), MAX_LINGERING
+    )
+    left = descriptors - own - 2 * tunnels - opening - lingering
     left -= OPERATORS_PORTS * operators
     clients = min(
         int(left * CLIENT_SHARE), int((spare - held) / CONNECTION_BYTES)
@@ -109,6 +117,7 @@
         tunnels=tunnels,
         opening=opening,
         operators=operators,
+        lingering=lingering,
     )
 
 
--- a/oleanderdrift/gateway/client_stream.py
+++ b/oleanderdrift/gateway/client_stream.py
@@ -15,6 +15,7 @@
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import head_search
 from oleanderdrift.gateway import held_bytes
+from oleanderdrift.gateway import lingering as lingering_lib
 from oleanderdrift.gateway import receive_windows
 from oleanderdrift.gateway import work_share
 
@@ -48,7 +49,8 @@
     has_read_ahead says that bytes were read that nobody has asked for yet.
     in_head says that a head is being read.  head_bytes and body_bytes are what
     all streams of the server may read of heads and of all else in a turn of
-    the event loop.  head_search finds the end of a head.
+    the event loop.  head_search finds the end of a head.  If lingers is true,
+    lingering keeps the connection once the stream is closed.
     """
 
     def __init__(
@@ -77,6 +79,8 @@
         self.head_bytes = work_share.TurnBytes(HEAD_TURN_BYTES)
         self.body_bytes = work_share.TurnBytes(BODY_TURN_BYTES)
         self.head_search = head_search.HeadSearch()
+        self.lingering: lingering_lib.Lingering | None = None
+        self.lingers = False
 
     def expect_request(self) -> None:
         """Notes that the bytes to come are those of another request."""
@@ -209,6 +213,8 @@
         self.release()
         # It leads back here.
         self.on_read = None
+        if self.lingers and self.lingering is not None:
+            self.lingering.take(self.socket)
         super().close_fd()
 
 
@@ -230,7 +236,8 @@
     Its delegate is told which connections are closed.  open_streams holds
     the open connections, max_connections of them at most, and windows bounds
     what the kernel holds for them.  head_bytes and body_bytes are what they
-    may read of heads and of all else in a turn of the event loop.
+    may read of heads and of all else in a turn of the event loop.  lingering
+    keeps the connections of refused callers.
     """
 
     max_connections: float = float('inf')
@@ -238,6 +245,7 @@
     windows: receive_windows.ReceiveWindows
     head_bytes: work_share.TurnBytes
     body_bytes: work_share.TurnBytes
+    lingering: lingering_lib.Lingering
 
     def handle_stream(
         self, stream: iostream.IOStream, address: tuple[typing.Any, ...]
@@ -247,6 +255,7 @@
         if len(self.open_streams) >= self.max_connections:
             if not delegate.make_room():
                 delegate.refuse_connection(stream.socket)
+                self.lingering.take(stream.socket)
                 stream.close()
                 return
         made = ClientStream(
@@ -257,6 +266,7 @@
         made.open_streams = self.open_streams
         made.head_bytes = self.head_bytes
         made.body_bytes = self.body_bytes
+        made.lingering = self.lingering
         self.open_streams.add(made)
         self.windows.fit_new(made, self.open_streams)
         super().handle_stream(made, address)
--- a/oleanderdrift/gateway/connection_reply.py
+++ b/oleanderdrift/gateway/connection_reply.py
@@ -90,11 +90,21 @@
 
     def refuse_unread(self, status: int, headers: reply_lib.Headers) -> None:
         """Refuses a request that is not read whole, and closes."""
+        self.linger()
         sending = self.start_head(
             status, [*headers, ('Connection', 'close')], b''
         )
         sending.add_done_callback(lambda _: self.close())
 
+    def linger(self) -> None:
+        """Has a caller that still sends see its answer, not a reset.
+
+        The answer must be whole: a cut is not to look like its end.
+        """
+        stream = getattr(self.conn, 'stream', None)
+        if isinstance(stream, client_stream.ClientStream):
+            stream.lingers = True
+
     def is_disconnected(self) -> bool:
         """Returns whether the connection is closed."""
         stream = getattr(self.conn, 'stream', None)
@@ -152,6 +162,7 @@
             # What is not sent yet would be cut off unseen.
             await self.flush()
             self.reset_on_close(False)
+            self.linger()
         self.end()
         await self.close_as_announced()
 
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -14,6 +14,7 @@
 from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
 from oleanderdrift.gateway import forwarder
+from oleanderdrift.gateway import lingering
 from oleanderdrift.gateway import model
 from oleanderdrift.gateway import ports
 from oleanderdrift.gateway import receive_windows
@@ -223,6 +224,7 @@
     )
     server.head_bytes = work_share.TurnBytes(client_stream.HEAD_TURN_BYTES)
     server.body_bytes = work_share.TurnBytes(client_stream.BODY_TURN_BYTES)
+    server.lingering = lingering.Lingering(limit=limits_of_callers.lingering)
     # Its time-out would come before bytes that wait in the socket.
     server.conn_params.header_timeout = None
     return server
--- a/tests/test_gateway_caller_limits.py
+++ b/tests/test_gateway_caller_limits.py
@@ -41,6 +41,7 @@
         assert found.held_bytes + filled + 42 * MB < memory_mb * MB
     if descriptors >= 256:
         opened = 2.5 * found.clients + 2 * found.tunnels + found.opening
+        opened += found.lingering
         assert opened + 2 * found.operators < descriptors - 39
 
 
