Split off what connections wait for; one check of a crowd's bounds

The reader of a request also decided how long its connection may wait: this is connection_stage now. The crowd tests share one check of what an instance has used, and those of heads their set-up; no bound and no crowd has changed.

--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -13,6 +13,7 @@
 from oleanderdrift.gateway import caller_limits
 from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import clock
+from oleanderdrift.gateway import connection_stage
 from oleanderdrift.gateway import forwarder
 from oleanderdrift.gateway import lingering
 from oleanderdrift.gateway import model
@@ -109,17 +110,20 @@
     def close_idle(self, now: float, idle_timeout_s: float) -> None:
         """Closes connections that have been idle for at least the timeout."""
         for reader in list(self.readers.values()):
-            if reader.is_idle() and now - reader.idle_since >= idle_timeout_s:
+            idle_s = now - reader.idle_since
+            if idle_s >= idle_timeout_s and connection_stage.is_idle(reader):
                 reader.close()
 
     def close_overdue(self, now: float) -> None:
         """Ends requests that take longer to arrive than allowed."""
         for reader in list(self.readers.values()):
-            if reader.is_overdue(now, self.limits.header_timeout_s):
+            if connection_stage.is_head_overdue(
+                reader, now, self.limits.header_timeout_s
+            ):
                 if reader.stream is not None and reader.stream.first_read_at:
                     self.forwarder.board.refusals['slow-heads'] += 1
                 reader.close()
-            elif reader.is_body_overdue(now):
+            elif connection_stage.is_body_overdue(reader, now):
                 reader.refuse_slow('the body is not whole at its deadline')
 
     def limit_kernel_bytes(self) -> None:
@@ -158,7 +162,7 @@
             return False
         found = caller_limits.victims(
             [
-                (reader, *reader.stage(now))
+                (reader, *connection_stage.find(reader, now))
                 for reader in self.readers.values()
                 if not reader.closed and not reader.reply.is_disconnected()
             ],
@@ -166,7 +170,7 @@
         )
         board = self.forwarder.board
         for reader in found:
-            stage, since = reader.stage(now)
+            stage, since = connection_stage.find(reader, now)
             board.refusals['connections-closed'] += 1
             self.forwarder.events.info(
                 'connection-evicted',
--- a/oleanderdrift/gateway/request_reader.py
+++ b/oleanderdrift/gateway/request_reader.py
@@ -11,7 +11,6 @@
 from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import admission
-from oleanderdrift.gateway import caller_limits
 from oleanderdrift.gateway import chunked_decoder
 from oleanderdrift.gateway import chunked_reader
 from oleanderdrift.gateway import client_stream
@@ -36,8 +35,6 @@
 # Of a caller that waits for it before it sends a body.
 CONTINUE: typing.Final = '100-continue'
 CONTINUE_ANSWER: typing.Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-# Whatever a request's deadline is, its body may take this long to arrive.
-MIN_BODY_S: typing.Final = 1.0
 
 
 class Owner(typing.Protocol):
@@ -92,68 +89,6 @@
         """Lets the connection be idle for at least this time."""
         self.idle_timeout_s = max(self.idle_timeout_s, timeout_s)
 
-    def is_idle(self) -> bool:
-        """Returns whether no byte of a request has arrived."""
-        if self.received_at:
-            return False
-        stream = self.stream
-        return stream is None or (
-            stream.first_read_at is None and not stream.has_unread()
-        )
-
-    def is_overdue(self, now: float, header_timeout_s: float) -> bool:
-        """Returns whether its head takes longer than allowed."""
-        stream = self.stream
-        if self.received_at or stream is None:
-            return False
-        if stream.first_read_at is None:
-            due_at = self.idle_since + self.idle_timeout_s
-        else:
-            due_at = stream.first_read_at + header_timeout_s
-        # Bytes that wait may be the rest of the head.
-        return now >= due_at and not stream.has_unread()
-
-    def stage(self, now: float) -> tuple[caller_limits.Stage, float]:
-        """Returns what its connection waits for, and since when."""
-        stream = self.stream
-        if self.is_whole or stream is None:
-            return caller_limits.Stage.SERVED, self.received_at
-        if self.received_at:
-            silent_s = now - stream.last_read_at
-            if silent_s < caller_limits.MIN_SILENCE_S or stream.has_unread():
-                return caller_limits.Stage.SLOW_BODY, self.received_at
-            return caller_limits.Stage.BODY, stream.last_read_at
-        if stream.first_read_at is not None:
-            return caller_limits.Stage.HEAD, stream.first_read_at
-        if stream.has_unread():
-            return caller_limits.Stage.SERVED, self.idle_since
-        if self.is_first:
-            return caller_limits.Stage.UNUSED, self.idle_since
-        return caller_limits.Stage.IDLE, self.idle_since
-
-    def is_body_overdue(self, now: float) -> bool:
-        """Returns whether its body is not whole at its own deadline."""
-        if not self.received_at or self.is_whole or self.closed:
-            return False
-        if now < self.received_at + MIN_BODY_S:
-            return False
-        if self.deadline is None:
-            self.deadline = self.read_deadline()
-        return now >= self.deadline
-
-    def read_deadline(self) -> float:
-        """Returns when the caller expects no answer any more."""
-        codec = self.ingress.codec
-        line = self.start_line
-        try:
-            request = codec.decode_request(
-                line.method, line.path, self.headers, b'', self.received_at
-            )
-        except errors.ResultError:
-            # It is refused once it is whole.
-            return self.received_at + MIN_BODY_S
-        return request.deadline
-
     def refuse_slow(self, detail: str) -> None:
         """Refuses the request for its body that does not come."""
         self.ingress.forwarder.board.refusals['slow-bodies'] += 1
--- a/tests/test_gateway_body_crowds.py
+++ b/tests/test_gateway_body_crowds.py
@@ -233,6 +233,18 @@
         task.cancel()
 
 
+def check_most(site: floods.Site, most: Watcher) -> None:
+    """Checks what an instance has used against its limits."""
+    peak_mb = site.peak_mb()
+    print(
+        f'peak_mb={peak_mb:.0f} fds={most.descriptors} '
+        f'with_unread_mb={most.memory / MB:.0f}'
+    )
+    assert peak_mb < MEMORY_MB
+    assert most.memory < MEMORY_MB * MB
+    assert most.descriptors < MAX_FDS
+
+
 async def check_crowd(
     row: Row,
     folder: pathlib.Path,
@@ -245,14 +257,7 @@
         async with run_crowd(site, crowd) as most:
             await untrusted.await_ordinary(site)
         await untrusted.await_ordinary(site)
-        peak_mb = site.peak_mb()
-        print(
-            f'peak_mb={peak_mb:.0f} fds={most.descriptors} '
-            f'with_unread_mb={most.memory / MB:.0f}'
-        )
-        assert peak_mb < MEMORY_MB
-        assert most.memory < MEMORY_MB * MB
-        assert most.descriptors < MAX_FDS
+        check_most(site, most)
 
 
 @pytest.mark.parametrize('row', ROWS.values(), ids=ROWS)
--- a/tests/test_gateway_caller_limits.py
+++ b/tests/test_gateway_caller_limits.py
@@ -11,6 +11,7 @@
 from oleanderdrift.gateway import channel
 from oleanderdrift.gateway import client_stream
 from oleanderdrift.gateway import connection_pool
+from oleanderdrift.gateway import connection_stage
 from oleanderdrift.gateway import ingress
 from oleanderdrift.gateway import request_reader
 from oleanderdrift.platform import codec
@@ -193,12 +194,12 @@
         stream.last_read_at = now - silent_s
         if is_unread:
             theirs.send(b'x')
-        found, since = reader.stage(now)
+        found, since = connection_stage.find(reader, now)
         assert found is stage
         closed = caller_limits.victims([(reader, found, since)], now)
         assert bool(closed) is (age_s > caller_limits.MIN_SLOW_S)
         reader.is_whole = True
-        assert reader.stage(now)[0] is Stage.SERVED
+        assert connection_stage.find(reader, now)[0] is Stage.SERVED
         stream.close()
         theirs.close()
 
--- a/tests/test_gateway_crowd_changes.py
+++ b/tests/test_gateway_crowd_changes.py
@@ -43,13 +43,7 @@
             yield site
             await untrusted.await_ordinary(site)
         await untrusted.await_ordinary(site)
-        print(
-            f'with_unread_mb={most.memory / bodies.MB:.0f} '
-            f'fds={most.descriptors}'
-        )
-        assert site.peak_mb() < bodies.MEMORY_MB
-        assert most.memory < bodies.MEMORY_MB * bodies.MB
-        assert most.descriptors < bodies.MAX_FDS
+        bodies.check_most(site, most)
 
 
 @each_crowd
--- a/tests/test_gateway_many_heads.py
+++ b/tests/test_gateway_many_heads.py
@@ -26,23 +26,36 @@
 )
 
 
+def start_request(
+    forwarder: test_gateway_ingress.Forwarder,
+) -> request_reader.RequestReader:
+    """Returns what reads the request of a connection."""
+    made = ingress.Ingress(
+        typing.cast(typing.Any, forwarder), codec.PlatformCodec()
+    )
+    conn = typing.cast(httputil.HTTPConnection, object())
+    return typing.cast(
+        request_reader.RequestReader, made.start_request('c', conn)
+    )
+
+
+def many_headers() -> httputil.HTTPHeaders:
+    """Returns an id and MANY fields besides."""
+    headers = httputil.HTTPHeaders({'Attempt-Id': 'q1'})
+    for number in range(MANY):
+        headers.add(f'{number}', str(number))
+    return headers
+
+
 def test_head_counts_until_its_request_ends() -> None:
     """Guards against heads that take memory which nobody counts."""
 
     async def play() -> None:
         forwarder = test_gateway_ingress.Forwarder()
         held = forwarder.board.held
-        made = ingress.Ingress(
-            typing.cast(typing.Any, forwarder), codec.PlatformCodec()
-        )
-        conn = typing.cast(httputil.HTTPConnection, object())
-        reader = typing.cast(
-            request_reader.RequestReader, made.start_request('c', conn)
-        )
+        reader = start_request(forwarder)
         line = httputil.RequestStartLine('POST', '/a/b', 'HTTP/1.1')
-        headers = httputil.HTTPHeaders({'Attempt-Id': 'q1'})
-        for number in range(MANY):
-            headers.add(f'f{number}', str(number))
+        headers = many_headers()
         headers.add('Content-Length', '3')
         reader.headers_received(line, headers)
         each = request_head.HEADER_OBJECT_BYTES
@@ -62,17 +75,9 @@
     async def play() -> None:
         forwarder = test_gateway_ingress.Forwarder()
         forwarder.board.held.limit = 100_000
-        made = ingress.Ingress(
-            typing.cast(typing.Any, forwarder), codec.PlatformCodec()
-        )
-        conn = typing.cast(httputil.HTTPConnection, object())
-        reader = typing.cast(
-            request_reader.RequestReader, made.start_request('c', conn)
-        )
+        reader = start_request(forwarder)
         line = httputil.RequestStartLine('GET', '/a/b', 'HTTP/1.1')
-        headers = httputil.HTTPHeaders({'Attempt-Id': 'q1'})
-        for number in range(MANY):
-            headers.add(f'f{number}', str(number))
+        headers = many_headers()
         reader.headers_received(line, headers)
         assert forwarder.board.refusals['held-bytes'] == 1
         assert reader.closed
--- a/tests/test_gateway_peer_crowds.py
+++ b/tests/test_gateway_peer_crowds.py
@@ -68,10 +68,6 @@
             async with bodies.run_crowd(site, crowd) as most:
                 await untrusted.await_ordinary(site)
             await untrusted.await_ordinary(site)
-            peak_mb = site.peak_mb()
-            print(f'peak_mb={peak_mb:.0f} fds={most.descriptors}')
-            assert peak_mb < bodies.MEMORY_MB
-            assert most.memory < bodies.MEMORY_MB * bodies.MB
-            assert most.descriptors < bodies.MAX_FDS
+            bodies.check_most(site, most)
 
     asyncio.run(play())
