Bound what is known of programs' budgets

What callers saw: nothing, until the process ended. A client that names a new program with a budget in each request has it kept for 400 s, 1.1 KiB each, without a limit.

Cause: an instance may not forget a program that may go on, as its budget would be given twice; nothing limited how many there are.

Change: ledgers count what they hold. All instances that read a partition have the same ledger, so they stop alike.

--- a/oleanderdrift/gateway/budget_log.py
+++ b/oleanderdrift/gateway/budget_log.py
@@ -13,6 +13,7 @@
 import math
 import typing
 
+from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import budget_reads
 from oleanderdrift.gateway import budgets
@@ -38,18 +39,30 @@
 # Records are written again once they may have this part of the store's
 # retention, so that one that starts later finds all that was used.
 RENEWAL_FRACTION: typing.Final = 0.4
+# What is known of programs takes so much, and of that, what new ones leave to
+# those that have begun.
+LEDGER_BYTES: typing.Final = 64_000_000
+NEW_PROGRAMS_SHARE: typing.Final = 0.8
+# Programs are forgotten minutes after their latest turn.
+FULL_RETRY_S: typing.Final = 5.0
 
 
 class BudgetLog:
-    """The budgets of all programs, computed from the store's records."""
+    """The budgets of all programs, computed from the store's records.
+
+    limit is how many bytes the ledgers take in memory before reservations
+    are refused.
+    """
 
     def __init__(
         self,
         log: ports.RecordLog,
         retention_s: float = math.inf,
         share: link_share.LinkShare | None = None,
+        limit: int = LEDGER_BYTES,
     ) -> None:
         self.log = log
+        self.limit = limit
         share = share or link_share.LinkShare(math.inf)
         self.reads = budget_reads.BudgetReads(log, share)
         self.renewal_age_s = retention_s * RENEWAL_FRACTION
@@ -136,14 +149,33 @@
             self.settle_grant(previous, now)
         return verdict
 
+    def size(self) -> int:
+        """Returns how many bytes the ledgers take in memory."""
+        return sum(one.ledger.size for one in self.partitions)
+
+    def check_room(self, program: str) -> None:
+        """Raises ResultError if nothing more is taken in of a program."""
+        size = self.size()
+        limit: float = self.limit
+        if program not in self.partition_of(program).ledger.programs:
+            limit *= NEW_PROGRAMS_SHARE
+        if size >= limit:
+            raise errors.ResultError(
+                codes.MEMORY_EXHAUSTED,
+                f'budgets of programs have {size} bytes',
+                retry_after_s=FULL_RETRY_S,
+            )
+
     async def write_reservation(
         self, record: records.Reserve, now: float
     ) -> budgets.Verdict:
         """Appends a reservation; returns the verdict of the records on it.
 
-        Raises ResultError if the store does not answer.
+        Raises ResultError if the store does not answer, or if too much is
+        known of programs.
         """
         program, turn = record.program, record.turn
+        self.check_room(program)
         partition = self.partition_of(program)
         self.renew(program, now)
         try:
--- a/oleanderdrift/gateway/budgets.py
+++ b/oleanderdrift/gateway/budgets.py
@@ -14,6 +14,9 @@
 
 # Programs without records for this long are removed from memory.
 PROGRAM_EXPIRY_S: typing.Final = 400.0
+# Python's objects of a program, and of a reservation, with their names.
+PROGRAM_BYTES: typing.Final = 700
+RESERVATION_BYTES: typing.Final = 400
 
 
 class Verdict(enum.Enum):
@@ -58,6 +61,11 @@
     total: int = 0
     last_used: float
 
+    def held_size(self) -> int:
+        """Returns how many bytes it takes in memory."""
+        count = len(self.reservations) + len(self.refused)
+        return PROGRAM_BYTES + count * RESERVATION_BYTES
+
     def verdict(self, turn: str) -> Verdict:
         """Returns the verdict on a reservation."""
         if turn in self.reservations:
@@ -108,10 +116,14 @@
 
 @attrs.define(kw_only=True)
 class BudgetLedger:
-    """One partition's programs from all records before the offset `end`."""
+    """One partition's programs from all records before the offset `end`.
+
+    size is what they take in memory, in bytes.
+    """
 
     end: int = 0
     programs: dict[str, Program] = attrs.field(factory=dict)
+    size: int = 0
 
     def apply_records(
         self,
@@ -128,18 +140,29 @@
             if start + place < self.end:
                 continue
             record = records.decode_budget(each)
-            match record:
-                case records.Reserve():
-                    self.reserve(record, now, since)
-                case records.Settle():
-                    self.settle(record, now, since)
+            if record is not None:
+                self.apply(record, now, since)
         self.end = max(self.end, start + len(data))
 
+    def apply(
+        self, record: records.BudgetRecord, now: float, since: float
+    ) -> None:
+        """Applies a record that was written after the time since."""
+        program = self.program(record.program, now)
+        self.size -= program.held_size()
+        match record:
+            case records.Reserve():
+                self.reserve(record, now, since)
+            case records.Settle():
+                self.settle(record, now, since)
+        self.size += program.held_size()
+
     def program(self, name: str, now: float) -> Program:
         """Returns a program, new if it is unknown."""
         found = self.programs.get(name)
         if found is None:
             found = self.programs[name] = Program(last_used=now)
+            self.size += found.held_size()
         found.last_used = now
         return found
 
@@ -214,4 +237,4 @@
             for name, program in self.programs.items()
             if now - program.last_used > PROGRAM_EXPIRY_S
         ]:
-            del self.programs[name]
+            self.size -= self.programs.pop(name).held_size()
--- a/oleanderdrift/gateway/caller_limits.py
+++ b/oleanderdrift/gateway/caller_limits.py
@@ -17,7 +17,7 @@
 MAX_RESTING_SHARE: typing.Final = 0.6
 # For the process's own state: configuration, records of turns, peers.
 OWN_STATE_SHARE: typing.Final = 0.25
-# Of that, for complete turns that are cached.
+# Of that, for complete turns that are cached, and for budgets of programs.
 CACHED_TURNS_SHARE: typing.Final = 0.7
 # For where turns are stored, twice in the index and once beside it.
 TURN_INDEX_SHARE: typing.Final = 0.08
@@ -67,9 +67,9 @@
     """The limits that one process keeps to.
 
     held_bytes is the budget of `held_bytes`, unread_bytes what the kernel may
-    hold of callers' bytes, and cached_turns_bytes what complete turns may
-    take; turn_index_bytes is for each of two ways to find turns in the store.
-    The others count connections.
+    hold of callers' bytes, and cached_turns_bytes what complete turns and
+    budgets may take.  turn_index_bytes is for each of two ways to find turns
+    in the store.  The others count connections.
     operators is for each of the operators' ports.  opening are connections
     of peers that have not asked for a tunnel yet, and lingering those of
     callers that were refused and still send.
--- a/oleanderdrift/gateway/server.py
+++ b/oleanderdrift/gateway/server.py
@@ -224,6 +224,7 @@
             now = clock.monotonic()
             self.forwarder.turns.grants.desk.expire(now)
             await self.forwarder.turns.budgets.flush(now)
+            self.forwarder.turns.fit_cache()
             for upstream in self.board.upstreams.forget(
                 now, REMOVED_UPSTREAM_RETENTION_S
             ):
--- a/oleanderdrift/gateway/turn_flow.py
+++ b/oleanderdrift/gateway/turn_flow.py
@@ -71,6 +71,7 @@
             self.retrying_log,
             board.settings.turn_retention_s,
             self.share,
+            board.caller_limits.cached_turns_bytes,
         )
         self.grants = turn_grants.TurnGrants(
             board,
@@ -348,6 +349,12 @@
             return budgets.Verdict.UNSETTLED
         return verdict
 
+    def fit_cache(self) -> None:
+        """Leaves the cache of turns what budgets do not take."""
+        both = self.board.caller_limits.cached_turns_bytes
+        left = max(both - self.budgets.size(), 0)
+        self.turns.cache.fit(min(turns.CACHE_BYTES, left))
+
     async def store_turn(self, progress: progress_lib.Progress) -> None:
         """Stores a turn; called before the end of its response is sent."""
         if progress.input_location is None:
--- a/oleanderdrift/gateway/turns.py
+++ b/oleanderdrift/gateway/turns.py
@@ -74,6 +74,15 @@
             return
         self.turns[turn.turn_id] = turn
         self.size += turn.held_size()
+        self.evict()
+
+    def fit(self, limit: int) -> None:
+        """Sets another limit."""
+        self.limit = limit
+        self.evict()
+
+    def evict(self) -> None:
+        """Drops the least recently used turns over the limit."""
         while self.size > self.limit and len(self.turns) > 1:
             _, old = self.turns.popitem(last=False)
             self.size -= old.held_size()
