--- a/oleanderdrift/gateway/connection_stage.py
+++ b/oleanderdrift/gateway/connection_stage.py
@@ -59,7 +59,7 @@
     return request.deadline
 
 
-def find(
+def stage_of(
     reader: request_reader.RequestReader, now: float
 ) -> tuple[caller_limits.Stage, float]:
     """Returns what a connection waits for, and since when."""
--- a/oleanderdrift/gateway/ingress.py
+++ b/oleanderdrift/gateway/ingress.py
@@ -162,7 +162,7 @@
             return False
         found = caller_limits.victims(
             [
-                (reader, *connection_stage.find(reader, now))
+                (reader, *connection_stage.stage_of(reader, now))
                 for reader in self.readers.values()
                 if not reader.closed and not reader.reply.is_disconnected()
             ],
@@ -170,7 +170,7 @@
         )
         board = self.forwarder.board
         for reader in found:
-            stage, since = connection_stage.find(reader, now)
+            stage, since = connection_stage.stage_of(reader, now)
             board.refusals['connections-closed'] += 1
             self.forwarder.events.info(
                 'connection-evicted',
--- a/oleanderdrift/gateway/lingering.py
+++ b/oleanderdrift/gateway/lingering.py
@@ -21,8 +21,8 @@
 class Lingering:
     """Connections whose answers are sent, limit of them at the most.
 
-    timers has what ends each of them.  buffer is for what is
-    dropped, and share for how much of that is read in a turn.
+    timers has what ends each of them.  buffer is for what is dropped, and
+    share for how much of that is read in a turn.
     """
 
     def __init__(self, *, limit: int) -> None:
@@ -74,8 +74,3 @@
         self.timers.pop(sock).cancel()
         asyncio.get_running_loop().remove_reader(sock)
         sock.close()
-
-    def close_all(self) -> None:
-        """Ends all connections that linger."""
-        for sock in list(self.timers):
-            self.close(sock)
--- a/tests/test_gateway_caller_limits.py
+++ b/tests/test_gateway_caller_limits.py
@@ -196,12 +196,12 @@
         stream.last_read_at = now - silent_s
         if is_unread:
             theirs.send(b'x')
-        found, since = connection_stage.find(reader, now)
+        found, since = connection_stage.stage_of(reader, now)
         assert found is stage
         closed = caller_limits.victims([(reader, found, since)], now)
         assert bool(closed) is (age_s > caller_limits.MIN_SLOW_S)
         reader.is_whole = True
-        assert connection_stage.find(reader, now)[0] is Stage.SERVED
+        assert connection_stage.stage_of(reader, now)[0] is Stage.SERVED
         stream.close()
         theirs.close()
 
--- a/tests/test_gateway_lingering.py
+++ b/tests/test_gateway_lingering.py
@@ -120,7 +120,8 @@
             for _, client in pairs:
                 assert await read_end(client) == b''
             # The others are closed with what they have sent.
-            waiting.close_all()
+            for sock in list(waiting.timers):
+                waiting.close(sock)
             found.append(len(waiting.timers))
         return found
 
