Let no first read of the index wait for another

What callers would have seen: with the bound on places of turns, four partitions of the index were read from their start at a time, so reads of a failing part of the store would have held up all others for some time-outs.

Cause: a dropped partition whose read was under way went on taking memory, and the semaphore bounded how many there could be.

Change: a read whose partition was dropped is given up, and its entries are freed at once; so nothing else needs to be bounded, and both limits are 12% of the memory for own state in place of 8% (4.3 MB).

Evidence: test_reads_at_the_same_time_keep_to_the_limit.

--- a/oleanderdrift/gateway/caller_limits.py
+++ b/oleanderdrift/gateway/caller_limits.py
@@ -19,8 +19,8 @@
 OWN_STATE_SHARE: typing.Final = 0.25
 # Of that, for complete turns that are cached, and for budgets of programs.
 CACHED_TURNS_SHARE: typing.Final = 0.7
-# For where turns are stored, twice in the index and once beside it.
-TURN_INDEX_SHARE: typing.Final = 0.08
+# For where turns are stored, in the index and once more beside it.
+TURN_INDEX_SHARE: typing.Final = 0.12
 # Some thousands of turns.
 MIN_TURN_INDEX_BYTES: typing.Final = 1_048_576
 HELD_SHARE: typing.Final = 0.4
--- a/oleanderdrift/gateway/turn_index_log.py
+++ b/oleanderdrift/gateway/turn_index_log.py
@@ -13,6 +13,7 @@
 import math
 import typing
 
+from oleanderdrift import codes
 from oleanderdrift import errors
 from oleanderdrift.gateway import event_log
 from oleanderdrift.gateway import records
@@ -23,8 +24,8 @@
 
 # One read; a partition hardly ever has more.
 READ_BYTES: typing.Final = 65_536
-# Of partitions that are not known, at a time; each has its part of the limit.
-FIRST_READS: typing.Final = 4
+# Of the limit, what one partition may take.
+PARTITION_SHARE: typing.Final = 0.25
 # How soon entries that could not be written are tried again; the delay doubles
 # with each failure, as all instances do so in an outage of the store.
 RETRY_DELAY_S: typing.Final = 0.3
@@ -44,9 +45,7 @@
     """The index as one instance reads and writes it.
 
     indexes and reads are those of the partitions that it has looked at, the
-    latest last.  limit is how many bytes the indexes take together, and
-    first_reads are the reads that begin at the start of a partition; they
-    may take as much again.
+    latest last.  limit is how many bytes the indexes take together.
     pending holds the entries to write, and writers the tasks that do it.
     unwritten counts those and the ones that are being written.
     """
@@ -66,7 +65,6 @@
         self.reads: dict[
             Partition, shared_work.SharedRead[turns.TurnIndex]
         ] = {}
-        self.first_reads = asyncio.Semaphore(FIRST_READS)
         self.unwritten = 0
         self.pending: dict[Slot, list[records.IndexedTurn]] = {}
         self.writers: shared_work.SharedTasks[None] = shared_work.SharedTasks(
@@ -163,24 +161,22 @@
         return self.reads[key]
 
     async def read_to_end(self, key: Partition) -> turns.TurnIndex:
-        """Reads what a partition has got since the last read."""
-        index = self.indexes.get(key)
-        if index is not None:
-            self.indexes.move_to_end(key)
-            return await self.read_pages(key, index)
-        async with self.first_reads:
-            index = self.indexes[key] = turns.TurnIndex()
-            return await self.read_pages(key, index)
-
-    async def read_pages(
-        self, key: Partition, index: turns.TurnIndex
-    ) -> turns.TurnIndex:
-        """Reads the rest of a partition; the latest entries stay."""
+        """Reads what a partition has got since the last read.
+
+        Of a partition over its share of the limit, the latest entries stay.
+        Raises ResultError if it was dropped meanwhile.
+        """
         topic, partition = key
+        index = self.indexes.setdefault(key, turns.TurnIndex())
         while True:
             read = await self.log.read(
                 topic, partition, index.end, max_bytes=READ_BYTES
             )
+            if self.indexes.get(key) is not index:
+                raise errors.ResultError(
+                    codes.LOG_UNAVAILABLE,
+                    f'partition {partition} of {topic} has no room',
+                )
             if read.trimmed:
                 index.end = read.first
                 continue
@@ -188,21 +184,21 @@
                 entry = records.decode_indexed_turn(data)
                 if entry is not None:
                     index.add(entry)
-            index.keep(self.limit // FIRST_READS)
-            self.make_room()
             index.end = read.start + len(read.records)
+            self.make_room(key)
             if index.end >= read.end:
                 return index
 
-    def make_room(self) -> None:
-        """Drops what was not read for longest, until all keep to the limit.
-
-        Reads that are under way go on with theirs.
-        """
+    def make_room(self, latest: Partition) -> None:
+        """Drops what was not read for longest, until all keep to the limit."""
+        self.indexes.move_to_end(latest)
+        self.indexes[latest].keep(int(self.limit * PARTITION_SHARE))
         held = sum(one.size for one in self.indexes.values())
         while held > self.limit:
             _, dropped = self.indexes.popitem(last=False)
             held -= dropped.size
+            # A read that is under way refers to it.
+            dropped.keep(0)
 
     def forget(self, before_ms: int) -> None:
         """Drops turns that ended before a Unix time."""
--- a/tests/test_gateway_turn_places.py
+++ b/tests/test_gateway_turn_places.py
@@ -100,6 +100,34 @@
     virtual_time.run(scenario())
 
 
+def test_reads_at_the_same_time_keep_to_the_limit() -> None:
+    """A read that has lost its place is not one that has found nothing."""
+
+    async def scenario() -> None:
+        log = turn_support.make_log()
+        writer = turn_support.make_turn_log(log, 'north-1')
+        for number in range(COUNT):
+            await turn_support.store_turn(writer, f't{number}')
+        await writer.index.flush()
+        reader = turn_support.make_turn_log(log, 'south-1')
+        reader.index.limit = LIMIT
+        answers = await asyncio.gather(
+            *(reader.index.find(f't{number}') for number in range(COUNT)),
+            return_exceptions=True,
+        )
+        held = sum(one.size for one in reader.index.indexes.values())
+        assert held <= LIMIT
+        refused = [
+            one for one in answers if not isinstance(one, records.IndexedTurn)
+        ]
+        assert 0 < len(refused) < COUNT
+        for one in refused:
+            assert isinstance(one, errors.ResultError)
+            assert one.code is codes.LOG_UNAVAILABLE
+
+    virtual_time.run(scenario())
+
+
 def test_search_that_needs_too_much_is_given_up() -> None:
     """A turn that was not looked for everywhere is not denied."""
 
